--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Commands for developers. `make check` is what CI runs.
+
+MODULES  := . controld entryd sardctl standin
+PACKAGES := ./... ./controld/... ./entryd/... ./sardctl/... ./standin/...
+SOURCES  := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
+BIN      := $(CURDIR)/.bin
+
+.PHONY: check demo tools format-check lint vet build catalogues test race generate format
+
+check: tools format-check vet lint build catalogues test race
+
+demo:
+	go run ./sardctl demo
+
+tools:
+	cd tools && GOWORK=off go build -o $(BIN)/ mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
+
+format-check:
+	@bad=$$($(BIN)/gofumpt -l $(SOURCES)); if [ -n "$$bad" ]; then echo "make: not formatted, run 'make format':"; echo "$$bad"; exit 1; fi
+
+format:
+	$(BIN)/gofumpt -w $(SOURCES)
+
+vet:
+	go vet $(PACKAGES)
+
+lint:
+	$(BIN)/staticcheck $(PACKAGES)
+	$(BIN)/revive -config revive.toml -set_exit_status -exclude ./wire/... $(PACKAGES)
+
+build:
+	go build -o $(BIN)/ ./controld ./entryd ./sardctl ./standin
+
+catalogues: build
+
+test:
+	go test $(PACKAGES)
+
+# The packages whose goroutines share memory.
+race:
+	go test -race ./ring/... ./clock/...
+
+# The generated code is committed; this needs buf, which CI does not build.
+generate:
+	cd tools && GOWORK=off go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	cd gen && GOWORK=off go build -o $(BIN)/ github.com/bufbuild/buf/cmd/buf
+	PATH=$(BIN):$$PATH $(BIN)/buf generate
--- /dev/null
+++ b/controld/main.go
@@ -0,0 +1,12 @@
+// Command controld is a program of sardineswitch; see its --help.
+package main
+
+import (
+	"os"
+
+	"sardineswitch.dev/sardine/controld/start"
+)
+
+func main() {
+	os.Exit(start.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,42 @@
+// Package event holds the numbered log events. One table drives the log calls
+// and docs/EVENTS.md; every event is written through Log.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// ID is an event's number. Numbers never change their meaning.
+type ID int
+
+// Row describes one event.
+type Row struct {
+	ID      ID
+	Name    string // snake case
+	Level   slog.Level
+	Meaning string
+	Remedy  string // what an operator should do
+}
+
+// Log writes the event with its number, name, level and attributes.
+func Log(l *slog.Logger, id ID, attrs ...slog.Attr) {
+	row := id.Row()
+	all := append([]slog.Attr{slog.Int("event", int(id))}, attrs...)
+	l.LogAttrs(context.Background(), row.Level, row.Name, all...)
+}
+
+// Row returns the event's row, or a row named unknown_event.
+func (id ID) Row() Row {
+	for _, r := range table {
+		if r.ID == id {
+			return r
+		}
+	}
+	return Row{ID: id, Name: "unknown_event", Level: slog.LevelError}
+}
+
+// Table returns all rows in the order of their numbers.
+func Table() []Row {
+	return append([]Row(nil), table...)
+}
--- /dev/null
+++ b/event/table.go
@@ -0,0 +1,79 @@
+package event
+
+import "log/slog"
+
+// The events. 1xx: process; 2xx: quorum and storage; 3xx: settings and spread;
+// 4xx: targets and groups; 5xx: requests; 6xx: keys.
+const (
+	NodeStarted     ID = 100
+	NodeReady       ID = 101
+	NodeUnready     ID = 102
+	DrainStarted    ID = 103
+	DrainEnded      ID = 104
+	NodeStopped     ID = 105
+	InvariantBroken ID = 106
+	DutyFailed      ID = 107
+	LeaderChanged   ID = 200
+	TailCut         ID = 201
+	StorageFailed   ID = 202
+	SnapshotTaken   ID = 203
+	SnapshotInstall ID = 204
+	PeerUnreachable ID = 205
+	ChangeAccepted  ID = 300
+	ChangeRefused   ID = 301
+	EntryJoined     ID = 302
+	EntryLeft       ID = 303
+	LeaseLapsed     ID = 304
+	LeaseGained     ID = 305
+	TargetSeen      ID = 400
+	TargetLost      ID = 401
+	TargetLeaving   ID = 402
+	GroupAssigned   ID = 403
+	GroupServing    ID = 404
+	GroupDegraded   ID = 405
+	GroupReleased   ID = 406
+	OrderFailed     ID = 407
+	RequestRefused  ID = 500
+	RequestFailed   ID = 501
+	StreamResumed   ID = 502
+	RequestPoison   ID = 503
+	KeyRefused      ID = 600
+	KeysReloaded    ID = 601
+)
+
+var table = []Row{
+	{NodeStarted, "node_started", slog.LevelInfo, "the process listens on its addresses", "nothing"},
+	{NodeReady, "node_ready", slog.LevelInfo, "the node takes work", "nothing"},
+	{NodeUnready, "node_unready", slog.LevelWarn, "the node refuses new work", "see the reason attribute"},
+	{DrainStarted, "drain_started", slog.LevelInfo, "a graceful shutdown began", "nothing"},
+	{DrainEnded, "drain_ended", slog.LevelInfo, "all requests in flight have ended", "nothing"},
+	{NodeStopped, "node_stopped", slog.LevelInfo, "the process ends", "nothing"},
+	{InvariantBroken, "invariant_broken", slog.LevelError, "an internal check failed and the duty stopped", "report it with the state dump of the node"},
+	{DutyFailed, "duty_failed", slog.LevelError, "a duty ended with an error", "see the error attribute"},
+	{LeaderChanged, "leader_changed", slog.LevelInfo, "a control node leads in a new term", "nothing"},
+	{TailCut, "tail_cut", slog.LevelWarn, "an incomplete record at the log's end was removed", "nothing, it was never acknowledged"},
+	{StorageFailed, "storage_failed", slog.LevelError, "the data folder can't be used", "see the error attribute"},
+	{SnapshotTaken, "snapshot_taken", slog.LevelInfo, "the state was written to a snapshot", "nothing"},
+	{SnapshotInstall, "snapshot_install", slog.LevelInfo, "a snapshot of the leader replaced the state", "nothing"},
+	{PeerUnreachable, "peer_unreachable", slog.LevelWarn, "a control node does not answer", "check that VM and the network to it"},
+	{ChangeAccepted, "change_accepted", slog.LevelInfo, "a settings change is in force on every entry node", "nothing"},
+	{ChangeRefused, "change_refused", slog.LevelInfo, "a settings change was refused", "see the error attribute"},
+	{EntryJoined, "entry_joined", slog.LevelInfo, "an entry node joined", "nothing"},
+	{EntryLeft, "entry_left", slog.LevelInfo, "an entry node left", "nothing"},
+	{LeaseLapsed, "lease_lapsed", slog.LevelWarn, "the serving lease ran out, new requests are refused", "check the network to the control nodes"},
+	{LeaseGained, "lease_gained", slog.LevelInfo, "the node holds a serving lease", "nothing"},
+	{TargetSeen, "target_seen", slog.LevelInfo, "a target announced itself", "nothing"},
+	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
+	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
+	{GroupAssigned, "group_assigned", slog.LevelInfo, "members were assigned to a group", "nothing"},
+	{GroupServing, "group_serving", slog.LevelInfo, "a group serves", "nothing"},
+	{GroupDegraded, "group_degraded", slog.LevelWarn, "a group lost a member and stopped serving", "see sardctl explain group"},
+	{GroupReleased, "group_released", slog.LevelInfo, "a group was dissolved and its members are free", "nothing"},
+	{OrderFailed, "order_failed", slog.LevelWarn, "an engine did not take an order", "check that VM"},
+	{RequestRefused, "request_refused", slog.LevelDebug, "a request was refused before it ran", "see the code attribute"},
+	{RequestFailed, "request_failed", slog.LevelWarn, "a request failed after it was dispatched", "see the code attribute"},
+	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
+	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
+	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
+	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
+}
--- /dev/null
+++ b/standin/gauge/gauge.go
@@ -0,0 +1,49 @@
+// Package gauge holds the measurements. Each is one file with its options and
+// its run, and one row of the table.
+package gauge
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Measure is one measurement of the table.
+type Measure struct {
+	Name    string
+	Short   string
+	Example string
+	// Build adds the measurement's flags to c and returns what runs it. The
+	// returned value is printed as JSON on the last line.
+	Build func(c *cobra.Command) func(out io.Writer) (any, error)
+}
+
+// Table returns the measurements in the order of the help text.
+func Table() []Measure {
+	return []Measure{}
+}
+
+// Command returns the measurement as a subcommand.
+func (m Measure) Command() *cobra.Command {
+	c := &cobra.Command{Use: m.Name, Short: m.Short, Example: m.Example, Args: cobra.NoArgs}
+	run := m.Build(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		return printResult(c.OutOrStdout(), run)
+	}
+	return c
+}
+
+func printResult(out io.Writer, run func(io.Writer) (any, error)) error {
+	result, err := run(out)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, string(line))
+	return err
+}
--- /dev/null
+++ b/state/machine.go
@@ -0,0 +1,263 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// Limits of what the machine keeps.
+const (
+	keptRevisions = 50
+	keptChanges   = 2000
+	// PoisonGroups is the number of failed groups after which a request is
+	// refused.
+	PoisonGroups = 2
+	// ClaimRetention is how long the answer to a key is kept.
+	ClaimRetention = WallTime(24 * 3600 * 1000)
+	// TombstoneRetention is how long an expired key is refused.
+	TombstoneRetention = 7 * ClaimRetention
+	// PoisonRetention is how long a fingerprint's strikes count.
+	PoisonRetention = ClaimRetention
+)
+
+type claimName struct {
+	workspace sardine.Workspace
+	key       string
+}
+
+func (n claimName) hash() uint64 {
+	return xxhash.Sum64String(string(n.workspace) + "\x00" + n.key)
+}
+
+type team struct {
+	revisions []Revision     // oldest first, at most keptRevisions
+	changes   []ChangeResult // oldest first, at most keptChanges
+}
+
+// Machine is the replicated state. It is not safe for concurrent use.
+type Machine struct {
+	index      uint64
+	at         WallTime
+	entries    map[sardine.NodeID]JoinEntry
+	teams      map[sardine.Team]*team
+	targets    map[sardine.VMID]Target
+	groups     map[sardine.GroupID]sardine.Group
+	owners     map[sardine.VMID]Owner
+	claims     map[claimName]Claim
+	expiry     []claimName // claims by age, oldest first
+	tombstones map[uint64]WallTime
+	poisons    map[string]Poison
+	tokens     map[string]Token
+}
+
+// NewMachine returns an empty machine.
+func NewMachine() *Machine {
+	return &Machine{
+		entries:    make(map[sardine.NodeID]JoinEntry),
+		teams:      make(map[sardine.Team]*team),
+		targets:    make(map[sardine.VMID]Target),
+		groups:     make(map[sardine.GroupID]sardine.Group),
+		owners:     make(map[sardine.VMID]Owner),
+		claims:     make(map[claimName]Claim),
+		tombstones: make(map[uint64]WallTime),
+		poisons:    make(map[string]Poison),
+		tokens:     make(map[string]Token),
+	}
+}
+
+// Index returns the index of the last applied entry.
+func (m *Machine) Index() uint64 {
+	return m.index
+}
+
+// At returns the highest stamp applied.
+func (m *Machine) At() WallTime {
+	return m.at
+}
+
+// Skip moves the applied index over entries that do not concern this machine.
+func (m *Machine) Skip(index uint64) {
+	m.index = max(m.index, index)
+}
+
+// Apply executes the command at index with the leader's stamp. Entries at or
+// below Index are ignored. Indexes may skip entries that hold no command.
+func (m *Machine) Apply(index uint64, at WallTime, c Command) Result {
+	if index <= m.index {
+		return Result{Index: index}
+	}
+	m.index = index
+	m.at = max(m.at, at)
+	m.expire()
+	r := m.execute(c)
+	if r.Index == 0 {
+		r.Index = index
+	}
+	return r
+}
+
+func (m *Machine) execute(c Command) Result {
+	switch c := c.(type) {
+	case JoinEntry:
+		return m.joinEntry(c)
+	case LeaveEntry:
+		return m.leaveEntry(c)
+	case ChangeSettings:
+		return m.changeSettings(c)
+	case TargetUp:
+		return m.targetUp(c)
+	case TargetDown:
+		return m.targetDown(c)
+	case TargetLeaving:
+		return m.targetLeaving(c)
+	case AssignGroup:
+		return m.assignGroup(c)
+	case MoveGroup:
+		return m.moveGroup(c)
+	case FreeMember:
+		return m.freeMember(c)
+	case ClaimKey:
+		return m.claimKey(c)
+	case FinishClaim:
+		return m.finishClaim(c)
+	case DropClaim:
+		return m.dropClaim(c)
+	default:
+		return m.executeGuard(c)
+	}
+}
+
+func (m *Machine) executeGuard(c Command) Result {
+	switch c := c.(type) {
+	case Strike:
+		return m.strike(c)
+	case ReleasePoison:
+		delete(m.poisons, string(c.Fingerprint))
+		return Result{}
+	case PutToken:
+		m.tokens[string(c.Token.Hash)] = c.Token
+		return Result{}
+	case DropToken:
+		delete(m.tokens, string(c.Hash))
+		return Result{}
+	default:
+		return Result{Err: codes.New(codes.Internal, "unknown command %T", c)}
+	}
+}
+
+func (m *Machine) joinEntry(c JoinEntry) Result {
+	old, known := m.entries[c.Node]
+	if known && old.Incarnation > c.Incarnation {
+		return Result{Err: codes.New(codes.Superseded, "entry node %s has joined with incarnation %d, this is %d", c.Node, old.Incarnation, c.Incarnation)}
+	}
+	if known && old.Incarnation < c.Incarnation {
+		m.loseClaims(old)
+	}
+	m.entries[c.Node] = c
+	return Result{}
+}
+
+func (m *Machine) leaveEntry(c LeaveEntry) Result {
+	old, known := m.entries[c.Node]
+	if !known || old.Incarnation != c.Incarnation {
+		return Result{Err: codes.New(codes.UnknownMember, "entry node %s incarnation %d is not a member", c.Node, c.Incarnation)}
+	}
+	m.loseClaims(old)
+	delete(m.entries, c.Node)
+	return Result{}
+}
+
+// loseClaims marks the claims that a gone incarnation left running: nobody can
+// tell any more whether they ran.
+func (m *Machine) loseClaims(e JoinEntry) {
+	for name, c := range m.claims {
+		if c.State == ClaimRunning && c.Node == e.Node && c.Incarnation <= e.Incarnation {
+			c.State = ClaimUnknown
+			m.claims[name] = c
+		}
+	}
+}
+
+func (m *Machine) changeSettings(c ChangeSettings) Result {
+	t := m.teams[c.Team]
+	if t == nil {
+		t = &team{}
+	}
+	if first, seen := t.result(c.ChangeID); seen {
+		return Result{Index: first.Index, Version: first.Version, Repeat: true}
+	}
+	current := t.version()
+	if c.Base != current {
+		return Result{Version: current, Err: codes.New(codes.VersionRace, "team %s is at version %d, the change is based on %d", c.Team, current, c.Base)}
+	}
+	next := Revision{
+		Version:  current + 1,
+		Index:    m.index,
+		At:       m.at,
+		ChangeID: c.ChangeID,
+		Author:   c.Author,
+		Path:     c.Path,
+		Document: c.Document,
+	}
+	t.revisions = keepLast(append(t.revisions, next), keptRevisions)
+	t.changes = keepLast(append(t.changes, ChangeResult{ChangeID: c.ChangeID, Version: next.Version, Index: m.index}), keptChanges)
+	m.teams[c.Team] = t
+	return Result{Version: next.Version}
+}
+
+func keepLast[T any](items []T, limit int) []T {
+	if len(items) <= limit {
+		return items
+	}
+	return slices.Clone(items[len(items)-limit:])
+}
+
+func (t *team) version() sardine.Version {
+	if len(t.revisions) == 0 {
+		return 0
+	}
+	return t.revisions[len(t.revisions)-1].Version
+}
+
+func (t *team) result(changeID string) (ChangeResult, bool) {
+	for i := len(t.changes) - 1; i >= 0; i-- {
+		if t.changes[i].ChangeID == changeID {
+			return t.changes[i], true
+		}
+	}
+	return ChangeResult{}, false
+}
+
+func (m *Machine) targetUp(c TargetUp) Result {
+	old, known := m.targets[c.Target.VM]
+	if known && old.Incarnation > c.Target.Incarnation {
+		return Result{Err: codes.New(codes.Superseded, "target %s has announced incarnation %d, this is %d", c.Target.VM, old.Incarnation, c.Target.Incarnation)}
+	}
+	if known && old.Incarnation == c.Target.Incarnation && old.Leaving {
+		c.Target.Leaving = true
+	}
+	m.targets[c.Target.VM] = c.Target
+	return Result{}
+}
+
+func (m *Machine) targetDown(c TargetDown) Result {
+	old, known := m.targets[c.VM]
+	if known && old.Incarnation == c.Incarnation {
+		delete(m.targets, c.VM)
+	}
+	return Result{}
+}
+
+func (m *Machine) targetLeaving(c TargetLeaving) Result {
+	old, known := m.targets[c.VM]
+	if !known || old.Incarnation != c.Incarnation {
+		return Result{Err: codes.New(codes.UnknownMember, "target %s incarnation %d is not known", c.VM, c.Incarnation)}
+	}
+	old.Leaving = true
+	m.targets[c.VM] = old
+	return Result{}
+}
