--- /dev/null
+++ b/route/candidate.go
@@ -0,0 +1,86 @@
+// Package route picks the target of a request by its expected time to first
+// token. Router is a pure core: the caller gives it the time, the followed
+// state and feedback from dispatches, and calls it from one goroutine.
+package route
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// Ref identifies a target to route to: a group's epoch, or a plain target's
+// incarnation. A re-formed group or a restarted VM is another target, because
+// its cache and its queue are gone.
+type Ref struct {
+	Group       sardine.GroupID // engines only
+	Epoch       sardine.Epoch   // engines only
+	VM          sardine.VMID    // plain services only
+	Incarnation sardine.Incarnation
+}
+
+// hash returns a number that is the same on every entry node. It leaves out the
+// epoch, so that a re-formed group keeps its place in the rendezvous order.
+func (r Ref) hash() uint64 {
+	return xxhash.Sum64String(string(r.Group) + "\x00" + string(r.VM))
+}
+
+// String returns the form used in dumps.
+func (r Ref) String() string {
+	if r.Group != "" {
+		return string(r.Group) + "@" + strconv.FormatUint(uint64(r.Epoch), 10)
+	}
+	return string(r.VM) + "@" + strconv.FormatUint(uint64(r.Incarnation), 10)
+}
+
+// Candidate is a target that may get requests of a service.
+type Candidate struct {
+	Ref
+	Service    sardine.ServiceName
+	Kind       sardine.TargetKind
+	Model      sardine.ModelName // engines only
+	Version    string            // engines only
+	Address    string            // host:port, of rank 0 for a group
+	DataCentre sardine.DataCentre
+	Leaving    bool           // gets no new work
+	LeaseUntil sardine.Millis // gets no new work from then on, 0 is no end
+}
+
+// Request is what Pick needs to know about a request.
+type Request struct {
+	Service      sardine.ServiceName
+	Workspace    sardine.Workspace
+	Priority     sardine.Priority
+	Model        sardine.ModelName // "" takes any
+	Version      string            // "" takes any
+	PrefixHashes []uint64          // hash of the prompt's first 1, 2, 3... blocks of BlockTokens
+	PromptTokens int               // estimate, 0 for plain services
+	Deadline     sardine.Millis    // of the first token, 0 is none
+	Exclude      []Ref             // targets already tried
+}
+
+// Choice is a picked target. Pass it back to Started, FirstToken and Ended.
+type Choice struct {
+	Candidate Candidate
+	Expected  sardine.Millis // expected time to first token
+	Hinted    bool           // a cache hint decided
+
+	target   *target
+	request  Request
+	rank     int     // place in the prefix's rendezvous order, -1 outside of it
+	uncached float64 // expected tokens to prefill
+	hinted   int     // blocks hinted to be cached
+	at       sardine.Millis
+	started  bool
+	first    bool
+}
+
+// CacheEvent is an engine's late and perhaps incomplete word about its cache.
+type CacheEvent struct {
+	Target  Ref
+	Stored  []uint64 // prefix hashes now in the cache
+	Evicted []uint64 // prefix hashes dropped
+	Cleared bool     // the whole cache was dropped
+}
--- /dev/null
+++ b/route/feedback.go
@@ -0,0 +1,138 @@
+package route
+
+import (
+	sardine "sardineswitch.dev/sardine"
+)
+
+// UnknownCached says that the engine did not tell how much of the prompt it had
+// cached.
+const UnknownCached = -1
+
+// End tells how a dispatch ended.
+type End struct {
+	Tokens int  // generated tokens, 0 for plain services
+	OK     bool // the target answered in full
+	Abort  bool // the caller gave up; tells nothing about the target
+}
+
+// Started records that the request is handed to the transport.
+func (r *Router) Started(c *Choice, now sardine.Millis) {
+	if c.target == nil || c.started {
+		return
+	}
+	c.started = true
+	c.at = now
+	c.target.inFlight++
+	c.target.prefill += c.uncached
+	c.target.hints.add(c.request.PrefixHashes)
+}
+
+// FirstToken records the first token, or a plain service's answer. cached is the
+// number of prompt tokens the engine found in its cache, or UnknownCached.
+func (r *Router) FirstToken(c *Choice, now sardine.Millis, cached int) {
+	if !c.started || c.first {
+		return
+	}
+	r.settle(c)
+	c.target.outlier.succeeded()
+	s := r.services[c.request.Service]
+	if s == nil {
+		return
+	}
+	r.learnSpeed(s, c, float64(now-c.at))
+	if cached != UnknownCached {
+		r.learnCache(s, c, cached)
+	}
+}
+
+// settle takes the request's prefill off the target's backlog.
+func (r *Router) settle(c *Choice) {
+	c.first = true
+	c.target.prefill = max(c.target.prefill-c.uncached, 0)
+	if c.target.inFlight <= 1 {
+		c.target.prefill = 0
+	}
+}
+
+func (r *Router) learnSpeed(s *service, c *Choice, observed float64) {
+	t := c.target
+	work := observed - t.roundTrip
+	expected := max(float64(c.Expected)-t.roundTrip, 1)
+	t.observe(work, expected)
+	s.scale += speedGain * 0.2 * (min(work/expected, 4)*s.scale - s.scale)
+	s.scale = min(max(s.scale, 0.05), 100)
+}
+
+// learnCache corrects hints by what contact showed.
+func (r *Router) learnCache(s *service, c *Choice, cached int) {
+	q := c.request
+	uncached := max(float64(q.PromptTokens-cached), 1)
+	s.meanPrefill += hitGain * (uncached - s.meanPrefill)
+	if len(q.PrefixHashes) == 0 {
+		return
+	}
+	blocks := min(cached/BlockTokens, len(q.PrefixHashes))
+	if c.rank >= 0 && c.rank < len(s.hitShare) {
+		share := float64(blocks) / float64(len(q.PrefixHashes))
+		s.hitShare[c.rank] += hitGain * (share - s.hitShare[c.rank])
+	}
+	if c.hinted == 0 {
+		return
+	}
+	right := min(blocks, c.hinted)
+	s.hintShare += hitGain * (float64(right)/float64(c.hinted) - s.hintShare)
+	r.counts.HintBlocks += c.hinted
+	r.counts.HintCorrect += right
+}
+
+// Ended records the end of a dispatch. Each started choice ends exactly once.
+func (r *Router) Ended(c *Choice, now sardine.Millis, e End) {
+	if !c.started {
+		return
+	}
+	c.started = false
+	t := c.target
+	t.inFlight = max(t.inFlight-1, 0)
+	if !c.first {
+		r.settle(c)
+	}
+	if e.Abort {
+		return
+	}
+	if e.OK {
+		t.outlier.succeeded()
+		return
+	}
+	s := r.services[c.request.Service]
+	if s != nil && t.outlier.failed(now, r.options.maxFailures) && s.mayEject(now, r.options.floor) {
+		t.outlier.eject(now, r.options.ejection)
+		r.counts.Ejections++
+	}
+}
+
+// Load takes a target's load as reported at the instant at; older reports than
+// the one held are ignored.
+func (r *Router) Load(at sardine.Millis, ref Ref, l sardine.Load) {
+	t := r.targets[ref]
+	if t == nil || at < t.loadAt {
+		return
+	}
+	t.load = l
+	t.loadAt = at
+	t.ownThen = t.inFlight
+}
+
+// CacheEvents takes engines' words about their caches.
+func (r *Router) CacheEvents(events []CacheEvent) {
+	for _, e := range events {
+		t := r.targets[e.Target]
+		if t == nil {
+			continue
+		}
+		if e.Cleared {
+			t.hints.clear()
+		}
+		t.hints.drop(e.Evicted)
+		t.hints.add(e.Stored)
+	}
+}
--- /dev/null
+++ b/route/policy.go
@@ -0,0 +1,129 @@
+package route
+
+import (
+	"math"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// loadBound is the factor over the mean load at which the rendezvous policy
+// moves on to the next place.
+const loadBound = 1.25
+
+// choose applies the policy to r.usable, which is not empty.
+func (r *Router) choose(s *service, q Request) Choice {
+	switch r.options.policy {
+	case Random:
+		return r.choice(s, q, r.sample(), -1)
+	case LeastInFlight:
+		return r.choice(s, q, r.least(func(t *target) float64 { return float64(t.inFlight) }), -1)
+	case TwoChoices:
+		return r.choice(s, q, r.lessLoaded(r.sample(), r.sample()), -1)
+	case Rendezvous:
+		return r.bounded(s, q)
+	case Hints:
+		return r.hinted(s, q)
+	default:
+		return r.mixed(s, q)
+	}
+}
+
+func (r *Router) sample() *target {
+	return r.usable[r.random.IntN(len(r.usable))]
+}
+
+func (r *Router) lessLoaded(a, b *target) *target {
+	if b.requests() < a.requests() {
+		return b
+	}
+	return a
+}
+
+// least returns the target with the lowest value, a random one among equals.
+func (r *Router) least(value func(*target) float64) *target {
+	start := r.random.IntN(len(r.usable))
+	best, bestValue := r.usable[start], math.Inf(1)
+	for i := range r.usable {
+		t := r.usable[(start+i)%len(r.usable)]
+		if v := value(t); v < bestValue {
+			best, bestValue = t, v
+		}
+	}
+	return best
+}
+
+// bounded walks the prefix's rendezvous order to the first target whose load is
+// not far above the mean.
+func (r *Router) bounded(s *service, q Request) Choice {
+	anchor, ok := r.anchor(q)
+	if !ok {
+		return r.choice(s, q, r.lessLoaded(r.sample(), r.sample()), -1)
+	}
+	total := 0.0
+	for _, t := range r.usable {
+		total += t.requests()
+	}
+	bound := loadBound*total/float64(len(r.usable)) + 1
+	var best *target
+	var bestScore uint64
+	for _, t := range r.usable {
+		score := mix(t.hash ^ anchor)
+		if t.requests() <= bound && (best == nil || score > bestScore) {
+			best, bestScore = t, score
+		}
+	}
+	if best == nil {
+		best = r.lessLoaded(r.sample(), r.sample())
+	}
+	return r.choice(s, q, best, -1)
+}
+
+// hinted takes the holder of the longest hinted prefix, the less loaded one
+// among equals.
+func (r *Router) hinted(s *service, q Request) Choice {
+	best := r.least(func(t *target) float64 {
+		return t.requests() - 1e6*float64(t.hints.match(q.PrefixHashes))
+	})
+	return r.choice(s, q, best, -1)
+}
+
+// anchor returns the hash that decides the rendezvous order. A hash of the
+// first blocks only keeps requests together that share a system prompt and
+// differ later.
+func (r *Router) anchor(q Request) (uint64, bool) {
+	if len(q.PrefixHashes) == 0 {
+		return 0, false
+	}
+	return q.PrefixHashes[min(len(q.PrefixHashes), r.options.anchor)-1], true
+}
+
+// choice completes a choice with what the router expects of it.
+func (r *Router) choice(s *service, q Request, t *target, rank int) Choice {
+	blocks := t.hints.match(q.PrefixHashes)
+	cached := s.cachedBlocks(q, blocks, rank)
+	uncached := uncachedTokens(q, cached)
+	return Choice{
+		Candidate: t.candidate,
+		Expected:  sardine.Millis(t.expected(s, uncached)),
+		Hinted:    blocks > 0,
+		target:    t,
+		request:   q,
+		rank:      rank,
+		uncached:  uncached,
+		hinted:    blocks,
+	}
+}
+
+func uncachedTokens(q Request, cachedBlocks float64) float64 {
+	return max(float64(q.PromptTokens)-cachedBlocks*BlockTokens, 1)
+}
+
+// mix is a finaliser that spreads the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,168 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// service groups the targets of one service with what was learned about them.
+type service struct {
+	targets     []*target // sorted by hash
+	costs       Costs
+	scale       float64   // observed time over assumed time
+	meanPrefill float64   // uncached tokens of a request
+	hitShare    []float64 // cached share of a prefix by place in the rendezvous order
+	hintShare   float64   // share of hinted blocks found cached
+}
+
+// Router picks targets for one entry node. It is not safe for concurrent use.
+type Router struct {
+	options  options
+	random   sardine.Random
+	targets  map[Ref]*target
+	services map[sardine.ServiceName]*service
+	usable   []*target // scratch of Pick
+	counts   Counts
+}
+
+// Counts tells what the router has done, for dumps and measurements.
+type Counts struct {
+	Picks       int
+	HintBlocks  int // blocks hinted at the picked target
+	HintCorrect int // of those found in the cache
+	Ejections   int
+}
+
+// New returns a router without candidates.
+func New(random sardine.Random, opts ...Option) *Router {
+	o := defaults()
+	for _, option := range opts {
+		option(&o)
+	}
+	return &Router{
+		options:  o,
+		random:   random,
+		targets:  make(map[Ref]*target),
+		services: make(map[sardine.ServiceName]*service),
+	}
+}
+
+// Update replaces the candidates. Those already known keep what was learned;
+// those missing get no more requests.
+func (r *Router) Update(_ sardine.Millis, candidates []Candidate) {
+	kept := make(map[Ref]*target, len(candidates))
+	for _, s := range r.services {
+		s.targets = s.targets[:0]
+	}
+	for _, c := range candidates {
+		if kept[c.Ref] != nil {
+			continue
+		}
+		t := r.targets[c.Ref]
+		if t == nil {
+			t = newTarget(c, &r.options)
+		}
+		t.candidate = c
+		t.gone = false
+		kept[c.Ref] = t
+		s := r.service(c.Service)
+		s.targets = append(s.targets, t)
+	}
+	for ref, t := range r.targets {
+		t.gone = kept[ref] == nil
+	}
+	r.targets = kept
+	r.sortTargets()
+}
+
+func (r *Router) sortTargets() {
+	for name, s := range r.services {
+		if len(s.targets) == 0 {
+			delete(r.services, name)
+			continue
+		}
+		slices.SortFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.hash, b.hash) })
+	}
+}
+
+func (r *Router) service(name sardine.ServiceName) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{
+			costs:       r.options.costs,
+			scale:       1,
+			meanPrefill: 500,
+			hitShare:    make([]float64, max(r.options.ranks, 1)),
+			hintShare:   0.9,
+		}
+		for i := range s.hitShare {
+			s.hitShare[i] = 0.5 / float64(i+1)
+		}
+		r.services[name] = s
+	}
+	return s
+}
+
+// Pick chooses the target of a request. The error carries codes.NoTarget if no
+// candidate may take it, and codes.DeadlineTight if none can answer in time; in
+// both cases nothing was started.
+func (r *Router) Pick(now sardine.Millis, q Request) (Choice, error) {
+	s := r.services[q.Service]
+	if s == nil {
+		return Choice{}, codes.New(codes.NoTarget, "no target serves %s", q.Service)
+	}
+	r.gather(now, s, q)
+	if len(r.usable) == 0 {
+		return Choice{}, codes.New(codes.NoTarget, "none of the %d targets of %s takes the request", len(s.targets), q.Service)
+	}
+	c := r.choose(s, q)
+	if err := r.check(now, c.target, q); err != nil {
+		return Choice{}, err
+	}
+	if q.Deadline != 0 && now+c.Expected > q.Deadline {
+		return Choice{}, codes.New(codes.DeadlineTight, "the first token is expected in %d ms, the deadline is in %d ms", c.Expected, q.Deadline-now)
+	}
+	r.counts.Picks++
+	return c, nil
+}
+
+// gather collects the targets that may take the request. Ejected ones are used
+// only when no other is left.
+func (r *Router) gather(now sardine.Millis, s *service, q Request) {
+	r.usable = r.usable[:0]
+	for _, t := range s.targets {
+		if t.takes(now, q) && !t.outlier.ejected(now) && r.hasRoom(t) {
+			r.usable = append(r.usable, t)
+		}
+	}
+	if len(r.usable) > 0 {
+		return
+	}
+	for _, t := range s.targets {
+		if t.takes(now, q) && r.hasRoom(t) {
+			r.usable = append(r.usable, t)
+		}
+	}
+}
+
+func (r *Router) hasRoom(t *target) bool {
+	bound := r.options.concurrency
+	return t.candidate.Kind != sardine.KindPlain || bound == 0 || t.inFlight < bound
+}
+
+// check asserts that a picked target may take new work.
+func (r *Router) check(now sardine.Millis, t *target, q Request) error {
+	current := r.targets[t.candidate.Ref] == t
+	if !current || t.candidate.Service != q.Service || !t.takes(now, q) {
+		return codes.New(codes.InvariantBroken, "picked target %s may not take the request", t.candidate.Ref)
+	}
+	return nil
+}
+
+// Counts returns what the router has done so far.
+func (r *Router) Counts() Counts {
+	return r.counts
+}
--- /dev/null
+++ b/route/target.go
@@ -0,0 +1,94 @@
+package route
+
+import (
+	sardine "sardineswitch.dev/sardine"
+)
+
+// Weights of the newest observation in moving averages.
+const (
+	speedGain = 0.05
+	hitGain   = 0.02
+)
+
+// Bounds of a target's learned slowness, relative to its service.
+const (
+	minSlowness = 0.25
+	maxSlowness = 50
+)
+
+// target is the router's view of one candidate.
+type target struct {
+	candidate Candidate
+	hash      uint64
+	roundTrip float64 // milliseconds
+	inFlight  int     // own requests, exact
+	prefill   float64 // own uncached tokens sent whose first token is not back
+	load      sardine.Load
+	loadAt    sardine.Millis
+	ownThen   int     // own requests in flight when load was reported
+	slowness  float64 // observed time over expected time
+	hints     *hintSet
+	outlier   outlier
+	gone      bool
+}
+
+func newTarget(c Candidate, o *options) *target {
+	return &target{
+		candidate: c,
+		hash:      c.hash(),
+		roundTrip: float64(o.distance(o.ownCentre, c.DataCentre)),
+		slowness:  1,
+		hints:     newHintSet(o.hintLimit),
+	}
+}
+
+// takes reports whether the target may get a new request.
+func (t *target) takes(now sardine.Millis, r Request) bool {
+	c := &t.candidate
+	switch {
+	case c.Leaving, t.gone:
+		return false
+	case c.LeaseUntil != 0 && now >= c.LeaseUntil:
+		return false
+	case r.Model != "" && c.Model != r.Model:
+		return false
+	case r.Version != "" && c.Version != r.Version:
+		return false
+	}
+	for _, e := range r.Exclude {
+		if e == c.Ref {
+			return false
+		}
+	}
+	return true
+}
+
+// requests returns the target's estimated number of requests: those reported,
+// corrected by what this node has started and ended since.
+func (t *target) requests() float64 {
+	reported := t.load.Running + t.load.Queued + t.inFlight - t.ownThen
+	return float64(max(reported, t.inFlight))
+}
+
+// backlog returns the estimated tokens to prefill before a new request. Own
+// unanswered requests are exact; the others' are taken from the report, which
+// counts the own ones too.
+func (t *target) backlog(meanPrefill float64) float64 {
+	return max(t.prefill, float64(t.load.Queued)*meanPrefill)
+}
+
+// expected returns the expected milliseconds to first token of a request with
+// the given uncached tokens.
+func (t *target) expected(s *service, uncached float64) float64 {
+	c := s.costs
+	tokens := uncached + t.backlog(s.meanPrefill)
+	work := c.Base + c.PerToken*tokens*(1+c.PerRunning*t.requests())
+	return t.roundTrip + work*s.scale*t.slowness
+}
+
+// observe learns from an observed time to first token.
+func (t *target) observe(observed, expected float64) {
+	ratio := observed / max(expected, 1)
+	t.slowness += speedGain * (ratio*t.slowness - t.slowness)
+	t.slowness = min(max(t.slowness, minSlowness), maxSlowness)
+}
