Start the entry node: dispatch, streams, gate and view

Cause: the thin path needs the caller's side of an entry node. Change: serve dispatches and checks answers, reply writes problems, ctlapi finds the leading control node, entry reads requests and arranges the followed state.

--- /dev/null
+++ b/ctlapi/client.go
@@ -0,0 +1,172 @@
+package ctlapi
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// roundPause is how long the client waits after no control node led.
+const roundPause = 100 * time.Millisecond
+
+// Client calls the leading control node. It is safe for concurrent use.
+type Client struct {
+	http      *http.Client
+	scheme    string
+	addresses []string
+
+	mu     sync.Mutex
+	leader string // the last address that answered as leader
+	stubs  map[string]wire.Control
+}
+
+// Option sets a property of a Client.
+type Option func(*Client)
+
+// WithHTTP sets the HTTP client, which carries the TLS settings and must not
+// follow redirects. The default is an own client without TLS.
+func WithHTTP(c *http.Client, scheme string) Option {
+	return func(k *Client) {
+		k.http = c
+		k.scheme = scheme
+	}
+}
+
+// New returns a client of the control nodes at the addresses, host:port each.
+func New(addresses []string, options ...Option) *Client {
+	c := &Client{
+		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		scheme:    "http",
+		addresses: append([]string(nil), addresses...),
+		stubs:     make(map[string]wire.Control),
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Stub returns the service of the control node at address.
+func (c *Client) Stub(address string) wire.Control {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stub := c.stubs[address]
+	if stub == nil {
+		stub = wire.NewControlProtobufClient(c.scheme+"://"+address, c.http)
+		c.stubs[address] = stub
+	}
+	return stub
+}
+
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Submit proposes a command. An error with code OutcomeUnknown means that the
+// command may still be committed; any other means that it was not proposed or
+// that the state refused it.
+func (c *Client) Submit(ctx context.Context, request *wire.SubmitRequest) (*wire.SubmitReply, error) {
+	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SubmitReply, *wire.Fault, error) {
+		r, err := s.Submit(ctx, request)
+		return r, r.GetFault(), err
+	})
+}
+
+// Settings reads or changes settings. Errors are as of Submit.
+func (c *Client) Settings(ctx context.Context, request *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
+		r, err := s.Settings(ctx, request)
+		return r, r.GetFault(), err
+	})
+}
+
+// Members lists or changes the control members. Errors are as of Submit.
+func (c *Client) Members(ctx context.Context, request *wire.MembersRequest) (*wire.MembersReply, error) {
+	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.MembersReply, *wire.Fault, error) {
+		r, err := s.Members(ctx, request)
+		return r, r.GetFault(), err
+	})
+}
+
+// atLeader walks the control nodes until the leader has answered or ctx ends. A
+// broken call may have reached a leader, so it ends the walk with
+// OutcomeUnknown; only a refusal or an unreachable node leads on to the next.
+func atLeader[R any](ctx context.Context, c *Client, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, error) {
+	var none R
+	for {
+		for _, address := range c.order() {
+			answer, fault, err := call(ctx, c.Stub(address))
+			if err != nil {
+				if surelyUnsent(err) {
+					continue
+				}
+				c.forget(address)
+				return none, codes.New(codes.OutcomeUnknown, "control node %s broke off: %v", address, err)
+			}
+			failed := ErrorOf(fault)
+			if !codes.Is(failed, codes.NotLeader) {
+				c.remember(address)
+				return answer, failed
+			}
+			c.follow(failed)
+		}
+		if err := pause(ctx); err != nil {
+			return none, codes.New(codes.NoQuorum, "no control node leads: %v", err)
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	t := time.NewTimer(roundPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// order returns the addresses to try, the presumed leader first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	order := make([]string, 0, len(c.addresses)+1)
+	if c.leader != "" {
+		order = append(order, c.leader)
+	}
+	for _, address := range c.addresses {
+		if address != c.leader {
+			order = append(order, address)
+		}
+	}
+	return order
+}
+
+func (c *Client) remember(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+func (c *Client) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
+// follow takes over the leader that a refusal names.
+func (c *Client) follow(refusal error) {
+	var elsewhere *NotLeaderError
+	if errors.As(refusal, &elsewhere) {
+		c.remember(elsewhere.Leader())
+	}
+}
--- /dev/null
+++ b/entry/model.go
@@ -0,0 +1,333 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/admit"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/serve"
+)
+
+// maxAnswerBytes bounds an answer that is held whole before it is passed on.
+const maxAnswerBytes = 4 << 20
+
+// modelRun is one caller's request to a model, over all its dispatches.
+type modelRun struct {
+	node     *Node
+	request  *request
+	tenancy  tenancy
+	service  serviceKey
+	sink     *sink
+	ran      sardine.Ran // over all dispatches
+	tokens   int         // passed on to the caller
+	last     route.Candidate
+	tried    []route.Ref
+	attempts int
+	firstIn  sardine.Millis // from the last dispatch to its first token
+	deadline *time.Timer    // cancels the request unless its first token comes before
+}
+
+// handleModel answers chat and completion requests.
+func (n *Node) handleModel(w http.ResponseWriter, r *http.Request) {
+	id := n.newRequestID()
+	n.extendRead(w)
+	q, err := readModel(r, n.limits.bodyBytes)
+	if err != nil {
+		n.refuse(w, id, err)
+		return
+	}
+	q.id = id
+	q.arrived = n.clock.Now()
+	ctx, cancel := n.callerContext(r.Context())
+	defer cancel(nil)
+	t, key, ticket, err := n.enter(ctx, q)
+	if err != nil {
+		n.refuse(w, id, err)
+		return
+	}
+	run := &modelRun{node: n, request: q, tenancy: t, service: key, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
+	run.deadline = n.startDeadline(q, cancel)
+	defer run.deadline.Stop()
+	outcome := admit.Abandoned
+	defer func() { n.leave(ticket, run.firstIn, outcome) }()
+	err = run.serve(ctx)
+	outcome = outcomeOf(ctx, err)
+	if err != nil {
+		run.fail(err)
+	}
+}
+
+func outcomeOf(ctx context.Context, err error) admit.Outcome {
+	switch {
+	case err == nil:
+		return admit.Answered
+	case ctx.Err() != nil:
+		return admit.Abandoned
+	case codes.Is(err, codes.NoTarget):
+		return admit.Overloaded
+	default:
+		return admit.Failed
+	}
+}
+
+// serve dispatches until the caller has the whole answer or nothing more may be
+// tried.
+func (m *modelRun) serve(ctx context.Context) error {
+	for {
+		choice, err := m.pick()
+		if err != nil {
+			return err
+		}
+		err = m.attempt(ctx, choice)
+		if err == nil {
+			m.node.gate.succeeded(m.request.workspace)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if err := m.mayContinue(ctx, choice, err); err != nil {
+			return err
+		}
+	}
+}
+
+// pick chooses the next target. A stream that is partly passed on goes on only
+// where it continues exactly: at the same epoch of its group, or for an exact
+// request at any group of the same model version.
+func (m *modelRun) pick() (*route.Choice, error) {
+	if err := m.node.mayDispatch(m.request.fingerprint); err != nil {
+		return nil, err
+	}
+	q := route.Request{
+		Service:      m.service.routed(),
+		Workspace:    m.request.workspace,
+		Priority:     m.request.priority,
+		PrefixHashes: m.request.prefixes,
+		PromptTokens: m.request.tokens,
+		Exclude:      m.tried,
+	}
+	if m.request.deadline > 0 && m.tokens == 0 {
+		q.Deadline = m.request.arrived + m.request.deadline
+	}
+	if m.tokens > 0 {
+		q.Model = m.last.Model
+		q.Version = m.last.Version
+	}
+	choice, err := m.node.gate.pick(q)
+	if err != nil {
+		return nil, err
+	}
+	if !m.node.view().current(choice.Candidate) {
+		m.node.gate.finish(choice, route.End{Abort: true})
+		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+	}
+	m.last = choice.Candidate
+	m.attempts++
+	return choice, nil
+}
+
+// mayContinue decides whether another dispatch may follow the failed one, and
+// waits until it may. It returns the final error if not.
+func (m *modelRun) mayContinue(ctx context.Context, c *route.Choice, failed error) error {
+	m.strike(ctx, c, failed)
+	if m.tokens > 0 && !m.request.exact {
+		return failed
+	}
+	m.tried = append(m.tried, c.Candidate.Ref)
+	d := m.node.gate.mayRetry(m.request.workspace, m.ran, true, m.attempts)
+	if !d.Retry {
+		return failed
+	}
+	if m.tokens > 0 {
+		event.Log(m.node.log, event.StreamResumed, requestAttr(m.request.id), tokensAttr(m.tokens))
+	}
+	return m.node.sleep(ctx, d.After)
+}
+
+// strike tells the other nodes that this request was running when its group
+// failed.
+func (m *modelRun) strike(ctx context.Context, c *route.Choice, failed error) {
+	if m.ran == sardine.RanNo || c.Candidate.Group == "" || errors.Is(failed, errStalled) {
+		return
+	}
+	if codes.Is(failed, codes.TargetFailed) || codes.Is(failed, codes.StreamBroken) {
+		m.node.strike(ctx, m.request, c.Candidate)
+	}
+}
+
+// attempt runs one dispatch. A nil error means that the caller has the whole
+// answer.
+func (m *modelRun) attempt(ctx context.Context, choice *route.Choice) (err error) {
+	ctx, cancel, end := m.node.flights.begin(ctx, choice.Candidate)
+	defer end()
+	watch := newWatchdog(cancel, m.node.timing.FirstToken, m.node.timing.BetweenTokens)
+	defer watch.stop()
+	before := m.tokens
+	defer func() {
+		m.node.gate.finish(choice, route.End{Tokens: m.tokens - before, OK: err == nil, Abort: m.callerGone(ctx, err)})
+	}()
+	started := m.node.clock.Now()
+	resp, failed := m.node.client.Open(ctx, m.call(choice))
+	if failed != nil {
+		m.ran = combine(m.ran, failed.Ran())
+		return causeOr(ctx, failed)
+	}
+	defer resp.Body.Close()
+	m.ran = sardine.RanYes
+	m.node.noteLoad(choice.Candidate.Ref, resp.Header)
+	if resp.StatusCode != http.StatusOK {
+		return m.passRefusal(resp)
+	}
+	if isEventStream(resp) {
+		return causeOr(ctx, m.passStream(resp, choice, watch, started))
+	}
+	return causeOr(ctx, m.passWhole(resp, choice, started))
+}
+
+// callerGone reports whether an attempt ended because its caller went away,
+// which tells nothing about the target.
+func (m *modelRun) callerGone(ctx context.Context, err error) bool {
+	cause := context.Cause(ctx)
+	return err != nil && cause != nil && !errors.Is(cause, errGroupLost) && !errors.Is(cause, errStalled)
+}
+
+func (m *modelRun) call(c *route.Choice) serve.Call {
+	return serve.Call{
+		Request:    m.request.id,
+		Method:     m.request.method,
+		Path:       m.request.path,
+		Header:     m.request.header,
+		Body:       m.request.body,
+		Address:    c.Candidate.Address,
+		Group:      c.Candidate.Group,
+		Epoch:      c.Candidate.Epoch,
+		Priority:   m.request.priority,
+		ResumeFrom: m.tokens,
+	}
+}
+
+func (m *modelRun) passStream(resp *http.Response, choice *route.Choice, watch *watchdog, started sardine.Millis) error {
+	stream := serve.NewStream(resp.Body, m.request.id, m.tokens)
+	for {
+		e, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		watch.heard()
+		if stream.Tokens() == m.tokens+1 && m.firstIn == 0 {
+			m.noteFirst(resp, choice, started)
+		}
+		if err := m.sink.event(e.Raw(), !stream.Buffered()); err != nil {
+			return codes.Wrap(codes.StreamBroken, err, "caller is gone")
+		}
+		m.tokens = stream.Tokens()
+		if e.Done() {
+			return nil
+		}
+	}
+}
+
+func (m *modelRun) noteFirst(resp *http.Response, choice *route.Choice, started sardine.Millis) {
+	m.deadline.Stop()
+	m.firstIn = max(m.node.clock.Now()-started, 1)
+	m.node.gate.firstToken(choice, cachedTokens(resp.Header))
+	m.node.meter.firstToken(m.node.clock.Now() - m.request.arrived)
+}
+
+func (m *modelRun) passWhole(resp *http.Response, choice *route.Choice, started sardine.Millis) error {
+	body, err := serve.ReadWhole(resp, maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	if err := serve.CheckWhole(body, m.request.id); err != nil {
+		return err
+	}
+	m.noteFirst(resp, choice, started)
+	header := http.Header{"Content-Type": {resp.Header.Get("Content-Type")}, "Content-Length": {strconv.Itoa(len(body))}}
+	return m.sink.whole(http.StatusOK, header, body)
+}
+
+// passRefusal handles an engine's answer that is neither tokens nor a refusal
+// to start: a fault of the request goes to the caller as it is, a fault of the
+// engine counts as a failed dispatch.
+func (m *modelRun) passRefusal(resp *http.Response) error {
+	body, err := serve.ReadWhole(resp, maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusInternalServerError || m.sink.started {
+		return codes.New(codes.TargetFailed, "engine answered %s", resp.Status)
+	}
+	header := http.Header{"Content-Type": {resp.Header.Get("Content-Type")}, "Content-Length": {strconv.Itoa(len(body))}}
+	return m.sink.whole(resp.StatusCode, header, body)
+}
+
+// fail gives the caller its final answer.
+func (m *modelRun) fail(err error) {
+	ran := m.ran
+	if m.tokens > 0 {
+		ran = sardine.RanYes
+	}
+	event.Log(m.node.log, event.RequestFailed, requestAttr(m.request.id), codeAttr(err), ranAttr(ran))
+	m.node.meter.failed(err)
+	m.sink.fail(problemOf(err, m.request.id, ran))
+}
+
+func isEventStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// combine keeps the worst that is known of several dispatches.
+func combine(a, b sardine.Ran) sardine.Ran {
+	if a == sardine.RanYes || b == sardine.RanYes {
+		return sardine.RanYes
+	}
+	if a == sardine.RanUnknown || b == sardine.RanUnknown {
+		return sardine.RanUnknown
+	}
+	return sardine.RanNo
+}
+
+// causeOr returns why ctx was cancelled, or err if it was not.
+func causeOr(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, io.EOF) {
+		return cause
+	}
+	return err
+}
+
+// watchdog cancels a dispatch whose target stays silent for too long.
+type watchdog struct {
+	timer   *time.Timer
+	between time.Duration
+}
+
+func newWatchdog(cancel context.CancelCauseFunc, first, between sardine.Millis) *watchdog {
+	return &watchdog{
+		timer:   time.AfterFunc(first.Duration(), func() { cancel(errStalled) }),
+		between: between.Duration(),
+	}
+}
+
+// heard restarts the wait after a token.
+func (w *watchdog) heard() {
+	w.timer.Reset(w.between)
+}
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+}
--- /dev/null
+++ b/entry/plain.go
@@ -0,0 +1,317 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"goji.io/pattern"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/admit"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/serve"
+	"sardineswitch.dev/sardine/state"
+)
+
+// maxHeldBytes bounds an answer of a plain service that is held whole, so that
+// its request can still be repeated. A longer one is passed on as it comes.
+const maxHeldBytes = 256 << 10
+
+// maxKeptBytes bounds an answer that the control nodes keep for a resend.
+const maxKeptBytes = 16 << 10
+
+// readPlain reads a request to a plain service.
+func readPlain(r *http.Request, limit int64) (*request, error) {
+	q, err := readCommon(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	q.service = sardine.ServiceName(r.Context().Value(pattern.Variable("service")).(string))
+	q.path = pattern.Path(r.Context())
+	if q.path == "" {
+		q.path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		q.path += "?" + r.URL.RawQuery
+	}
+	q.setFingerprint()
+	return q, nil
+}
+
+// plainAnswer is a plain service's answer, held whole when it is short.
+type plainAnswer struct {
+	response *http.Response
+	head     []byte // the bytes read so far
+	whole    bool   // head is the whole body
+}
+
+// handlePlain answers requests to plain services.
+func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
+	id := n.newRequestID()
+	n.extendRead(w)
+	q, err := readPlain(r, n.limits.bodyBytes)
+	if err != nil {
+		n.refuse(w, id, err)
+		return
+	}
+	q.id = id
+	q.arrived = n.clock.Now()
+	ctx, cancel := n.callerContext(r.Context())
+	defer cancel(nil)
+	t, key, ticket, err := n.enter(ctx, q)
+	if err != nil {
+		n.refuse(w, id, err)
+		return
+	}
+	run := &plainRun{node: n, request: q, service: key, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
+	run.repeatable = repeatable(n.view().deployments[key], q.method)
+	timer := n.startDeadline(q, cancel)
+	defer timer.Stop()
+	outcome := admit.Abandoned
+	defer func() { n.leave(ticket, run.took, outcome) }()
+	if q.key != "" && !run.repeatable {
+		err = run.serveClaimed(ctx, t)
+	} else {
+		err = run.serveOnce(ctx)
+	}
+	outcome = outcomeOf(ctx, err)
+	if err != nil {
+		run.fail(err)
+	}
+}
+
+// repeatable reports whether the method's calls may be sent twice. Reads always
+// may; others only if the deployment says so.
+func repeatable(d sardine.Deployment, method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return slices.Contains(d.Idempotent, method)
+	}
+}
+
+// plainRun is one caller's request to a plain service, over all its dispatches.
+type plainRun struct {
+	node       *Node
+	request    *request
+	service    serviceKey
+	sink       *sink
+	repeatable bool
+	ran        sardine.Ran // over all dispatches
+	tried      []route.Ref
+	attempts   int
+	took       sardine.Millis // of the last dispatch
+}
+
+// serveOnce gets an answer and passes it on.
+func (p *plainRun) serveOnce(ctx context.Context) error {
+	answer, end, err := p.fetch(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	return p.pass(answer)
+}
+
+// serveClaimed runs the request under its idempotency key: it runs at most once
+// over all entry nodes, and a resend gets the first answer.
+func (p *plainRun) serveClaimed(ctx context.Context, t tenancy) error {
+	kept, first, err := p.node.claims.begin(ctx, p.request)
+	if err != nil {
+		return err
+	}
+	if !first {
+		p.ran = sardine.RanYes
+		return p.passKept(kept)
+	}
+	answer, end, err := p.fetch(ctx)
+	if err != nil {
+		p.node.claims.end(p.request, p.ran, state.Answer{})
+		return err
+	}
+	defer end()
+	p.node.claims.end(p.request, sardine.RanYes, keptAnswer(answer))
+	return p.pass(answer)
+}
+
+// keptAnswer is what the control nodes keep. An answer too long to keep is
+// replaced by a problem that says so.
+func keptAnswer(a *plainAnswer) state.Answer {
+	if !a.whole || len(a.head) > maxKeptBytes {
+		gone := reply.NewProblem(codes.New(codes.OutcomeUnknown, "the request ran, its answer was too long to be kept"), reply.WithRan(sardine.RanYes))
+		return state.Answer{Status: gone.Code().Status(), ContentType: reply.ProblemType, Body: gone.JSON()}
+	}
+	return state.Answer{Status: a.response.StatusCode, ContentType: a.response.Header.Get("Content-Type"), Body: a.head}
+}
+
+func (p *plainRun) passKept(a state.Answer) error {
+	header := http.Header{"Content-Length": {strconv.Itoa(len(a.Body))}}
+	if a.ContentType != "" {
+		header.Set("Content-Type", a.ContentType)
+	}
+	return p.sink.whole(a.Status, header, a.Body)
+}
+
+// fetch dispatches until a target has answered or nothing more may be tried. The
+// caller calls end once it is done with the answer.
+func (p *plainRun) fetch(ctx context.Context) (*plainAnswer, func(), error) {
+	for {
+		choice, err := p.pick()
+		if err != nil {
+			return nil, nil, err
+		}
+		answer, end, err := p.attempt(ctx, choice)
+		if err == nil {
+			p.node.gate.succeeded(p.request.workspace)
+			return answer, end, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil, context.Cause(ctx)
+		}
+		p.tried = append(p.tried, choice.Candidate.Ref)
+		d := p.node.gate.mayRetry(p.request.workspace, p.ran, p.repeatable, p.attempts)
+		if !d.Retry {
+			return nil, nil, p.final(err)
+		}
+		if err := p.node.sleep(ctx, d.After); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// final names a failure after which the outcome is not known.
+func (p *plainRun) final(err error) error {
+	if p.ran == sardine.RanUnknown && !p.repeatable {
+		return codes.Wrap(codes.OutcomeUnknown, err, "the target may have run the request")
+	}
+	return err
+}
+
+func (p *plainRun) pick() (*route.Choice, error) {
+	if err := p.node.mayDispatch(p.request.fingerprint); err != nil {
+		return nil, err
+	}
+	q := route.Request{
+		Service:   p.service.routed(),
+		Workspace: p.request.workspace,
+		Priority:  p.request.priority,
+		Exclude:   p.tried,
+	}
+	if p.request.deadline > 0 {
+		q.Deadline = p.request.arrived + p.request.deadline
+	}
+	choice, err := p.node.gate.pick(q)
+	if err != nil {
+		return nil, err
+	}
+	if !p.node.view().current(choice.Candidate) {
+		p.node.gate.finish(choice, route.End{Abort: true})
+		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+	}
+	p.attempts++
+	return choice, nil
+}
+
+// attempt runs one dispatch up to the answer's head, or to its end when it is
+// short.
+func (p *plainRun) attempt(ctx context.Context, choice *route.Choice) (*plainAnswer, func(), error) {
+	ctx, cancel, endFlight := p.node.flights.begin(ctx, choice.Candidate)
+	watch := newWatchdog(cancel, p.node.timing.PlainAnswer, p.node.timing.PlainAnswer)
+	started := p.node.clock.Now()
+	end := func(ok bool) {
+		watch.stop()
+		p.node.gate.finish(choice, route.End{OK: ok, Abort: !ok && ctx.Err() != nil && context.Cause(ctx) != errStalled})
+		endFlight()
+	}
+	answer, err := p.open(ctx, choice)
+	if err != nil {
+		err = causeOr(ctx, err)
+		end(false)
+		return nil, nil, err
+	}
+	p.took = max(p.node.clock.Now()-started, 1)
+	p.node.gate.firstToken(choice, route.UnknownCached)
+	return answer, func() {
+		answer.response.Body.Close()
+		end(true)
+	}, nil
+}
+
+func (p *plainRun) open(ctx context.Context, choice *route.Choice) (*plainAnswer, error) {
+	resp, failed := p.node.client.Open(ctx, serve.Call{
+		Request: p.request.id,
+		Method:  p.request.method,
+		Path:    p.request.path,
+		Header:  p.request.header,
+		Body:    p.request.body,
+		Address: choice.Candidate.Address,
+	})
+	if failed != nil {
+		p.ran = combine(p.ran, failed.Ran())
+		return nil, failed
+	}
+	p.ran = sardine.RanYes
+	p.node.noteLoad(choice.Candidate.Ref, resp.Header)
+	answer, err := hold(resp)
+	if err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return answer, nil
+}
+
+// hold reads an answer to its end if it is short enough.
+func hold(resp *http.Response) (*plainAnswer, error) {
+	if !serve.Delimited(resp) {
+		return nil, codes.New(codes.AnswerInvalid, "answer has no length")
+	}
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	if err != nil {
+		return nil, codes.New(codes.StreamBroken, "answer broke off after %d bytes: %v", len(head), err)
+	}
+	return &plainAnswer{response: resp, head: head, whole: len(head) <= maxHeldBytes}, nil
+}
+
+// pass writes the answer to the caller. A long answer that breaks off cuts the
+// caller's connection, so that it can't be taken for a whole one.
+func (p *plainRun) pass(a *plainAnswer) error {
+	header := serve.PassedHeader(a.response.Header)
+	if a.whole && p.request.method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(a.head)))
+	}
+	if err := p.sink.whole(a.response.StatusCode, header, a.head); err != nil || a.whole {
+		return err
+	}
+	if _, err := io.Copy(extending{p.sink}, a.response.Body); err != nil {
+		event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(codes.Wrap(codes.StreamBroken, err, "answer broke off")), ranAttr(sardine.RanYes))
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// extending gives the caller the write timeout anew at each write.
+type extending struct {
+	sink *sink
+}
+
+func (e extending) Write(b []byte) (int, error) {
+	e.sink.extend()
+	return e.sink.writer.Write(b)
+}
+
+// fail gives the caller its final answer.
+func (p *plainRun) fail(err error) {
+	if p.sink.started { // the caller is gone
+		return
+	}
+	event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(err), ranAttr(p.ran))
+	p.node.meter.failed(err)
+	p.sink.fail(problemOf(err, p.request.id, p.ran))
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/reply"
+)
+
+// Bounds of what a caller may ask for.
+const (
+	maxDeadline  = 600 * sardine.Second
+	maxKeyBytes  = 255
+	bytesPerWord = 4 // rough size of a token of text
+)
+
+// request is one caller's request, read whole and checked.
+type request struct {
+	id          sardine.RequestID
+	workspace   sardine.Workspace
+	token       string
+	service     sardine.ServiceName
+	method      string
+	path        string // at the target, with the query
+	header      http.Header
+	body        []byte
+	priority    sardine.Priority
+	deadline    sardine.Millis // from arrival to the first byte of the answer, 0 for none
+	arrived     sardine.Millis
+	key         string // idempotency key, empty for none
+	stream      bool
+	exact       bool // an engine of the same model version continues it exactly
+	tokens      int  // estimate of the prompt's tokens
+	maxTokens   int  // asked for, 0 if not said
+	prefixes    []uint64
+	fingerprint []byte
+}
+
+// modelJSON is the part of a completion request that routing needs. All else is
+// passed on as it came.
+type modelJSON struct {
+	Model       string          `json:"model"`
+	Stream      bool            `json:"stream"`
+	Seed        *int64          `json:"seed"`
+	Temperature *float64        `json:"temperature"`
+	MaxTokens   *int            `json:"max_tokens"`
+	Messages    json.RawMessage `json:"messages"`
+	Prompt      json.RawMessage `json:"prompt"`
+	N           *int            `json:"n"`
+}
+
+// readCommon reads what every request has: its body and the system's headers.
+func readCommon(r *http.Request, limit int64) (*request, error) {
+	body, err := readBody(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	q := &request{
+		method:    r.Method,
+		header:    r.Header,
+		body:      body,
+		workspace: sardine.Workspace(r.Header.Get(reply.HeaderWorkspace)),
+		key:       r.Header.Get(reply.HeaderKey),
+	}
+	if q.workspace == "" {
+		return nil, codes.New(codes.BadRequest, "header %s is missing, it names the caller's workspace", reply.HeaderWorkspace)
+	}
+	if len(q.key) > maxKeyBytes {
+		return nil, codes.New(codes.BadRequest, "header %s has %d bytes, at most %d are taken", reply.HeaderKey, len(q.key), maxKeyBytes)
+	}
+	if q.token, err = bearer(r.Header.Get("Authorization")); err != nil {
+		return nil, err
+	}
+	if q.priority, err = parsePriority(r.Header.Get(reply.HeaderPriority)); err != nil {
+		return nil, err
+	}
+	if q.deadline, err = parseDeadline(r.Header.Get(reply.HeaderDeadline)); err != nil {
+		return nil, err
+	}
+	return q, nil
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, codes.New(codes.TooLarge, "the body has %d bytes, at most %d are taken", r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, codes.New(codes.SlowRequest, "the body stopped after %d bytes", len(body))
+	}
+	if err != nil {
+		return nil, codes.New(codes.BadRequest, "the body ended after %d bytes: %v", len(body), err)
+	}
+	if int64(len(body)) > limit {
+		return nil, codes.New(codes.TooLarge, "the body has more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+func bearer(header string) (string, error) {
+	if header == "" {
+		return "", nil
+	}
+	scheme, token, found := strings.Cut(header, " ")
+	if !found || !strings.EqualFold(scheme, "bearer") {
+		return "", codes.New(codes.BadRequest, "header Authorization is not of the form: Bearer TOKEN")
+	}
+	return strings.TrimSpace(token), nil
+}
+
+func parsePriority(text string) (sardine.Priority, error) {
+	switch text {
+	case "", "normal":
+		return sardine.PriorityNormal, nil
+	case "live":
+		return sardine.PriorityLive, nil
+	case "batch":
+		return sardine.PriorityBatch, nil
+	default:
+		return 0, codes.New(codes.BadRequest, "header %s is %q, expected live, normal or batch", reply.HeaderPriority, text)
+	}
+}
+
+func parseDeadline(text string) (sardine.Millis, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 1 || sardine.Millis(n) > maxDeadline {
+		return 0, codes.New(codes.BadRequest, "header %s is %q, expected milliseconds from 1 to %d", reply.HeaderDeadline, text, maxDeadline)
+	}
+	return sardine.Millis(n), nil
+}
+
+// readModel reads a chat or completion request.
+func readModel(r *http.Request, limit int64) (*request, error) {
+	if kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || kind != "application/json" {
+		return nil, codes.New(codes.BadRequest, "Content-Type is %q, expected application/json", r.Header.Get("Content-Type"))
+	}
+	q, err := readCommon(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	var m modelJSON
+	if err := json.Unmarshal(q.body, &m); err != nil {
+		return nil, codes.New(codes.BadRequest, "the body is not the expected JSON: %v", err)
+	}
+	if m.Model == "" {
+		return nil, codes.New(codes.BadRequest, "the field model is missing")
+	}
+	if len(m.Messages) == 0 && len(m.Prompt) == 0 {
+		return nil, codes.New(codes.BadRequest, "the field messages or prompt is missing")
+	}
+	if m.N != nil && *m.N != 1 {
+		return nil, codes.New(codes.BadRequest, "the field n is %d, only 1 is served", *m.N)
+	}
+	q.service = sardine.ServiceName(m.Model)
+	q.path = r.URL.Path
+	q.stream = m.Stream
+	q.exact = m.Seed != nil || (m.Temperature != nil && *m.Temperature == 0)
+	if m.MaxTokens != nil {
+		q.maxTokens = max(*m.MaxTokens, 0)
+	}
+	prompt := m.Messages
+	if len(prompt) == 0 {
+		prompt = m.Prompt
+	}
+	q.tokens = len(prompt)/bytesPerWord + 1
+	q.prefixes = prefixHashes(q.service, prompt)
+	q.setFingerprint()
+	return q, nil
+}
+
+// setFingerprint hashes what makes two requests the same: their workspace and
+// what the target gets. Headers stay out, a resend may differ in them.
+func (q *request) setFingerprint() {
+	h := sha256.New()
+	for _, part := range []string{string(q.workspace), string(q.service), q.method, q.path} {
+		_, _ = io.WriteString(h, part) // a hash takes every write
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(q.body)
+	q.fingerprint = h.Sum(nil)
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/team"
+)
+
+// serviceKey names a deployment of one team.
+type serviceKey struct {
+	team    sardine.Team
+	service sardine.ServiceName
+}
+
+// routed returns the name under which the router and the admission know the
+// deployment. Two teams may give their services the same name.
+func (k serviceKey) routed() sardine.ServiceName {
+	return sardine.ServiceName(string(k.team) + "/" + string(k.service))
+}
+
+// tenancy is a workspace with the team that owns it.
+type tenancy struct {
+	team   sardine.Team
+	tenant sardine.Tenant
+}
+
+// view is what the node knows of the replicated state at one index, arranged
+// for requests. It is never changed once it is published.
+type view struct {
+	index       uint64
+	versions    map[sardine.Team]sardine.Version
+	tenancies   map[sardine.Workspace]tenancy
+	deployments map[serviceKey]sardine.Deployment
+	candidates  map[serviceKey][]route.Candidate
+	serving     map[sardine.GroupID]sardine.Epoch // groups that get new work
+	intact      map[sardine.GroupID]sardine.Epoch // groups that may finish work, a superset
+	plain       map[sardine.VMID]sardine.Incarnation
+}
+
+// newView arranges the machine's state. Documents that can't be parsed are
+// reported and leave their team out; the leader validates documents before they
+// are accepted, so that only an older program can meet one.
+func newView(m *state.Machine) (*view, []error) {
+	v := &view{
+		index:       m.Index(),
+		versions:    make(map[sardine.Team]sardine.Version),
+		tenancies:   make(map[sardine.Workspace]tenancy),
+		deployments: make(map[serviceKey]sardine.Deployment),
+		candidates:  make(map[serviceKey][]route.Candidate),
+		serving:     make(map[sardine.GroupID]sardine.Epoch),
+		intact:      make(map[sardine.GroupID]sardine.Epoch),
+		plain:       make(map[sardine.VMID]sardine.Incarnation),
+	}
+	var failed []error
+	for _, name := range m.Teams() {
+		if err := v.addTeam(m, name); err != nil {
+			failed = append(failed, err)
+		}
+	}
+	v.addGroups(m)
+	v.addPlain(m)
+	return v, failed
+}
+
+func (v *view) addTeam(m *state.Machine, name sardine.Team) error {
+	revision, known := m.Current(name)
+	if !known {
+		return nil
+	}
+	v.versions[name] = revision.Version
+	settings, err := team.Parse(name, revision.Document)
+	if err != nil {
+		return codes.Wrap(codes.BadSettings, err, "settings of team "+string(name))
+	}
+	for _, t := range settings.Tenants {
+		v.tenancies[t.Name] = tenancy{team: name, tenant: t}
+	}
+	for _, d := range settings.Deployments {
+		v.deployments[serviceKey{name, d.Name}] = d
+	}
+	return nil
+}
+
+func (v *view) addGroups(m *state.Machine) {
+	for _, g := range m.Groups() {
+		if g.State != sardine.GroupServing || len(g.Members) == 0 {
+			continue
+		}
+		v.intact[g.ID] = g.Epoch
+		if leaving(m, g) {
+			continue
+		}
+		head, _ := m.Target(g.Members[0].VM)
+		key := serviceKey{g.Team, g.Service}
+		v.candidates[key] = append(v.candidates[key], route.Candidate{
+			Ref:        route.Ref{Group: g.ID, Epoch: g.Epoch},
+			Service:    key.routed(),
+			Kind:       sardine.KindEngine,
+			Model:      g.Model,
+			Version:    g.Version,
+			Address:    g.Members[0].Address,
+			DataCentre: head.DataCentre,
+		})
+		v.serving[g.ID] = g.Epoch
+	}
+}
+
+// leaving reports whether a member of the group has announced that it leaves or
+// is not known any more.
+func leaving(m *state.Machine, g sardine.Group) bool {
+	for _, member := range g.Members {
+		t, known := m.Target(member.VM)
+		if !known || t.Leaving || t.Incarnation != member.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// addPlain makes every plain target a candidate of each team that deploys its
+// service.
+func (v *view) addPlain(m *state.Machine) {
+	for _, t := range m.Targets() {
+		if t.Kind != sardine.KindPlain || t.Leaving {
+			continue
+		}
+		v.plain[t.VM] = t.Incarnation
+		for key, d := range v.deployments {
+			if d.Kind != sardine.KindPlain || d.Name != t.Service {
+				continue
+			}
+			v.candidates[key] = append(v.candidates[key], route.Candidate{
+				Ref:        route.Ref{VM: t.VM, Incarnation: t.Incarnation},
+				Service:    key.routed(),
+				Kind:       sardine.KindPlain,
+				Address:    t.Address,
+				DataCentre: t.DataCentre,
+			})
+		}
+	}
+}
+
+// current reports whether a candidate may still get new work.
+func (v *view) current(c route.Candidate) bool {
+	if c.Group != "" {
+		return v.serving[c.Group] == c.Epoch
+	}
+	incarnation, known := v.plain[c.VM]
+	return known && incarnation == c.Incarnation
+}
+
+// lost reports whether a dispatch to the candidate can't end well any more.
+func (v *view) lost(c route.Candidate) bool {
+	return c.Group != "" && v.intact[c.Group] != c.Epoch
+}
+
+// admit finds the deployment that a caller's workspace may use.
+func (v *view) admit(q *request) (tenancy, sardine.Deployment, error) {
+	t, known := v.tenancies[q.workspace]
+	if !known {
+		return tenancy{}, sardine.Deployment{}, codes.New(codes.UnknownWorkspace, "no workspace %q", q.workspace)
+	}
+	if !tokenMatches(t.tenant.Key, q.token) {
+		return tenancy{}, sardine.Deployment{}, codes.New(codes.KeyRefused, "the token does not belong to workspace %q", q.workspace)
+	}
+	d, known := v.deployments[serviceKey{t.team, q.service}]
+	if !known || !allows(t.tenant, q.service) {
+		return tenancy{}, sardine.Deployment{}, codes.New(codes.UnknownService, "workspace %q has no model or service %q", q.workspace, q.service)
+	}
+	return t, d, nil
+}
+
+func allows(t sardine.Tenant, s sardine.ServiceName) bool {
+	if len(t.Services) == 0 {
+		return true
+	}
+	for _, allowed := range t.Services {
+		if allowed == s {
+			return true
+		}
+	}
+	return false
+}
+
+// tokenMatches compares the SHA-256 of the token in constant time. A workspace
+// without a key hash takes callers without a token.
+func tokenMatches(keyHash, token string) bool {
+	if keyHash == "" {
+		return true
+	}
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(keyHash)) == 1
+}
--- /dev/null
+++ b/reply/reply.go
@@ -0,0 +1,144 @@
+// Package reply writes answers of the system itself to callers and operators:
+// problem details in JSON (RFC 9457) with the result code and whether the
+// request ran.
+package reply
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderRan        = "X-Sardine-Ran"         // no, yes or unknown
+	HeaderRequest    = "X-Sardine-Request"     // request id, on every answer
+	HeaderWorkspace  = "X-Sardine-Workspace"   // the caller's workspace
+	HeaderPriority   = "X-Sardine-Priority"    // live, normal or batch
+	HeaderDeadline   = "X-Sardine-Deadline-Ms" // milliseconds the caller waits for the first byte of the answer
+	HeaderEpoch      = "X-Sardine-Epoch"       // fencing number of a dispatch
+	HeaderGroup      = "X-Sardine-Group"       // group of a dispatch
+	HeaderResumeFrom = "X-Sardine-Resume-From" // first token wanted of a resumed stream
+	HeaderLoad       = "X-Sardine-Load"        // a target's load on its answers
+	HeaderKey        = "Idempotency-Key"
+)
+
+// ProblemType is the content type of a problem.
+const ProblemType = "application/problem+json"
+
+// Problem is one error answer.
+type Problem struct {
+	code       codes.Code
+	detail     string
+	ran        sardine.Ran
+	request    sardine.RequestID
+	retryAfter sardine.Millis
+}
+
+// Option sets a property of a Problem.
+type Option func(*Problem)
+
+// WithRan says whether the request ran. The default is RanUnknown.
+func WithRan(r sardine.Ran) Option {
+	return func(p *Problem) { p.ran = r }
+}
+
+// WithRequest names the request.
+func WithRequest(id sardine.RequestID) Option {
+	return func(p *Problem) { p.request = id }
+}
+
+// WithRetryAfter tells the caller when to come back.
+func WithRetryAfter(d sardine.Millis) Option {
+	return func(p *Problem) { p.retryAfter = d }
+}
+
+// NewProblem describes err, whose result code decides the status.
+func NewProblem(err error, options ...Option) *Problem {
+	p := &Problem{code: codes.Of(err), detail: err.Error()}
+	var coded *codes.Error
+	if errors.As(err, &coded) {
+		p.detail = coded.Message()
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Code returns the result code.
+func (p *Problem) Code() codes.Code {
+	return p.code
+}
+
+// Ran returns whether the request ran.
+func (p *Problem) Ran() sardine.Ran {
+	return p.ran
+}
+
+type problemJSON struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Ran     string `json:"ran"`
+	Request string `json:"request,omitempty"`
+	Remedy  string `json:"remedy"`
+}
+
+// JSON returns the problem's body.
+func (p *Problem) JSON() []byte {
+	row := p.code.Row()
+	body, err := json.Marshal(problemJSON{
+		Type:    "urn:sardineswitch:code:" + strconv.Itoa(int(p.code)),
+		Title:   row.Meaning,
+		Status:  row.Status,
+		Detail:  p.detail,
+		Code:    int(p.code),
+		Name:    row.Name,
+		Ran:     p.ran.String(),
+		Request: string(p.request),
+		Remedy:  row.Remedy,
+	})
+	if err != nil { // strings and numbers always marshal
+		return []byte("{}")
+	}
+	return body
+}
+
+// Write sends the problem as the whole answer.
+func (p *Problem) Write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", ProblemType)
+	h.Set(HeaderRan, p.ran.String())
+	h.Set("Cache-Control", "no-store")
+	if p.request != "" {
+		h.Set(HeaderRequest, string(p.request))
+	}
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64((p.retryAfter+sardine.Second-1)/sardine.Second), 10))
+	}
+	body := append(p.JSON(), '\n')
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(p.code.Status())
+	_, _ = w.Write(body) // the caller may be gone, nothing is left to tell it
+}
+
+// JSON sends v as the whole answer with the status.
+func JSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		NewProblem(codes.Wrap(codes.Internal, err, "answer can't be written")).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n')) // the caller may be gone
+}
--- /dev/null
+++ b/serve/whole.go
@@ -0,0 +1,68 @@
+package serve
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// ReadWhole reads an answer of at most limit bytes to its stated end.
+//
+// An answer with neither a length nor chunks ends with its connection, so that a
+// cut can't be told from the end; such an answer is refused.
+func ReadWhole(resp *http.Response, limit int64) ([]byte, error) {
+	if !Delimited(resp) {
+		return nil, codes.New(codes.AnswerInvalid, "answer has no length")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, codes.New(codes.StreamBroken, "answer broke off after %d bytes: %v", len(body), err)
+	}
+	if int64(len(body)) > limit {
+		return nil, codes.New(codes.AnswerInvalid, "answer of more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+// Delimited reports whether the answer's end can be told from a cut.
+func Delimited(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || resp.ProtoMajor >= 2 {
+		return true
+	}
+	for _, coding := range resp.TransferEncoding {
+		if coding == "chunked" {
+			return true
+		}
+	}
+	return false
+}
+
+type wholeJSON struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// CheckWhole checks that body is a finished answer of an engine to request.
+func CheckWhole(body []byte, request sardine.RequestID) error {
+	var answer wholeJSON
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return codes.New(codes.AnswerInvalid, "answer is not JSON: %v", err)
+	}
+	if answer.ID != string(request) {
+		return codes.New(codes.AnswerInvalid, "answer belongs to request %q, not %q", answer.ID, request)
+	}
+	if len(answer.Choices) == 0 {
+		return codes.New(codes.AnswerInvalid, "answer holds no choice")
+	}
+	for _, c := range answer.Choices {
+		if c.FinishReason == nil {
+			return codes.New(codes.AnswerInvalid, "answer is not finished")
+		}
+	}
+	return nil
+}
