--- /dev/null
+++ b/team/fault.go
@@ -0,0 +1,47 @@
+package team
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"sardineswitch.dev/sardine/codes"
+)
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Line     int // from 1
+	Column   int // from 1, in bytes
+	Path     string
+	Found    string
+	Expected string
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("line %d, column %d, %s: found %s, expected %s", f.Line, f.Column, f.Path, f.Found, f.Expected)
+}
+
+// Faults is every fault of a document, in the order of their places.
+type Faults []Fault
+
+// Error returns one line for each fault.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// asError returns the faults as codes.BadSettings, or nil if there are none.
+func (f Faults) asError() error {
+	if len(f) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Path, b.Path))
+	})
+	return codes.Wrap(codes.BadSettings, f, fmt.Sprintf("%d faults", len(f)))
+}
--- /dev/null
+++ b/team/tree.go
@@ -0,0 +1,117 @@
+package team
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"sardineswitch.dev/sardine/codes"
+)
+
+// MaxDocument is the longest document that is accepted, in bytes.
+const MaxDocument = 256 << 10
+
+// place is where a key stands in the document.
+type place struct {
+	line   int
+	column int
+}
+
+// tree is a parsed document and the places of its keys.
+type tree struct {
+	root   Path
+	values map[string]any
+	places map[string]place // by the keys joined with a zero byte
+}
+
+// parseTree reads the document of root's team. The first fault of syntax ends
+// the reading.
+func parseTree(root Path, document string) (tree, error) {
+	t := tree{root: root, values: make(map[string]any), places: make(map[string]place)}
+	if len(document) > MaxDocument {
+		return t, codes.New(codes.TooLarge, "the document has %d bytes, at most %d are accepted", len(document), MaxDocument)
+	}
+	if err := toml.Unmarshal([]byte(document), &t.values); err != nil {
+		return t, syntaxFault(root, err).asError()
+	}
+	t.locate([]byte(document))
+	return t, nil
+}
+
+func syntaxFault(root Path, err error) Faults {
+	fault := Fault{Line: 1, Column: 1, Path: root.String(), Found: "a fault of syntax: " + err.Error(), Expected: "TOML"}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		fault.Line, fault.Column = decode.Position()
+		fault.Path = root.child(decode.Key()).String()
+		fault.Found = strings.TrimPrefix(decode.Error(), "toml: ")
+	}
+	return Faults{fault}
+}
+
+func (p Path) child(keys []string) Path {
+	for _, key := range keys {
+		p = p.Child(key)
+	}
+	return p
+}
+
+// locate notes where each key stands. The document is known to be valid.
+func (t *tree) locate(document []byte) {
+	var p unstable.Parser
+	p.Reset(document)
+	var table []string
+	for p.NextExpression() {
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table = t.locateKey(document, nil, e.Key())
+		case unstable.KeyValue:
+			t.locateValue(document, table, e)
+		}
+	}
+}
+
+func (t *tree) locateValue(document []byte, table []string, e *unstable.Node) {
+	keys := t.locateKey(document, table, e.Key())
+	if e.Value().Kind != unstable.InlineTable {
+		return
+	}
+	for it := e.Value().Children(); it.Next(); {
+		t.locateValue(document, keys, it.Node())
+	}
+}
+
+func (t *tree) locateKey(document []byte, table []string, it unstable.Iterator) []string {
+	keys := append([]string(nil), table...)
+	for it.Next() {
+		n := it.Node()
+		keys = append(keys, string(n.Data))
+		name := strings.Join(keys, "\x00")
+		if _, known := t.places[name]; !known {
+			t.places[name] = placeOf(document, int(n.Raw.Offset))
+		}
+	}
+	return keys
+}
+
+func placeOf(document []byte, offset int) place {
+	before := document[:min(offset, len(document))]
+	return place{
+		line:   bytes.Count(before, []byte("\n")) + 1,
+		column: len(before) - bytes.LastIndexByte(before, '\n'),
+	}
+}
+
+// at returns the place of a key, or of the nearest key above it.
+func (t *tree) at(keys []string) place {
+	for n := len(keys); n > 0; n-- {
+		if found, ok := t.places[strings.Join(keys[:n], "\x00")]; ok {
+			return found
+		}
+	}
+	return place{line: 1, column: 1}
+}
