usable: stand-ins for engines, plain services, weights and the balancer

The node shells, the demo and the failure tests need targets that announce themselves, take orders and answer in a way a checker can predict.

annc and order hold the codecs of announcements and orders and the client that implements sardine.EngineClient. standin/engine, plain, balnce and weight are built by options and run many times in one process; engines of one fabric stop generating while a member of their group is missing.

--- /dev/null
+++ b/order/client.go
@@ -0,0 +1,86 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// DefaultTimeout bounds one order from connection to answer.
+const DefaultTimeout = 2 * sardine.Second
+
+const maxDetail = 512 // bytes of a refusal's body kept in the error
+
+// Client sends orders over HTTP. It implements sardine.EngineClient.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// Option sets a property of a Client.
+type Option func(*Client)
+
+// WithHTTP sets the HTTP client, to share its connections.
+func WithHTTP(c *http.Client) Option {
+	return func(s *Client) { s.http = c }
+}
+
+// WithTimeout sets the time allowed for one order.
+func WithTimeout(d sardine.Millis) Option {
+	return func(s *Client) { s.timeout = d.Duration() }
+}
+
+// NewClient returns a client with connections of its own.
+func NewClient(options ...Option) *Client {
+	s := &Client{timeout: DefaultTimeout.Duration()}
+	for _, o := range options {
+		o(s)
+	}
+	if s.http == nil {
+		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
+	}
+	return s
+}
+
+// Send posts o to the engine at address (host:port). It returns
+// codes.EpochRefused when the engine holds a higher epoch and
+// codes.TargetFailed when the engine can't be reached or refuses for another
+// reason.
+func (s *Client) Send(ctx context.Context, address string, o sardine.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(Encode(o)))
+	if err != nil {
+		return codes.Wrap(codes.TargetFailed, err, "order to "+address)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := s.http.Do(request)
+	if err != nil {
+		return codes.Wrap(codes.TargetFailed, err, "order to "+address)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	detail, _ := io.ReadAll(io.LimitReader(answer.Body, maxDetail))
+	return verdict(address, o, answer, strings.TrimSpace(string(detail)))
+}
+
+// Close drops idle connections.
+func (s *Client) Close() {
+	s.http.CloseIdleConnections()
+}
+
+func verdict(address string, o sardine.Order, answer *http.Response, detail string) error {
+	switch {
+	case answer.StatusCode/100 == 2:
+		return nil
+	case answer.StatusCode == http.StatusConflict:
+		return codes.New(codes.EpochRefused, "engine %s refused group %s epoch %d: %s", address, o.Group, o.Epoch, detail)
+	default:
+		return codes.New(codes.TargetFailed, "engine %s answered %s to group %s epoch %d: %s", address, answer.Status, o.Group, o.Epoch, detail)
+	}
+}
--- /dev/null
+++ b/order/order.go
@@ -0,0 +1,79 @@
+// Package order is the codec of the orders that engines take, the HTTP client
+// that sends them, and the headers that accompany a dispatched request.
+package order
+
+import (
+	"encoding/json"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// Path is where engines take orders, by POST.
+const Path = "/sardine/v1/order"
+
+// MaxBytes is the limit of one order's JSON text.
+const MaxBytes = 16 * 1024
+
+// Headers of a request dispatched to a target and of its answer.
+const (
+	HeaderRequest = "X-Sardine-Request"     // id of the dispatch, echoed in the answer
+	HeaderGroup   = "X-Sardine-Group"       // group that the request is meant for
+	HeaderEpoch   = "X-Sardine-Epoch"       // epoch of that group
+	HeaderResume  = "X-Sardine-Resume-From" // number of the first token wanted
+	HeaderRan     = "X-Sardine-Ran"         // "no" if the target did not start the request
+)
+
+// message is the JSON form of an order.
+type message struct {
+	Group   string `json:"group"`
+	Epoch   uint64 `json:"epoch"`
+	Rank    int    `json:"rank"`
+	Size    int    `json:"size"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Release bool   `json:"release"`
+}
+
+// Encode returns the JSON form of o.
+func Encode(o sardine.Order) []byte {
+	text, err := json.Marshal(message{
+		Group:   string(o.Group),
+		Epoch:   uint64(o.Epoch),
+		Rank:    o.Rank,
+		Size:    o.Size,
+		Model:   string(o.Model),
+		Version: o.Version,
+		Release: o.Release,
+	})
+	if err != nil {
+		panic(err) // strings and numbers always marshal
+	}
+	return text
+}
+
+// Decode reads an order and checks its fields. Errors carry codes.BadRequest.
+func Decode(text []byte) (sardine.Order, error) {
+	if len(text) > MaxBytes {
+		return sardine.Order{}, codes.New(codes.TooLarge, "order: %d bytes, at most %d are allowed", len(text), MaxBytes)
+	}
+	var m message
+	if err := json.Unmarshal(text, &m); err != nil {
+		return sardine.Order{}, codes.Wrap(codes.BadRequest, err, "order")
+	}
+	if m.Group == "" || m.Epoch == 0 {
+		return sardine.Order{}, codes.New(codes.BadRequest, "order: found group %q epoch %d, expected a name and 1 or more", m.Group, m.Epoch)
+	}
+	if !m.Release && (m.Model == "" || m.Size < 1 || m.Rank < 0 || m.Rank >= m.Size) {
+		return sardine.Order{}, codes.New(codes.BadRequest, "order: found model %q rank %d size %d, expected a model and a rank below the size", m.Model, m.Rank, m.Size)
+	}
+	return sardine.Order{
+		Group:   sardine.GroupID(m.Group),
+		Epoch:   sardine.Epoch(m.Epoch),
+		Rank:    m.Rank,
+		Size:    m.Size,
+		Model:   sardine.ModelName(m.Model),
+		Version: m.Version,
+		Release: m.Release,
+	}, nil
+}
--- /dev/null
+++ b/standin/plain/options.go
@@ -0,0 +1,64 @@
+package plain
+
+import sardine "sardineswitch.dev/sardine"
+
+type settings struct {
+	vm          sardine.VMID
+	incarnation sardine.Incarnation
+	dataCentre  sardine.DataCentre
+	service     sardine.ServiceName
+	listen      string
+	balancer    string
+	interval    sardine.Millis
+}
+
+func defaults() settings {
+	return settings{
+		vm:         "app-1",
+		dataCentre: "osu",
+		service:    "box_office",
+		listen:     "127.0.0.1:0",
+		interval:   sardine.Second,
+	}
+}
+
+// Option sets a property of a Plain.
+type Option func(*settings)
+
+// WithVM sets the VM's name.
+func WithVM(vm sardine.VMID) Option {
+	return func(s *settings) { s.vm = vm }
+}
+
+// WithIncarnation sets the incarnation before the first start, which is one
+// higher.
+func WithIncarnation(i sardine.Incarnation) Option {
+	return func(s *settings) { s.incarnation = i }
+}
+
+// WithDataCentre sets the data centre.
+func WithDataCentre(d sardine.DataCentre) Option {
+	return func(s *settings) { s.dataCentre = d }
+}
+
+// WithService sets the service that callers address.
+func WithService(n sardine.ServiceName) Option {
+	return func(s *settings) { s.service = n }
+}
+
+// WithListen sets the address to listen on, host:port.
+func WithListen(address string) Option {
+	return func(s *settings) { s.listen = address }
+}
+
+// WithBalancer sets where the service announces itself at first, host:port. An
+// empty address announces nothing.
+func WithBalancer(address string) Option {
+	return func(s *settings) { s.balancer = address }
+}
+
+// WithInterval sets the time between announcements until an entry node asks for
+// another.
+func WithInterval(d sardine.Millis) Option {
+	return func(s *settings) { s.interval = d }
+}
