--- /dev/null
+++ b/entry/attrs.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"log/slog"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+func requestAttr(id sardine.RequestID) slog.Attr {
+	return slog.String("request", string(id))
+}
+
+func vmAttr(vm sardine.VMID) slog.Attr {
+	return slog.String("vm", string(vm))
+}
+
+func codeAttr(err error) slog.Attr {
+	return slog.Group("error", slog.Int("code", int(codes.Of(err))), slog.String("detail", err.Error()))
+}
+
+func ranAttr(r sardine.Ran) slog.Attr {
+	return slog.String("ran", r.String())
+}
+
+func tokensAttr(n int) slog.Attr {
+	return slog.Int("tokens", n)
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/admit"
+	"sardineswitch.dev/sardine/annc"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/reply"
+)
+
+// publicMux routes what callers, targets and the balancer ask.
+func (n *Node) publicMux() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Post("/v1/chat/completions"), n.handleModel)
+	mux.HandleFunc(pat.Post("/v1/completions"), n.handleModel)
+	mux.HandleFunc(pat.Get("/v1/models"), n.handleModels)
+	mux.HandleFunc(pat.New("/services/:service/*"), n.handlePlain)
+	mux.HandleFunc(pat.Post(annc.Path), n.handleAnnounce)
+	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
+	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
+	mux.HandleFunc(pat.New("/*"), n.handleElse)
+	return mux
+}
+
+// handleElse answers requests that no other handler takes.
+func (n *Node) handleElse(w http.ResponseWriter, r *http.Request) {
+	id := n.newRequestID()
+	switch r.URL.Path {
+	case "/v1/chat/completions", "/v1/completions", annc.Path:
+		w.Header().Set("Allow", http.MethodPost)
+	case "/v1/models", "/readyz", "/healthz":
+		w.Header().Set("Allow", "GET, HEAD")
+	default:
+		n.refuse(w, id, codes.New(codes.UnknownService, "nothing is served at %s", r.URL.Path))
+		return
+	}
+	n.refuse(w, id, codes.New(codes.MethodNotAllowed, "%s does not take %s", r.URL.Path, r.Method))
+}
+
+func (n *Node) newRequestID() sardine.RequestID {
+	return sardine.RequestID(fmt.Sprintf("%s-%x-%x", n.id, uint64(n.incarnation), n.requests.Add(1)))
+}
+
+// extendRead gives the caller the read timeout for its body.
+func (n *Node) extendRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(n.timing.Read.Duration())) // unsupported in tests' recorders
+}
+
+// callerContext ends with the caller's own context, and with the cause
+// errDrained when the drain time is over.
+func (n *Node) callerContext(parent context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(n.drained, func() { cancel(errDrained) })
+	return ctx, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
+// startDeadline cancels the request when its deadline passes. Stop the returned
+// timer once the answer has begun.
+func (n *Node) startDeadline(q *request, cancel context.CancelCauseFunc) *time.Timer {
+	if q.deadline == 0 {
+		return time.AfterFunc(time.Duration(1<<62), func() {})
+	}
+	left := q.arrived + q.deadline - n.clock.Now()
+	return time.AfterFunc(left.Duration(), func() { cancel(errDeadline) })
+}
+
+// enter admits a request: its workspace, service, limits, and its turn. The
+// ticket goes back by leave. An error means that the request was not run.
+func (n *Node) enter(ctx context.Context, q *request) (tenancy, serviceKey, admit.Ticket, error) {
+	if err := n.mayDispatch(q.fingerprint); err != nil {
+		return tenancy{}, serviceKey{}, 0, err
+	}
+	v := n.view()
+	t, d, err := v.admit(q)
+	if err != nil {
+		return tenancy{}, serviceKey{}, 0, err
+	}
+	key := serviceKey{t.team, d.Name}
+	if len(v.candidates[key]) == 0 {
+		err := codes.New(codes.NoTarget, "no target serves %q now", d.Name)
+		return tenancy{}, serviceKey{}, 0, &refusal{cause: err, retryAfter: noTargetRetry}
+	}
+	cost := float64(q.tokens + q.maxTokens)
+	if err := n.takeLimit(q.workspace, cost); err != nil {
+		return tenancy{}, serviceKey{}, 0, err
+	}
+	offer := admit.Request{
+		Service:   key.routed(),
+		Workspace: q.workspace,
+		Priority:  q.priority,
+		Cost:      max(cost, 1),
+	}
+	if q.deadline > 0 {
+		offer.Deadline = q.arrived + q.deadline
+	}
+	ticket, err := n.gate.enter(ctx, offer)
+	n.meter.admitted(err)
+	return t, key, ticket, err
+}
+
+// noTargetRetry is when a caller should come back after no target was there: a
+// group that lost a member needs about this long to be whole again.
+const noTargetRetry = 2 * sardine.Second
+
+func (n *Node) leave(t admit.Ticket, firstToken sardine.Millis, o admit.Outcome) {
+	if o == admit.Answered && firstToken == 0 {
+		o = admit.Abandoned
+	}
+	if err := n.gate.leave(t, firstToken, o); err != nil {
+		n.broken(err)
+	}
+}
+
+// mayDispatch refuses while the node must not serve, and a request that has
+// crashed too many groups.
+func (n *Node) mayDispatch(fingerprint []byte) error {
+	if err := n.mayServe(); err != nil {
+		return err
+	}
+	if n.poisoned(fingerprint) {
+		return codes.New(codes.PoisonRequest, "the request crashed the groups that ran it")
+	}
+	return nil
+}
+
+// refuse answers a request that was not run.
+func (n *Node) refuse(w http.ResponseWriter, id sardine.RequestID, err error) {
+	event.Log(n.log, event.RequestRefused, requestAttr(id), codeAttr(err))
+	n.meter.refused(err)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(n.timing.Write.Duration())) // unsupported in tests' recorders
+	if closesConnection(err) {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	problemOf(err, id, sardine.RanNo).Write(w)
+}
+
+func closesConnection(err error) bool {
+	return codes.Is(err, codes.TooLarge) || codes.Is(err, codes.SlowRequest)
+}
+
+// problemOf describes err to a caller, with the time to come back.
+func problemOf(err error, id sardine.RequestID, ran sardine.Ran) *reply.Problem {
+	options := []reply.Option{reply.WithRan(ran), reply.WithRequest(id)}
+	var r *refusal
+	switch {
+	case errors.As(err, &r):
+		options = append(options, reply.WithRetryAfter(r.retryAfter))
+	case codes.Of(err).Status() == http.StatusServiceUnavailable:
+		options = append(options, reply.WithRetryAfter(sardine.Second))
+	}
+	return reply.NewProblem(err, options...)
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"log/slog"
+	"net/http"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// Timing holds the node's times in milliseconds.
+type Timing struct {
+	Hold          sardine.Millis // how long a follow request may be held
+	Lease         sardine.Millis // serving lease that the node reckons with before it got one
+	TargetLease   sardine.Millis // how long an announcement counts
+	Announce      sardine.Millis // interval asked of targets
+	FirstToken    sardine.Millis // longest silence before the first token
+	BetweenTokens sardine.Millis // longest silence between tokens
+	PlainAnswer   sardine.Millis // longest wait for a plain service's answer
+	Write         sardine.Millis // longest write to a caller
+	Read          sardine.Millis // longest read of a caller's request
+	Idle          sardine.Millis // longest idle caller's connection
+	BalancerMove  sardine.Millis // from unready to closed listener
+	Drain         sardine.Millis // longest wait for requests in flight
+	Submit        sardine.Millis // longest wait for a control command
+}
+
+// DefaultTiming returns the times for a site of any size.
+func DefaultTiming() Timing {
+	return Timing{
+		Hold:          sardine.Second,
+		Lease:         3 * sardine.Second,
+		TargetLease:   3 * sardine.Second,
+		Announce:      sardine.Second,
+		FirstToken:    30 * sardine.Second,
+		BetweenTokens: 5 * sardine.Second,
+		PlainAnswer:   30 * sardine.Second,
+		Write:         10 * sardine.Second,
+		Read:          10 * sardine.Second,
+		Idle:          60 * sardine.Second,
+		BalancerMove:  3 * sardine.Second,
+		Drain:         60 * sardine.Second,
+		Submit:        5 * sardine.Second,
+	}
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	BodyBytes   int64
+	HeaderBytes int
+	Connections int // callers' connections at once
+}
+
+// DefaultLimits returns the bounds for ordinary prompts.
+func DefaultLimits() Limits {
+	return Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 10000}
+}
+
+// Option sets a property of a Node.
+type Option func(*Node)
+
+// WithID sets the node's name, its start number and its data centre.
+func WithID(id sardine.NodeID, i sardine.Incarnation, dc sardine.DataCentre) Option {
+	return func(n *Node) {
+		n.id = id
+		n.incarnation = i
+		n.dataCentre = dc
+	}
+}
+
+// WithListen sets the addresses of the servers, host:port each: for callers and
+// targets, and for other processes and operators.
+func WithListen(public, internal string) Option {
+	return func(n *Node) {
+		n.listenPublic = public
+		n.listenInternal = internal
+	}
+}
+
+// WithAdvertise sets the addresses under which others reach the two servers. By
+// default they are the listening addresses.
+func WithAdvertise(public, internal string) Option {
+	return func(n *Node) {
+		n.advertisePublic = public
+		n.advertiseInternal = internal
+	}
+}
+
+// WithControls sets the addresses of the control nodes.
+func WithControls(addresses ...string) Option {
+	return func(n *Node) { n.controls = addresses }
+}
+
+// WithClock sets the clock.
+func WithClock(c sardine.Clock) Option {
+	return func(n *Node) { n.clock = c }
+}
+
+// WithRandom sets the random source, which the node alone uses from then on.
+func WithRandom(r sardine.Random) Option {
+	return func(n *Node) { n.random = r }
+}
+
+// WithLogger sets where events are written.
+func WithLogger(l *slog.Logger) Option {
+	return func(n *Node) { n.log = l }
+}
+
+// WithTiming sets the times.
+func WithTiming(t Timing) Option {
+	return func(n *Node) { n.timing = t }
+}
+
+// WithLimits sets the bounds on callers.
+func WithLimits(l Limits) Option {
+	return func(n *Node) { n.limits = l }
+}
+
+// WithTargetTransport sets how targets are reached. The transport must neither
+// follow redirects nor use a proxy.
+func WithTargetTransport(t http.RoundTripper) Option {
+	return func(n *Node) { n.targetTransport = t }
+}
