Run a keyed request at most once over all entry nodes

A resent ClaimKey of the same incarnation was told busy by its own first claim, whose answer was lost, so that the key hung until the node restarted. A DropClaim that arrived late freed a key which the node had claimed again and was running: a second run. Claims, finishes and drops now carry the attempt of the node's incarnation; the log grants a resend again, lets a later attempt replace an earlier one and refuses a late drop.

--- a/state/claims.go
+++ b/state/claims.go
@@ -28,7 +28,7 @@
 	case ClaimUnknown:
 		return Result{Verdict: ClaimLost}
 	default:
-		return Result{Verdict: ClaimBusy, Holder: held.Node}
+		return m.claimAgain(name, held, c)
 	}
 }
 
@@ -43,6 +43,7 @@
 		Fingerprint: c.Fingerprint,
 		Node:        c.Node,
 		Incarnation: c.Incarnation,
+		Attempt:     c.Attempt,
 		State:       ClaimRunning,
 		At:          m.at,
 	}
@@ -51,7 +52,7 @@
 }
 
 func (m *Machine) finishClaim(c FinishClaim) Result {
-	name, held, err := m.heldClaim(c.Workspace, c.Key, c.Node, c.Incarnation)
+	name, held, err := m.heldAttempt(c.Workspace, c.Key, c.Node, c.Incarnation, c.Attempt)
 	if err != nil {
 		return Result{Err: err}
 	}
@@ -65,7 +66,7 @@
 }
 
 func (m *Machine) dropClaim(c DropClaim) Result {
-	name, _, err := m.heldClaim(c.Workspace, c.Key, c.Node, c.Incarnation)
+	name, _, err := m.heldAttempt(c.Workspace, c.Key, c.Node, c.Incarnation, c.Attempt)
 	if err != nil {
 		return Result{Err: err}
 	}
--- a/state/command.go
+++ b/state/command.go
@@ -79,6 +79,7 @@
 	Fingerprint []byte // hash of method, path and body
 	Node        sardine.NodeID
 	Incarnation sardine.Incarnation
+	Attempt     uint64 // rises with each new claim of the node's incarnation, repeated on a resend
 }
 
 // FinishClaim records the outcome of a claimed request.
@@ -87,6 +88,7 @@
 	Key         string
 	Node        sardine.NodeID
 	Incarnation sardine.Incarnation
+	Attempt     uint64
 	Ran         sardine.Ran // RanYes or RanUnknown; for RanNo use DropClaim
 	Answer      Answer
 }
@@ -97,6 +99,7 @@
 	Key         string
 	Node        sardine.NodeID
 	Incarnation sardine.Incarnation
+	Attempt     uint64
 }
 
 // Strike records that a group failed while it ran a request.
--- a/state/types.go
+++ b/state/types.go
@@ -90,6 +90,7 @@
 	Fingerprint []byte
 	Node        sardine.NodeID
 	Incarnation sardine.Incarnation
+	Attempt     uint64
 	State       ClaimState
 	At          WallTime
 	Answer      Answer
