--- /dev/null
+++ b/conf/control.go
@@ -0,0 +1,161 @@
+package conf
+
+import (
+	"fmt"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/tomlr"
+)
+
+// Control is the settings file of one control node.
+type Control struct {
+	node              sardine.NodeID
+	site              string
+	dataCentre        sardine.DataCentre
+	dataFolder        string
+	listenInternal    string
+	listenOperators   string
+	advertiseInternal string
+	members           []Peer
+	timings           ControlTimings
+	log               Log
+	tls               TLS
+}
+
+// LoadControl reads and checks the file of a control node. Errors carry
+// codes.BadSettings and list all problems, see tomlr.Problems.
+func LoadControl(path string) (*Control, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseControl(baseName(path), text)
+}
+
+// ParseControl checks the text of a control node's file; name stands in errors.
+func ParseControl(name string, text []byte) (*Control, error) {
+	d, err := tomlr.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	t := d.Root()
+	c := &Control{
+		node:            sardine.NodeID(t.Name("node")),
+		site:            t.Name("site"),
+		dataCentre:      sardine.DataCentre(t.Name("data_centre")),
+		dataFolder:      t.Text("data_folder", ""),
+		listenInternal:  t.Address("listen_internal", true, true),
+		listenOperators: t.Address("listen_operators", true, true),
+		members:         readPeers(t, "members", 1, maxControls),
+		timings:         readControlTimings(t.Table("timings")),
+		log:             readLog(t.Table("log")),
+		tls:             readTLS(t.Table("tls"), false),
+	}
+	c.advertiseInternal = advertised(t, "advertise_internal", c.listenInternal)
+	if c.dataFolder == "" {
+		t.Refuse("data_folder", "a folder on a disk that outlives a restart")
+	}
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Node returns the node's name, unique in the site.
+func (c *Control) Node() sardine.NodeID {
+	return c.node
+}
+
+// Site returns the name of the installation.
+func (c *Control) Site() string {
+	return c.site
+}
+
+// DataCentre returns where the node runs.
+func (c *Control) DataCentre() sardine.DataCentre {
+	return c.dataCentre
+}
+
+// DataFolder returns the folder for the replicated log and snapshots.
+func (c *Control) DataFolder() string {
+	return c.dataFolder
+}
+
+// ListenInternal returns host:port for the system's own processes.
+func (c *Control) ListenInternal() string {
+	return c.listenInternal
+}
+
+// ListenOperators returns host:port for sardctl.
+func (c *Control) ListenOperators() string {
+	return c.listenOperators
+}
+
+// AdvertiseInternal returns host:port that other nodes use, empty for the
+// address that was bound.
+func (c *Control) AdvertiseInternal() string {
+	return c.advertiseInternal
+}
+
+// Members returns the first members of the quorum. They count only while the
+// data folder is empty; later changes are in the replicated log.
+func (c *Control) Members() []Peer {
+	return append([]Peer(nil), c.members...)
+}
+
+// Timings returns the node's periods.
+func (c *Control) Timings() ControlTimings {
+	return c.timings
+}
+
+// Log returns how the node logs.
+func (c *Control) Log() Log {
+	return c.log
+}
+
+// TLS returns the files of certificates and keys.
+func (c *Control) TLS() TLS {
+	return c.tls
+}
+
+// ControlTimings are the periods of a control node.
+type ControlTimings struct {
+	heartbeat sardine.Millis
+	election  sardine.Millis
+	lease     sardine.Millis
+	drain     sardine.Millis
+}
+
+func readControlTimings(t *tomlr.Table) ControlTimings {
+	s := ControlTimings{
+		heartbeat: millis(t, "heartbeat_ms", 100, 5, 5*sardine.Second),
+		election:  millis(t, "election_ms", sardine.Second, 50, 60*sardine.Second),
+		lease:     millis(t, "lease_ms", 3*sardine.Second, 200, 60*sardine.Second),
+		drain:     millis(t, "drain_ms", 5*sardine.Second, 0, 600*sardine.Second),
+	}
+	if s.heartbeat*3 > s.election {
+		t.Refuse("heartbeat_ms", fmt.Sprintf("at most a third of election_ms, %d", s.election/3))
+	}
+	return s
+}
+
+// Heartbeat returns the time between the leader's messages to idle members.
+func (t ControlTimings) Heartbeat() sardine.Millis {
+	return t.heartbeat
+}
+
+// Election returns how long a member waits for a leader before it stands for
+// election.
+func (t ControlTimings) Election() sardine.Millis {
+	return t.election
+}
+
+// Lease returns the serving lease granted to entry nodes.
+func (t ControlTimings) Lease() sardine.Millis {
+	return t.lease
+}
+
+// Drain returns how long a shutdown waits to hand over leadership.
+func (t ControlTimings) Drain() sardine.Millis {
+	return t.drain
+}
--- /dev/null
+++ b/conf/entry.go
@@ -0,0 +1,199 @@
+package conf
+
+import (
+	"fmt"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/tomlr"
+)
+
+// maxControls is the most control nodes that a site sets aside.
+const maxControls = 7
+
+// Entry is the settings file of one entry node.
+type Entry struct {
+	node              sardine.NodeID
+	site              string
+	dataCentre        sardine.DataCentre
+	dataFolder        string
+	listen            string
+	listenTargets     string
+	listenInternal    string
+	advertiseTargets  string
+	advertiseInternal string
+	controls          []Peer
+	timings           EntryTimings
+	limits            Limits
+	log               Log
+	tls               TLS
+}
+
+// LoadEntry reads and checks the file of an entry node. Errors carry
+// codes.BadSettings and list all problems, see tomlr.Problems.
+func LoadEntry(path string) (*Entry, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseEntry(baseName(path), text)
+}
+
+// ParseEntry checks the text of an entry node's file; name stands in errors.
+func ParseEntry(name string, text []byte) (*Entry, error) {
+	d, err := tomlr.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	t := d.Root()
+	e := &Entry{
+		node:           sardine.NodeID(t.Name("node")),
+		site:           t.Name("site"),
+		dataCentre:     sardine.DataCentre(t.Name("data_centre")),
+		dataFolder:     t.Text("data_folder", ""),
+		listen:         t.Address("listen", true, true),
+		listenTargets:  t.Address("listen_targets", true, true),
+		listenInternal: t.Address("listen_internal", true, true),
+		controls:       readPeers(t, "controls", 1, maxControls),
+		timings:        readEntryTimings(t.Table("timings")),
+		limits:         readLimits(t.Table("limits")),
+		log:            readLog(t.Table("log")),
+		tls:            readTLS(t.Table("tls"), true),
+	}
+	e.advertiseTargets = advertised(t, "advertise_targets", e.listenTargets)
+	e.advertiseInternal = advertised(t, "advertise_internal", e.listenInternal)
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// Node returns the node's name, unique in the site.
+func (e *Entry) Node() sardine.NodeID {
+	return e.node
+}
+
+// Site returns the name of the installation.
+func (e *Entry) Site() string {
+	return e.site
+}
+
+// DataCentre returns where the node runs.
+func (e *Entry) DataCentre() sardine.DataCentre {
+	return e.dataCentre
+}
+
+// DataFolder returns the folder for files, empty for none.
+func (e *Entry) DataFolder() string {
+	return e.dataFolder
+}
+
+// Listen returns host:port for callers.
+func (e *Entry) Listen() string {
+	return e.listen
+}
+
+// ListenTargets returns host:port for targets' announcements.
+func (e *Entry) ListenTargets() string {
+	return e.listenTargets
+}
+
+// ListenInternal returns host:port for the system's own processes.
+func (e *Entry) ListenInternal() string {
+	return e.listenInternal
+}
+
+// AdvertiseTargets returns host:port that targets use, empty for the address
+// that was bound.
+func (e *Entry) AdvertiseTargets() string {
+	return e.advertiseTargets
+}
+
+// AdvertiseInternal returns host:port that other nodes use, empty for the
+// address that was bound.
+func (e *Entry) AdvertiseInternal() string {
+	return e.advertiseInternal
+}
+
+// Controls returns the control nodes to ask first.
+func (e *Entry) Controls() []Peer {
+	return append([]Peer(nil), e.controls...)
+}
+
+// Timings returns the node's periods.
+func (e *Entry) Timings() EntryTimings {
+	return e.timings
+}
+
+// Limits returns the bounds on callers' requests.
+func (e *Entry) Limits() Limits {
+	return e.limits
+}
+
+// Log returns how the node logs.
+func (e *Entry) Log() Log {
+	return e.log
+}
+
+// TLS returns the files of certificates and keys.
+func (e *Entry) TLS() TLS {
+	return e.tls
+}
+
+// EntryTimings are the periods of an entry node.
+type EntryTimings struct {
+	lease       sardine.Millis
+	poll        sardine.Millis
+	targetLease sardine.Millis
+	announce    sardine.Millis
+	unready     sardine.Millis
+	drain       sardine.Millis
+}
+
+func readEntryTimings(t *tomlr.Table) EntryTimings {
+	s := EntryTimings{
+		lease:       millis(t, "lease_ms", 3*sardine.Second, 200, 60*sardine.Second),
+		poll:        millis(t, "poll_ms", sardine.Second, 20, 20*sardine.Second),
+		targetLease: millis(t, "target_lease_ms", 3*sardine.Second, 200, 60*sardine.Second),
+		announce:    millis(t, "announce_ms", sardine.Second, 50, 20*sardine.Second),
+		unready:     millis(t, "unready_ms", 2*sardine.Second, 0, 60*sardine.Second),
+		drain:       millis(t, "drain_ms", 600*sardine.Second, 0, 24*3600*sardine.Second),
+	}
+	if s.poll*2 > s.lease {
+		t.Refuse("poll_ms", fmt.Sprintf("at most half of lease_ms, %d", s.lease/2))
+	}
+	if s.announce*2 > s.targetLease {
+		t.Refuse("announce_ms", fmt.Sprintf("at most half of target_lease_ms, %d", s.targetLease/2))
+	}
+	return s
+}
+
+// Lease returns how long the serving lease lasts without a renewal.
+func (t EntryTimings) Lease() sardine.Millis {
+	return t.lease
+}
+
+// Poll returns how long a request for news may be held open.
+func (t EntryTimings) Poll() sardine.Millis {
+	return t.poll
+}
+
+// TargetLease returns how long a target is routable after an announcement.
+func (t EntryTimings) TargetLease() sardine.Millis {
+	return t.targetLease
+}
+
+// Announce returns the interval that targets are asked to keep.
+func (t EntryTimings) Announce() sardine.Millis {
+	return t.announce
+}
+
+// Unready returns how long a node that shuts down still listens after it turned
+// unready, so that the balancer moves on first.
+func (t EntryTimings) Unready() sardine.Millis {
+	return t.unready
+}
+
+// Drain returns how long a shutdown waits for requests in flight.
+func (t EntryTimings) Drain() sardine.Millis {
+	return t.drain
+}
--- /dev/null
+++ b/conf/shared.go
@@ -0,0 +1,171 @@
+// Package conf reads the settings files of entry and control nodes. Every
+// address, port, data centre, folder and timing of a process comes from there.
+package conf
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/tomlr"
+)
+
+// Peer is a node and the address of its internal server.
+type Peer struct {
+	node    sardine.NodeID
+	address string
+}
+
+// Node returns the peer's name.
+func (p Peer) Node() sardine.NodeID {
+	return p.node
+}
+
+// Address returns host:port of the peer's internal server.
+func (p Peer) Address() string {
+	return p.address
+}
+
+// Log is how a process logs.
+type Log struct {
+	format string
+	level  string
+}
+
+// Format returns "text" or "json".
+func (l Log) Format() string {
+	return l.format
+}
+
+// Level returns "debug", "info", "warn" or "error".
+func (l Log) Level() string {
+	return l.level
+}
+
+// TLS names files of certificates and keys. Empty paths mean no TLS.
+type TLS struct {
+	certificate        string
+	key                string
+	authority          string
+	callersCertificate string
+	callersKey         string
+}
+
+// Enabled reports whether processes and operators speak TLS.
+func (t TLS) Enabled() bool {
+	return t.certificate != ""
+}
+
+// Certificate returns the path of the node's certificate.
+func (t TLS) Certificate() string {
+	return t.certificate
+}
+
+// Key returns the path of the node's private key.
+func (t TLS) Key() string {
+	return t.key
+}
+
+// Authority returns the path of the site's CA certificate.
+func (t TLS) Authority() string {
+	return t.authority
+}
+
+// CallersCertificate returns the path of the certificate shown to callers, empty
+// for plain HTTP.
+func (t TLS) CallersCertificate() string {
+	return t.callersCertificate
+}
+
+// CallersKey returns the path of the private key of CallersCertificate.
+func (t TLS) CallersKey() string {
+	return t.callersKey
+}
+
+func readFile(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, codes.Wrap(codes.BadSettings, err, "settings file")
+	}
+	return text, nil
+}
+
+func baseName(path string) string {
+	return filepath.Base(path)
+}
+
+func readLog(t *tomlr.Table) Log {
+	return Log{
+		format: t.Choice("format", "text", "text", "json"),
+		level:  t.Choice("level", "info", "debug", "info", "warn", "error"),
+	}
+}
+
+func readTLS(t *tomlr.Table, callers bool) TLS {
+	s := TLS{
+		certificate: t.Text("certificate", ""),
+		key:         t.Text("key", ""),
+		authority:   t.Text("authority", ""),
+	}
+	if (s.certificate == "") != (s.key == "") {
+		t.Refuse("key", "certificate and key, or neither")
+	}
+	if (s.certificate == "") != (s.authority == "") {
+		t.Refuse("authority", "certificate and authority, or neither")
+	}
+	if !callers {
+		return s
+	}
+	s.callersCertificate = t.Text("callers_certificate", "")
+	s.callersKey = t.Text("callers_key", "")
+	if (s.callersCertificate == "") != (s.callersKey == "") {
+		t.Refuse("callers_key", "callers_certificate and callers_key, or neither")
+	}
+	return s
+}
+
+// readPeers reads nodes with their addresses; names and addresses must differ.
+func readPeers(t *tomlr.Table, key string, low, high int) []Peer {
+	var peers []Peer
+	nodes, addresses := map[sardine.NodeID]bool{}, map[string]bool{}
+	tables := t.Tables(key)
+	for _, row := range tables {
+		p := Peer{node: sardine.NodeID(row.Name("node")), address: row.Address("address", true, false)}
+		if p.node != "" && nodes[p.node] {
+			row.Refuse("node", "a node named once in "+key)
+		}
+		if p.address != "" && addresses[p.address] {
+			row.Refuse("address", "an address named once in "+key)
+		}
+		nodes[p.node], addresses[p.address] = true, true
+		peers = append(peers, p)
+	}
+	if len(tables) < low || len(tables) > high {
+		t.Refuse(key, "an array of "+span(low, high)+" tables { node, address }")
+	}
+	return peers
+}
+
+// advertised reads the address that others use. It may be left out when the
+// listening address has an IP number of its own; port 0 is known at start only.
+func advertised(t *tomlr.Table, key, listen string) string {
+	address := t.Address(key, false, false)
+	if address != "" || listen == "" {
+		return address
+	}
+	host, port, _ := net.SplitHostPort(listen)
+	if ip := net.ParseIP(host); ip != nil && ip.IsUnspecified() {
+		t.Refuse(key, "the address others use, since the listening address names no single IP number")
+		return ""
+	}
+	if port == "0" {
+		return ""
+	}
+	return listen
+}
+
+func millis(t *tomlr.Table, key string, fallback, low, high sardine.Millis) sardine.Millis {
+	return sardine.Millis(t.Int(key, int64(fallback), int64(low), int64(high)))
+}
--- /dev/null
+++ b/meter/instrument.go
@@ -0,0 +1,62 @@
+package meter
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// Label is one dimension of a metric. Values come from settings and tables, not
+// from callers, so that their number is bounded.
+type Label struct {
+	name  string
+	value string
+}
+
+// NewLabel returns a label; the name is in snake case.
+func NewLabel(name, value string) Label {
+	return Label{name: name, value: value}
+}
+
+// Counter is a count that only rises. It is safe for concurrent use.
+type Counter struct {
+	counter metric.Int64Counter
+	labels  metric.MeasurementOption
+}
+
+// With returns the counter for one set of labels. Keep it for frequent counts.
+func (c *Counter) With(labels ...Label) *Counter {
+	return &Counter{counter: c.counter, labels: attributes(labels)}
+}
+
+// Add counts n more.
+func (c *Counter) Add(n int) {
+	c.counter.Add(context.Background(), int64(n), c.labels)
+}
+
+// Durations is a histogram of times. It is safe for concurrent use.
+type Durations struct {
+	histogram metric.Float64Histogram
+	labels    metric.MeasurementOption
+}
+
+// With returns the histogram for one set of labels. Keep it for frequent use.
+func (d *Durations) With(labels ...Label) *Durations {
+	return &Durations{histogram: d.histogram, labels: attributes(labels)}
+}
+
+// Record adds one duration.
+func (d *Durations) Record(m sardine.Millis) {
+	d.histogram.Record(context.Background(), m.Duration().Seconds(), d.labels)
+}
+
+func attributes(labels []Label) metric.MeasurementOption {
+	pairs := make([]attribute.KeyValue, 0, len(labels))
+	for _, l := range labels {
+		pairs = append(pairs, attribute.String(l.name, l.value))
+	}
+	return metric.WithAttributeSet(attribute.NewSet(pairs...))
+}
