--- a/entry/claims.go
+++ b/entry/claims.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/claim"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
@@ -11,82 +13,156 @@
 	"sardineswitch.dev/sardine/wire"
 )
 
-// busyPause is how long a resend waits before it asks again for the answer of
-// the dispatch that is under way.
-const busyPause = 50 * sardine.Millis(1)
+// claimTick is the time between two looks at claims that are due for a resend.
+const claimTick = 50 * sardine.Millis(1)
 
-// claims claims idempotency keys at the control quorum before their requests
-// are dispatched.
+// verdict is what a request with an idempotency key gets.
+type verdict struct {
+	answer state.Answer
+	code   codes.Code // codes.OK for an answer
+	ran    sardine.Ran
+}
+
+// claimant is a caller's request that waits for the outcome of its key.
+type claimant struct {
+	ready chan verdict
+	fetch func() claim.Outcome
+}
+
+// claims runs requests with an idempotency key. It performs the actions of the
+// claim core: proposals go to the control quorum, dispatches run in goroutines
+// that outlive their callers.
 type claims struct {
 	node    *Node
 	control *ctlapi.Client
+
+	mu      sync.Mutex
+	keeper  *claim.Keeper
+	nextID  claim.RequestID
+	waiting map[claim.RequestID]claimant
+	running sync.WaitGroup
 }
 
-// begin claims the request's key. first tells the caller to dispatch it and to
-// call end; otherwise kept is the answer that the first request got.
-func (c *claims) begin(ctx context.Context, q *request) (kept state.Answer, first bool, err error) {
-	claim := state.ClaimKey{
-		Workspace:   q.workspace,
-		Key:         q.key,
-		Fingerprint: q.fingerprint,
-		Node:        c.node.id,
-		Incarnation: c.node.incarnation,
+func newClaims(n *Node, control *ctlapi.Client) *claims {
+	return &claims{
+		node:    n,
+		control: control,
+		keeper:  claim.New(n.id, n.incarnation, n.random),
+		waiting: make(map[claim.RequestID]claimant),
 	}
-	for {
-		result, err := c.submit(ctx, claim)
-		if err != nil {
-			return state.Answer{}, false, err
-		}
-		switch state.ClaimVerdict(result.Verdict) {
-		case state.ClaimGranted:
-			return state.Answer{}, true, nil
-		case state.ClaimAnswered:
-			return state.AnswerFromWire(result.Answer), false, nil
-		case state.ClaimLost:
-			return state.Answer{}, false, codes.New(codes.OutcomeUnknown, "an earlier request with this key may have run, its answer is lost")
-		case state.ClaimReused:
-			return state.Answer{}, false, codes.New(codes.KeyReused, "the key was used with another request")
-		case state.ClaimExpired:
-			return state.Answer{}, false, codes.New(codes.KeyExpired, "the key is past its retention")
-		default:
-			if err := c.node.sleep(ctx, busyPause); err != nil {
-				return state.Answer{}, false, err
-			}
+}
+
+// do runs fetch under the request's key, or waits for the outcome of the
+// dispatch that holds the key already.
+func (c *claims) do(ctx context.Context, q *request, fetch func() claim.Outcome) verdict {
+	deadline := q.arrived + c.node.timing.PlainAnswer
+	if q.deadline > 0 {
+		deadline = q.arrived + q.deadline
+	}
+	ready := make(chan verdict, 1)
+	c.mu.Lock()
+	c.nextID++
+	id := c.nextID
+	c.waiting[id] = claimant{ready: ready, fetch: fetch}
+	key := claim.Key{Workspace: q.workspace, Key: q.key}
+	c.perform(c.keeper.Offer(c.node.clock.Now(), id, key, q.fingerprint, deadline))
+	c.mu.Unlock()
+	select {
+	case v := <-ready:
+		return v
+	case <-ctx.Done():
+		c.gone(id)
+		return verdict{code: codes.OutcomeUnknown, ran: sardine.RanUnknown}
+	}
+}
+
+func (c *claims) gone(id claim.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+	c.keeper.Gone(id)
+}
+
+// tick lets the core resend what is due.
+func (c *claims) tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.perform(c.keeper.Tick(c.node.clock.Now()))
+}
+
+// drain waits for dispatches and proposals under way.
+func (c *claims) drain() {
+	c.running.Wait()
+}
+
+// held returns the number of keys the node acts on.
+func (c *claims) held() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keeper.Held()
+}
+
+// perform carries out the core's actions. The lock is held.
+func (c *claims) perform(actions []claim.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case claim.Propose:
+			c.running.Go(func() { c.propose(a) })
+		case claim.Dispatch:
+			fetch := c.waiting[a.Request].fetch
+			c.running.Go(func() { c.dispatch(a, fetch) })
+		case claim.Reply:
+			c.tell(a.Request, verdict{answer: a.Answer, code: codes.OK, ran: sardine.RanYes})
+		case claim.Refuse:
+			c.tell(a.Request, verdict{code: a.Code, ran: a.Ran})
 		}
 	}
 }
 
-// end records the outcome of a claimed request. It goes on after its caller has
-// left, so that a resend learns the outcome.
-func (c *claims) end(q *request, ran sardine.Ran, a state.Answer) {
+func (c *claims) tell(id claim.RequestID, v verdict) {
+	if w, waits := c.waiting[id]; waits {
+		delete(c.waiting, id)
+		w.ready <- v
+	}
+}
+
+func (c *claims) propose(p claim.Propose) {
 	ctx, cancel := context.WithTimeout(c.node.life, c.node.timing.Submit.Duration())
 	defer cancel()
-	command := state.Command(state.FinishClaim{
-		Workspace:   q.workspace,
-		Key:         q.key,
-		Node:        c.node.id,
-		Incarnation: c.node.incarnation,
-		Ran:         ran,
-		Answer:      a,
-	})
-	if ran == sardine.RanNo {
-		command = state.DropClaim{Workspace: q.workspace, Key: q.key, Node: c.node.id, Incarnation: c.node.incarnation}
+	answer, err := c.control.Submit(ctx, &wire.SubmitRequest{Command: state.ToWire(0, p.Command)})
+	result := resultOf(answer, err)
+	if !codes.Is(err, codes.OutcomeUnknown) && !codes.Is(err, codes.NoQuorum) {
+		err = nil // the log has answered
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.perform(c.keeper.Proposed(c.node.clock.Now(), p.ID, result, err))
+}
+
+// resultOf maps the answer to a proposal.
+func resultOf(r *wire.SubmitReply, err error) state.Result {
+	if err != nil {
+		return state.Result{Err: err}
 	}
-	if _, err := c.submit(ctx, command); err != nil {
-		event.Log(c.node.log, event.RequestFailed, requestAttr(q.id), codeAttr(err))
+	return state.Result{
+		Index:   r.Index,
+		Verdict: state.ClaimVerdict(r.Verdict),
+		Answer:  state.AnswerFromWire(r.Answer),
+		Holder:  sardine.NodeID(r.Holder),
 	}
 }
 
-// submit proposes a command until its outcome is known or ctx ends. All commands
-// of an entry node may be proposed twice.
-func (c *claims) submit(ctx context.Context, command state.Command) (*wire.SubmitReply, error) {
-	for {
-		answer, err := c.control.Submit(ctx, &wire.SubmitRequest{Command: state.ToWire(0, command)})
-		if err == nil || !codes.Is(err, codes.OutcomeUnknown) {
-			return answer, err
-		}
-		if waited := c.node.sleep(ctx, busyPause); waited != nil {
-			return nil, err
-		}
+func (c *claims) dispatch(d claim.Dispatch, fetch func() claim.Outcome) {
+	outcome := claim.Outcome{Ran: sardine.RanNo, Code: codes.Internal}
+	if fetch != nil {
+		outcome = fetch()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	actions, err := c.keeper.Ended(d.Attempt, outcome)
+	if err != nil {
+		event.Log(c.node.log, event.InvariantBroken, codeAttr(err))
+		c.node.broken(err)
 	}
+	c.perform(actions)
 }
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -182,3 +182,10 @@
 	defer g.mu.Unlock()
 	g.budget.Succeeded(g.clock.Now(), w)
 }
+
+// dump returns the state of the admission and of the router.
+func (g *gate) dump() ([]admit.GateView, route.Counts) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.View(), g.router.Counts()
+}
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -1,52 +1,53 @@
 package entry
 
 import (
-	"context"
-
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/metric"
-
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/meter"
 )
 
-// meter holds the node's instruments.
-type meter struct {
-	requests metric.Int64Counter
-	first    metric.Int64Histogram
+// firstTokenBounds are the upper bounds of the first-token histogram in seconds.
+var firstTokenBounds = []float64{0.025, 0.05, 0.1, 0.2, 0.46, 1, 2, 5, 10, 30}
+
+// instruments are the node's metrics.
+type instruments struct {
+	meter    *meter.Meter
+	requests *meter.Counter
+	first    *meter.Durations
 }
 
-func newMeter(m metric.Meter) (*meter, error) {
-	requests, err := m.Int64Counter("sardine_requests", metric.WithDescription("callers' requests by stage and result code"))
+func newInstruments() (*instruments, error) {
+	m, err := meter.New()
+	if err != nil {
+		return nil, err
+	}
+	requests, err := m.Counter("sardine_requests", "callers' requests by stage and result code")
 	if err != nil {
-		return nil, codes.Wrap(codes.Internal, err, "metrics can't be set up")
+		return nil, err
 	}
-	first, err := m.Int64Histogram("sardine_first_token", metric.WithUnit("ms"), metric.WithDescription("time from a request's arrival to its first token"))
+	first, err := m.Durations("sardine_first_token", "time from a request's arrival to its first token", firstTokenBounds...)
 	if err != nil {
-		return nil, codes.Wrap(codes.Internal, err, "metrics can't be set up")
+		return nil, err
 	}
-	return &meter{requests: requests, first: first}, nil
+	return &instruments{meter: m, requests: requests, first: first}, nil
 }
 
-func (m *meter) count(stage string, err error) {
-	m.requests.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("stage", stage),
-		attribute.String("code", codes.Of(err).Name()),
-	))
+func (i *instruments) count(stage string, err error) {
+	i.requests.With(meter.NewLabel("stage", stage), meter.NewLabel("code", codes.Of(err).Name())).Add(1)
 }
 
-func (m *meter) admitted(err error) {
-	m.count("admission", err)
+func (i *instruments) admitted(err error) {
+	i.count("admission", err)
 }
 
-func (m *meter) refused(err error) {
-	m.count("refused", err)
+func (i *instruments) refused(err error) {
+	i.count("refused", err)
 }
 
-func (m *meter) failed(err error) {
-	m.count("failed", err)
+func (i *instruments) failed(err error) {
+	i.count("failed", err)
 }
 
-func (m *meter) firstToken(d sardine.Millis) {
-	m.first.Record(context.Background(), int64(d))
+func (i *instruments) firstToken(d sardine.Millis) {
+	i.first.Record(d)
 }
--- /dev/null
+++ b/entry/ops.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"goji.io"
+	"goji.io/pat"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/admit"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// internalMux routes what other processes and operators ask.
+func (n *Node) internalMux() http.Handler {
+	mux := goji.NewMux()
+	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), wire.NewRelayServer(n.relay))
+	mux.HandleFunc(pat.Get("/sardine/v1/dump"), n.handleDump)
+	mux.HandleFunc(pat.Post("/sardine/v1/drain"), n.handleDrain)
+	mux.Handle(pat.Get("/metrics"), n.meter.meter.Handler())
+	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
+	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
+	return mux
+}
+
+// handleHealth tells that the process is alive.
+func (n *Node) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, struct {
+		Node  string `json:"node"`
+		Alive bool   `json:"alive"`
+	}{string(n.id), true})
+}
+
+type readyJSON struct {
+	Node   string `json:"node"`
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// handleReady tells the balancer whether to send callers here.
+func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if err := n.mayAccept(); err != nil {
+		reply.JSON(w, http.StatusServiceUnavailable, readyJSON{Node: string(n.id), Reason: codes.Of(err).Name()})
+		return
+	}
+	reply.JSON(w, http.StatusOK, readyJSON{Node: string(n.id), Ready: true})
+}
+
+// handleDrain begins a graceful shutdown, as SIGTERM does.
+func (n *Node) handleDrain(w http.ResponseWriter, _ *http.Request) {
+	n.Drain()
+	reply.JSON(w, http.StatusAccepted, readyJSON{Node: string(n.id), Reason: codes.Draining.Name()})
+}
+
+type modelsJSON struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// handleModels lists the models that the caller's workspace may use.
+func (n *Node) handleModels(w http.ResponseWriter, r *http.Request) {
+	id := n.newRequestID()
+	q, err := readCommon(r, n.limits.BodyBytes)
+	if err != nil {
+		n.refuse(w, id, err)
+		return
+	}
+	v := n.view()
+	t, known := v.tenancies[q.workspace]
+	if !known || !tokenMatches(t.tenant.Key, q.token) {
+		n.refuse(w, id, codes.New(codes.UnknownWorkspace, "no workspace %q for this token", q.workspace))
+		return
+	}
+	answer := modelsJSON{Object: "list", Data: []modelItem{}}
+	for key, d := range v.deployments {
+		if key.team == t.team && d.Kind == sardine.KindEngine && allows(t.tenant, d.Name) {
+			answer.Data = append(answer.Data, modelItem{ID: string(d.Name), Object: "model", OwnedBy: string(key.team)})
+		}
+	}
+	slices.SortFunc(answer.Data, func(a, b modelItem) int { return strings.Compare(a.ID, b.ID) })
+	reply.JSON(w, http.StatusOK, answer)
+}
+
+// Dump is the node's state for people and programs.
+type Dump struct {
+	Node        string          `json:"node"`
+	Incarnation uint64          `json:"incarnation"`
+	DataCentre  string          `json:"data_centre"`
+	Ready       bool            `json:"ready"`
+	Reason      string          `json:"reason,omitempty"`
+	Draining    bool            `json:"draining"`
+	LeaseMillis int64           `json:"lease_millis"`
+	Applied     uint64          `json:"applied"`
+	Versions    []VersionDump   `json:"versions"`
+	Candidates  []CandidateDump `json:"candidates"`
+	Homed       []string        `json:"homed_targets"`
+	Admission   []GateDump      `json:"admission"`
+	Routing     route.Counts    `json:"routing"`
+	InFlight    int             `json:"in_flight"`
+	Requests    uint64          `json:"requests"`
+	Claims      int             `json:"claims"`
+	Breach      string          `json:"breach,omitempty"`
+}
+
+// VersionDump is one team's settings version in force at the node.
+type VersionDump struct {
+	Team    string `json:"team"`
+	Version uint64 `json:"version"`
+}
+
+// CandidateDump is one target that the node routes to.
+type CandidateDump struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	Address string `json:"address"`
+}
+
+// GateDump is the admission of one service.
+type GateDump struct {
+	Service  string  `json:"service"`
+	Limit    float64 `json:"limit"`
+	InFlight int     `json:"in_flight"`
+	Waiting  int     `json:"waiting"`
+}
+
+// Dump returns the node's state, in a stable order.
+func (n *Node) Dump() Dump {
+	v := n.view()
+	now := n.clock.Now()
+	d := Dump{
+		Node:        string(n.id),
+		Incarnation: uint64(n.incarnation),
+		DataCentre:  string(n.dataCentre),
+		Draining:    n.draining.Load(),
+		LeaseMillis: int64(max(n.leaseUntil()-now, 0)),
+		Applied:     v.index,
+		Versions:    []VersionDump{},
+		Candidates:  []CandidateDump{},
+		Homed:       n.homed(),
+		InFlight:    n.flights.count(),
+		Requests:    n.requests.Load(),
+		Claims:      n.claims.held(),
+	}
+	if err := n.mayAccept(); err != nil {
+		d.Reason = err.Error()
+	}
+	d.Ready = d.Reason == ""
+	if err := n.breach(); err != nil {
+		d.Breach = err.Error()
+	}
+	d.addView(v)
+	views, counts := n.gate.dump()
+	d.Routing = counts
+	d.addGates(views)
+	return d
+}
+
+func (d *Dump) addView(v *view) {
+	for name, version := range v.versions {
+		d.Versions = append(d.Versions, VersionDump{Team: string(name), Version: uint64(version)})
+	}
+	slices.SortFunc(d.Versions, func(a, b VersionDump) int { return strings.Compare(a.Team, b.Team) })
+	for key, candidates := range v.candidates {
+		for _, c := range candidates {
+			d.Candidates = append(d.Candidates, CandidateDump{Service: string(key.routed()), Target: c.Ref.String(), Address: c.Address})
+		}
+	}
+	slices.SortFunc(d.Candidates, func(a, b CandidateDump) int {
+		return strings.Compare(a.Service+" "+a.Target, b.Service+" "+b.Target)
+	})
+}
+
+func (d *Dump) addGates(views []admit.GateView) {
+	d.Admission = make([]GateDump, 0, len(views))
+	for _, g := range views {
+		d.Admission = append(d.Admission, GateDump{
+			Service:  string(g.Service),
+			Limit:    g.Limit,
+			InFlight: g.InFlight,
+			Waiting:  g.Live + g.Normal + g.Batch,
+		})
+	}
+}
+
+func (n *Node) homed() []string {
+	n.homeMu.Lock()
+	defer n.homeMu.Unlock()
+	names := []string{}
+	for _, s := range n.home.Targets(n.clock.Now()) {
+		names = append(names, string(s.Announcement.VM))
+	}
+	return names
+}
+
+func (n *Node) handleDump(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, n.Dump())
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -11,6 +11,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/admit"
+	"sardineswitch.dev/sardine/claim"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/reply"
@@ -64,7 +65,7 @@
 	q.arrived = n.clock.Now()
 	ctx, cancel := n.callerContext(r.Context())
 	defer cancel(nil)
-	t, key, ticket, err := n.enter(ctx, q)
+	_, key, ticket, err := n.enter(ctx, q)
 	if err != nil {
 		n.refuse(w, id, err)
 		return
@@ -76,7 +77,7 @@
 	outcome := admit.Abandoned
 	defer func() { n.leave(ticket, run.took, outcome) }()
 	if q.key != "" && !run.repeatable {
-		err = run.serveClaimed(ctx, t)
+		err = run.serveClaimed(ctx)
 	} else {
 		err = run.serveOnce(ctx)
 	}
@@ -121,24 +122,32 @@
 }
 
 // serveClaimed runs the request under its idempotency key: it runs at most once
-// over all entry nodes, and a resend gets the first answer.
-func (p *plainRun) serveClaimed(ctx context.Context, t tenancy) error {
-	kept, first, err := p.node.claims.begin(ctx, p.request)
-	if err != nil {
-		return err
-	}
-	if !first {
-		p.ran = sardine.RanYes
-		return p.passKept(kept)
+// over all entry nodes, and a resend gets the first answer. The dispatch goes on
+// when its caller leaves, so that the resend finds the answer.
+func (p *plainRun) serveClaimed(ctx context.Context) error {
+	detached := *p // the caller's run and the dispatch may go on apart
+	started := p.node.clock.Now()
+	v := p.node.claims.do(ctx, p.request, func() claim.Outcome {
+		ctx, cancel := p.node.callerContext(p.node.life)
+		defer cancel(nil)
+		return detached.fetchKept(ctx)
+	})
+	p.took = max(p.node.clock.Now()-started, 1)
+	p.ran = v.ran
+	if v.code != codes.OK {
+		return codes.New(v.code, "%s", v.code.Row().Meaning)
 	}
+	return p.passKept(v.answer)
+}
+
+// fetchKept gets an answer and brings it into the form that is kept.
+func (p *plainRun) fetchKept(ctx context.Context) claim.Outcome {
 	answer, end, err := p.fetch(ctx)
 	if err != nil {
-		p.node.claims.end(p.request, p.ran, state.Answer{})
-		return err
+		return claim.Outcome{Ran: p.ran, Code: codes.Of(err)}
 	}
 	defer end()
-	p.node.claims.end(p.request, sardine.RanYes, keptAnswer(answer))
-	return p.pass(answer)
+	return claim.Outcome{Ran: sardine.RanYes, Code: codes.OK, Answer: keptAnswer(answer)}
 }
 
 // keptAnswer is what the control nodes keep. An answer too long to keep is
