usable: fleet and plan

The state machine now degrades a serving group in the very log entry that removes or renews one of its members, so that no node sees the group serve without it.

standin/fake drives the real cores on a virtual clock.

--- /dev/null
+++ b/fleet/home.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// Times that Home uses unless an option says otherwise.
+const (
+	// DefaultLease is how long an announcement vouches for its target.
+	DefaultLease = 3 * sardine.Second
+	// DefaultLoadEvery is the least time between two reports of one target's
+	// load.
+	DefaultLoadEvery = 2 * sardine.Second
+)
+
+// HomeOption changes a Home at its construction.
+type HomeOption func(*Home)
+
+// WithLease sets how long an announcement vouches for its target.
+func WithLease(d sardine.Millis) HomeOption {
+	return func(h *Home) { h.lease = d }
+}
+
+// WithLoadEvery sets the least time between two reports of one target's load.
+func WithLoadEvery(d sardine.Millis) HomeOption {
+	return func(h *Home) { h.loadEvery = d }
+}
+
+type homeEntry struct {
+	latest   sardine.Announcement
+	heard    sardine.Millis
+	news     bool           // facts changed since the last acknowledged report
+	sent     bool           // latest facts are in the last report
+	load     sardine.Load   // as last reported
+	loadedAt sardine.Millis // of the last report that held the load
+}
+
+type homeLoss struct {
+	ref  Ref
+	sent bool // in the last report
+}
+
+// Home is the table of the targets that announce themselves to one entry node.
+type Home struct {
+	node        sardine.NodeID
+	incarnation sardine.Incarnation
+	lease       sardine.Millis
+	loadEvery   sardine.Millis
+	targets     map[sardine.VMID]*homeEntry
+	lost        map[sardine.VMID]homeLoss
+	sequence    uint64
+	full        bool // the next report must be full
+	fullSent    bool // the last report was full
+}
+
+// NewHome returns the empty table of an entry node's incarnation.
+func NewHome(node sardine.NodeID, incarnation sardine.Incarnation, options ...HomeOption) *Home {
+	h := &Home{
+		node:        node,
+		incarnation: incarnation,
+		lease:       DefaultLease,
+		loadEvery:   DefaultLoadEvery,
+		targets:     make(map[sardine.VMID]*homeEntry),
+		lost:        make(map[sardine.VMID]homeLoss),
+		full:        true,
+	}
+	for _, option := range options {
+		option(h)
+	}
+	return h
+}
+
+// Announce takes a target's announcement. An announcement of an earlier
+// incarnation than the known one gives codes.Superseded.
+func (h *Home) Announce(now sardine.Millis, a sardine.Announcement) error {
+	if a.VM == "" || a.Incarnation == 0 {
+		return codes.New(codes.BadRequest, "an announcement needs a VM and an incarnation")
+	}
+	e := h.targets[a.VM]
+	if e == nil {
+		e = &homeEntry{news: true}
+		h.targets[a.VM] = e
+		delete(h.lost, a.VM)
+	} else if a.Incarnation < e.latest.Incarnation {
+		return codes.New(codes.Superseded, "target %s has announced incarnation %d, this is %d", a.VM, e.latest.Incarnation, a.Incarnation)
+	} else if !sameFacts(e.latest, a) {
+		e.news = true
+		e.sent = false
+	}
+	a.Loadable = slices.Clone(a.Loadable)
+	e.latest = a
+	e.heard = now
+	return nil
+}
+
+// Tick drops the targets whose lease has lapsed and returns them.
+func (h *Home) Tick(now sardine.Millis) []Ref {
+	var lapsed []Ref
+	for vm, e := range h.targets {
+		if e.heard+h.lease > now {
+			continue
+		}
+		ref := Ref{VM: vm, Incarnation: e.latest.Incarnation}
+		lapsed = append(lapsed, ref)
+		delete(h.targets, vm)
+		h.lost[vm] = homeLoss{ref: ref}
+	}
+	slices.SortFunc(lapsed, compareRefs)
+	return lapsed
+}
+
+// Targets returns all targets within their lease, sorted by VM.
+func (h *Home) Targets(now sardine.Millis) []Status {
+	all := make([]Status, 0, len(h.targets))
+	for _, e := range h.targets {
+		if e.heard+h.lease > now {
+			all = append(all, e.status(now))
+		}
+	}
+	slices.SortFunc(all, compareStatuses)
+	return all
+}
+
+// Target returns one target if it is within its lease.
+func (h *Home) Target(now sardine.Millis, vm sardine.VMID) (Status, bool) {
+	e := h.targets[vm]
+	if e == nil || e.heard+h.lease <= now {
+		return Status{}, false
+	}
+	return e.status(now), true
+}
+
+func (e *homeEntry) status(now sardine.Millis) Status {
+	return Status{Announcement: e.latest, Age: now - e.heard}
+}
+
+// HasNews reports whether a report should be sent at once.
+func (h *Home) HasNews(now sardine.Millis) bool {
+	if h.full && !h.fullSent || len(h.lost) > 0 {
+		return true
+	}
+	for _, e := range h.targets {
+		if h.due(now, e) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Home) due(now sardine.Millis, e *homeEntry) bool {
+	if e.news {
+		return true
+	}
+	return !sameLoad(e.load, e.latest.Load) && e.loadedAt+h.loadEvery <= now
+}
+
+// Report returns what changed since the last acknowledged report, and whether
+// that is anything. Until Acked is called with its sequence number, the next
+// report repeats the changes.
+func (h *Home) Report(now sardine.Millis) (Report, bool) {
+	r := Report{Home: h.node, Incarnation: h.incarnation, Full: h.full}
+	for _, e := range h.targets {
+		if !h.full && !h.due(now, e) {
+			continue
+		}
+		e.news = true // until acknowledged
+		e.sent = true
+		e.load = e.latest.Load
+		e.loadedAt = now
+		r.Statuses = append(r.Statuses, e.status(now))
+	}
+	for vm, l := range h.lost {
+		l.sent = true
+		h.lost[vm] = l
+		r.Lost = append(r.Lost, l.ref)
+	}
+	if !r.Full && len(r.Statuses)+len(r.Lost) == 0 {
+		return Report{}, false
+	}
+	h.sequence++
+	h.fullSent = r.Full
+	r.Sequence = h.sequence
+	slices.SortFunc(r.Statuses, compareStatuses)
+	slices.SortFunc(r.Lost, compareRefs)
+	return r, true
+}
+
+// Acked takes the leader's answer to a report or to a request without one. Only
+// the answer to the last report clears what it held, as each repeats the one
+// before it.
+func (h *Home) Acked(a Ack) {
+	if a.Sequence != 0 && a.Sequence == h.sequence {
+		h.clearSent()
+	}
+	if a.WantFull {
+		h.full = true
+		h.fullSent = false
+	}
+}
+
+func (h *Home) clearSent() {
+	for _, e := range h.targets {
+		if e.sent {
+			e.news = false
+		}
+	}
+	for vm, l := range h.lost {
+		if l.sent {
+			delete(h.lost, vm)
+		}
+	}
+	if h.fullSent {
+		h.full = false
+	}
+}
+
+func compareRefs(a, b Ref) int {
+	return strings.Compare(string(a.VM), string(b.VM))
+}
+
+func compareStatuses(a, b Status) int {
+	return strings.Compare(string(a.VM), string(b.VM))
+}
--- /dev/null
+++ b/plan/explain.go
@@ -0,0 +1,58 @@
+package plan
+
+import (
+	"fmt"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// Explain tells in plain sentences where a group stands, why, and what the
+// planner waits for, as of the newest round.
+func (p *Planner) Explain(id sardine.GroupID) []string {
+	if p.last == nil {
+		return []string{"This node has not planned since it began to lead."}
+	}
+	g := p.last.byID[id]
+	if g == nil {
+		return []string{fmt.Sprintf("There is no group %s.", id)}
+	}
+	lines := []string{fmt.Sprintf("Group %s is %s in domain %s under epoch %d, for %d s.", g.ID, g.State, g.Domain, g.Epoch, (p.last.now-g.note.since)/sardine.Second)}
+	if g.spare {
+		lines = append(lines, fmt.Sprintf("It is a spare of model %s version %s and takes no requests.", g.Model, g.Version))
+	}
+	if g.note.placed != "" {
+		lines = append(lines, "Placed there because: "+g.note.placed+".")
+	}
+	if g.note.why != "" {
+		lines = append(lines, "Last decision: "+g.note.why+".")
+	}
+	for _, m := range g.members {
+		lines = append(lines, m.explain(p.last.now))
+	}
+	if g.note.drain != notDraining {
+		lines = append(lines, "It is being drained: requests in flight end first.")
+	}
+	return append(lines, p.last.explainWaits(g)...)
+}
+
+func (m memberView) explain(now sardine.Millis) string {
+	line := fmt.Sprintf("Rank %d is VM %s: %s", m.Rank, m.VM, m.condition)
+	if n := m.vm.note; n.goneSince != 0 {
+		line += fmt.Sprintf(" for %d s", (now-n.goneSince)/sardine.Second)
+	}
+	if n := m.vm.note; n.barredUntil > now {
+		line += fmt.Sprintf(", not used for another %d s because it failed often", (n.barredUntil-now)/sardine.Second)
+	}
+	return line + "."
+}
+
+func (r *round) explainWaits(g *groupView) []string {
+	var lines []string
+	for _, w := range r.out.Waits {
+		ofKind := w.Group == "" && w.Team == g.Team && w.Service == g.Service
+		if w.Group == g.ID || ofKind {
+			lines = append(lines, "Waiting: "+w.Reason+".")
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/plan/orders.go
@@ -0,0 +1,132 @@
+package plan
+
+import (
+	sardine "sardineswitch.dev/sardine"
+)
+
+// sendOrders sends the orders that members, dropped members and strays lack.
+// Loads wait for the weight store, the most valuable groups first.
+func (r *round) sendOrders() {
+	room := max(r.p.limits.LoadsAtOnce, 1) - r.loadsUnderWay()
+	for _, g := range r.groups {
+		if g.busy || g.State == sardine.GroupFenced || g.note.drain != notDraining {
+			continue
+		}
+		if len(g.missing()) == 0 {
+			room = r.orderMembers(g, room)
+		}
+	}
+	for _, vm := range r.sorted {
+		r.orderRelease(r.vms[vm])
+	}
+	if r.active() {
+		return
+	}
+	r.out.Wake = r.now + 10*sardine.Second
+}
+
+// active reports whether something is under way that a round must follow.
+func (r *round) active() bool {
+	if len(r.p.pending) > 0 || len(r.out.Orders) > 0 || len(r.wants) > 0 {
+		return true
+	}
+	for _, g := range r.groups {
+		if !g.spare && g.State != sardine.GroupServing || g.spare && !g.ready() {
+			return true
+		}
+	}
+	return false
+}
+
+// loadsUnderWay counts the members that load or were told to.
+func (r *round) loadsUnderWay() int {
+	count := 0
+	for _, g := range r.groups {
+		for _, m := range g.members {
+			told := m.vm.note.underWay || m.vm.note.joined(m.Incarnation, g.ID, g.Epoch)
+			cold := m.vm.alive && !m.vm.warm(g.Model, g.Version)
+			if m.condition == memberLoading || m.condition == memberElsewhere && told && cold {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// orderMembers sends a group's orders to the members that do not hold it, and
+// returns the room that is left at the weight store.
+func (r *round) orderMembers(g *groupView, room int) int {
+	for _, m := range g.members {
+		if m.condition != memberElsewhere || !r.mayOrder(m.vm) {
+			continue
+		}
+		if m.vm.note.joined(m.Incarnation, g.ID, g.Epoch) && m.vm.note.confirmedAt+r.p.limits.Settle > r.now {
+			continue
+		}
+		cold := !m.vm.warm(g.Model, g.Version)
+		if cold && room <= 0 {
+			r.wait(g, "the weight store is busy")
+			return 0
+		}
+		if cold {
+			room--
+		}
+		r.send(m.vm, sardine.Order{
+			Group:   g.ID,
+			Epoch:   g.Epoch,
+			Rank:    m.Rank,
+			Size:    len(g.members),
+			Model:   g.Model,
+			Version: g.Version,
+		})
+	}
+	return room
+}
+
+func (r *round) mayOrder(v *vmView) bool {
+	return v.alive && !v.note.underWay && v.note.retryAt <= r.now
+}
+
+// orderRelease tells an engine to drop a group that it is not, or no longer, a
+// member of. A stray order of an earlier leader is corrected this way too.
+func (r *round) orderRelease(v *vmView) {
+	if !r.mayOrder(v) || r.taken[v.target.VM] {
+		return
+	}
+	group, epoch := r.unwanted(v)
+	if group == "" || v.note.released(v.target.Incarnation, group, epoch) && v.note.confirmedAt+r.p.limits.Settle > r.now {
+		return
+	}
+	r.send(v, sardine.Order{Group: group, Epoch: epoch, Release: true})
+}
+
+// unwanted returns the group that a VM's engine must drop, and the epoch up to
+// which. A member of a group gets that group's order instead.
+func (r *round) unwanted(v *vmView) (group sardine.GroupID, epoch sardine.Epoch) {
+	held := v.status.Holding
+	if !v.owned {
+		return held.Group, held.Epoch
+	}
+	g := r.byID[v.owner.Group]
+	if g != nil && g.State != sardine.GroupFenced && holds(g.Group, v.owner.VM) {
+		return "", 0
+	}
+	epoch = v.owner.Epoch
+	if g != nil {
+		epoch = max(epoch, g.Epoch)
+	}
+	if held.Group == v.owner.Group {
+		epoch = max(epoch, held.Epoch)
+	}
+	return v.owner.Group, epoch
+}
+
+func (r *round) send(v *vmView, o sardine.Order) {
+	v.note.sent(r.now, v.target.Incarnation, o)
+	r.out.Orders = append(r.out.Orders, SendOrder{
+		VM:          v.target.VM,
+		Incarnation: v.target.Incarnation,
+		Address:     v.target.Address,
+		Order:       o,
+	})
+}
--- /dev/null
+++ b/standin/fake/engine.go
@@ -0,0 +1,109 @@
+// Package fake holds a small model of engines, their weight store and the
+// network between them and a control leader, on a virtual clock. It drives the
+// real cores of packages fleet, plan and state in randomised tests and
+// measurements.
+package fake
+
+import (
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// Engine is a model engine on one VM.
+type Engine struct {
+	VM           sardine.VMID
+	Domain       sardine.FabricDomain
+	DataCentre   sardine.DataCentre
+	Accelerators int
+	Loadable     []sardine.ModelName
+	ChecksEpoch  bool
+
+	incarnation sardine.Incarnation
+	alive       bool
+	pausedUntil sardine.Millis
+	leaving     bool
+	holding     sardine.Holding
+	highest     sardine.Epoch
+	model       sardine.ModelName // of the weights in memory
+	version     string
+	loaded      sardine.Millis // of the load under way, at the full rate
+	slow        float64        // time for a token relative to others
+	beatAt      sardine.Millis // last announcement
+	home        int
+}
+
+// Slow returns the engine's time for a token relative to others.
+func (e *Engine) Slow() float64 {
+	return max(e.slow, 1)
+}
+
+// running reports whether the engine's process does anything now.
+func (e *Engine) running(now sardine.Millis) bool {
+	return e.alive && e.pausedUntil <= now
+}
+
+// start begins the next incarnation of the engine's process.
+func (e *Engine) start() {
+	e.incarnation++
+	e.alive = true
+	e.leaving = false
+	e.pausedUntil = 0
+	e.holding = sardine.Holding{State: sardine.MemberIdle}
+	e.highest = 0
+	e.model = ""
+	e.version = ""
+	e.loaded = 0
+}
+
+// take carries out an order as far as that needs no load.
+func (e *Engine) take(o sardine.Order) error {
+	if e.ChecksEpoch && o.Epoch < e.highest {
+		return codes.New(codes.EpochRefused, "engine %s holds epoch %d, the order has %d", e.VM, e.highest, o.Epoch)
+	}
+	e.highest = max(e.highest, o.Epoch)
+	if o.Release {
+		if e.holding.Group == o.Group {
+			e.holding = sardine.Holding{State: sardine.MemberIdle, Model: e.model, Version: e.version}
+			e.loaded = 0
+		}
+		return nil
+	}
+	e.holding = sardine.Holding{Group: o.Group, Epoch: o.Epoch, Rank: o.Rank, Model: o.Model, Version: o.Version, State: sardine.MemberReady}
+	if e.model != o.Model || e.version != o.Version {
+		e.holding.State = sardine.MemberLoading
+		e.model = ""
+		e.version = ""
+		e.loaded = 0
+	}
+	return nil
+}
+
+// loading reports whether the engine reads from the weight store.
+func (e *Engine) loading(now sardine.Millis) bool {
+	return e.running(now) && e.holding.State == sardine.MemberLoading
+}
+
+// finishLoad makes the engine ready.
+func (e *Engine) finishLoad() {
+	e.model = e.holding.Model
+	e.version = e.holding.Version
+	e.holding.State = sardine.MemberReady
+}
+
+// announcement is what the engine says about itself now.
+func (e *Engine) announcement() sardine.Announcement {
+	return sardine.Announcement{
+		VM:           e.VM,
+		Incarnation:  e.incarnation,
+		Kind:         sardine.KindEngine,
+		Address:      string(e.VM) + ":80",
+		DataCentre:   e.DataCentre,
+		Domain:       e.Domain,
+		Accelerators: e.Accelerators,
+		Loadable:     e.Loadable,
+		ChecksEpoch:  e.ChecksEpoch,
+		Leaving:      e.leaving,
+		Holding:      e.holding,
+		Load:         sardine.Load{StepMillis: 20 * e.Slow()},
+	}
+}
--- a/state/groups.go
+++ b/state/groups.go
@@ -87,6 +87,19 @@
 	return Result{Epoch: g.Epoch}
 }
 
+// degradeGroupOf stops the group of a VM whose incarnation is gone, in the same
+// log entry, so that no node ever sees the group serve without it.
+func (m *Machine) degradeGroupOf(vm sardine.VMID) {
+	o, owned := m.owners[vm]
+	if !owned {
+		return
+	}
+	g, known := m.groups[o.Group]
+	if known && holds(g, vm) && mayMove(g.State, sardine.GroupDegraded) {
+		m.groups[g.ID] = withState(g, sardine.GroupDegraded)
+	}
+}
+
 func withState(g sardine.Group, s sardine.GroupState) sardine.Group {
 	g.State = s
 	return g
--- a/state/machine.go
+++ b/state/machine.go
@@ -240,6 +240,9 @@
 	if known && old.Incarnation == c.Target.Incarnation && old.Leaving {
 		c.Target.Leaving = true
 	}
+	if known && old.Incarnation < c.Target.Incarnation {
+		m.degradeGroupOf(c.Target.VM)
+	}
 	m.targets[c.Target.VM] = c.Target
 	return Result{}
 }
@@ -248,6 +251,7 @@
 	old, known := m.targets[c.VM]
 	if known && old.Incarnation == c.Incarnation {
 		delete(m.targets, c.VM)
+		m.degradeGroupOf(c.VM)
 	}
 	return Result{}
 }
