--- /dev/null
+++ b/ctrl/accept.go
@@ -0,0 +1,71 @@
+package ctrl
+
+import (
+	"context"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/lease"
+	"sardineswitch.dev/sardine/state"
+)
+
+// acceptPause is how long to wait between two looks at the ledger when nothing
+// tells of news.
+const acceptPause = 100 * sardine.Millis(1)
+
+// awaitInForce waits until the change at index is in force on every entry node
+// that may serve.
+func (n *Node) awaitInForce(ctx context.Context, name sardine.Team, index uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, n.timing.Accept.Duration())
+	defer cancel()
+	for {
+		news := n.granted.wait()
+		v, err := n.verdict(name, index)
+		if err != nil {
+			return err
+		}
+		if v.InForce {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-n.clock.After(acceptPause):
+		case <-ctx.Done():
+			return codes.New(codes.ChangeHeld, "the change is durable; not yet in force on %v", v.Waiting)
+		case <-n.tomb.Dying():
+			return codes.New(codes.ChangeHeld, "the change is durable; this control node stops")
+		}
+	}
+}
+
+// verdict asks the ledger, after it has caught up with the state.
+func (n *Node) verdict(name sardine.Team, index uint64) (lease.Verdict, error) {
+	info := n.log.Leader()
+	if !info.Leading {
+		return lease.Verdict{}, n.redirect(codes.New(codes.NotLeader, "this control node does not lead any more"))
+	}
+	var v lease.Verdict
+	n.log.View(func(m *state.Machine) {
+		v = n.leadership.verdict(n.clock.Now(), m, name, index)
+	})
+	return v, nil
+}
+
+func (l *leadership) verdict(now sardine.Millis, m *state.Machine, name sardine.Team, index uint64) lease.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 {
+		return lease.Verdict{} // taken up in the next round
+	}
+	l.catchUp(m, cutOf)
+	if name == "" {
+		return l.ledger.InForce(now, index)
+	}
+	return l.ledger.InForceTeam(now, name, index)
+}
+
+// inForce reports whether an index is in force, for reads.
+func (n *Node) inForce(index uint64) bool {
+	v, err := n.verdict("", index)
+	return err == nil && v.InForce
+}
--- /dev/null
+++ b/ctrl/attrs.go
@@ -0,0 +1,73 @@
+package ctrl
+
+import (
+	"log/slog"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/team"
+)
+
+func errorAttr(err error) slog.Attr {
+	return slog.Group("error", slog.Int("code", int(codes.Of(err))), slog.String("detail", err.Error()))
+}
+
+func vmAttr(vm sardine.VMID) slog.Attr {
+	return slog.String("vm", string(vm))
+}
+
+func groupAttr(id sardine.GroupID) slog.Attr {
+	return slog.String("group", string(id))
+}
+
+func epochAttr(e sardine.Epoch) slog.Attr {
+	return slog.Uint64("epoch", uint64(e))
+}
+
+func nodeAttr(id sardine.NodeID) slog.Attr {
+	return slog.String("entry", string(id))
+}
+
+func pathAttr(p team.Path) slog.Attr {
+	return slog.String("path", p.String())
+}
+
+func versionAttr(v sardine.Version) slog.Attr {
+	return slog.Uint64("version", uint64(v))
+}
+
+// logCommand writes the event of a leader's command that took effect.
+func (n *Node) logCommand(c state.Command, r state.Result) {
+	if r.Err != nil {
+		return
+	}
+	switch c := c.(type) {
+	case state.TargetUp:
+		event.Log(n.logger, event.TargetSeen, vmAttr(c.Target.VM))
+	case state.TargetDown:
+		event.Log(n.logger, event.TargetLost, vmAttr(c.VM))
+	case state.TargetLeaving:
+		event.Log(n.logger, event.TargetLeaving, vmAttr(c.VM))
+	case state.AssignGroup:
+		event.Log(n.logger, event.GroupAssigned, groupAttr(c.Group.ID), epochAttr(r.Epoch))
+	case state.MoveGroup:
+		n.logMove(c)
+	case state.JoinEntry:
+		event.Log(n.logger, event.EntryJoined, nodeAttr(c.Node))
+	case state.LeaveEntry:
+		event.Log(n.logger, event.EntryLeft, nodeAttr(c.Node))
+	}
+}
+
+func (n *Node) logMove(c state.MoveGroup) {
+	ids := map[sardine.GroupState]event.ID{
+		sardine.GroupServing:  event.GroupServing,
+		sardine.GroupDegraded: event.GroupDegraded,
+		sardine.GroupReleased: event.GroupReleased,
+	}
+	if id, listed := ids[c.State]; listed {
+		event.Log(n.logger, id, groupAttr(c.Group), epochAttr(c.Epoch))
+	}
+}
--- /dev/null
+++ b/ctrl/node.go
@@ -0,0 +1,205 @@
+package ctrl
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"goji.io"
+	"goji.io/pat"
+	"gopkg.in/tomb.v2"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/clock"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/listen"
+	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/peer"
+	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/repl"
+	"sardineswitch.dev/sardine/ring"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Node is one control node. New, Start and Stop are called once each.
+type Node struct {
+	id              sardine.NodeID
+	site            string
+	dataCentre      sardine.DataCentre
+	listenInternal  string
+	listenOperators string
+	members         []quorum.Member
+	disk            sardine.Disk
+	clock           sardine.Clock
+	random          sardine.Random
+	logger          *slog.Logger
+	timing          Timing
+	engines         sardine.EngineClient
+	ownEngines      *order.Client // closed by the node, nil if engines was given
+	policy          plan.Policy
+	operatorHash    []byte
+
+	log        *repl.Node
+	link       *peer.Link
+	leadership *leadership
+	parsed     *parsedSettings
+	granted    *signal
+	wake       chan struct{}
+	orders     *ring.Ring[plan.SendOrder]
+	internal   *listen.Server
+	operators  *listen.Server
+
+	tomb    tomb.Tomb
+	life    context.Context // ends when the node stops
+	endLife context.CancelFunc
+}
+
+// New opens the data folder and the listeners and returns a node that does not
+// run yet. Errors: codes.BadSettings and those of repl.New.
+func New(options ...Option) (*Node, error) {
+	n := &Node{
+		clock:   clock.NewReal(),
+		logger:  logs.Discard(),
+		timing:  DefaultTiming(),
+		policy:  plan.NewCheapest(),
+		parsed:  newParsedSettings(),
+		granted: newSignal(),
+		wake:    make(chan struct{}, 1),
+		orders:  ring.New[plan.SendOrder](orderQueue, ring.Wait),
+	}
+	for _, o := range options {
+		o(n)
+	}
+	if n.id == "" || n.disk == nil || n.random == nil {
+		return nil, codes.New(codes.BadSettings, "a control node needs a name, a disk and a random source")
+	}
+	if n.engines == nil {
+		n.ownEngines = order.NewClient()
+		n.engines = n.ownEngines
+	}
+	n.leadership = newLeadership(n.timing, n.policy)
+	n.life, n.endLife = context.WithCancel(context.Background())
+	if err := n.open(); err != nil {
+		n.release()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) open() error {
+	var err error
+	if n.internal, err = listen.New(n.listenInternal); err != nil {
+		return err
+	}
+	if n.operators, err = listen.New(n.listenOperators); err != nil {
+		return err
+	}
+	n.link = peer.NewLink(n.site, n.id, n.internal.Address(), peer.WithLogger(n.logger))
+	n.log, err = repl.New(
+		repl.WithID(n.id),
+		repl.WithSite(n.site),
+		repl.WithMembers(n.members),
+		repl.WithDisk(n.disk),
+		repl.WithClock(n.clock),
+		repl.WithRandom(n.random),
+		repl.WithLink(n.link),
+		repl.WithLogger(n.logger),
+		repl.WithTiming(n.timing.Quorum),
+	)
+	return err
+}
+
+// internalMux routes what other processes ask.
+func (n *Node) internalMux() http.Handler {
+	mux := goji.NewMux()
+	prefix, peers := peer.NewServer(n.site, n.log, n.link).Handler()
+	mux.Handle(pat.New(prefix+"*"), peers)
+	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), wire.NewControlServer(n))
+	n.addOperations(mux)
+	return mux
+}
+
+// operatorMux routes what sardctl asks.
+func (n *Node) operatorMux() http.Handler {
+	mux := goji.NewMux()
+	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), wire.NewControlServer(n))
+	n.addOperations(mux)
+	return mux
+}
+
+// InternalAddress returns the address of the internal server.
+func (n *Node) InternalAddress() string {
+	return n.internal.Address()
+}
+
+// OperatorAddress returns the address of the operators' server.
+func (n *Node) OperatorAddress() string {
+	return n.operators.Address()
+}
+
+// ID returns the node's name.
+func (n *Node) ID() sardine.NodeID {
+	return n.id
+}
+
+// Start starts the duties.
+func (n *Node) Start() {
+	n.log.Start()
+	n.tomb.Go(func() error { return n.internal.Serve(n.internalMux()) })
+	n.tomb.Go(func() error { return n.operators.Serve(n.operatorMux()) })
+	n.tomb.Go(n.lead)
+	for range orderSenders {
+		n.tomb.Go(n.sendOrders)
+	}
+	n.tomb.Go(n.watchLog)
+	event.Log(n.logger, event.NodeStarted,
+		slog.String("internal", n.internal.Address()), slog.String("operators", n.operators.Address()))
+}
+
+// watchLog ends the node when its log has failed.
+func (n *Node) watchLog() error {
+	select {
+	case <-n.tomb.Dying():
+		return nil
+	case <-n.log.Dying():
+		return n.log.Err()
+	}
+}
+
+// Dead is closed when all duties have ended.
+func (n *Node) Dead() <-chan struct{} {
+	return n.tomb.Dead()
+}
+
+// Stop hands a leadership over, ends the duties and releases every goroutine,
+// socket and file. It returns the error that had ended the node before, if any.
+func (n *Node) Stop(ctx context.Context) error {
+	n.tomb.Kill(nil)
+	err := n.log.Stop(ctx)
+	n.endLife()
+	n.release()
+	if waited := n.tomb.Wait(); waited != nil {
+		err = waited
+	}
+	event.Log(n.logger, event.NodeStopped)
+	return err
+}
+
+// release closes what New has opened.
+func (n *Node) release() {
+	n.endLife()
+	for _, s := range []*listen.Server{n.internal, n.operators} {
+		if s != nil {
+			_ = s.Close() // the process ends, callers see a broken connection
+		}
+	}
+	if n.link != nil {
+		_ = n.link.Close() // nothing is lost that the log would not repeat
+	}
+	if n.ownEngines != nil {
+		n.ownEngines.Close()
+	}
+}
--- /dev/null
+++ b/ctrl/ops.go
@@ -0,0 +1,210 @@
+package ctrl
+
+import (
+	"net/http"
+
+	"goji.io"
+	"goji.io/pat"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/repl"
+	"sardineswitch.dev/sardine/state"
+)
+
+// addOperations routes what operators and the platform ask of any node.
+func (n *Node) addOperations(mux *goji.Mux) {
+	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
+	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
+	mux.HandleFunc(pat.Get("/sardine/v1/dump"), n.handleDump)
+	mux.HandleFunc(pat.Get("/sardine/v1/explain/group/:group"), n.handleExplain)
+}
+
+func (n *Node) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, struct {
+		Node  string `json:"node"`
+		Alive bool   `json:"alive"`
+	}{string(n.id), true})
+}
+
+// handleReady tells whether a leader is known, here or elsewhere.
+func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
+	info := n.log.Leader()
+	status := http.StatusOK
+	if info.ID == "" {
+		status = http.StatusServiceUnavailable
+	}
+	reply.JSON(w, status, struct {
+		Node   string `json:"node"`
+		Ready  bool   `json:"ready"`
+		Leader string `json:"leader"`
+	}{string(n.id), info.ID != "", string(info.ID)})
+}
+
+// handleExplain tells where a group stands and why. Only the leader knows.
+func (n *Node) handleExplain(w http.ResponseWriter, r *http.Request) {
+	if !n.log.Leader().Leading {
+		reply.NewProblem(codes.New(codes.NotLeader, "ask the leader at %s", n.log.Leader().Address), reply.WithRan(sardine.RanNo)).Write(w)
+		return
+	}
+	id := sardine.GroupID(pat.Param(r, "group"))
+	reply.JSON(w, http.StatusOK, struct {
+		Group string   `json:"group"`
+		Lines []string `json:"lines"`
+	}{string(id), n.leadership.explain(id)})
+}
+
+func (l *leadership) explain(id sardine.GroupID) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.planner.Explain(id)
+}
+
+// Dump is the node's state for people and programs.
+type Dump struct {
+	Node    string        `json:"node"`
+	Site    string        `json:"site"`
+	Leader  string        `json:"leader"`
+	Leading bool          `json:"leading"`
+	Term    uint64        `json:"term"`
+	Log     repl.Status   `json:"log"`
+	Teams   []TeamDump    `json:"teams"`
+	Entries []EntryDump   `json:"entries"`
+	Targets []TargetDump  `json:"targets"`
+	Groups  []GroupDump   `json:"groups"`
+	Owners  []state.Owner `json:"owners"`
+	Claims  int           `json:"claims"`
+	Poisons int           `json:"poisons"`
+	Waits   []plan.Wait   `json:"waits"`
+	Breach  string        `json:"breach,omitempty"`
+}
+
+// TeamDump is one team's newest settings version.
+type TeamDump struct {
+	Team    string `json:"team"`
+	Version uint64 `json:"version"`
+	Index   uint64 `json:"index"`
+}
+
+// EntryDump is one entry node.
+type EntryDump struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	DataCentre  string `json:"data_centre"`
+	Address     string `json:"address"`
+	Applied     uint64 `json:"applied"`
+	LeaseMillis int64  `json:"lease_millis"`
+}
+
+// TargetDump is one target VM.
+type TargetDump struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	Kind        string `json:"kind"`
+	Address     string `json:"address"`
+	Domain      string `json:"domain,omitempty"`
+	Leaving     bool   `json:"leaving,omitempty"`
+}
+
+// GroupDump is one group.
+type GroupDump struct {
+	Group   string   `json:"group"`
+	Epoch   uint64   `json:"epoch"`
+	Team    string   `json:"team"`
+	Service string   `json:"service"`
+	Version string   `json:"version"`
+	Domain  string   `json:"domain"`
+	State   string   `json:"state"`
+	Members []string `json:"members"`
+}
+
+func (n *Node) handleDump(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, n.Dump())
+}
+
+// Dump returns the node's state, in a stable order.
+func (n *Node) Dump() Dump {
+	info := n.log.Leader()
+	d := Dump{
+		Node:    string(n.id),
+		Site:    n.site,
+		Leader:  string(info.ID),
+		Leading: info.Leading,
+		Term:    info.Term,
+		Log:     n.log.Status(),
+	}
+	n.log.View(func(m *state.Machine) { d.addState(m) })
+	n.leadership.describe(n.clock.Now(), &d)
+	return d
+}
+
+func (d *Dump) addState(m *state.Machine) {
+	for _, name := range m.Teams() {
+		if r, known := m.Current(name); known {
+			d.Teams = append(d.Teams, TeamDump{Team: string(name), Version: uint64(r.Version), Index: r.Index})
+		}
+	}
+	for _, e := range m.Entries() {
+		d.Entries = append(d.Entries, EntryDump{
+			Node:        string(e.Node),
+			Incarnation: uint64(e.Incarnation),
+			DataCentre:  string(e.DataCentre),
+			Address:     e.Address,
+		})
+	}
+	for _, t := range m.Targets() {
+		d.Targets = append(d.Targets, TargetDump{
+			VM:          string(t.VM),
+			Incarnation: uint64(t.Incarnation),
+			Kind:        t.Kind.String(),
+			Address:     t.Address,
+			Domain:      string(t.Domain),
+			Leaving:     t.Leaving,
+		})
+	}
+	for _, g := range m.Groups() {
+		d.Groups = append(d.Groups, dumpGroup(g))
+	}
+	d.Owners = m.Owners()
+	d.Claims = len(m.Claims())
+	d.Poisons = len(m.Poisons())
+}
+
+func dumpGroup(g sardine.Group) GroupDump {
+	d := GroupDump{
+		Group:   string(g.ID),
+		Epoch:   uint64(g.Epoch),
+		Team:    string(g.Team),
+		Service: string(g.Service),
+		Version: g.Version,
+		Domain:  string(g.Domain),
+		State:   g.State.String(),
+	}
+	for _, m := range g.Members {
+		d.Members = append(d.Members, string(m.VM))
+	}
+	return d
+}
+
+// describe adds what only the leader knows.
+func (l *leadership) describe(now sardine.Millis, d *Dump) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d.Waits = l.waits
+	if l.breach != nil {
+		d.Breach = l.breach.Error()
+	}
+	if l.term == 0 {
+		return
+	}
+	for _, h := range l.ledger.Holders() {
+		for i := range d.Entries {
+			if d.Entries[i].Node == string(h.Entry.Node) {
+				d.Entries[i].Applied = h.Applied
+				d.Entries[i].LeaseMillis = int64(max(h.Serves-now, 0))
+			}
+		}
+	}
+}
--- a/ctrl/parsed.go
+++ b/ctrl/parsed.go
@@ -33,3 +33,14 @@
 	p.teams[name] = settings
 	return settings, nil
 }
+
+// cutOf returns the cut policy of a revision. Documents were validated before
+// they were accepted; one that this program can't read counts as the stricter
+// policy, under which changes wait longer.
+func cutOf(name sardine.Team, r state.Revision) sardine.CutPolicy {
+	settings, err := team.Parse(name, r.Document)
+	if err != nil {
+		return sardine.CutHoldChanges
+	}
+	return settings.Cut
+}
--- /dev/null
+++ b/ctrl/submit.go
@@ -0,0 +1,69 @@
+package ctrl
+
+import (
+	"context"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Submit proposes a command of an entry node.
+func (n *Node) Submit(ctx context.Context, r *wire.SubmitRequest) (*wire.SubmitReply, error) {
+	result, err := n.submit(ctx, r.GetCommand())
+	return &wire.SubmitReply{
+		Fault:   ctlapi.FaultOf(err),
+		Index:   result.Index,
+		Version: uint64(result.Version),
+		Epoch:   uint64(result.Epoch),
+		Repeat:  result.Repeat,
+		Verdict: uint32(result.Verdict),
+		Answer:  state.AnswerToWire(result.Answer),
+		Holder:  string(result.Holder),
+	}, nil
+}
+
+func (n *Node) submit(ctx context.Context, w *wire.Command) (state.Result, error) {
+	if w == nil {
+		return state.Result{}, codes.New(codes.BadRequest, "the command is missing")
+	}
+	_, command, err := state.FromWire(w)
+	if err != nil {
+		return state.Result{}, err
+	}
+	if !ofEntryNode(command) {
+		return state.Result{}, codes.New(codes.ScopeRefused, "entry nodes may not submit %T", command)
+	}
+	result, err := n.log.Propose(ctx, command)
+	if err != nil {
+		return result, n.redirect(err)
+	}
+	n.logCommand(command, result)
+	return result, result.Err
+}
+
+// ofEntryNode reports whether entry nodes may submit the command. All others are
+// made by the leader itself.
+func ofEntryNode(c state.Command) bool {
+	switch c.(type) {
+	case state.ClaimKey, state.FinishClaim, state.DropClaim, state.Strike, state.LeaveEntry:
+		return true
+	default:
+		return false
+	}
+}
+
+// redirect adds the leader's address to a refusal.
+func (n *Node) redirect(err error) error {
+	if !codes.Is(err, codes.NotLeader) {
+		return err
+	}
+	return ctlapi.NewNotLeader(n.log.Leader().Address)
+}
+
+// confirm returns once a quorum has confirmed that this node leads.
+func (n *Node) confirm(ctx context.Context) (index, term uint64, err error) {
+	index, term, err = n.log.Confirm(ctx)
+	return index, term, n.redirect(err)
+}
