usable: follow. Spread the log and serving leases by long polls

Entry nodes must follow the log at a cost that does not grow with their number. Assign plans relays of fan-out 8 from 8 nodes a data centre on.

--- /dev/null
+++ b/follow/cache.go
@@ -0,0 +1,90 @@
+package follow
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sardineswitch.dev/sardine/state"
+)
+
+const (
+	// cacheItems and cacheBytes bound the news kept for followers that lag;
+	// one that lags further gets a snapshot.
+	cacheItems = 1024
+	cacheBytes = 1 << 20
+	// newsBytes is the size of an entry besides its document.
+	newsBytes = 200
+)
+
+// cache holds the recent news: every spread entry after index after, up to
+// through.
+type cache struct {
+	after   uint64
+	through uint64
+	items   []News
+	bytes   int
+}
+
+func (c *cache) reset(index uint64) {
+	*c = cache{after: index, through: index}
+}
+
+func (c *cache) add(n News) {
+	if n.Index <= c.through {
+		return
+	}
+	c.through = n.Index
+	c.items = append(c.items, n)
+	c.bytes += newsSize(n)
+	for len(c.items) > cacheItems || c.bytes > cacheBytes {
+		c.after = c.items[0].Index
+		c.bytes -= newsSize(c.items[0])
+		c.items = c.items[1:]
+	}
+}
+
+// reach notes that there are no more spread entries up to index.
+func (c *cache) reach(index uint64) {
+	c.through = max(c.through, index)
+}
+
+// since returns the news after index; ok is false if some of them are no longer
+// kept.
+func (c *cache) since(index uint64) (news []News, ok bool) {
+	if index < c.after {
+		return nil, false
+	}
+	i := len(c.items)
+	for i > 0 && c.items[i-1].Index > index {
+		i--
+	}
+	return c.items[i:len(c.items):len(c.items)], true
+}
+
+// newer reports whether there is news after index.
+func (c *cache) newer(index uint64) bool {
+	return index < c.after || (len(c.items) > 0 && c.items[len(c.items)-1].Index > index)
+}
+
+func newsSize(n News) int {
+	if c, ok := n.Command.(state.ChangeSettings); ok {
+		return newsBytes + len(c.Document)
+	}
+	return newsBytes
+}
+
+func hashRefs(set []NodeRef) uint64 {
+	if len(set) == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	var number [8]byte
+	for _, ref := range set {
+		_, _ = d.WriteString(string(ref.Node))
+		binary.BigEndian.PutUint64(number[:], uint64(ref.Incarnation))
+		_, _ = d.Write(number[:])
+	}
+	return max(d.Sum64(), 1)
+}
--- /dev/null
+++ b/follow/report.go
@@ -0,0 +1,75 @@
+package follow
+
+import (
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// ReportToWire maps a target report to its message.
+func ReportToWire(r TargetReport) *wire.TargetReport {
+	w := &wire.TargetReport{
+		Home:        string(r.Home),
+		Incarnation: uint64(r.Incarnation),
+		Sequence:    r.Sequence,
+		Full:        r.Full,
+	}
+	for _, s := range r.Targets {
+		w.Targets = append(w.Targets, statusToWire(s))
+	}
+	for _, ref := range r.Lost {
+		w.Lost = append(w.Lost, &wire.TargetRef{Vm: string(ref.VM), Incarnation: uint64(ref.Incarnation)})
+	}
+	return w
+}
+
+// ReportFromWire is the inverse of ReportToWire.
+func ReportFromWire(w *wire.TargetReport) TargetReport {
+	r := TargetReport{
+		Home:        sardine.NodeID(w.GetHome()),
+		Incarnation: sardine.Incarnation(w.GetIncarnation()),
+		Sequence:    w.GetSequence(),
+		Full:        w.GetFull(),
+	}
+	for _, s := range w.GetTargets() {
+		r.Targets = append(r.Targets, statusFromWire(s))
+	}
+	for _, ref := range w.GetLost() {
+		r.Lost = append(r.Lost, TargetRef{VM: sardine.VMID(ref.GetVm()), Incarnation: sardine.Incarnation(ref.GetIncarnation())})
+	}
+	return r
+}
+
+func statusToWire(s TargetStatus) *wire.TargetStatus {
+	return &wire.TargetStatus{
+		Target:          state.TargetToWire(s.Target),
+		Group:           string(s.Holding.Group),
+		Epoch:           uint64(s.Holding.Epoch),
+		Rank:            uint32(s.Holding.Rank),
+		State:           uint32(s.Holding.State),
+		Model:           string(s.Holding.Model),
+		Version:         s.Holding.Version,
+		Running:         uint32(s.Load.Running),
+		Queued:          uint32(s.Load.Queued),
+		TokensPerSecond: s.Load.TokensPerSecond,
+	}
+}
+
+func statusFromWire(w *wire.TargetStatus) TargetStatus {
+	return TargetStatus{
+		Target: state.TargetFromWire(w.GetTarget()),
+		Holding: sardine.Holding{
+			Group:   sardine.GroupID(w.GetGroup()),
+			Epoch:   sardine.Epoch(w.GetEpoch()),
+			Rank:    int(w.GetRank()),
+			Model:   sardine.ModelName(w.GetModel()),
+			Version: w.GetVersion(),
+			State:   sardine.MemberState(w.GetState()),
+		},
+		Load: sardine.Load{
+			Running:         int(w.GetRunning()),
+			Queued:          int(w.GetQueued()),
+			TokensPerSecond: w.GetTokensPerSecond(),
+		},
+	}
+}
--- /dev/null
+++ b/follow/rules.go
@@ -0,0 +1,68 @@
+package follow
+
+import (
+	sardine "sardineswitch.dev/sardine"
+)
+
+const (
+	// Hold is how long the leader lets a poll wait for news.
+	Hold = 1 * sardine.Second
+	// ReplyMargin is how much longer than its hold time a poll may take.
+	ReplyMargin = sardine.Millis(500)
+	// ProbeTimeout bounds a poll that is not held.
+	ProbeTimeout = sardine.Millis(400)
+	// Gather is how long a relay that asks a control node waits for its
+	// followers to ask again before it asks without them.
+	Gather = sardine.Millis(60)
+	// GatherInner is Gather for a relay that asks another relay, shorter so
+	// that it is not late there.
+	GatherInner = sardine.Millis(20)
+	// PromptDelay is how long a relay waits for more late followers before it
+	// reports their progress in an extra poll.
+	PromptDelay = sardine.Millis(20)
+	// RelaySlack is how much longer than its hold time a relay keeps a poll
+	// before it answers without a lease.
+	RelaySlack = sardine.Millis(300)
+	// ChildTimeout is when a relay forgets a follower that does not ask.
+	ChildTimeout = 3 * sardine.Second
+	// RelayRetry is how long a follower stays away from a relay that failed.
+	RelayRetry = 10 * sardine.Second
+	// BackoffFirst bounds the pause after the first failed poll. Each pause is
+	// drawn from its upper half.
+	BackoffFirst = sardine.Millis(25)
+	// BackoffMost bounds every pause.
+	BackoffMost = sardine.Millis(400)
+	// RelayThreshold is the number of entry nodes of a data centre from which
+	// on they follow through relays.
+	RelayThreshold = 8
+	// FanOut is the number of followers planned for each relay.
+	FanOut = 8
+	// MaxChildren is the number of followers at which a relay refuses more.
+	MaxChildren = 3 * FanOut
+	// MaxPolls is the number of polls that a server keeps at once.
+	MaxPolls = 2048
+)
+
+// Timing holds the intervals of a site. All its nodes use the same.
+type Timing struct {
+	Hold  sardine.Millis
+	Retry sardine.Millis // RelayRetry
+}
+
+// DefaultTiming returns the intervals that the constants name.
+func DefaultTiming() Timing {
+	return Timing{Hold: Hold, Retry: RelayRetry}
+}
+
+// Defect is a fault that a test plants to show that its checks find it.
+type Defect uint8
+
+// The defects.
+const (
+	DefectNone           Defect = iota
+	DefectLeaseFromReply        // the follower counts its lease from the reply
+	DefectEarlyApplied          // the follower reports what it has not published
+	DefectNoRound               // the server grants without a quorum round
+	DefectIgnoreFloor           // the follower serves before it caught up
+	DefectCoverAbsent           // the relay covers followers that did not ask
+)
