--- /dev/null
+++ b/ctrl/follow.go
@@ -0,0 +1,245 @@
+package ctrl
+
+import (
+	"context"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/fleet"
+	"sardineswitch.dev/sardine/follow"
+	"sardineswitch.dev/sardine/repl"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// polls connects the goroutines of follow requests with the follow server. Its
+// fields are guarded by the leadership's lock.
+type polls struct {
+	server  *follow.Server
+	waiting map[uint64]chan follow.Reply
+	nextID  uint64
+	fed     uint64 // index up to which the server knows the log
+}
+
+func newPolls(server *follow.Server) *polls {
+	return &polls{server: server, waiting: make(map[uint64]chan follow.Reply)}
+}
+
+// Follow answers an entry node's long poll.
+func (n *Node) Follow(ctx context.Context, w *wire.FollowRequest) (*wire.FollowReply, error) {
+	r := follow.RequestFromWire(w)
+	id, ready := n.leadership.arrived(n.clock.Now(), r)
+	n.pump()
+	if len(r.Reports) > 0 {
+		n.wakeLeader()
+	}
+	select {
+	case reply := <-ready:
+		return follow.ReplyToWire(reply), nil
+	case <-ctx.Done():
+		n.leadership.gone(id)
+		return nil, ctx.Err()
+	case <-n.tomb.Dying():
+		n.leadership.gone(id)
+		fault := ctlapi.FaultOf(codes.New(codes.Draining, "this control node stops"))
+		return &wire.FollowReply{Fault: fault}, nil
+	}
+}
+
+func (l *leadership) arrived(now sardine.Millis, r follow.Request) (uint64, chan follow.Reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ready := make(chan follow.Reply, 1)
+	l.polls.nextID++
+	id := l.polls.nextID
+	l.polls.waiting[id] = ready
+	l.polls.server.Arrived(now, id, r)
+	if l.term != 0 {
+		l.takeReports(now, r)
+	}
+	return id, ready
+}
+
+func (l *leadership) gone(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.polls.waiting, id)
+	l.polls.server.Gone(id)
+}
+
+// takeReports hands home nodes' reports to the fleet.
+func (l *leadership) takeReports(now sardine.Millis, r follow.Request) {
+	for _, report := range r.Reports {
+		ack := l.fleet.Take(now, reportOf(report))
+		if ack.WantFull {
+			l.polls.server.WantFull(report.Home)
+		}
+	}
+}
+
+// reportOf maps a followed report to the fleet's.
+func reportOf(r follow.TargetReport) fleet.Report {
+	mapped := fleet.Report{
+		Home:        r.Home,
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		Full:        r.Full,
+	}
+	for _, t := range r.Targets {
+		mapped.Statuses = append(mapped.Statuses, fleet.Status{Announcement: announcementOf(t)})
+	}
+	for _, ref := range r.Lost {
+		mapped.Lost = append(mapped.Lost, fleet.Ref{VM: ref.VM, Incarnation: ref.Incarnation})
+	}
+	return mapped
+}
+
+func announcementOf(t follow.TargetStatus) sardine.Announcement {
+	return sardine.Announcement{
+		VM:           t.Target.VM,
+		Incarnation:  t.Target.Incarnation,
+		Kind:         t.Target.Kind,
+		Address:      t.Target.Address,
+		DataCentre:   t.Target.DataCentre,
+		Domain:       t.Target.Domain,
+		Accelerators: t.Target.Accelerators,
+		Service:      t.Target.Service,
+		Loadable:     t.Target.Loadable,
+		ChecksEpoch:  t.Target.ChecksEpoch,
+		Leaving:      t.Target.Leaving,
+		Holding:      t.Holding,
+		Load:         t.Load,
+	}
+}
+
+// pump moves the follow server on: it starts quorum rounds for new polls and
+// sends the answers that are ready.
+func (n *Node) pump() {
+	ids := n.leadership.pump(n.clock.Now())
+	if len(ids) == 0 {
+		return
+	}
+	n.rounds.Go(func() { n.confirmPolls(ids) })
+}
+
+// confirmPolls grants the leases that polls ask for after a quorum round that
+// starts now. The ledger catches up first: a node that has joined meanwhile
+// must not be refused.
+func (n *Node) confirmPolls(ids []uint64) {
+	ctx, cancel := context.WithTimeout(n.life, n.timing.Propose.Duration())
+	defer cancel()
+	_, term, err := n.log.Confirm(ctx)
+	if err != nil {
+		n.leadership.pollsFailed(ids, err)
+	} else {
+		n.log.View(func(m *state.Machine) {
+			n.leadership.pollsConfirmed(n.clock.Now(), term, m, ids)
+		})
+		n.granted.tell()
+	}
+	n.pump()
+}
+
+func (l *leadership) pump(now sardine.Millis) []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := l.polls.server.Round()
+	l.polls.server.Tick(now)
+	for _, a := range l.polls.server.Answers() {
+		if ready := l.polls.waiting[a.ID]; ready != nil {
+			delete(l.polls.waiting, a.ID)
+			ready <- a.Reply
+		}
+	}
+	return ids
+}
+
+func (l *leadership) pollsFailed(ids []uint64, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.polls.server.Failed(ids, codes.Of(err), err.Error())
+}
+
+func (l *leadership) pollsConfirmed(now sardine.Millis, term uint64, m *state.Machine, ids []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != term {
+		l.polls.server.Failed(ids, codes.NotLeader, "the leadership has changed")
+		return
+	}
+	l.catchUp(m, cutOf)
+	l.polls.server.Confirmed(now, ids)
+	for _, ref := range l.polls.server.Heard() {
+		if ack := l.fleet.Heard(now, ref.Node, ref.Incarnation); ack.WantFull {
+			l.polls.server.WantFull(ref.Node)
+		}
+	}
+}
+
+// spread is a duty: it feeds the log's news to the follow server and answers
+// polls whose hold time has passed.
+func (n *Node) spread() error {
+	for {
+		changed := n.log.Changed()
+		n.feed()
+		n.pump()
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case <-changed:
+		case <-n.clock.After(n.leadership.pollsDue(n.clock.Now())):
+		}
+	}
+}
+
+// Bounds of the wait until the next look at the polls.
+const (
+	pollsSoonest = 5 * sardine.Millis(1)
+	pollsLatest  = 100 * sardine.Millis(1)
+)
+
+func (l *leadership) pollsDue(now sardine.Millis) sardine.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(max(l.polls.server.Wake()-now, pollsSoonest), pollsLatest)
+}
+
+// feed hands the server what was applied since the last time.
+func (n *Node) feed() {
+	for {
+		from := n.leadership.fedTo()
+		news, through, ok := n.log.News(from, newsBatch)
+		if !ok {
+			n.leadership.refeed(n.log.Applied())
+			return
+		}
+		if through <= from {
+			return
+		}
+		n.leadership.feed(news, through)
+	}
+}
+
+func (l *leadership) fedTo() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.polls.fed
+}
+
+func (l *leadership) refeed(index uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.polls.server.Restored(index)
+	l.polls.fed = index
+}
+
+func (l *leadership) feed(news []repl.Applied, through uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range news {
+		l.polls.server.Applied(a.Index, a.At, a.Command)
+	}
+	l.polls.server.Applied(through, 0, nil)
+	l.polls.fed = through
+}
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -7,6 +7,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/fleet"
+	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/lease"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/state"
@@ -24,13 +25,16 @@
 	ledger  *lease.Ledger
 	fleet   *fleet.Leader
 	planner *plan.Planner
+	polls   *polls
 	waits   []plan.Wait
 	breach  error
 }
 
-func newLeadership(t Timing, policy plan.Policy) *leadership {
+func newLeadership(t Timing, policy plan.Policy, snapshot func() ([]byte, uint64, error)) *leadership {
+	ledger := lease.New(lease.WithServing(t.Lease), lease.WithHolding(t.Holding))
 	return &leadership{
-		ledger:  lease.New(lease.WithServing(t.Lease), lease.WithHolding(t.Holding)),
+		ledger:  ledger,
+		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
 		fleet:   fleet.NewLeader(),
 		planner: plan.New(plan.WithPolicy(policy)),
 	}
@@ -50,14 +54,18 @@
 	}
 	l.fleet.Lead(now, term)
 	l.planner.Lead(now, term, m)
+	l.polls.server.Lead(term)
 }
 
-// end gives the term up.
-func (l *leadership) end() {
+// end gives the term up. Polls learn the address of the leader that is known.
+func (l *leadership) end(leader string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.term != 0 {
+		l.ledger.Resign()
+	}
 	l.term = 0
-	l.ledger.Resign()
+	l.polls.server.Resign(leader)
 }
 
 // leads reports whether the term is under way.
@@ -153,7 +161,7 @@
 func (n *Node) leadOnce() {
 	info := n.log.Leader()
 	if !info.Leading {
-		n.leadership.end()
+		n.leadership.end(info.Address)
 		return
 	}
 	if !n.leadership.leads(info.Term) && !n.takeUp(info.Term) {
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 
 	"goji.io"
 	"goji.io/pat"
@@ -53,6 +54,7 @@
 	operators  *listen.Server
 
 	tomb    tomb.Tomb
+	rounds  sync.WaitGroup  // quorum rounds under way
 	life    context.Context // ends when the node stops
 	endLife context.CancelFunc
 }
@@ -80,7 +82,6 @@
 		n.ownEngines = order.NewClient()
 		n.engines = n.ownEngines
 	}
-	n.leadership = newLeadership(n.timing, n.policy)
 	n.life, n.endLife = context.WithCancel(context.Background())
 	if err := n.open(); err != nil {
 		n.release()
@@ -109,7 +110,11 @@
 		repl.WithLogger(n.logger),
 		repl.WithTiming(n.timing.Quorum),
 	)
-	return err
+	if err != nil {
+		return err
+	}
+	n.leadership = newLeadership(n.timing, n.policy, n.log.SpreadSnapshot)
+	return nil
 }
 
 // internalMux routes what other processes ask.
@@ -151,6 +156,7 @@
 	n.tomb.Go(func() error { return n.internal.Serve(n.internalMux()) })
 	n.tomb.Go(func() error { return n.operators.Serve(n.operatorMux()) })
 	n.tomb.Go(n.lead)
+	n.tomb.Go(n.spread)
 	for range orderSenders {
 		n.tomb.Go(n.sendOrders)
 	}
@@ -181,6 +187,7 @@
 	err := n.log.Stop(ctx)
 	n.endLife()
 	n.release()
+	n.rounds.Wait()
 	if waited := n.tomb.Wait(); waited != nil {
 		err = waited
 	}
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/state"
@@ -35,6 +36,11 @@
 	if !ofEntryNode(command) {
 		return state.Result{}, codes.New(codes.ScopeRefused, "entry nodes may not submit %T", command)
 	}
+	if join, joins := command.(state.JoinEntry); joins {
+		if err := n.mayJoin(ctx, join); err != nil {
+			return state.Result{}, err
+		}
+	}
 	result, err := n.log.Propose(ctx, command)
 	if err != nil {
 		return result, n.redirect(err)
@@ -47,7 +53,7 @@
 // made by the leader itself.
 func ofEntryNode(c state.Command) bool {
 	switch c.(type) {
-	case state.ClaimKey, state.FinishClaim, state.DropClaim, state.Strike, state.LeaveEntry:
+	case state.ClaimKey, state.FinishClaim, state.DropClaim, state.Strike, state.JoinEntry, state.LeaveEntry:
 		return true
 	default:
 		return false
@@ -67,3 +73,30 @@
 	index, term, err = n.log.Confirm(ctx)
 	return index, term, n.redirect(err)
 }
+
+// mayJoin refuses an entry node's new incarnation as long as its earlier one may
+// still serve.
+func (n *Node) mayJoin(ctx context.Context, e state.JoinEntry) error {
+	if _, _, err := n.confirm(ctx); err != nil {
+		return err
+	}
+	may, at := false, sardine.Millis(0)
+	now := n.clock.Now()
+	n.log.View(func(m *state.Machine) {
+		may, at = n.leadership.mayJoin(now, m, e)
+	})
+	if !may {
+		return codes.New(codes.MemberBusy, "the earlier incarnation of %s may serve for %d ms more", e.Node, max(at-now, 0))
+	}
+	return nil
+}
+
+func (l *leadership) mayJoin(now sardine.Millis, m *state.Machine, e state.JoinEntry) (bool, sardine.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 {
+		return false, now
+	}
+	l.catchUp(m, cutOf)
+	return l.ledger.MayJoin(now, e)
+}
--- a/entry/announ.go
+++ b/entry/announ.go
@@ -42,9 +42,10 @@
 func (n *Node) heard(a sardine.Announcement) error {
 	now := n.clock.Now()
 	n.homeMu.Lock()
-	_, known := n.home.Target(now, a.VM)
+	before, known := n.home.Target(now, a.VM)
 	err := n.home.Announce(now, a)
-	news := n.home.HasNews(now)
+	news := err == nil && notable(before, known, a)
+	n.homeNews = n.homeNews || news
 	n.homeMu.Unlock()
 	if err != nil {
 		return err
@@ -66,6 +67,7 @@
 	now := n.clock.Now()
 	n.homeMu.Lock()
 	lost := n.home.Tick(now)
+	n.homeNews = n.homeNews || len(lost) > 0
 	n.homeMu.Unlock()
 	for _, ref := range lost {
 		event.Log(n.log, event.TargetLost, vmAttr(ref.VM))
--- /dev/null
+++ b/entry/limits.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/annc"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/limit"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/route"
+)
+
+// configureLimits takes over the workspaces' rates of a new view.
+func (n *Node) configureLimits(v *view) {
+	limits := make(map[sardine.Workspace]limit.Rate)
+	for name, t := range v.tenancies {
+		if t.tenant.RequestsPerSecond > 0 || t.tenant.TokensPerSecond > 0 {
+			limits[name] = limit.Rate{Requests: t.tenant.RequestsPerSecond, Tokens: t.tenant.TokensPerSecond}
+		}
+	}
+	n.limitMu.Lock()
+	defer n.limitMu.Unlock()
+	n.limiter.Configure(n.clock.Now(), max(v.nodes, 1), limits)
+}
+
+// takeLimit pays a request of about the given tokens from its workspace's share.
+func (n *Node) takeLimit(w sardine.Workspace, tokens float64) error {
+	n.limitMu.Lock()
+	defer n.limitMu.Unlock()
+	d := n.limiter.Take(n.clock.Now(), w, tokens)
+	if d.Allowed {
+		return nil
+	}
+	return &refusal{cause: codes.New(codes.LimitReached, "workspace %q is over its limit", w), retryAfter: d.RetryAfter}
+}
+
+// noteLoad takes over the load that a target put on its answer.
+func (n *Node) noteLoad(ref route.Ref, header http.Header) {
+	text := header.Get(reply.HeaderLoad)
+	if text == "" {
+		return
+	}
+	if l, err := annc.ParseLoad(text); err == nil {
+		n.gate.load(ref, l)
+	}
+}
+
+// headerCached tells how many tokens of the prompt an engine found in its cache.
+const headerCached = "X-Sardine-Cached"
+
+func cachedTokens(header http.Header) int {
+	tokens, err := strconv.Atoi(header.Get(headerCached))
+	if err != nil || tokens < 0 {
+		return route.UnknownCached
+	}
+	return tokens
+}
--- a/entry/model.go
+++ b/entry/model.go
@@ -13,7 +13,6 @@
 	"sardineswitch.dev/sardine/admit"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 )
@@ -41,7 +40,7 @@
 func (n *Node) handleModel(w http.ResponseWriter, r *http.Request) {
 	id := n.newRequestID()
 	n.extendRead(w)
-	q, err := readModel(r, n.limits.bodyBytes)
+	q, err := readModel(r, n.limits.BodyBytes)
 	if err != nil {
 		n.refuse(w, id, err)
 		return
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"gopkg.in/tomb.v2"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/clock"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/fleet"
+	"sardineswitch.dev/sardine/limit"
+	"sardineswitch.dev/sardine/listen"
+	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/serve"
+)
+
+// Node is one entry node. New, Start and Stop are called once each.
+type Node struct {
+	id                sardine.NodeID
+	incarnation       sardine.Incarnation
+	dataCentre        sardine.DataCentre
+	listenPublic      string
+	listenInternal    string
+	advertisePublic   string
+	advertiseInternal string
+	controls          []string
+	clock             sardine.Clock
+	random            sardine.Random
+	log               *slog.Logger
+	timing            Timing
+	limits            Limits
+	targetTransport   http.RoundTripper
+	ownTransport      *http.Transport // closed by the node, nil if one was given
+
+	public         *listen.Server
+	internal       *listen.Server
+	internalClient *http.Client
+	control        *ctlapi.Client
+	client         *serve.Client
+	gate           *gate
+	flights        *flights
+	claims         *claims
+	follower       *follower
+	meter          *instruments
+
+	homeMu   sync.Mutex
+	home     *fleet.Home
+	homeNews bool // something else than a load has changed
+
+	limitMu sync.Mutex
+	limiter *limit.Limiter
+
+	published atomic.Pointer[published]
+	requests  atomic.Uint64
+	draining  atomic.Bool
+	drainOnce sync.Once
+	breached  atomic.Pointer[error]
+
+	tomb     tomb.Tomb
+	life     context.Context // ends when the node stops
+	endLife  context.CancelFunc
+	drained  context.Context // ends when the drain time is over
+	endDrain context.CancelFunc
+}
+
+// New opens the listeners and returns a node that does not run yet. Errors carry
+// codes.BadSettings.
+func New(options ...Option) (*Node, error) {
+	n := &Node{
+		clock:   clock.NewReal(),
+		log:     logs.Discard(),
+		timing:  DefaultTiming(),
+		limits:  DefaultLimits(),
+		flights: newFlights(),
+	}
+	for _, o := range options {
+		o(n)
+	}
+	if n.id == "" || n.incarnation == 0 || n.random == nil || len(n.controls) == 0 {
+		return nil, codes.New(codes.BadSettings, "an entry node needs a name, an incarnation, a random source and control nodes")
+	}
+	n.random = newSharedRandom(n.random)
+	n.life, n.endLife = context.WithCancel(context.Background())
+	n.drained, n.endDrain = context.WithCancel(context.Background())
+	if err := n.open(); err != nil {
+		n.release()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) open() error {
+	var err error
+	n.public, err = listen.New(
+		n.listenPublic,
+		listen.WithTimeouts(n.timing.Read, n.timing.Idle),
+		listen.WithHeaderBytes(n.limits.HeaderBytes),
+		listen.WithConnections(n.limits.Connections),
+	)
+	if err != nil {
+		return err
+	}
+	if n.internal, err = listen.New(n.listenInternal); err != nil {
+		return err
+	}
+	if n.meter, err = newInstruments(); err != nil {
+		return err
+	}
+	n.advertisePublic = orElse(n.advertisePublic, n.public.Address())
+	n.advertiseInternal = orElse(n.advertiseInternal, n.internal.Address())
+	n.internalClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleInternal}}
+	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, "http"))
+	if n.targetTransport == nil {
+		n.ownTransport = newTargetTransport()
+		n.targetTransport = n.ownTransport
+	}
+	n.client = serve.NewClient(n.targetTransport)
+	n.gate = newGate(n.clock, n.random, route.New(n.random))
+	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
+	n.limiter = limit.NewLimiter(n.id, n.random)
+	n.claims = newClaims(n, n.control)
+	n.follower = newFollower(n)
+	return nil
+}
+
+func orElse(value, other string) string {
+	if value == "" {
+		return other
+	}
+	return value
+}
+
+// PublicAddress returns the address for callers and targets.
+func (n *Node) PublicAddress() string {
+	return n.public.Address()
+}
+
+// InternalAddress returns the address for other processes and operators.
+func (n *Node) InternalAddress() string {
+	return n.internal.Address()
+}
+
+// ID returns the node's name.
+func (n *Node) ID() sardine.NodeID {
+	return n.id
+}
+
+// Start starts the duties.
+func (n *Node) Start() {
+	n.published.Store(&published{view: emptyView()})
+	n.tomb.Go(func() error { return n.public.Serve(n.publicMux()) })
+	n.tomb.Go(func() error { return n.internal.Serve(n.internalMux()) })
+	n.tomb.Go(n.follower.run)
+	n.tomb.Go(n.tick)
+	event.Log(n.log, event.NodeStarted, slog.String("public", n.public.Address()), slog.String("internal", n.internal.Address()))
+}
+
+// tickEvery is the time between two looks at what has become due.
+const tickEvery = 50 * sardine.Millis(1)
+
+// tick is a duty: it lets the cores look at the clock.
+func (n *Node) tick() error {
+	for {
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case <-n.clock.After(tickEvery):
+		}
+		n.tickHome()
+		n.gate.tick()
+		n.claims.tick()
+	}
+}
+
+// view returns what requests are served by now.
+func (n *Node) view() *view {
+	return n.published.Load().view
+}
+
+// leaseUntil returns the end of the serving lease.
+func (n *Node) leaseUntil() sardine.Millis {
+	serves, _ := n.published.Load().lease.Ends()
+	return serves
+}
+
+// mayServe refuses to dispatch without a lease or after a broken invariant. The
+// clock is read after the lease was loaded, so that a pause in between is seen.
+func (n *Node) mayServe() error {
+	if err := n.breach(); err != nil {
+		return err
+	}
+	lease := n.published.Load().lease
+	if !lease.Serving(n.clock.Now()) {
+		return codes.New(codes.NoLease, "this entry node is cut off from the control quorum")
+	}
+	return nil
+}
+
+// mayAccept tells the balancer whether to send callers here.
+func (n *Node) mayAccept() error {
+	if n.draining.Load() {
+		return codes.New(codes.Draining, "this entry node is shutting down")
+	}
+	return n.mayServe()
+}
+
+// broken notes a failed internal check. The node refuses requests from then on.
+func (n *Node) broken(err error) {
+	if n.breached.CompareAndSwap(nil, &err) {
+		event.Log(n.log, event.InvariantBroken, codeAttr(err))
+	}
+}
+
+func (n *Node) breach() error {
+	if err := n.breached.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// sleep waits for d, or until ctx ends.
+func (n *Node) sleep(ctx context.Context, d sardine.Millis) error {
+	if d <= 0 {
+		return nil
+	}
+	select {
+	case <-n.clock.After(d):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/entry/ops.go
+++ b/entry/ops.go
@@ -19,7 +19,7 @@
 // internalMux routes what other processes and operators ask.
 func (n *Node) internalMux() http.Handler {
 	mux := goji.NewMux()
-	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), wire.NewRelayServer(n.relay))
+	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), wire.NewRelayServer(n.follower))
 	mux.HandleFunc(pat.Get("/sardine/v1/dump"), n.handleDump)
 	mux.HandleFunc(pat.Post("/sardine/v1/drain"), n.handleDrain)
 	mux.Handle(pat.Get("/metrics"), n.meter.meter.Handler())
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -56,7 +56,7 @@
 func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
 	id := n.newRequestID()
 	n.extendRead(w)
-	q, err := readPlain(r, n.limits.bodyBytes)
+	q, err := readPlain(r, n.limits.BodyBytes)
 	if err != nil {
 		n.refuse(w, id, err)
 		return
--- a/entry/view.go
+++ b/entry/view.go
@@ -41,22 +41,17 @@
 	serving     map[sardine.GroupID]sardine.Epoch // groups that get new work
 	intact      map[sardine.GroupID]sardine.Epoch // groups that may finish work, a superset
 	plain       map[sardine.VMID]sardine.Incarnation
+	poisons     map[string]bool // by fingerprint
+	nodes       int             // entry nodes of the site
 }
 
 // newView arranges the machine's state. Documents that can't be parsed are
 // reported and leave their team out; the leader validates documents before they
 // are accepted, so that only an older program can meet one.
 func newView(m *state.Machine) (*view, []error) {
-	v := &view{
-		index:       m.Index(),
-		versions:    make(map[sardine.Team]sardine.Version),
-		tenancies:   make(map[sardine.Workspace]tenancy),
-		deployments: make(map[serviceKey]sardine.Deployment),
-		candidates:  make(map[serviceKey][]route.Candidate),
-		serving:     make(map[sardine.GroupID]sardine.Epoch),
-		intact:      make(map[sardine.GroupID]sardine.Epoch),
-		plain:       make(map[sardine.VMID]sardine.Incarnation),
-	}
+	v := emptyView()
+	v.index = m.Index()
+	v.nodes = len(m.Entries())
 	var failed []error
 	for _, name := range m.Teams() {
 		if err := v.addTeam(m, name); err != nil {
@@ -65,9 +60,28 @@
 	}
 	v.addGroups(m)
 	v.addPlain(m)
+	for _, p := range m.Poisons() {
+		if m.Poisoned(p.Fingerprint) {
+			v.poisons[string(p.Fingerprint)] = true
+		}
+	}
 	return v, failed
 }
 
+// emptyView returns the view of a node that has not followed anything yet.
+func emptyView() *view {
+	return &view{
+		versions:    make(map[sardine.Team]sardine.Version),
+		tenancies:   make(map[sardine.Workspace]tenancy),
+		deployments: make(map[serviceKey]sardine.Deployment),
+		candidates:  make(map[serviceKey][]route.Candidate),
+		serving:     make(map[sardine.GroupID]sardine.Epoch),
+		intact:      make(map[sardine.GroupID]sardine.Epoch),
+		plain:       make(map[sardine.VMID]sardine.Incarnation),
+		poisons:     make(map[string]bool),
+	}
+}
+
 func (v *view) addTeam(m *state.Machine, name sardine.Team) error {
 	revision, known := m.Current(name)
 	if !known {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -159,7 +159,7 @@
 		f.main = f.send(now, true)
 		return f.main.ask, true
 	}
-	if f.prompt == nil && now >= f.relay.promptAt(f.main.at) {
+	if f.prompt == nil && now >= f.promptAt() {
 		f.prompt = f.send(now, false)
 		return f.prompt.ask, true
 	}
@@ -185,7 +185,7 @@
 		return min(next, f.mainAt())
 	}
 	if f.prompt == nil {
-		next = min(next, f.relay.promptAt(f.main.at))
+		next = min(next, f.promptAt())
 	}
 	return next
 }
@@ -303,3 +303,13 @@
 		WantFull:   len(s.ask.Request.Reports) > 0,
 	}
 }
+
+// promptAt returns when to ask beside the held poll: at once with an urgent
+// report of the own node, a little later with those of followers, so that
+// several share one request.
+func (f *Follower) promptAt() sardine.Millis {
+	if slices.ContainsFunc(f.reports, func(r TargetReport) bool { return r.Urgent }) {
+		return f.main.at
+	}
+	return f.relay.promptAt(f.main.at)
+}
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -33,6 +33,7 @@
 	cache    cache
 	children map[sardine.NodeID]*child
 	reports  []TargetReport
+	urgentAt sardine.Millis // when the first urgent one of reports came
 	wantFull map[sardine.NodeID]bool
 	term     uint64
 	snapshot func() ([]byte, uint64, error)
@@ -61,12 +62,22 @@
 		y.answer(c, nil)
 	}
 	c.poll, c.arrived = p, now
-	y.reports = append(y.reports, r.Reports...)
+	y.take(now, r.Reports)
 	if y.cache.newer(r.Have) {
 		y.answer(c, nil)
 	}
 }
 
+// take keeps followers' reports for the next request.
+func (y *Relay) take(now sardine.Millis, reports []TargetReport) {
+	for _, r := range reports {
+		if r.Urgent && !slices.ContainsFunc(y.reports, func(kept TargetReport) bool { return kept.Urgent }) {
+			y.urgentAt = now
+		}
+		y.reports = append(y.reports, r)
+	}
+}
+
 // admit returns the child that asks, or the reply that turns it away.
 func (y *Relay) admit(now sardine.Millis, r Request) (*child, *Reply) {
 	if !y.open || r.From.Node == y.self.Node || slices.ContainsFunc(r.Set, func(ref NodeRef) bool { return ref.Node == y.self.Node }) {
@@ -136,9 +147,12 @@
 }
 
 // promptAt returns when to ask for followers that arrived after the request
-// sent at: those with progress to report, or whose last lease is old.
+// sent at: those with progress or an urgent report, or whose last lease is old.
 func (y *Relay) promptAt(sent sardine.Millis) sardine.Millis {
 	next := sardine.Millis(math.MaxInt64)
+	if slices.ContainsFunc(y.reports, func(r TargetReport) bool { return r.Urgent }) {
+		next = y.urgentAt + PromptDelay
+	}
 	for _, c := range y.children {
 		if c.poll == nil || c.arrived < sent {
 			continue
--- a/follow/report.go
+++ b/follow/report.go
@@ -13,6 +13,7 @@
 		Incarnation: uint64(r.Incarnation),
 		Sequence:    r.Sequence,
 		Full:        r.Full,
+		Urgent:      r.Urgent,
 	}
 	for _, s := range r.Targets {
 		w.Targets = append(w.Targets, statusToWire(s))
@@ -30,6 +31,7 @@
 		Incarnation: sardine.Incarnation(w.GetIncarnation()),
 		Sequence:    w.GetSequence(),
 		Full:        w.GetFull(),
+		Urgent:      w.GetUrgent(),
 	}
 	for _, s := range w.GetTargets() {
 		r.Targets = append(r.Targets, statusFromWire(s))
--- a/follow/server.go
+++ b/follow/server.go
@@ -40,6 +40,7 @@
 	sets     map[sardine.NodeID][]NodeRef
 	wantFull map[sardine.NodeID]bool
 	parents  map[sardine.NodeID]string
+	heard    []NodeRef
 	assignAt sardine.Millis
 	answers  []Answer
 }
@@ -81,6 +82,7 @@
 	s.sets = make(map[sardine.NodeID][]NodeRef)
 	s.wantFull = make(map[sardine.NodeID]bool)
 	s.parents = nil
+	s.heard = nil
 	s.assignAt = 0
 }
 
@@ -206,6 +208,15 @@
 		return
 	}
 	p.reply.Grant = &g
+	s.heard = append(s.heard, ref)
+}
+
+// Heard returns the nodes that were granted a lease since the last call: each of
+// them has asked, and so vouches for the targets that it reported.
+func (s *Server) Heard() []NodeRef {
+	all := s.heard
+	s.heard = nil
+	return all
 }
 
 // setOf returns the nodes that follow through the asking node. Without them the
--- a/follow/types.go
+++ b/follow/types.go
@@ -69,6 +69,7 @@
 	Incarnation sardine.Incarnation
 	Sequence    uint64 // a gap calls for a full report
 	Full        bool
+	Urgent      bool // is sent at once instead of with the next poll
 	Targets     []TargetStatus
 	Lost        []TargetRef
 }
