--- /dev/null
+++ b/controld/start/check.go
@@ -0,0 +1,27 @@
+package start
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"sardineswitch.dev/sardine/conf"
+)
+
+// newCheck returns the command that checks a settings file.
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a settings file and list all its errors",
+		Example: "  controld check /etc/sardine/controld.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			settings, err := conf.LoadControl(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: settings of control node %s are valid\n", args[0], settings.Node())
+			return nil
+		},
+	}
+}
--- a/controld/start/start.go
+++ b/controld/start/start.go
@@ -22,5 +22,22 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{Use: "controld", SilenceErrors: true, SilenceUsage: true}
+	root := &cobra.Command{
+		Use:           "controld",
+		Short:         "Control node of sardineswitch: keeps the replicated state and forms groups",
+		Example:       "  controld check /etc/sardine/controld.toml\n  controld run /etc/sardine/controld.toml",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	for _, build := range commands {
+		root.AddCommand(build())
+	}
+	return root
+}
+
+// commands is the lookup table of the program's commands, one file each.
+var commands = []func() *cobra.Command{
+	newRun,
+	newCheck,
+	newVersion,
 }
--- a/entry/announ.go
+++ b/entry/announ.go
@@ -35,7 +35,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(annc.EncodeAnswer(annc.NewAnswer(n.advertisePublic, n.timing.Announce))) // the target asks again
+	_, _ = w.Write(annc.EncodeAnswer(annc.NewAnswer(n.advertiseTargets, n.timing.Announce))) // the target asks again
 }
 
 // heard records the announcement, and wakes the follow duty when it is news.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -32,6 +32,17 @@
 	return mux
 }
 
+// targetMux routes what targets and the balancer before them ask, on an address
+// of their own.
+func (n *Node) targetMux() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Post(annc.Path), n.handleAnnounce)
+	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
+	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
+	mux.HandleFunc(pat.New("/*"), n.handleElse)
+	return mux
+}
+
 // handleElse answers requests that no other handler takes.
 func (n *Node) handleElse(w http.ResponseWriter, r *http.Request) {
 	id := n.newRequestID()
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/listen"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -74,11 +75,10 @@
 func (n *Node) release() {
 	n.endLife()
 	n.endDrain()
-	if n.public != nil {
-		_ = n.public.Close() // the process ends, callers see a broken connection
-	}
-	if n.internal != nil {
-		_ = n.internal.Close()
+	for _, s := range []*listen.Server{n.public, n.targets, n.internal} {
+		if s != nil {
+			_ = s.Close() // the process ends, callers see a broken connection
+		}
 	}
 	if n.internalClient != nil {
 		n.internalClient.CloseIdleConnections()
--- a/entry/node.go
+++ b/entry/node.go
@@ -28,8 +28,9 @@
 	incarnation       sardine.Incarnation
 	dataCentre        sardine.DataCentre
 	listenPublic      string
+	listenTargets     string // empty: announcements come to listenPublic
 	listenInternal    string
-	advertisePublic   string
+	advertiseTargets  string
 	advertiseInternal string
 	controls          []string
 	clock             sardine.Clock
@@ -41,6 +42,7 @@
 	ownTransport      *http.Transport // closed by the node, nil if one was given
 
 	public         *listen.Server
+	targets        *listen.Server // nil without an address of its own
 	internal       *listen.Server
 	internalClient *http.Client
 	control        *ctlapi.Client
@@ -99,23 +101,12 @@
 
 func (n *Node) open() error {
 	var err error
-	n.public, err = listen.New(
-		n.listenPublic,
-		listen.WithTimeouts(n.timing.Read, n.timing.Idle),
-		listen.WithHeaderBytes(n.limits.HeaderBytes),
-		listen.WithConnections(n.limits.Connections),
-	)
-	if err != nil {
-		return err
-	}
-	if n.internal, err = listen.New(n.listenInternal); err != nil {
+	if err = n.openServers(); err != nil {
 		return err
 	}
 	if n.meter, err = newInstruments(); err != nil {
 		return err
 	}
-	n.advertisePublic = orElse(n.advertisePublic, n.public.Address())
-	n.advertiseInternal = orElse(n.advertiseInternal, n.internal.Address())
 	n.internalClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleInternal}}
 	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, "http"))
 	if n.targetTransport == nil {
@@ -131,6 +122,32 @@
 	return nil
 }
 
+func (n *Node) openServers() error {
+	var err error
+	n.public, err = listen.New(
+		n.listenPublic,
+		listen.WithTimeouts(n.timing.Read, n.timing.Idle),
+		listen.WithHeaderBytes(n.limits.HeaderBytes),
+		listen.WithConnections(n.limits.Connections),
+	)
+	if err != nil {
+		return err
+	}
+	if n.internal, err = listen.New(n.listenInternal); err != nil {
+		return err
+	}
+	n.advertiseInternal = orElse(n.advertiseInternal, n.internal.Address())
+	announced := n.public
+	if n.listenTargets != "" {
+		if n.targets, err = listen.New(n.listenTargets); err != nil {
+			return err
+		}
+		announced = n.targets
+	}
+	n.advertiseTargets = orElse(n.advertiseTargets, announced.Address())
+	return nil
+}
+
 func orElse(value, other string) string {
 	if value == "" {
 		return other
@@ -158,6 +175,9 @@
 	n.published.Store(&published{view: emptyView()})
 	n.tomb.Go(func() error { return n.public.Serve(n.publicMux()) })
 	n.tomb.Go(func() error { return n.internal.Serve(n.internalMux()) })
+	if n.targets != nil {
+		n.tomb.Go(func() error { return n.targets.Serve(n.targetMux()) })
+	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
 	event.Log(n.log, event.NodeStarted, slog.String("public", n.public.Address()), slog.String("internal", n.internal.Address()))
--- a/entry/options.go
+++ b/entry/options.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// WithListen sets the addresses of the servers, host:port each: for callers and
-// targets, and for other processes and operators.
+// WithListen sets the addresses of the servers, host:port each: for callers, and
+// for other processes and operators.
 func WithListen(public, internal string) Option {
 	return func(n *Node) {
 		n.listenPublic = public
@@ -76,11 +76,17 @@
 	}
 }
 
-// WithAdvertise sets the addresses under which others reach the two servers. By
-// default they are the listening addresses.
-func WithAdvertise(public, internal string) Option {
+// WithTargetListen sets an address of its own for targets' announcements. By
+// default they come to the callers' address.
+func WithTargetListen(address string) Option {
+	return func(n *Node) { n.listenTargets = address }
+}
+
+// WithAdvertise sets the addresses under which targets and other processes reach
+// the node. By default they are the listening addresses.
+func WithAdvertise(targets, internal string) Option {
 	return func(n *Node) {
-		n.advertisePublic = public
+		n.advertiseTargets = targets
 		n.advertiseInternal = internal
 	}
 }
--- /dev/null
+++ b/entryd/start/run.go
@@ -0,0 +1,112 @@
+package start
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/conf"
+	"sardineswitch.dev/sardine/entry"
+	"sardineswitch.dev/sardine/logs"
+)
+
+// newRun returns the command that runs the node until a signal ends it.
+func newRun() *cobra.Command {
+	return &cobra.Command{
+		Use:   "run FILE",
+		Short: "Run the entry node with a settings file",
+		Long: "Run the entry node with a settings file.\n\n" +
+			"SIGTERM and SIGINT drain it: it turns unready, finishes what is in flight and ends.\n" +
+			"A second signal ends it at once.",
+		Example: "  entryd run /etc/sardine/entryd.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			settings, err := conf.LoadEntry(args[0])
+			if err != nil {
+				return err
+			}
+			return run(c.Context(), settings, c.ErrOrStderr())
+		},
+	}
+}
+
+func run(ctx context.Context, settings *conf.Entry, errs io.Writer) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	node, err := newNode(settings, errs)
+	if err != nil {
+		return err
+	}
+	node.Start()
+	select {
+	case <-signals:
+		node.Drain()
+	case <-node.Dead():
+		return node.Stop()
+	case <-contextDone(ctx):
+		return node.Stop()
+	}
+	select {
+	case <-signals:
+	case <-node.Dead():
+	}
+	return node.Stop()
+}
+
+// contextDone returns the end of ctx, which cobra leaves nil without a caller's.
+func contextDone(ctx context.Context) <-chan struct{} {
+	if ctx == nil {
+		return nil
+	}
+	return ctx.Done()
+}
+
+// newNode builds the node from its settings. The incarnation is the time of the
+// start: it rises over restarts without a disk, as long as the machine's clock
+// does not go back over one.
+func newNode(s *conf.Entry, errs io.Writer) (*entry.Node, error) {
+	incarnation := sardine.Incarnation(time.Now().UnixMilli())
+	var controls []string
+	for _, p := range s.Controls() {
+		controls = append(controls, p.Address())
+	}
+	return entry.New(
+		entry.WithID(s.Node(), incarnation, s.DataCentre()),
+		entry.WithListen(s.Listen(), s.ListenInternal()),
+		entry.WithTargetListen(s.ListenTargets()),
+		entry.WithAdvertise(s.AdvertiseTargets(), s.AdvertiseInternal()),
+		entry.WithControls(controls...),
+		entry.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		entry.WithLogger(logs.New(errs, s.Log(), s.Node())),
+		entry.WithTiming(timingOf(s)),
+		entry.WithLimits(limitsOf(s.Limits())),
+	)
+}
+
+func timingOf(s *conf.Entry) entry.Timing {
+	t := entry.DefaultTiming()
+	t.Hold = s.Timings().Poll()
+	t.TargetLease = s.Timings().TargetLease()
+	t.Announce = s.Timings().Announce()
+	t.BalancerMove = s.Timings().Unready()
+	t.Drain = s.Timings().Drain()
+	t.Read = max(s.Limits().HeaderTimeout(), s.Limits().BodyTimeout())
+	t.Idle = s.Limits().IdleTimeout()
+	return t
+}
+
+func limitsOf(l conf.Limits) entry.Limits {
+	return entry.Limits{
+		BodyBytes:   l.BodyBytes(),
+		HeaderBytes: l.HeaderBytes(),
+		Connections: l.Requests(),
+	}
+}
--- a/entryd/start/start.go
+++ b/entryd/start/start.go
@@ -22,5 +22,22 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{Use: "entryd", SilenceErrors: true, SilenceUsage: true}
+	root := &cobra.Command{
+		Use:           "entryd",
+		Short:         "Entry node of sardineswitch: takes callers' requests and targets' announcements",
+		Example:       "  entryd check /etc/sardine/entryd.toml\n  entryd run /etc/sardine/entryd.toml",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	for _, build := range commands {
+		root.AddCommand(build())
+	}
+	return root
+}
+
+// commands is the lookup table of the program's commands, one file each.
+var commands = []func() *cobra.Command{
+	newRun,
+	newCheck,
+	newVersion,
 }
--- /dev/null
+++ b/standin/site/settings.go
@@ -0,0 +1,125 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctrl"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Names of the demo team's settings.
+const (
+	Team      = sardine.Team("adinkra")
+	Workspace = sardine.Workspace("stage-left")
+)
+
+// Document returns a team's settings with so many groups of so many VMs.
+func Document(groups, size int) string {
+	return fmt.Sprintf(`cut_policy = "refuse_requests"
+
+[objective]
+downtime_weight = 10.0
+stranded_weight = 1.0
+
+[deployments.surtitles]
+kind = "engine"
+model = %q
+model_version = "1"
+group_size = %d
+groups = %d
+
+[deployments.box-office]
+kind = "plain"
+
+[workspaces.stage-left]
+weight = 1.0
+services = ["surtitles", "box-office"]
+`, string(Model), size, groups)
+}
+
+// Set changes the demo team's settings and waits until they are in force.
+func (s *Site) Set(ctx context.Context, base uint64, changeID, path, document string) (*wire.SettingsReply, error) {
+	return s.client.Settings(ctx, &wire.SettingsRequest{
+		Operation: "set",
+		Path:      path,
+		Base:      base,
+		ChangeId:  changeID,
+		Document:  document,
+		Author:    "demo",
+	})
+}
+
+// Leader returns the number of the leading control node, -1 if none leads.
+func (s *Site) Leader() int {
+	for i, c := range s.controls {
+		if c.node != nil && c.node.Dump().Leading {
+			return i
+		}
+	}
+	return -1
+}
+
+// Groups returns the groups as the leader knows them.
+func (s *Site) Groups() []ctrl.GroupDump {
+	if i := s.Leader(); i >= 0 {
+		return s.controls[i].node.Dump().Groups
+	}
+	return nil
+}
+
+// Serving returns the groups that serve.
+func (s *Site) Serving() []ctrl.GroupDump {
+	var serving []ctrl.GroupDump
+	for _, g := range s.Groups() {
+		if g.State == sardine.GroupServing.String() {
+			serving = append(serving, g)
+		}
+	}
+	return serving
+}
+
+// awaitPause is the time between two looks of Await.
+const awaitPause = 5 * time.Millisecond
+
+// Await returns how long it took until holds was true.
+func Await(limit time.Duration, what string, holds func() bool) (time.Duration, error) {
+	started := time.Now()
+	for !holds() {
+		if time.Since(started) > limit {
+			return 0, codes.New(codes.Internal, "%s: not within %s", what, limit)
+		}
+		time.Sleep(awaitPause)
+	}
+	return time.Since(started), nil
+}
+
+// AwaitServing waits until every running entry node routes to at least so many
+// groups and plain targets.
+func (s *Site) AwaitServing(limit time.Duration, groups, plains int) (time.Duration, error) {
+	return Await(limit, fmt.Sprintf("%d groups and %d plain targets on every entry node", groups, plains), func() bool {
+		for _, e := range s.entries {
+			if e.node == nil {
+				continue
+			}
+			d := e.node.Dump()
+			if !d.Ready || len(d.Candidates) < groups+plains {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Engine returns the number of the engine with a VM's name, -1 if there is none.
+func (s *Site) Engine(vm string) int {
+	for i, e := range s.engines {
+		if string(e.VM()) == vm {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,416 @@
+// Package site runs a whole small site in one process: real control and entry
+// nodes on loopback, with stand-ins for the balancer, the weight store, the
+// engines and the plain services around them.
+package site
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/ctrl"
+	"sardineswitch.dev/sardine/disk"
+	"sardineswitch.dev/sardine/entry"
+	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/standin/balnce"
+	"sardineswitch.dev/sardine/standin/engine"
+	"sardineswitch.dev/sardine/standin/plain"
+	"sardineswitch.dev/sardine/standin/weight"
+)
+
+const (
+	loopback  = "127.0.0.1:0"
+	dataCount = 3 // data centres
+)
+
+// Site is a running site.
+type Site struct {
+	settings  settings
+	controls  []*Control
+	entries   []*Entry
+	balancer  *balnce.Balancer
+	weights   *weight.Store
+	fabric    *engine.Fabric
+	engines   []*engine.Engine
+	plains    []*plain.Plain
+	client    *ctlapi.Client
+	addresses []string // of the controls' internal servers
+}
+
+// Control is one control node and what it needs to start again.
+type Control struct {
+	id      sardine.NodeID
+	disk    *disk.Memory
+	address string
+	node    *ctrl.Node // nil while it is stopped
+}
+
+// Node returns the running node, nil while it is stopped.
+func (c *Control) Node() *ctrl.Node {
+	return c.node
+}
+
+// Entry is one entry node and what it needs to start again.
+type Entry struct {
+	id          sardine.NodeID
+	incarnation sardine.Incarnation
+	node        *entry.Node // nil while it is stopped
+}
+
+// Node returns the running node, nil while it is stopped.
+func (e *Entry) Node() *entry.Node {
+	return e.node
+}
+
+type settings struct {
+	seed     uint64
+	controls int
+	entries  int
+	domains  int // fabric domains, spread over the data centres
+	vms      int // engines in each domain
+	plains   int
+	load     sardine.Millis // time to load one member's weights
+	token    sardine.Millis
+	fenced   bool
+	logger   *slog.Logger
+	timing   entry.Timing
+	control  ctrl.Timing
+}
+
+// Option sets a property of a Site.
+type Option func(*settings)
+
+// WithSeed sets the seed of all random sources.
+func WithSeed(seed uint64) Option {
+	return func(s *settings) { s.seed = seed }
+}
+
+// WithNodes sets the numbers of control and entry nodes.
+func WithNodes(controls, entries int) Option {
+	return func(s *settings) {
+		s.controls = controls
+		s.entries = entries
+	}
+}
+
+// WithEngines sets the number of fabric domains and of engines in each.
+func WithEngines(domains, vms int) Option {
+	return func(s *settings) {
+		s.domains = domains
+		s.vms = vms
+	}
+}
+
+// WithPlains sets the number of plain service VMs.
+func WithPlains(n int) Option {
+	return func(s *settings) { s.plains = n }
+}
+
+// WithFencing sets whether engines refuse old epochs.
+func WithFencing(on bool) Option {
+	return func(s *settings) { s.fenced = on }
+}
+
+// WithLogger sets where the nodes write their events.
+func WithLogger(l *slog.Logger) Option {
+	return func(s *settings) { s.logger = l }
+}
+
+// WithEntryTiming changes the entry nodes' times.
+func WithEntryTiming(change func(*entry.Timing)) Option {
+	return func(s *settings) { change(&s.timing) }
+}
+
+// Names of what the site deploys.
+const (
+	Model   = sardine.ModelName("twi-surtitles")
+	Service = sardine.ServiceName("box-office")
+)
+
+// Start builds and starts a site. On an error everything is stopped again.
+func Start(options ...Option) (*Site, error) {
+	s := &Site{settings: settings{
+		seed:     1,
+		controls: 3,
+		entries:  3,
+		domains:  2,
+		vms:      5,
+		plains:   2,
+		load:     200,
+		token:    2,
+		fenced:   true,
+		logger:   logs.Discard(),
+		timing:   entry.DefaultTiming(),
+		control:  ctrl.DefaultTiming(),
+	}}
+	s.settings.timing.BalancerMove = 500
+	for _, o := range options {
+		o(&s.settings)
+	}
+	if err := s.start(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start() error {
+	if err := s.startControls(); err != nil {
+		return err
+	}
+	s.client = ctlapi.New(s.addresses)
+	for i := range s.settings.entries {
+		e := &Entry{id: sardine.NodeID(fmt.Sprintf("entry-%d", i+1))}
+		s.entries = append(s.entries, e)
+		if err := s.StartEntry(i); err != nil {
+			return err
+		}
+	}
+	if err := s.startBalancer(); err != nil {
+		return err
+	}
+	return s.startTargets()
+}
+
+// startControls chooses the addresses first: each member must know the others'.
+func (s *Site) startControls() error {
+	for i := range s.settings.controls {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		s.addresses = append(s.addresses, address)
+		s.controls = append(s.controls, &Control{
+			id:      sardine.NodeID(fmt.Sprintf("control-%d", i+1)),
+			disk:    disk.NewMemory(s.random(uint64(100 + i))),
+			address: address,
+		})
+	}
+	for i := range s.controls {
+		if err := s.StartControl(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", codes.Wrap(codes.Internal, err, "no free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (s *Site) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(s.settings.seed, stream))
+}
+
+func dataCentre(i int) sardine.DataCentre {
+	return [dataCount]sardine.DataCentre{"osu", "tema", "legon"}[i%dataCount]
+}
+
+// StartControl starts a control node, again or for the first time, on its own
+// disk and address.
+func (s *Site) StartControl(i int) error {
+	c := s.controls[i]
+	var members []quorum.Member
+	for _, other := range s.controls {
+		members = append(members, quorum.Member{Node: other.id, Address: other.address})
+	}
+	node, err := ctrl.New(
+		ctrl.WithID(c.id, "accra", dataCentre(i)),
+		ctrl.WithListen(c.address, loopback),
+		ctrl.WithMembers(members...),
+		ctrl.WithDisk(c.disk),
+		ctrl.WithRandom(s.random(uint64(200+i))),
+		ctrl.WithLogger(s.settings.logger.With(slog.String("node", string(c.id)))),
+		ctrl.WithTiming(s.settings.control),
+	)
+	if err != nil {
+		return err
+	}
+	c.node = node
+	node.Start()
+	return nil
+}
+
+// StopControl stops a control node. What it has not synced is lost.
+func (s *Site) StopControl(i int) error {
+	c := s.controls[i]
+	if c.node == nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no hand-over: as if the VM had failed
+	err := c.node.Stop(ctx)
+	c.node = nil
+	c.disk.Crash()
+	return err
+}
+
+// StartEntry starts an entry node, again or for the first time, with a new
+// incarnation.
+func (s *Site) StartEntry(i int) error {
+	e := s.entries[i]
+	e.incarnation++
+	node, err := entry.New(
+		entry.WithID(e.id, e.incarnation, dataCentre(i)),
+		entry.WithListen(loopback, loopback),
+		entry.WithControls(s.addresses...),
+		entry.WithRandom(s.random(uint64(300+i)+1000*uint64(e.incarnation))),
+		entry.WithLogger(s.settings.logger.With(slog.String("node", string(e.id)))),
+		entry.WithTiming(s.settings.timing),
+	)
+	if err != nil {
+		return err
+	}
+	e.node = node
+	node.Start()
+	s.pointBalancer()
+	return nil
+}
+
+// StopEntry ends an entry node at once, as a crash does.
+func (s *Site) StopEntry(i int) error {
+	e := s.entries[i]
+	if e.node == nil {
+		return nil
+	}
+	err := e.node.Stop()
+	e.node = nil
+	s.pointBalancer()
+	return err
+}
+
+func (s *Site) startBalancer() error {
+	s.balancer = balnce.New()
+	s.pointBalancer()
+	return s.balancer.Start()
+}
+
+func (s *Site) pointBalancer() {
+	if s.balancer == nil {
+		return
+	}
+	var backends []balnce.Backend
+	for _, e := range s.entries {
+		if e.node != nil {
+			backends = append(backends, balnce.NewBackend(e.node.PublicAddress(), e.node.PublicAddress()))
+		}
+	}
+	s.balancer.SetBackends(backends...)
+}
+
+func (s *Site) startTargets() error {
+	const size = 1 << 20 // bytes that one member loads
+	rate := int(size * int64(sardine.Second) / int64(s.settings.load))
+	s.weights = weight.New(weight.WithSize(size), weight.WithRate(rate))
+	s.fabric = engine.NewFabric()
+	for d := range s.settings.domains {
+		for v := range s.settings.vms {
+			if err := s.startEngine(d, v); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range s.settings.plains {
+		p := plain.New(
+			plain.WithVM(sardine.VMID(fmt.Sprintf("app-%d", i+1))),
+			plain.WithService(Service),
+			plain.WithDataCentre(dataCentre(i)),
+			plain.WithBalancer(s.balancer.Address()),
+		)
+		s.plains = append(s.plains, p)
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startEngine(domain, vm int) error {
+	e := engine.New(
+		engine.WithVM(sardine.VMID(fmt.Sprintf("vm-%d-%d", domain+1, vm+1))),
+		engine.WithPlace(dataCentre(domain), sardine.FabricDomain(fmt.Sprintf("fabric-%d", domain+1))),
+		engine.WithBalancer(s.balancer.Address()),
+		engine.WithFabric(s.fabric),
+		engine.WithLoader(s.weights),
+		engine.WithLoadable(Model),
+		engine.WithChecksEpoch(s.settings.fenced),
+		engine.WithSpeed(10, s.settings.token),
+	)
+	s.engines = append(s.engines, e)
+	return e.Start()
+}
+
+// Controls returns the control nodes.
+func (s *Site) Controls() []*Control {
+	return s.controls
+}
+
+// Entries returns the entry nodes.
+func (s *Site) Entries() []*Entry {
+	return s.entries
+}
+
+// Engines returns the engine VMs.
+func (s *Site) Engines() []*engine.Engine {
+	return s.engines
+}
+
+// Plains returns the plain service VMs.
+func (s *Site) Plains() []*plain.Plain {
+	return s.plains
+}
+
+// Client returns a client of the control nodes.
+func (s *Site) Client() *ctlapi.Client {
+	return s.client
+}
+
+// Balancer returns the address that callers use.
+func (s *Site) Balancer() string {
+	return s.balancer.Address()
+}
+
+// ControlAddresses returns the addresses of the control nodes.
+func (s *Site) ControlAddresses() []string {
+	return s.addresses
+}
+
+// Stop ends everything that was started.
+func (s *Site) Stop() {
+	for _, e := range s.engines {
+		e.Stop()
+	}
+	for _, p := range s.plains {
+		p.Stop()
+	}
+	if s.balancer != nil {
+		s.balancer.Stop()
+	}
+	for _, e := range s.entries {
+		if e.node != nil {
+			_ = e.node.Stop() // the site ends
+		}
+	}
+	for _, c := range s.controls {
+		if c.node != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = c.node.Stop(ctx) // the site ends
+			cancel()
+		}
+	}
+	if s.client != nil {
+		s.client.Close()
+	}
+}
