--- /dev/null
+++ b/quorum/append.go
@@ -0,0 +1,267 @@
+package quorum
+
+import (
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// probeBytes bounds the entries that accompany a probe, which may well be
+// refused.
+const probeBytes = 16 << 10
+
+// replicate sends what each member lacks, within its limits.
+func (c *Core) replicate() {
+	for _, n := range c.others() {
+		p := c.peers[n]
+		switch p.mode {
+		case probing:
+			c.sendProbe(n, p)
+		case replicating:
+			c.sendEntries(n, p)
+		case installing:
+			c.sendChunk(n, p)
+		}
+	}
+}
+
+func (c *Core) sendProbe(n sardine.NodeID, p *progress) {
+	if p.sent {
+		return
+	}
+	if _, ok := c.log.term(p.next - 1); !ok {
+		p.mode = installing
+		c.sendChunk(n, p)
+		return
+	}
+	p.sent = true
+	p.sentAt = c.now
+	c.sendAppend(n, p, c.log.from(p.next-1, probeBytes))
+}
+
+func (c *Core) sendEntries(n sardine.NodeID, p *progress) {
+	if _, ok := c.log.term(p.next - 1); !ok {
+		p.probe()
+		c.sendProbe(n, p)
+		return
+	}
+	for p.bytes < c.limits.InFlightBytes {
+		entries := c.log.from(p.next-1, c.limits.BatchBytes)
+		if len(entries) == 0 {
+			break
+		}
+		c.sendAppend(n, p, entries)
+		bytes := 0
+		for _, e := range entries {
+			bytes += e.size()
+		}
+		p.launch(c.now, entries[len(entries)-1].Index, bytes)
+	}
+	if len(p.flights) == 0 && p.sentCommit < min(p.match, c.commit) {
+		c.sendHeartbeat(n, p)
+	}
+}
+
+func (c *Core) sendAppend(n sardine.NodeID, p *progress, entries []Entry) {
+	term, _ := c.log.term(p.next - 1)
+	p.sentCommit = c.commit
+	c.send(Message{Kind: Append, To: n, LogIndex: p.next - 1, LogTerm: term, Commit: c.commit, Entries: entries})
+}
+
+// sendHeartbeat also tells the commit index, as far as the member surely holds
+// it.
+func (c *Core) sendHeartbeat(n sardine.NodeID, p *progress) {
+	commit := min(p.match, c.commit)
+	p.sentCommit = commit
+	c.send(Message{Kind: Heartbeat, To: n, Commit: commit, Round: c.reads.round})
+}
+
+func (c *Core) handleHeartbeat(m Message) {
+	c.hear(m.From)
+	if c.err != nil {
+		return
+	}
+	c.commitTo(min(m.Commit, c.log.last().Index))
+	c.send(Message{Kind: HeartbeatReply, To: m.From, Round: m.Round})
+}
+
+func (c *Core) handleHeartbeatReply(m Message) {
+	p := c.peer(m.From)
+	if p == nil || m.Reject {
+		return
+	}
+	p.round = max(p.round, m.Round)
+	c.checkReads()
+}
+
+// handleAppend takes entries of the leader.
+func (c *Core) handleAppend(m Message) {
+	c.hear(m.From)
+	if c.err != nil {
+		return
+	}
+	if m.LogIndex < c.commit {
+		c.acknowledge(Message{Kind: AppendReply, To: m.From, LogIndex: c.commit}, c.commit)
+		return
+	}
+	if !c.log.holds(Position{Index: m.LogIndex, Term: m.LogTerm}) {
+		c.refuseAppend(m)
+		return
+	}
+	if !contiguous(m) {
+		return
+	}
+	c.takeEntries(m.Entries)
+	if c.err != nil {
+		return
+	}
+	last := m.LogIndex + uint64(len(m.Entries))
+	c.commitTo(min(m.Commit, last))
+	c.acknowledge(Message{Kind: AppendReply, To: m.From, LogIndex: last}, last)
+}
+
+func contiguous(m Message) bool {
+	for i, e := range m.Entries {
+		if e.Index != m.LogIndex+uint64(i)+1 {
+			return false
+		}
+	}
+	return true
+}
+
+// refuseAppend names the highest entry that may match, so that the leader skips
+// a whole term in one step.
+func (c *Core) refuseAppend(m Message) {
+	hint := min(m.LogIndex-1, c.log.last().Index)
+	for hint > c.commit {
+		term, ok := c.log.term(hint)
+		if !ok || term <= m.LogTerm {
+			break
+		}
+		hint--
+	}
+	c.send(Message{Kind: AppendReply, To: m.From, Reject: true, LogIndex: m.LogIndex, Hint: hint})
+}
+
+// takeEntries adds the entries that the log lacks. A conflicting rest of the log
+// was never committed and is dropped.
+func (c *Core) takeEntries(entries []Entry) {
+	for i, e := range entries {
+		term, ok := c.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if ok {
+			c.dropFrom(e.Index)
+		}
+		if c.err != nil {
+			return
+		}
+		c.log.add(entries[i:]...)
+		c.writeEntries(entries[i:])
+		for _, e := range entries[i:] {
+			c.noteMembers(e)
+		}
+		return
+	}
+}
+
+func (c *Core) dropFrom(index uint64) {
+	if !c.check(index > c.commit, "entry %d would change though %d is committed", index, c.commit) {
+		return
+	}
+	c.log.cut(index)
+	c.dropLists(index)
+	c.forget(index)
+}
+
+func (c *Core) handleAppendReply(m Message) {
+	p := c.peer(m.From)
+	if p == nil {
+		return
+	}
+	if m.Reject {
+		c.refused(p, m)
+		return
+	}
+	if !c.check(m.LogIndex <= c.log.last().Index, "%s acknowledged %d, the log ends at %d", m.From, m.LogIndex, c.log.last().Index) {
+		return
+	}
+	p.advance(c.now, m.LogIndex)
+	if p.mode == probing || p.mode == installing && p.match >= c.log.base.Index {
+		p.probe()
+		p.mode = replicating
+	}
+	c.advanceCommit()
+}
+
+// refused finds the next guess after a mismatch.
+func (c *Core) refused(p *progress, m Message) {
+	if m.LogIndex <= p.match || p.mode == installing {
+		return
+	}
+	if p.mode == probing && m.LogIndex != p.next-1 {
+		return
+	}
+	p.probe()
+	p.next = max(p.match+1, min(m.LogIndex, m.Hint+1))
+}
+
+// advanceCommit commits what a quorum holds durably. Entries of earlier terms
+// are committed only along with one of this term: another member could still
+// replace them.
+func (c *Core) advanceCommit() {
+	matches := make([]uint64, 0, len(c.peers)+1)
+	for _, n := range c.voters() {
+		matches = append(matches, c.matchOf(n))
+	}
+	if len(matches) == 0 {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[(len(matches)-1)/2]
+	term, ok := c.log.term(index)
+	if index <= c.commit || !ok {
+		return
+	}
+	if term != c.hard.Term && !c.defects.OldTermCommit {
+		return
+	}
+	c.commitTo(index)
+	c.checkReads()
+	c.leaveIfRemoved()
+}
+
+func (c *Core) matchOf(n sardine.NodeID) uint64 {
+	if n == c.id {
+		return c.durable
+	}
+	return c.peers[n].match
+}
+
+func (c *Core) commitTo(index uint64) {
+	if index <= c.commit {
+		return
+	}
+	if !c.check(index <= c.log.last().Index, "commit %d is beyond the log's end %d", index, c.log.last().Index) {
+		return
+	}
+	if c.role == Leader {
+		for _, e := range c.log.between(c.commit, index) {
+			c.waiting -= e.size()
+		}
+	}
+	c.commit = index
+}
+
+// peer returns the progress of a member that answered this leader.
+func (c *Core) peer(n sardine.NodeID) *progress {
+	if c.role != Leader {
+		return nil
+	}
+	p := c.peers[n]
+	if p != nil {
+		p.heardAt = c.now
+	}
+	return p
+}
--- /dev/null
+++ b/quorum/election.go
@@ -0,0 +1,220 @@
+package quorum
+
+import (
+	sardine "sardineswitch.dev/sardine"
+)
+
+// startElection asks the voters whether an election would be won, before the
+// term is raised: a member that was cut off can't depose a working leader when
+// it returns.
+func (c *Core) startElection() {
+	c.resetElection()
+	if !c.isVoter(c.id) {
+		return
+	}
+	c.role = PreCandidate
+	c.leader = ""
+	c.votes = map[sardine.NodeID]bool{c.id: true}
+	if c.won() {
+		c.campaign(false)
+		return
+	}
+	last := c.log.last()
+	for _, m := range c.otherVoters() {
+		c.send(Message{Kind: PreVote, To: m, Term: c.hard.Term + 1, LogIndex: last.Index, LogTerm: last.Term})
+	}
+}
+
+// campaign raises the term and asks for votes. The own vote counts once it is
+// durable, and the others are asked then.
+func (c *Core) campaign(force bool) {
+	c.resetElection()
+	c.role = Candidate
+	c.leader = ""
+	c.force = force
+	c.hard = HardState{Term: c.hard.Term + 1, Vote: c.id}
+	c.votes = make(map[sardine.NodeID]bool)
+	c.writeHard()
+	last := c.log.last()
+	for _, m := range c.otherVoters() {
+		c.sendVote(Message{Kind: Vote, To: m, LogIndex: last.Index, LogTerm: last.Term, Force: force})
+	}
+}
+
+func (c *Core) answerPreVote(m Message) {
+	grant := m.Term > c.hard.Term && c.upToDate(m) && !c.hearsLeader()
+	if grant {
+		c.send(Message{Kind: PreVoteReply, To: m.From, Term: m.Term})
+		return
+	}
+	c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
+}
+
+func (c *Core) countPreVote(m Message) {
+	if c.role != PreCandidate || m.Term != c.hard.Term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.won() {
+		c.campaign(false)
+	}
+}
+
+func (c *Core) answerVote(m Message) {
+	free := c.hard.Vote == "" && c.leader == "" || c.hard.Vote == m.From || c.defects.ForgottenVote
+	if !free || !c.upToDate(m) {
+		c.send(Message{Kind: VoteReply, To: m.From, Reject: true})
+		return
+	}
+	if c.hard.Vote != m.From {
+		c.hard.Vote = m.From
+		c.writeHard()
+	}
+	c.resetElection()
+	c.sendVote(Message{Kind: VoteReply, To: m.From})
+}
+
+func (c *Core) countVote(m Message) {
+	if c.role == Candidate {
+		c.recordVote(m.From, !m.Reject)
+	}
+}
+
+func (c *Core) recordVote(from sardine.NodeID, granted bool) {
+	if granted {
+		c.votes[from] = true
+	}
+	if c.won() {
+		c.becomeLeader()
+	}
+}
+
+func (c *Core) won() bool {
+	return c.quorum(func(n sardine.NodeID) bool { return c.votes[n] })
+}
+
+// upToDate reports whether the candidate's log holds all that may be committed.
+func (c *Core) upToDate(m Message) bool {
+	last := c.log.last()
+	if m.LogTerm != last.Term {
+		return m.LogTerm > last.Term
+	}
+	return m.LogIndex >= last.Index
+}
+
+// hearsLeader reports whether a leader was heard so recently that an election
+// would only disturb it.
+func (c *Core) hearsLeader() bool {
+	if c.defects.NoDisturbCheck {
+		return false
+	}
+	if c.role == Leader {
+		return true
+	}
+	return c.leader != "" && c.heard && c.now-c.heardAt < c.timing.ElectionMin
+}
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.id
+	c.leaderSince = c.now
+	c.peers = make(map[sardine.NodeID]*progress)
+	c.reads = reads{round: c.reads.round}
+	c.syncPeers()
+	c.waiting = 0
+	for _, e := range c.log.between(c.commit, c.log.last().Index) {
+		c.waiting += e.size()
+	}
+	c.heartbeatAt = c.now + c.timing.Heartbeat
+	c.firstOfTerm = c.appendOwn(Entry{Kind: KindEmpty}).Index
+}
+
+// becomeFollower enters a term, or gives up a part in the current one.
+func (c *Core) becomeFollower(term uint64, leader sardine.NodeID) {
+	if term > c.hard.Term {
+		c.hard = HardState{Term: term}
+		c.writeHard()
+	}
+	if c.role == Leader {
+		c.failReads()
+	}
+	if c.leader != leader {
+		c.leaderSince = c.now
+	}
+	c.role = Follower
+	c.leader = leader
+	c.resetElection()
+}
+
+// hear notes a message of the term's leader.
+func (c *Core) hear(from sardine.NodeID) {
+	if !c.check(c.role != Leader, "%s and %s lead in term %d", c.id, from, c.hard.Term) {
+		return
+	}
+	if !c.check(c.leader == "" || c.leader == from, "%s and %s lead in term %d", c.leader, from, c.hard.Term) {
+		return
+	}
+	c.becomeFollower(c.hard.Term, from)
+	c.heardAt = c.now
+	c.heard = true
+}
+
+// handleElectNow takes over from a leader that leaves.
+func (c *Core) handleElectNow(m Message) {
+	if c.role == Follower && m.From == c.leader && c.isVoter(c.id) {
+		c.campaign(true)
+	}
+}
+
+// HandOver asks the most advanced voter to take over. The caller stops proposing
+// and goes on until another member leads.
+func (c *Core) HandOver(now sardine.Millis) {
+	if c.err != nil || c.role != Leader {
+		return
+	}
+	c.setNow(now)
+	best := sardine.NodeID("")
+	for _, n := range c.otherVoters() {
+		p := c.peers[n]
+		if c.now-p.heardAt > c.timing.ElectionMin {
+			continue
+		}
+		if best == "" || p.match > c.peers[best].match {
+			best = n
+		}
+	}
+	if best != "" {
+		c.send(Message{Kind: ElectNow, To: best})
+	}
+}
+
+// tickLeader sends heartbeats and steps down without quorum contact, so that a
+// cut-off leader stops answering as one.
+func (c *Core) tickLeader() {
+	if c.now < c.heartbeatAt {
+		return
+	}
+	if !c.quorumHeard(c.timing.ElectionMax) && !c.defects.LeaseForever {
+		c.becomeFollower(c.hard.Term, "")
+		return
+	}
+	c.heartbeatAt = c.now + c.timing.Heartbeat
+	for _, n := range c.others() {
+		p := c.peers[n]
+		p.retry(c.now, 2*c.timing.Heartbeat)
+		c.sendHeartbeat(n, p)
+	}
+}
+
+// quorumHeard reports whether a quorum of voters was heard within the time.
+func (c *Core) quorumHeard(within sardine.Millis) bool {
+	return c.quorum(func(n sardine.NodeID) bool {
+		p := c.peers[n]
+		return n == c.id || p != nil && c.now-p.heardAt <= within
+	})
+}
+
+func (c *Core) resetElection() {
+	spread := int(c.timing.ElectionMax-c.timing.ElectionMin) + 1
+	c.electionAt = c.now + c.timing.ElectionMin + sardine.Millis(c.random.IntN(spread))
+}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,81 @@
+package quorum
+
+import "slices"
+
+// memory is the part of the log that is held in memory: all entries after base.
+type memory struct {
+	base    Position
+	entries []Entry // entries[0].Index == base.Index+1
+}
+
+func (l *memory) last() Position {
+	if n := len(l.entries); n > 0 {
+		return Position{Index: l.entries[n-1].Index, Term: l.entries[n-1].Term}
+	}
+	return l.base
+}
+
+// term returns the term of the entry at index; ok is false if it is not held.
+func (l *memory) term(index uint64) (term uint64, ok bool) {
+	if index == l.base.Index {
+		return l.base.Term, true
+	}
+	if index < l.base.Index || index > l.last().Index {
+		return 0, false
+	}
+	return l.entries[index-l.base.Index-1].Term, true
+}
+
+func (l *memory) holds(p Position) bool {
+	term, ok := l.term(p.Index)
+	return ok && term == p.Term
+}
+
+// from returns entries after index, at most limit bytes but at least one.
+func (l *memory) from(index uint64, limit int) []Entry {
+	if index < l.base.Index || index >= l.last().Index {
+		return nil
+	}
+	rest := l.entries[index-l.base.Index:]
+	bytes := 0
+	for i, e := range rest {
+		bytes += e.size()
+		if bytes > limit && i > 0 {
+			return slices.Clip(rest[:i])
+		}
+	}
+	return slices.Clip(rest)
+}
+
+// between returns the entries with after < Index <= through.
+func (l *memory) between(after, through uint64) []Entry {
+	if after >= through {
+		return nil
+	}
+	return slices.Clip(l.entries[after-l.base.Index : through-l.base.Index])
+}
+
+// cut drops the entries from index on. It copies, because messages in flight
+// may still refer to the old ones.
+func (l *memory) cut(index uint64) {
+	l.entries = slices.Clone(l.entries[:index-l.base.Index-1])
+}
+
+func (l *memory) add(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// compact drops the entries up to index.
+func (l *memory) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.base.Index {
+		return
+	}
+	l.entries = slices.Clone(l.entries[index-l.base.Index:])
+	l.base = Position{Index: index, Term: term}
+}
+
+func (l *memory) reset(p Position) {
+	l.base = p
+	l.entries = nil
+}
--- /dev/null
+++ b/quorum/member.go
@@ -0,0 +1,163 @@
+package quorum
+
+import (
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// members returns the list in force: the newest in the log, committed or not.
+func (c *Core) members() []Member {
+	return c.lists[len(c.lists)-1].members
+}
+
+func (c *Core) voters() []sardine.NodeID {
+	var names []sardine.NodeID
+	for _, m := range c.members() {
+		if !m.Learner {
+			names = append(names, m.Node)
+		}
+	}
+	return names
+}
+
+func (c *Core) otherVoters() []sardine.NodeID {
+	return slices.DeleteFunc(c.voters(), func(n sardine.NodeID) bool { return n == c.id })
+}
+
+// others returns all other members, learners too, in the order of the list.
+func (c *Core) others() []sardine.NodeID {
+	var names []sardine.NodeID
+	for _, m := range c.members() {
+		if m.Node != c.id {
+			names = append(names, m.Node)
+		}
+	}
+	return names
+}
+
+func (c *Core) isVoter(n sardine.NodeID) bool {
+	return slices.Contains(c.voters(), n)
+}
+
+func (c *Core) memberAddress(n sardine.NodeID) string {
+	for _, m := range c.members() {
+		if m.Node == n {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// quorum reports whether a majority of the voters satisfies f.
+func (c *Core) quorum(f func(sardine.NodeID) bool) bool {
+	return majority(c.voters(), f)
+}
+
+func majority(voters []sardine.NodeID, f func(sardine.NodeID) bool) bool {
+	count := 0
+	for _, n := range voters {
+		if f(n) {
+			count++
+		}
+	}
+	return count > len(voters)/2
+}
+
+// syncPeers makes the leader's progress records match the member list.
+func (c *Core) syncPeers() {
+	if c.role != Leader {
+		return
+	}
+	others := c.others()
+	for n := range c.peers {
+		if !slices.Contains(others, n) {
+			delete(c.peers, n)
+		}
+	}
+	for _, n := range others {
+		if c.peers[n] == nil {
+			c.peers[n] = newProgress(c.log.last().Index+1, c.now)
+		}
+	}
+}
+
+// ChangeMember appends a member change. It takes effect at once here and is
+// final when its entry is committed. Errors: codes.NotLeader, codes.NoQuorum,
+// codes.MemberBusy, codes.UnknownMember.
+func (c *Core) ChangeMember(now sardine.Millis, change MemberChange) (Position, error) {
+	if err := c.mayPropose(now); err != nil {
+		return Position{}, err
+	}
+	open := c.commit < c.firstOfTerm || c.lists[len(c.lists)-1].index > c.commit
+	if open && !c.defects.OverlappedChange {
+		return Position{}, codes.New(codes.MemberBusy, "the last member change is not committed yet")
+	}
+	next, err := c.changed(change)
+	if err != nil {
+		return Position{}, err
+	}
+	if err := c.checkReachable(next); err != nil {
+		return Position{}, err
+	}
+	return c.appendOwn(Entry{Kind: KindMembers, Members: next}), nil
+}
+
+// changed returns the list after the change.
+func (c *Core) changed(change MemberChange) ([]Member, error) {
+	next := slices.Clone(c.members())
+	at := slices.IndexFunc(next, func(m Member) bool { return m.Node == change.Member.Node })
+	switch {
+	case change.Kind == AddLearner && at < 0:
+		m := Member{Node: change.Member.Node, Address: change.Member.Address, Learner: true}
+		return append(next, m), nil
+	case change.Kind == AddLearner:
+		return nil, codes.New(codes.MemberBusy, "%s is a member already", change.Member.Node)
+	case at < 0:
+		return nil, codes.New(codes.UnknownMember, "%s is not a member", change.Member.Node)
+	case change.Kind == Promote:
+		next[at].Learner = false
+		return next, c.checkCaughtUp(change.Member.Node)
+	default:
+		return slices.Delete(next, at, at+1), nil
+	}
+}
+
+func (c *Core) checkCaughtUp(n sardine.NodeID) error {
+	p := c.peers[n]
+	if p == nil {
+		return nil
+	}
+	if c.now-p.heardAt > c.timing.ElectionMax || p.match+c.limits.PromoteLag < c.log.last().Index {
+		return codes.New(codes.MemberBusy, "learner %s holds %d of %d entries, wait until it has caught up", n, p.match, c.log.last().Index)
+	}
+	return nil
+}
+
+// checkReachable refuses a list whose voters could not form a quorum now.
+func (c *Core) checkReachable(next []Member) error {
+	var voters []sardine.NodeID
+	for _, m := range next {
+		if !m.Learner {
+			voters = append(voters, m.Node)
+		}
+	}
+	reachable := majority(voters, func(n sardine.NodeID) bool {
+		p := c.peers[n]
+		return n == c.id || p != nil && c.now-p.heardAt <= c.timing.ElectionMax
+	})
+	if !reachable {
+		return codes.New(codes.NoQuorum, "the members after this change could not form a quorum")
+	}
+	return nil
+}
+
+// leaveIfRemoved gives up the leadership once the own removal is committed.
+func (c *Core) leaveIfRemoved() {
+	if c.role != Leader || c.isVoter(c.id) || c.lists[len(c.lists)-1].index > c.commit {
+		return
+	}
+	c.HandOver(c.now)
+	c.becomeFollower(c.hard.Term, "")
+}
--- /dev/null
+++ b/quorum/output.go
@@ -0,0 +1,182 @@
+package quorum
+
+import sardine "sardineswitch.dev/sardine"
+
+// Write is what must become durable, in the order of the sequence numbers.
+type Write struct {
+	Sequence uint64
+	Hard     *HardState // nil if unchanged
+	Install  *Snapshot  // replaces the log, before Entries; nil if none
+	Entries  []Entry    // replace the log from the first one's index on
+	After    []Message  // to send once this write and all before it are durable
+}
+
+// Empty reports whether there is nothing to do.
+func (w Write) Empty() bool {
+	return w.Sequence == 0
+}
+
+// Stores reports whether the write changes files.
+func (w Write) Stores() bool {
+	return w.Hard != nil || w.Install != nil || len(w.Entries) > 0
+}
+
+// Read answers one Confirm call.
+type Read struct {
+	Ticket    uint64
+	Confirmed bool   // false: leadership was lost first
+	Index     uint64 // what the answer must have applied
+	Term      uint64
+}
+
+// Output is what the caller must do: send Messages, perform Write and report it
+// with Synced, then Restore, then apply Committed.
+type Output struct {
+	Messages  []Message // to send at once
+	Write     Write
+	Restore   *Snapshot // replaces the applied state
+	Committed []Entry   // newly committed, in order
+	Reads     []Read
+	Err       error // codes.InvariantBroken: stop using this core
+}
+
+// Empty reports whether there is nothing to do.
+func (o Output) Empty() bool {
+	return len(o.Messages) == 0 && o.Write.Empty() && o.Restore == nil && len(o.Committed) == 0 && len(o.Reads) == 0 && o.Err == nil
+}
+
+// pending is a write that is not yet known to be durable.
+type pending struct {
+	sequence uint64
+	last     uint64 // last entry that it makes durable
+}
+
+// Take returns the outputs gathered since the last call.
+func (c *Core) Take() Output {
+	if c.err == nil {
+		c.prepare()
+	}
+	out := c.out
+	c.out = Output{}
+	out.Err = c.err
+	if c.err != nil {
+		return Output{Err: c.err}
+	}
+	if !out.Write.Empty() {
+		c.pending = append(c.pending, pending{sequence: out.Write.Sequence, last: c.log.last().Index})
+	}
+	return out
+}
+
+// prepare adds what depends on the whole batch of inputs.
+func (c *Core) prepare() {
+	if c.role == Leader {
+		c.replicate()
+	}
+	if c.commit > c.handed {
+		c.out.Committed = c.log.between(c.handed, c.commit)
+		c.handed = c.commit
+	}
+}
+
+// Synced reports that all writes up to sequence are durable.
+func (c *Core) Synced(now sardine.Millis, sequence uint64) {
+	if c.err != nil || sequence <= c.synced {
+		return
+	}
+	c.setNow(now)
+	c.synced = sequence
+	for len(c.pending) > 0 && c.pending[0].sequence <= sequence {
+		c.durable = max(c.durable, c.pending[0].last)
+		c.pending = c.pending[1:]
+	}
+	if c.role == Candidate && c.synced >= c.hardSequence {
+		c.recordVote(c.id, true)
+	}
+	if c.role == Leader {
+		c.advanceCommit()
+	}
+}
+
+// write returns the write of the current batch.
+func (c *Core) write() *Write {
+	if c.out.Write.Empty() {
+		c.sequence++
+		c.out.Write.Sequence = c.sequence
+	}
+	return &c.out.Write
+}
+
+func (c *Core) writeHard() {
+	w := c.write()
+	hard := c.hard
+	w.Hard = &hard
+	c.hardSequence = w.Sequence
+}
+
+// writeEntries adds entries to the batch. Entries that the batch already holds
+// from the same index on are replaced.
+func (c *Core) writeEntries(entries []Entry) {
+	w := c.write()
+	if len(w.Entries) > 0 && entries[0].Index <= w.Entries[len(w.Entries)-1].Index {
+		keep := 0
+		for keep < len(w.Entries) && w.Entries[keep].Index < entries[0].Index {
+			keep++
+		}
+		w.Entries = w.Entries[:keep:keep]
+	}
+	w.Entries = append(w.Entries, entries...)
+}
+
+// forget notes that entries from index on were dropped, so that a write in
+// flight does not count them as durable.
+func (c *Core) forget(index uint64) {
+	c.durable = min(c.durable, index-1)
+	for i := range c.pending {
+		c.pending[i].last = min(c.pending[i].last, index-1)
+	}
+}
+
+// send queues a message that claims nothing about this node's files beyond its
+// term.
+func (c *Core) send(m Message) {
+	c.address(&m)
+	if c.synced < c.hardSequence {
+		c.after(m)
+		return
+	}
+	c.out.Messages = append(c.out.Messages, m)
+}
+
+// acknowledge queues a message that claims that entries up to index are
+// durable here.
+func (c *Core) acknowledge(m Message, index uint64) {
+	c.address(&m)
+	if index <= c.durable && c.synced >= c.hardSequence || c.defects.EarlyAcknowledge {
+		c.out.Messages = append(c.out.Messages, m)
+		return
+	}
+	c.after(m)
+}
+
+// sendVote queues a message that claims that the vote is durable here.
+func (c *Core) sendVote(m Message) {
+	c.address(&m)
+	if c.defects.UnsyncedVote {
+		c.out.Messages = append(c.out.Messages, m)
+		return
+	}
+	c.send(m)
+}
+
+func (c *Core) address(m *Message) {
+	m.From = c.id
+	if m.Term == 0 {
+		m.Term = c.hard.Term
+	}
+}
+
+func (c *Core) after(m Message) {
+	w := c.write()
+	w.After = append(w.After, m)
+}
--- /dev/null
+++ b/wirequ/codec.go
@@ -0,0 +1,130 @@
+// Package wirequ maps the consensus core's types to their wire messages and
+// back.
+package wirequ
+
+import (
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// MessageTo maps a message to its wire form. It shares entry data with m.
+func MessageTo(m quorum.Message) *wire.PeerMessage {
+	w := &wire.PeerMessage{
+		Kind:     uint32(m.Kind),
+		From:     string(m.From),
+		To:       string(m.To),
+		Term:     m.Term,
+		LogIndex: m.LogIndex,
+		LogTerm:  m.LogTerm,
+		Commit:   m.Commit,
+		Entries:  EntriesTo(m.Entries),
+		Reject:   m.Reject,
+		Hint:     m.Hint,
+		HintTerm: m.HintTerm,
+		Round:    m.Round,
+		Force:    m.Force,
+	}
+	if m.Kind == quorum.Install {
+		w.Snapshot = chunkTo(m.Chunk)
+	}
+	return w
+}
+
+// MessageOf maps a wire message back.
+func MessageOf(w *wire.PeerMessage) quorum.Message {
+	return quorum.Message{
+		Kind:     quorum.Kind(w.GetKind()),
+		From:     sardine.NodeID(w.GetFrom()),
+		To:       sardine.NodeID(w.GetTo()),
+		Term:     w.GetTerm(),
+		LogIndex: w.GetLogIndex(),
+		LogTerm:  w.GetLogTerm(),
+		Commit:   w.GetCommit(),
+		Entries:  EntriesOf(w.GetEntries()),
+		Reject:   w.GetReject(),
+		Hint:     w.GetHint(),
+		HintTerm: w.GetHintTerm(),
+		Round:    w.GetRound(),
+		Force:    w.GetForce(),
+		Chunk:    chunkOf(w.GetSnapshot()),
+	}
+}
+
+// EntriesTo maps log entries to their wire form.
+func EntriesTo(entries []quorum.Entry) []*wire.LogEntry {
+	if len(entries) == 0 {
+		return nil
+	}
+	all := make([]*wire.LogEntry, len(entries))
+	for i, e := range entries {
+		all[i] = &wire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data}
+		if e.Kind == quorum.KindMembers {
+			all[i].Members = MembersTo(e.Members)
+		}
+	}
+	return all
+}
+
+// EntriesOf maps log entries back.
+func EntriesOf(entries []*wire.LogEntry) []quorum.Entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	all := make([]quorum.Entry, len(entries))
+	for i, e := range entries {
+		all[i] = quorum.Entry{
+			Index:   e.GetIndex(),
+			Term:    e.GetTerm(),
+			Kind:    quorum.EntryKind(e.GetKind()),
+			Data:    e.GetData(),
+			Members: MembersOf(e.GetMembers()),
+		}
+	}
+	return all
+}
+
+// MembersTo maps a member list to its wire form.
+func MembersTo(members []quorum.Member) *wire.QuorumMembers {
+	all := make([]*wire.QuorumMember, len(members))
+	for i, m := range members {
+		all[i] = &wire.QuorumMember{Node: string(m.Node), Address: m.Address, Learner: m.Learner}
+	}
+	return &wire.QuorumMembers{Members: all}
+}
+
+// MembersOf maps a member list back.
+func MembersOf(w *wire.QuorumMembers) []quorum.Member {
+	if len(w.GetMembers()) == 0 {
+		return nil
+	}
+	all := make([]quorum.Member, len(w.GetMembers()))
+	for i, m := range w.GetMembers() {
+		all[i] = quorum.Member{Node: sardine.NodeID(m.GetNode()), Address: m.GetAddress(), Learner: m.GetLearner()}
+	}
+	return all
+}
+
+func chunkTo(c quorum.Chunk) *wire.SnapshotChunk {
+	return &wire.SnapshotChunk{
+		Index:   c.Index,
+		Term:    c.Term,
+		Offset:  c.Offset,
+		Total:   c.Total,
+		Data:    c.Data,
+		Members: MembersTo(c.Members),
+	}
+}
+
+func chunkOf(w *wire.SnapshotChunk) quorum.Chunk {
+	if w == nil {
+		return quorum.Chunk{}
+	}
+	return quorum.Chunk{
+		Position: quorum.Position{Index: w.GetIndex(), Term: w.GetTerm()},
+		Offset:   w.GetOffset(),
+		Total:    w.GetTotal(),
+		Data:     w.GetData(),
+		Members:  MembersOf(w.GetMembers()),
+	}
+}
