--- a/codes/table.go
+++ b/codes/table.go
@@ -23,6 +23,7 @@
 	NoLease       Code = 204
 	PoisonRequest Code = 205
 	RetryBudget   Code = 206
+	ClaimsFull    Code = 207
 
 	NoTarget      Code = 300
 	TargetFailed  Code = 301
@@ -75,6 +76,7 @@
 	{NoLease, "no_lease", 503, "the entry node is cut off from the control quorum", "send again, the balancer picks another node"},
 	{PoisonRequest, "poison_request", 422, "the request crashed the targets that ran it", "change the request, or release it with sardctl"},
 	{RetryBudget, "retry_budget", 503, "too many retries are under way", "send again after Retry-After"},
+	{ClaimsFull, "claims_full", 503, "no room is left for another idempotency key; the request was not run", "use fewer keys a day, keys are kept for 24 hours"},
 
 	{NoTarget, "no_target", 503, "no target serves this now", "send again after Retry-After"},
 	{TargetFailed, "target_failed", 502, "the target failed before it answered", "send again if the request is idempotent"},
--- a/state/claims.go
+++ b/state/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 
 	sardine "sardineswitch.dev/sardine"
@@ -11,8 +12,8 @@
 // claimKey grants the key to the first claimer and tells all others what became
 // of it.
 func (m *Machine) claimKey(c ClaimKey) Result {
-	name := claimName{workspace: c.Workspace, key: c.Key}
-	if _, expired := m.tombstones[name.hash()]; expired {
+	name := newClaimName(c.Workspace, c.Key)
+	if m.tombstones.has(name.hash()) {
 		return Result{Verdict: ClaimExpired}
 	}
 	held, known := m.claims[name]
@@ -37,7 +38,10 @@
 	if !joined || e.Incarnation != c.Incarnation {
 		return Result{Err: codes.New(codes.Superseded, "entry node %s incarnation %d is not a member", c.Node, c.Incarnation)}
 	}
-	m.claims[name] = Claim{
+	if m.claimsFull() {
+		return Result{Err: codes.New(codes.ClaimsFull, "%d keys with %d bytes and %d expired keys are kept", len(m.claims), m.claimBytes, m.tombstones.len())}
+	}
+	m.keepClaim(name, Claim{
 		Workspace:   c.Workspace,
 		Key:         c.Key,
 		Fingerprint: c.Fingerprint,
@@ -45,38 +49,76 @@
 		Incarnation: c.Incarnation,
 		State:       ClaimRunning,
 		At:          m.at,
-	}
-	m.expiry = append(m.expiry, name)
+	})
 	return Result{Verdict: ClaimGranted}
 }
 
+// claimsFull reports whether a new claim would pass one of the limits. Dropping
+// old keys instead would let a late resend run a second time.
+func (m *Machine) claimsFull() bool {
+	return len(m.claims) >= MaxClaims ||
+		m.claimBytes >= MaxClaimBytes ||
+		len(m.claims)+m.tombstones.len() >= MaxTombstones
+}
+
+// keepClaim adds a claim or replaces it.
+func (m *Machine) keepClaim(name claimName, c Claim) {
+	m.claimBytes += claimSize(c) - claimSize(m.claims[name])
+	m.claims[name] = c
+	m.expiry.put(name, c.At)
+}
+
+// forgetClaim removes a claim and its bytes from the count.
+func (m *Machine) forgetClaim(name claimName) {
+	m.claimBytes -= claimSize(m.claims[name])
+	delete(m.claims, name)
+}
+
+func claimSize(c Claim) int {
+	return len(c.Workspace) + len(c.Key) + len(c.Fingerprint) + len(c.Answer.ContentType) + len(c.Answer.Body)
+}
+
+// restoreClaims takes over the claims of a snapshot.
+func (m *Machine) restoreClaims(claims []Claim) {
+	slices.SortStableFunc(claims, func(a, b Claim) int { return cmp.Compare(a.At, b.At) })
+	for _, c := range claims {
+		m.keepClaim(newClaimName(c.Workspace, c.Key), c)
+	}
+}
+
 func (m *Machine) finishClaim(c FinishClaim) Result {
 	name, held, err := m.heldClaim(c.Workspace, c.Key, c.Node, c.Incarnation)
 	if err != nil {
 		return Result{Err: err}
 	}
 	held.State = ClaimUnknown
-	if c.Ran == sardine.RanYes {
+	if c.Ran == sardine.RanYes && m.hasRoom(c.Answer) {
 		held.State = ClaimDone
 		held.Answer = c.Answer
 	}
-	m.claims[name] = held
+	m.keepClaim(name, held)
 	return Result{}
 }
 
+// hasRoom reports whether an answer can be kept. A resend of a request whose
+// answer is not kept learns that its outcome is unknown.
+func (m *Machine) hasRoom(a Answer) bool {
+	return len(a.Body) <= MaxAnswerBytes && m.claimBytes+len(a.Body) <= MaxClaimBytes
+}
+
 func (m *Machine) dropClaim(c DropClaim) Result {
 	name, _, err := m.heldClaim(c.Workspace, c.Key, c.Node, c.Incarnation)
 	if err != nil {
 		return Result{Err: err}
 	}
-	delete(m.claims, name)
-	m.expiry = slices.DeleteFunc(m.expiry, func(n claimName) bool { return n == name })
+	m.forgetClaim(name)
+	m.expiry.remove(name)
 	return Result{}
 }
 
 // heldClaim returns the running claim of a node's incarnation.
 func (m *Machine) heldClaim(w sardine.Workspace, key string, n sardine.NodeID, i sardine.Incarnation) (claimName, Claim, error) {
-	name := claimName{workspace: w, key: key}
+	name := newClaimName(w, key)
 	held, known := m.claims[name]
 	if !known || held.State != ClaimRunning || held.Node != n || held.Incarnation != i {
 		return name, Claim{}, codes.New(codes.Superseded, "the key is not claimed by entry node %s incarnation %d", n, i)
@@ -84,27 +126,28 @@
 	return name, held, nil
 }
 
-// expire drops what is past its retention at the current stamp.
+// expire drops what is past its retention at the current stamp. Its cost is that
+// of the expired items.
 func (m *Machine) expire() {
-	for len(m.expiry) > 0 {
-		name := m.expiry[0]
-		c := m.claims[name]
-		if c.At+ClaimRetention > m.at {
+	for {
+		name, ok := m.expiry.takeUntil(m.at - ClaimRetention)
+		if !ok {
 			break
 		}
-		m.expiry = m.expiry[1:]
-		delete(m.claims, name)
-		m.tombstones[name.hash()] = m.at
+		m.forgetClaim(name)
+		m.tombstones.put(name.hash(), m.at)
 	}
-	for hash, at := range m.tombstones {
-		if at+TombstoneRetention <= m.at {
-			delete(m.tombstones, hash)
+	for {
+		if _, ok := m.tombstones.takeUntil(m.at - TombstoneRetention); !ok {
+			break
 		}
 	}
-	for fingerprint, p := range m.poisons {
-		if p.At+PoisonRetention <= m.at {
-			delete(m.poisons, fingerprint)
+	for {
+		fingerprint, ok := m.strikes.takeUntil(m.at - PoisonRetention)
+		if !ok {
+			break
 		}
+		delete(m.poisons, fingerprint)
 	}
 }
 
@@ -112,9 +155,28 @@
 	p := m.poisons[string(c.Fingerprint)]
 	p.Fingerprint = c.Fingerprint
 	p.At = m.at
-	if !slices.Contains(p.Groups, c.Group) {
-		p.Groups = append(p.Groups, c.Group)
+	if !slices.Contains(p.Groups, c.Group) && len(p.Groups) < PoisonGroups {
+		p.Groups = append(slices.Clone(p.Groups), c.Group)
 	}
-	m.poisons[string(c.Fingerprint)] = p
+	m.restorePoison(p)
+	m.boundPoisons()
 	return Result{}
 }
+
+func (m *Machine) restorePoison(p Poison) {
+	m.poisons[string(p.Fingerprint)] = p
+	m.strikes.put(string(p.Fingerprint), p.At)
+}
+
+func (m *Machine) dropPoison(fingerprint string) {
+	delete(m.poisons, fingerprint)
+	m.strikes.remove(fingerprint)
+}
+
+func (m *Machine) boundPoisons() {
+	if m.strikes.len() > MaxPoisons {
+		// Sorted, since machines restored from a snapshot queue equal stamps in
+		// another order.
+		m.dropPoison(m.strikes.sorted()[0].key)
+	}
+}
--- /dev/null
+++ b/state/codec_test.go
@@ -0,0 +1,197 @@
+package state
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/wire"
+)
+
+func fullGroup() sardine.Group {
+	return sardine.Group{
+		ID: "g1", Epoch: 7, Team: "adinkra", Service: "surtitles", Model: "twi", Version: "3", Domain: "rack1",
+		Members: []sardine.Member{{VM: "vm1", Incarnation: 2, Rank: 1, Address: "10.0.0.1:80"}},
+		State:   sardine.GroupServing,
+	}
+}
+
+func fullTarget() Target {
+	return Target{
+		VM: "vm1", Incarnation: 2, Kind: sardine.KindEngine, Address: "10.0.0.1:80", DataCentre: "osu", Domain: "rack1",
+		Accelerators: 4, Service: "app", Loadable: []sardine.ModelName{"twi", "ga"}, ChecksEpoch: true, Leaving: true,
+	}
+}
+
+// allCommands holds every command with every field set.
+func allCommands() []Command {
+	mark := []byte{1, 2, 3}
+	return []Command{
+		JoinEntry{Node: "e1", Incarnation: 3, Address: "10.0.0.9:70", DataCentre: "tema"},
+		LeaveEntry{Node: "e1", Incarnation: 3},
+		ChangeSettings{Team: "adinkra", Base: 4, ChangeID: "c1", Document: "x = 1\n", Author: "ama", Path: "/teams/adinkra"},
+		TargetUp{Target: fullTarget()},
+		TargetDown{VM: "vm1", Incarnation: 2},
+		TargetLeaving{VM: "vm1", Incarnation: 2},
+		AssignGroup{Group: fullGroup()},
+		MoveGroup{Group: "g1", Epoch: 7, State: sardine.GroupFenced},
+		FreeMember{VM: "vm1", Group: "g1", Epoch: 7},
+		ClaimKey{Workspace: "box-office", Key: "k", Fingerprint: mark, Node: "e1", Incarnation: 3},
+		FinishClaim{Workspace: "box-office", Key: "k", Node: "e1", Incarnation: 3, Ran: sardine.RanYes, Answer: Answer{Status: 200, ContentType: "text/plain", Body: []byte("ok")}},
+		DropClaim{Workspace: "box-office", Key: "k", Node: "e1", Incarnation: 3},
+		Strike{Fingerprint: mark, Group: "g1", Epoch: 7},
+		ReleasePoison{Fingerprint: mark},
+		PutToken{Token: Token{Hash: mark, Scope: "operator", Name: "ama", Expires: 99}},
+		DropToken{Hash: mark},
+	}
+}
+
+func TestCommandsSurviveTheCodec(t *testing.T) {
+	for _, c := range allCommands() {
+		requireNoZero(t, reflect.ValueOf(c), fmt.Sprintf("%T", c))
+		b, err := EncodeCommand(1234, c)
+		require.NoError(t, err)
+		at, back, err := DecodeCommand(b)
+		require.NoError(t, err)
+		require.EqualValues(t, 1234, at)
+		require.Equal(t, c, back)
+	}
+}
+
+// requireNoZero fails for a field that the example leaves unset, so that no
+// field can be forgotten in the codec unseen.
+func requireNoZero(t *testing.T, v reflect.Value, name string) {
+	require.False(t, v.IsZero(), name)
+	if v.Kind() == reflect.Struct {
+		for i := range v.NumField() {
+			requireNoZero(t, v.Field(i), name+"."+v.Type().Field(i).Name)
+		}
+	}
+}
+
+func TestUnknownCommandIsRefused(t *testing.T) {
+	_, _, err := FromWire(&wire.Command{At: 1})
+	require.Equal(t, codes.FormatVersion, codes.Of(err))
+	_, _, err = DecodeCommand([]byte{0xff})
+	require.Equal(t, codes.LogDamaged, codes.Of(err))
+	_, err = RestoreMachine(nil)
+	require.Equal(t, codes.FormatVersion, codes.Of(err))
+}
+
+// randomCommand draws from small sets of names, so that commands meet.
+func randomCommand(r *rand.Rand) Command {
+	node := sardine.NodeID(fmt.Sprintf("e%d", r.IntN(3)))
+	key := fmt.Sprintf("k%d", r.IntN(20))
+	inc := sardine.Incarnation(r.IntN(2) + 1)
+	mark := []byte{byte(r.IntN(4))}
+	target := fullTarget()
+	target.VM = sardine.VMID(fmt.Sprintf("vm%d", r.IntN(4)))
+	group := fullGroup()
+	group.ID = sardine.GroupID(fmt.Sprintf("g%d", r.IntN(3)))
+	group.Members[0].VM = target.VM
+	all := []Command{
+		JoinEntry{Node: node, Incarnation: inc, Address: "a", DataCentre: "osu"},
+		LeaveEntry{Node: node, Incarnation: inc},
+		ChangeSettings{Team: "adinkra", Base: sardine.Version(r.IntN(6)), ChangeID: key, Document: key},
+		TargetUp{Target: target},
+		TargetDown{VM: target.VM, Incarnation: 2},
+		AssignGroup{Group: group},
+		MoveGroup{Group: group.ID, Epoch: sardine.Epoch(r.IntN(100)), State: sardine.GroupServing},
+		ClaimKey{Workspace: "w", Key: key, Fingerprint: []byte("f"), Node: node, Incarnation: inc},
+		FinishClaim{Workspace: "w", Key: key, Node: node, Incarnation: inc, Ran: sardine.RanYes, Answer: Answer{Status: 200}},
+		DropClaim{Workspace: "w", Key: key, Node: node, Incarnation: inc},
+		Strike{Fingerprint: mark, Group: group.ID, Epoch: 1},
+		PutToken{Token: Token{Hash: mark, Scope: "operator"}},
+		DropToken{Hash: mark},
+	}
+	return all[r.IntN(len(all))]
+}
+
+// A machine restored at any point goes on exactly as the one that it was taken
+// from, over the expiry of claims, tombstones and strikes too.
+func TestRestoredMachineGoesOnAlike(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		m, other := NewMachine(), NewMachine()
+		at := WallTime(1)
+		for i := uint64(1); i <= 600; i++ {
+			at += WallTime(r.Int64N(int64(ClaimRetention / 20)))
+			c := randomCommand(r)
+			want := m.Apply(i, at, c)
+			got := other.Apply(i, at, c)
+			require.Equal(t, want.Verdict, got.Verdict)
+			require.Equal(t, codes.Of(want.Err), codes.Of(got.Err))
+			if r.IntN(40) == 0 {
+				other = restored(t, m)
+			}
+		}
+		require.Equal(t, snapshotOf(t, m), snapshotOf(t, other))
+		require.NotEmpty(t, m.tombstones.stamps)
+	}
+}
+
+func snapshotOf(t *testing.T, m *Machine) []byte {
+	b, err := m.Snapshot()
+	require.NoError(t, err)
+	return b
+}
+
+func restored(t *testing.T, m *Machine) *Machine {
+	other, err := RestoreMachine(snapshotOf(t, m))
+	require.NoError(t, err)
+	require.Equal(t, snapshotOf(t, m), snapshotOf(t, other))
+	return other
+}
+
+func TestSpreadSnapshotLeavesClaimsOut(t *testing.T) {
+	m := NewMachine()
+	for i, c := range allCommands()[:10] {
+		m.Apply(uint64(i+1), 5, c)
+	}
+	m.Apply(20, 5, JoinEntry{Node: "e1", Incarnation: 3})
+	m.Apply(21, 5, ChangeSettings{Team: "adinkra", ChangeID: "c1", Document: "one"})
+	m.Apply(22, 5, ChangeSettings{Team: "adinkra", Base: 1, ChangeID: "c2", Document: "two"})
+	m.Apply(23, 5, ClaimKey{Workspace: "w", Key: "k", Node: "e1", Incarnation: 3})
+	require.Len(t, m.Claims(), 1)
+	b, err := m.SpreadSnapshot()
+	require.NoError(t, err)
+	follower, err := RestoreMachine(b)
+	require.NoError(t, err)
+	require.Empty(t, follower.Claims())
+	require.EqualValues(t, 23, follower.Index())
+	resend := ChangeSettings{Team: "adinkra", ChangeID: "c1", Document: "one"}
+	require.True(t, m.Apply(24, 6, resend).Repeat)
+	follower.Apply(24, 6, resend)
+	current, _ := follower.Current("adinkra")
+	require.Equal(t, "two", current.Document)
+	require.EqualValues(t, 2, current.Version)
+}
+
+func TestClaimsAreBounded(t *testing.T) {
+	m := NewMachine()
+	m.Apply(1, 1, JoinEntry{Node: "e1", Incarnation: 1})
+	claim := ClaimKey{Workspace: "w", Fingerprint: []byte("f"), Node: "e1", Incarnation: 1}
+	for i := range MaxClaims {
+		claim.Key = fmt.Sprint(i)
+		require.Equal(t, ClaimGranted, m.Apply(uint64(i+2), 1, claim).Verdict)
+	}
+	claim.Key = "more"
+	require.Equal(t, codes.ClaimsFull, codes.Of(m.Apply(MaxClaims+2, 1, claim).Err))
+	claim.Key = "0"
+	require.Equal(t, ClaimBusy, m.Apply(MaxClaims+3, 1, claim).Verdict)
+	m.Apply(MaxClaims+4, 1, DropClaim{Workspace: "w", Key: "0", Node: "e1", Incarnation: 1})
+	claim.Key = "more"
+	require.Equal(t, ClaimGranted, m.Apply(MaxClaims+5, 1, claim).Verdict)
+	big := FinishClaim{Workspace: "w", Key: "more", Node: "e1", Incarnation: 1, Ran: sardine.RanYes, Answer: Answer{Body: make([]byte, MaxAnswerBytes+1)}}
+	require.NoError(t, m.Apply(MaxClaims+6, 1, big).Err)
+	require.Equal(t, ClaimLost, m.Apply(MaxClaims+7, 1, claim).Verdict)
+	m.Apply(MaxClaims+8, 1+ClaimRetention, LeaveEntry{Node: "e9"})
+	require.Empty(t, m.claims)
+	require.Zero(t, m.claimBytes)
+	require.Equal(t, ClaimExpired, m.Apply(MaxClaims+9, 1+ClaimRetention, claim).Verdict)
+}
--- /dev/null
+++ b/state/codecreq.go
@@ -0,0 +1,100 @@
+package state
+
+import (
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// requestToWire maps the commands on claims and poison fingerprints. It reports
+// whether c is one of them.
+func requestToWire(w *wire.Command, c Command) bool {
+	switch c := c.(type) {
+	case ClaimKey:
+		w.Body = &wire.Command_ClaimKey{ClaimKey: &wire.ClaimKey{
+			Workspace:   string(c.Workspace),
+			Key:         c.Key,
+			Fingerprint: c.Fingerprint,
+			Node:        string(c.Node),
+			Incarnation: uint64(c.Incarnation),
+		}}
+	case FinishClaim:
+		w.Body = &wire.Command_FinishClaim{FinishClaim: &wire.FinishClaim{
+			Workspace:   string(c.Workspace),
+			Key:         c.Key,
+			Node:        string(c.Node),
+			Incarnation: uint64(c.Incarnation),
+			Ran:         uint32(c.Ran),
+			Answer:      AnswerToWire(c.Answer),
+		}}
+	case DropClaim:
+		w.Body = &wire.Command_DropClaim{DropClaim: &wire.DropClaim{
+			Workspace:   string(c.Workspace),
+			Key:         c.Key,
+			Node:        string(c.Node),
+			Incarnation: uint64(c.Incarnation),
+		}}
+	case Strike:
+		w.Body = &wire.Command_Strike{Strike: &wire.Strike{
+			Fingerprint: c.Fingerprint,
+			Group:       string(c.Group),
+			Epoch:       uint64(c.Epoch),
+		}}
+	case ReleasePoison:
+		w.Body = &wire.Command_ReleasePoison{ReleasePoison: &wire.ReleasePoison{Fingerprint: c.Fingerprint}}
+	default:
+		return false
+	}
+	return true
+}
+
+func requestFromWire(w *wire.Command) Command {
+	switch b := w.GetBody().(type) {
+	case *wire.Command_ClaimKey:
+		return ClaimKey{
+			Workspace:   sardine.Workspace(b.ClaimKey.GetWorkspace()),
+			Key:         b.ClaimKey.GetKey(),
+			Fingerprint: b.ClaimKey.GetFingerprint(),
+			Node:        sardine.NodeID(b.ClaimKey.GetNode()),
+			Incarnation: sardine.Incarnation(b.ClaimKey.GetIncarnation()),
+		}
+	case *wire.Command_FinishClaim:
+		return FinishClaim{
+			Workspace:   sardine.Workspace(b.FinishClaim.GetWorkspace()),
+			Key:         b.FinishClaim.GetKey(),
+			Node:        sardine.NodeID(b.FinishClaim.GetNode()),
+			Incarnation: sardine.Incarnation(b.FinishClaim.GetIncarnation()),
+			Ran:         sardine.Ran(b.FinishClaim.GetRan()),
+			Answer:      AnswerFromWire(b.FinishClaim.GetAnswer()),
+		}
+	case *wire.Command_DropClaim:
+		return DropClaim{
+			Workspace:   sardine.Workspace(b.DropClaim.GetWorkspace()),
+			Key:         b.DropClaim.GetKey(),
+			Node:        sardine.NodeID(b.DropClaim.GetNode()),
+			Incarnation: sardine.Incarnation(b.DropClaim.GetIncarnation()),
+		}
+	case *wire.Command_Strike:
+		return Strike{
+			Fingerprint: b.Strike.GetFingerprint(),
+			Group:       sardine.GroupID(b.Strike.GetGroup()),
+			Epoch:       sardine.Epoch(b.Strike.GetEpoch()),
+		}
+	case *wire.Command_ReleasePoison:
+		return ReleasePoison{Fingerprint: b.ReleasePoison.GetFingerprint()}
+	default:
+		return nil
+	}
+}
+
+// AnswerToWire maps a kept answer to its message, nil for none.
+func AnswerToWire(a Answer) *wire.Answer {
+	if a.Status == 0 && a.ContentType == "" && len(a.Body) == 0 {
+		return nil
+	}
+	return &wire.Answer{Status: uint32(a.Status), ContentType: a.ContentType, Body: a.Body}
+}
+
+// AnswerFromWire is the inverse of AnswerToWire.
+func AnswerFromWire(w *wire.Answer) Answer {
+	return Answer{Status: int(w.GetStatus()), ContentType: w.GetContentType(), Body: w.GetBody()}
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -22,15 +22,29 @@
 	TombstoneRetention = 7 * ClaimRetention
 	// PoisonRetention is how long a fingerprint's strikes count.
 	PoisonRetention = ClaimRetention
+	// MaxClaims bounds the claims kept at once.
+	MaxClaims = 50_000
+	// MaxClaimBytes bounds the keys, fingerprints and answers of all claims.
+	MaxClaimBytes = 16 << 20
+	// MaxAnswerBytes bounds one kept answer; the outcome of a request with a
+	// longer one is kept without it.
+	MaxAnswerBytes = 64 << 10
+	// MaxTombstones bounds the keys that are refused after their retention,
+	// together with the claims that will become such.
+	MaxTombstones = 300_000
+	// MaxPoisons bounds the fingerprints with strikes; the oldest go first.
+	MaxPoisons = 10_000
 )
 
-type claimName struct {
-	workspace sardine.Workspace
-	key       string
+// claimName is a workspace and a key, parted by a zero byte.
+type claimName string
+
+func newClaimName(w sardine.Workspace, key string) claimName {
+	return claimName(string(w) + "\x00" + key)
 }
 
 func (n claimName) hash() uint64 {
-	return xxhash.Sum64String(string(n.workspace) + "\x00" + n.key)
+	return xxhash.Sum64String(string(n))
 }
 
 type team struct {
@@ -48,9 +62,11 @@
 	groups     map[sardine.GroupID]sardine.Group
 	owners     map[sardine.VMID]Owner
 	claims     map[claimName]Claim
-	expiry     []claimName // claims by age, oldest first
-	tombstones map[uint64]WallTime
+	claimBytes int
+	expiry     *aging[claimName]
+	tombstones *aging[uint64]
 	poisons    map[string]Poison
+	strikes    *aging[string]
 	tokens     map[string]Token
 }
 
@@ -63,8 +79,10 @@
 		groups:     make(map[sardine.GroupID]sardine.Group),
 		owners:     make(map[sardine.VMID]Owner),
 		claims:     make(map[claimName]Claim),
-		tombstones: make(map[uint64]WallTime),
+		expiry:     newAging[claimName](),
+		tombstones: newAging[uint64](),
 		poisons:    make(map[string]Poison),
+		strikes:    newAging[string](),
 		tokens:     make(map[string]Token),
 	}
 }
@@ -136,7 +154,7 @@
 	case Strike:
 		return m.strike(c)
 	case ReleasePoison:
-		delete(m.poisons, string(c.Fingerprint))
+		m.dropPoison(string(c.Fingerprint))
 		return Result{}
 	case PutToken:
 		m.tokens[string(c.Token.Hash)] = c.Token
