Report the state of a site in one typed form: status

Nodes and sardctl need one shape for what is up, since when, what the system does and what a person should do. status builds it from the replicated state and what a node knows besides, with its JSON codec; a test breaks each check once.

--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/team"
 	"sardineswitch.dev/sardine/tomlr"
 )
 
@@ -93,3 +95,16 @@
 		_, _ = ParseEntry("fuzz", text)
 	})
 }
+
+// TestTeamExamples checks the example documents of both sites' teams.
+func TestTeamExamples(t *testing.T) {
+	for file, name := range map[string]sardine.Team{"accra/teams/adinkra.toml": "adinkra", "nordeste/teams/dobra_fina.toml": "dobra_fina"} {
+		text, err := os.ReadFile(filepath.Join("..", "examples", file))
+		require.NoError(t, err)
+		s, err := team.Parse(name, string(text))
+		require.NoError(t, err)
+		require.Len(t, s.Deployments, 2)
+		require.Len(t, s.Tenants, 3)
+		require.NoError(t, team.CheckSite(s, nil))
+	}
+}
--- /dev/null
+++ b/status/advise.go
@@ -0,0 +1,196 @@
+package status
+
+import (
+	"fmt"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// advice is what the system does about a state and what a person should do.
+type advice struct {
+	good   bool
+	system string
+	person string
+}
+
+func adviseGroup(s sardine.GroupState, missing int) advice {
+	switch s {
+	case sardine.GroupServing:
+		if missing > 0 {
+			return advice{system: fmt.Sprintf("stops serving, %d member(s) missing", missing)}
+		}
+		return advice{good: true}
+	case sardine.GroupAssigned, sardine.GroupLoading:
+		return advice{system: "loads the model on its members", person: "wait; if it takes minutes, check the weight store"}
+	case sardine.GroupDegraded:
+		return advice{system: "looks for a spare in its fabric domain", person: "check the missing VM"}
+	case sardine.GroupFenced:
+		return advice{system: "waits until its old members are provably free", person: "check VMs that do not answer"}
+	default:
+		return advice{good: true}
+	}
+}
+
+func targetState(present, leaving bool, kind sardine.TargetKind, group sardine.GroupID) string {
+	switch {
+	case !present:
+		return "lost"
+	case leaving:
+		return "leaving"
+	case kind == sardine.KindPlain:
+		return "serving"
+	case group != "":
+		return "assigned"
+	default:
+		return "free"
+	}
+}
+
+func adviseTarget(name string) advice {
+	switch name {
+	case "lost":
+		return advice{system: "sends it no work and repairs its group", person: "check that VM and its network"}
+	case "leaving":
+		return advice{system: "sends it no new work", person: "nothing; stop the VM once its requests have ended"}
+	default:
+		return advice{good: true}
+	}
+}
+
+func adviseEntry(name string) advice {
+	if name == "serving" {
+		return advice{good: true}
+	}
+	return advice{system: "the node refuses new requests", person: "check that VM and its network to the control nodes"}
+}
+
+func peerState(p Peer) string {
+	switch {
+	case !p.Reachable:
+		return "unreachable"
+	case p.Leader:
+		return "leading"
+	case p.Learner:
+		return "learning"
+	default:
+		return "following"
+	}
+}
+
+func adviseControl(name string) advice {
+	switch name {
+	case "unreachable":
+		return advice{system: "the other members go on", person: "restart that VM, or replace it: sardctl members replace"}
+	case "learning":
+		return advice{good: true, system: "copies the state to it"}
+	default:
+		return advice{good: true}
+	}
+}
+
+func adviseTeam(spread string, services []Service) advice {
+	if spread != "in_force" {
+		return advice{system: "brings the newest version to every entry node", person: "wait; see entry nodes that are cut off"}
+	}
+	for _, s := range services {
+		if s.Serving < s.Wanted {
+			return advice{
+				system: fmt.Sprintf("forms groups of %s, %d of %d serve", s.Name, s.Serving, s.Wanted),
+				person: "see the groups below; add VMs if none are free",
+			}
+		}
+	}
+	return advice{good: true}
+}
+
+func advisePoison(name string) advice {
+	if name == "refused" {
+		return advice{system: "refuses the request", person: "find its sender, or release it: sardctl poison release"}
+	}
+	return advice{system: "counts the groups that it costs"}
+}
+
+// checks judges the promises. A group that the log calls serving while a member
+// is missing is not routed to, since entry nodes judge by announcements; it
+// counts as broken only if the node itself still routes to it, which is asserted
+// where requests are dispatched.
+func (b builder) checks(r Report) []Check {
+	return []Check{
+		b.checkQuorum(r),
+		checkLeases(r),
+		checkOwners(r),
+		checkSpread(r),
+		checkWanted(r),
+	}
+}
+
+func (b builder) checkQuorum(r Report) Check {
+	voters, reachable := 0, 0
+	for _, p := range b.in.Peers {
+		if p.Learner {
+			continue
+		}
+		voters++
+		if p.Reachable {
+			reachable++
+		}
+	}
+	c := Check{Name: "settings can be changed", Held: r.Leader != "" && reachable*2 > voters}
+	if !c.Held {
+		c.Detail = fmt.Sprintf("%d of %d control members reachable, leader %q", reachable, voters, r.Leader)
+	}
+	return c
+}
+
+func checkLeases(r Report) Check {
+	c := Check{Name: "every entry node serves", Held: true}
+	for _, e := range r.Entries {
+		if !e.Condition.Good {
+			c.Held = false
+			c.Detail += string(e.Node) + " is cut off; "
+		}
+	}
+	return c
+}
+
+func checkOwners(r Report) Check {
+	c := Check{Name: "each VM is in one group", Held: true}
+	owner := map[sardine.VMID]sardine.GroupID{}
+	for _, g := range r.Groups {
+		if g.Condition.State == sardine.GroupFenced.String() {
+			continue
+		}
+		for _, m := range g.Members {
+			if other, taken := owner[m.VM]; taken {
+				c.Held = false
+				c.Detail += fmt.Sprintf("%s is in %s and %s; ", m.VM, other, g.ID)
+			}
+			owner[m.VM] = g.ID
+		}
+	}
+	return c
+}
+
+func checkSpread(r Report) Check {
+	c := Check{Name: "accepted settings are in force", Held: true}
+	for _, t := range r.Teams {
+		if t.Condition.State != "in_force" {
+			c.Held = false
+			c.Detail += fmt.Sprintf("version %d of %s is spreading; ", t.Version, t.Name)
+		}
+	}
+	return c
+}
+
+func checkWanted(r Report) Check {
+	c := Check{Name: "every wanted group serves", Held: true}
+	for _, t := range r.Teams {
+		for _, s := range t.Services {
+			if s.Serving < s.Wanted {
+				c.Held = false
+				c.Detail += fmt.Sprintf("%s/%s: %d of %d; ", t.Name, s.Name, s.Serving, s.Wanted)
+			}
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/status/status_test.go
@@ -0,0 +1,117 @@
+package status
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/state"
+)
+
+// site returns the state of a small site: one group of two VMs, one spare, one
+// plain service, two entry nodes, and what a node knows of them.
+func site(t *testing.T) (*state.Machine, Input) {
+	document, err := os.ReadFile("testdata/adinkra.toml")
+	require.NoError(t, err)
+	m := state.NewMachine()
+	index := uint64(0)
+	apply := func(c state.Command) {
+		index++
+		require.NoError(t, m.Apply(index, 1000, c).Err)
+	}
+	in := Input{Node: "osu-control", Role: RoleControl, Site: "accra", At: 5000, Leader: "osu-control"}
+	for _, n := range []sardine.NodeID{"osu-entry-1", "tema-entry-1"} {
+		apply(state.JoinEntry{Node: n, Incarnation: 1, Address: "127.0.0.1:1", DataCentre: "osu"})
+		in.Leases = append(in.Leases, Lease{Node: n, Held: true, Applied: 99})
+	}
+	apply(state.ChangeSettings{Team: "adinkra", ChangeID: "c1", Document: string(document)})
+	var members []sardine.Member
+	for i, vm := range []sardine.VMID{"vm-1", "vm-2", "vm-3"} {
+		apply(state.TargetUp{Target: state.Target{VM: vm, Incarnation: 1, Kind: sardine.KindEngine, Domain: "rack-1", Accelerators: 4}})
+		in.Seen = append(in.Seen, Seen{VM: vm, Incarnation: 1, Present: true})
+		if i < 2 {
+			members = append(members, sardine.Member{VM: vm, Incarnation: 1, Rank: i})
+		}
+	}
+	apply(state.TargetUp{Target: state.Target{VM: "app-1", Incarnation: 1, Kind: sardine.KindPlain, Service: "box_office"}})
+	in.Seen = append(in.Seen, Seen{VM: "app-1", Incarnation: 1, Present: true})
+	apply(state.AssignGroup{Group: sardine.Group{ID: "g1", Team: "adinkra", Service: "surtitle", Domain: "rack-1", Members: members}})
+	apply(state.MoveGroup{Group: "g1", Epoch: sardine.Epoch(index), State: sardine.GroupServing})
+	for i, n := range []sardine.NodeID{"osu-control", "tema-control", "legon-control"} {
+		in.Peers = append(in.Peers, Peer{Node: n, Leader: i == 0, Reachable: true})
+	}
+	return m, in
+}
+
+func TestHealthySiteHoldsAndRoundTrips(t *testing.T) {
+	m, in := site(t)
+	r := Build(m, in, NewHistory())
+	require.True(t, r.Held(), "%+v", r.Checks)
+	text, err := Encode(r)
+	require.NoError(t, err)
+	again, err := Decode(text)
+	require.NoError(t, err)
+	require.Equal(t, mustEncode(t, r), mustEncode(t, again))
+	spare, found := r.Target("vm-3")
+	require.True(t, found)
+	require.Equal(t, "free", spare.Condition.State)
+}
+
+func mustEncode(t *testing.T, r Report) string {
+	text, err := Encode(r)
+	require.NoError(t, err)
+	return string(text)
+}
+
+// TestEachFailureShows brings about one failure at a time and names the check
+// that it must break.
+func TestEachFailureShows(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Input)
+		apply  state.Command
+		broken string
+	}{
+		"quorum lost":      {change: func(in *Input) { in.Peers[1].Reachable, in.Peers[2].Reachable = false, false }, broken: "settings can be changed"},
+		"no leader":        {change: func(in *Input) { in.Leader = "" }, broken: "settings can be changed"},
+		"entry cut off":    {change: func(in *Input) { in.Leases[1].Held = false }, broken: "every entry node serves"},
+		"change spreading": {change: func(in *Input) { in.Leases[1].Applied = 1 }, broken: "accepted settings are in force"},
+		"group degraded":   {apply: state.MoveGroup{Group: "g1", Epoch: 8, State: sardine.GroupDegraded}, broken: "every wanted group serves"},
+	} {
+		m, in := site(t)
+		if c.change != nil {
+			c.change(&in)
+		}
+		if c.apply != nil {
+			require.NoError(t, m.Apply(m.Index()+1, 2000, c.apply).Err)
+		}
+		for _, check := range Build(m, in, NewHistory()).Checks {
+			require.Equal(t, check.Name != c.broken, check.Held, "%s: %s", name, check.Name)
+			require.Equal(t, check.Held, check.Detail == "")
+		}
+	}
+}
+
+func TestMissingMemberAndSince(t *testing.T) {
+	m, in := site(t)
+	h := NewHistory()
+	Build(m, in, h)
+	in.At, in.Seen[1].Present = 9000, false
+	r := Build(m, in, h)
+	g, _ := r.Group("g1")
+	require.False(t, g.Condition.Good)
+	require.False(t, g.Members[1].Present)
+	lost, _ := r.Target("vm-2")
+	require.Equal(t, "lost", lost.Condition.State)
+	require.EqualValues(t, 9000, lost.Condition.Since)
+	in.At = 12000
+	lost, _ = Build(m, in, h).Target("vm-2")
+	require.EqualValues(t, 9000, lost.Condition.Since)
+	require.NotEmpty(t, lost.Condition.Person)
+	restarted := in
+	restarted.Seen = append([]Seen(nil), in.Seen...)
+	restarted.Seen[0].Incarnation = 2
+	g, _ = Build(m, restarted, h).Group("g1")
+	require.False(t, g.Members[0].Present, "another incarnation is not the member")
+}
