Add oper: leaving targets, poison requests and tokens for operators

sardctl needs these beside settings and members; a control node implements the Backend and mounts the handler. Every change is a command of the log.

--- /dev/null
+++ b/oper/handle.go
@@ -0,0 +1,130 @@
+package oper
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	goji "goji.io"
+	"goji.io/pat"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/state"
+)
+
+type handler struct {
+	backend Backend
+}
+
+// Handler serves the paths of this package for a control node. Each request
+// needs an operator's token in Authorization: Bearer.
+func Handler(b Backend) http.Handler {
+	h := handler{backend: b}
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Post(LeavePath), h.guard(h.leave))
+	mux.HandleFunc(pat.Post(PoisonPath), h.guard(h.releasePoison))
+	mux.HandleFunc(pat.Get(TokensPath), h.guard(h.listTokens))
+	mux.HandleFunc(pat.Post(TokensPath), h.guard(h.putToken))
+	mux.HandleFunc(pat.Delete(TokensPath), h.guard(h.dropToken))
+	return mux
+}
+
+// Bearer returns the token of a request, empty without one.
+func Bearer(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// guard checks the token and sends the answer or the fault of a request.
+func (h handler) guard(serve func(r *http.Request) ([]byte, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		err := h.backend.Authorise(Bearer(r), "")
+		var body []byte
+		if err == nil {
+			body, err = serve(r)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err != nil {
+			sendFault(w, err)
+			return
+		}
+		if len(body) == 0 {
+			body = []byte("{}")
+		}
+		_, _ = w.Write(append(body, '\n'))
+	}
+}
+
+func sendFault(w http.ResponseWriter, err error) {
+	code := codes.Of(err)
+	detail := err.Error()
+	var coded *codes.Error
+	if errors.As(err, &coded) {
+		detail = coded.Message()
+	}
+	text, _ := json.Marshal(faultMessage{Code: int(code), Name: code.Name(), Detail: detail}) // strings and numbers
+	w.WriteHeader(code.Status())
+	_, _ = w.Write(append(text, '\n'))
+}
+
+// leave marks the newest incarnation of a target as leaving.
+func (h handler) leave(r *http.Request) ([]byte, error) {
+	vm := sardine.VMID(r.URL.Query().Get("vm"))
+	var target state.Target
+	known := false
+	h.backend.View(func(m *state.Machine) { target, known = m.Target(vm) })
+	if !known {
+		return nil, codes.New(codes.UnknownMember, "no target %q, see sardctl targets", vm)
+	}
+	return nil, h.backend.Propose(state.TargetLeaving{VM: vm, Incarnation: target.Incarnation})
+}
+
+func (h handler) releasePoison(r *http.Request) ([]byte, error) {
+	fingerprint, err := hex.DecodeString(r.URL.Query().Get("fingerprint"))
+	if err != nil || len(fingerprint) == 0 {
+		return nil, codes.New(codes.BadRequest, "fingerprint: expected hexadecimal digits, see sardctl poison list")
+	}
+	known := false
+	h.backend.View(func(m *state.Machine) {
+		for _, p := range m.Poisons() {
+			known = known || string(p.Fingerprint) == string(fingerprint)
+		}
+	})
+	if !known {
+		return nil, codes.New(codes.UnknownMember, "no request %x, see sardctl poison list", fingerprint)
+	}
+	return nil, h.backend.Propose(state.ReleasePoison{Fingerprint: fingerprint})
+}
+
+func (h handler) listTokens(*http.Request) ([]byte, error) {
+	var all []state.Token
+	h.backend.View(func(m *state.Machine) { all = m.Tokens() })
+	return EncodeTokens(all)
+}
+
+func (h handler) putToken(r *http.Request) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return nil, codes.Wrap(codes.BadRequest, err, "token")
+	}
+	t, err := DecodeToken(text)
+	if err != nil {
+		return nil, err
+	}
+	return nil, h.backend.Propose(state.PutToken{Token: t})
+}
+
+func (h handler) dropToken(r *http.Request) ([]byte, error) {
+	hash, err := hex.DecodeString(r.URL.Query().Get("hash"))
+	if err != nil || len(hash) != hashBytes {
+		return nil, codes.New(codes.BadRequest, "hash: expected %d bytes in hexadecimal", hashBytes)
+	}
+	return nil, h.backend.Propose(state.DropToken{Hash: hash})
+}
