--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES  := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
 BIN      := $(CURDIR)/.bin
 
-.PHONY: check demo tools format-check lint vet build catalogues test race generate format
+.PHONY: check demo tools format-check lint vet build catalogues test race generate format pages
 
 check: tools format-check vet lint build catalogues test race
 
@@ -31,7 +31,12 @@
 build:
 	go build -o $(BIN)/ ./controld ./entryd ./sardctl ./standin
 
+# Fails when a generated page of docs/ is out of date; `make pages` writes them.
 catalogues: build
+	$(BIN)/sardctl docs check docs
+
+pages:
+	go run ./sardctl docs write docs
 
 test:
 	go test $(PACKAGES)
--- a/conf/control.go
+++ b/conf/control.go
@@ -20,6 +20,7 @@
 	timings           ControlTimings
 	log               Log
 	tls               TLS
+	operatorHash      []byte
 }
 
 // LoadControl reads and checks the file of a control node. Errors carry
@@ -51,6 +52,7 @@
 		log:             readLog(t.Table("log")),
 		tls:             readTLS(t.Table("tls"), false),
 	}
+	c.operatorHash = readHash(t, "operator_hash")
 	c.advertiseInternal = advertised(t, "advertise_internal", c.listenInternal)
 	if c.dataFolder == "" {
 		t.Refuse("data_folder", "a folder on a disk that outlives a restart")
@@ -118,6 +120,13 @@
 	return c.tls
 }
 
+// OperatorHash returns the SHA-256 hash of the operator's first token, empty
+// without one; see sardctl keys init. Tokens added later are in the replicated
+// state.
+func (c *Control) OperatorHash() []byte {
+	return c.operatorHash
+}
+
 // ControlTimings are the periods of a control node.
 type ControlTimings struct {
 	heartbeat sardine.Millis
--- a/conf/shared.go
+++ b/conf/shared.go
@@ -3,6 +3,8 @@
 package conf
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net"
 	"os"
 	"path/filepath"
@@ -166,6 +168,17 @@
 	return listen
 }
 
+// readHash reads a SHA-256 hash in hexadecimal, empty without the key.
+func readHash(t *tomlr.Table, key string) []byte {
+	text := t.Text(key, "")
+	hash, err := hex.DecodeString(text)
+	if text != "" && (err != nil || len(hash) != sha256.Size) {
+		t.Refuse(key, "64 hexadecimal digits, such as keys/operator.hash holds")
+		return nil
+	}
+	return hash
+}
+
 func millis(t *tomlr.Table, key string, fallback, low, high sardine.Millis) sardine.Millis {
 	return sardine.Millis(t.Int(key, int64(fallback), int64(low), int64(high)))
 }
--- /dev/null
+++ b/sardctl/start/cases_test.go
@@ -0,0 +1,158 @@
+package start
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sardineswitch.dev/sardine/sardctl/cases"
+	"sardineswitch.dev/sardine/sardctl/verbs"
+)
+
+// rewrite replaces the expected streams by the real ones:
+// go test ./sardctl/start -args -rewrite
+var rewrite = flag.Bool("rewrite", false, "rewrite the expected output of the cases")
+
+// planted is the token that every command holds and none may print.
+const planted = "sard-planted-token-4f1d"
+
+// TestCases replays every folder of ../cases against a fresh site. A line "fake
+// X" makes X happen to the site; every other line is a command.
+func TestCases(t *testing.T) {
+	names, err := cases.Names()
+	require.NoError(t, err)
+	if *rewrite {
+		names = foldersOnDisk(t)
+	}
+	require.NotEmpty(t, names)
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			folder := filepath.Join("..", "cases", name)
+			lines, err := os.ReadFile(filepath.Join(folder, "cmd"))
+			require.NoError(t, err)
+			input, _ := os.ReadFile(filepath.Join(folder, "in")) // most have none
+			f := newFake()
+			defer f.server.Close()
+			out, errs := f.script(string(lines), t.TempDir(), string(input))
+			require.NotContains(t, out+errs, planted)
+			if *rewrite {
+				require.NoError(t, os.WriteFile(filepath.Join(folder, "out"), []byte(out), 0o644))
+				require.NoError(t, os.WriteFile(filepath.Join(folder, "err"), []byte(errs), 0o644))
+				return
+			}
+			wantOut, err := cases.Read(name, "out")
+			require.NoError(t, err)
+			wantErr, err := cases.Read(name, "err")
+			require.NoError(t, err)
+			require.Equal(t, wantOut, out)
+			require.Equal(t, wantErr, errs)
+		})
+	}
+}
+
+func foldersOnDisk(t *testing.T) []string {
+	paths, err := filepath.Glob("../cases/*/cmd")
+	require.NoError(t, err)
+	var names []string
+	for _, p := range paths {
+		names = append(names, filepath.Base(filepath.Dir(p)))
+	}
+	return names
+}
+
+// replay runs the lines. What differs between runs is replaced by a name.
+func replay(f *fake, lines, folder, in string, out, errs *bytes.Buffer) {
+	environment := map[string]string{verbs.EnvControls: f.address(), verbs.EnvToken: planted}
+	for line := range strings.Lines(lines) {
+		line = strings.TrimSpace(line)
+		if act, isAct := strings.CutPrefix(line, "fake "); isAct {
+			f.act(act)
+			continue
+		}
+		if line == "" {
+			continue
+		}
+		fmt.Fprintf(out, "$ %s\n", line)
+		var o, e bytes.Buffer
+		words := split(strings.ReplaceAll(line, "$DIR", folder))
+		exit := Run(words[1:], strings.NewReader(in), &o, &e, func(name string) string { return environment[name] })
+		out.WriteString(stable(f, folder, o.String()))
+		errs.WriteString(stable(f, folder, e.String()))
+		if exit != 0 {
+			fmt.Fprintf(out, "exit %d\n", exit)
+		}
+	}
+}
+
+func stable(f *fake, folder, text string) string {
+	text = strings.ReplaceAll(text, f.address(), "10.1.1.5:7071")
+	text = strings.ReplaceAll(text, folder, "$DIR")
+	text = regexp.MustCompile(`sard_[A-Za-z0-9_-]{43}`).ReplaceAllString(text, "sard_...")
+	text = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`).ReplaceAllString(text, "CHANGE-ID")
+	text = regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(text, "ADDRESS")
+	text = regexp.MustCompile(`until \d{4}-\S+ \S+`).ReplaceAllString(text, "until TIME")
+	return regexp.MustCompile(`go1\.\S+`).ReplaceAllString(text, "go1")
+}
+
+// split cuts a line into words as a shell does for single quotes.
+func split(line string) []string {
+	var words []string
+	for i, part := range strings.Split(line, "'") {
+		if i%2 == 1 {
+			words[len(words)-1] += part
+			continue
+		}
+		fields := strings.Fields(part)
+		if i > 0 && len(fields) > 0 && !strings.HasPrefix(part, " ") {
+			words[len(words)-1] += fields[0]
+			fields = fields[1:]
+		}
+		words = append(words, fields...)
+		if strings.HasSuffix(part, " ") {
+			words = append(words, "")
+		}
+	}
+	return words
+}
+
+// TestEveryCommandHelps checks that each command has a text, an example and a
+// section, and that each example parses.
+func TestEveryCommandHelps(t *testing.T) {
+	for _, v := range verbs.Table() {
+		require.NotEmpty(t, v.Short, v.Use)
+		require.NotEmpty(t, v.Long, v.Use)
+		require.NotEmpty(t, v.Examples, v.Use)
+		require.Contains(t, verbs.Sections(), v.Section, v.Use)
+		var out, errs bytes.Buffer
+		require.Zero(t, Run([]string{v.Name(), "--help"}, strings.NewReader(""), &out, &errs, func(string) string { return "" }))
+		require.Contains(t, out.String(), v.Examples[0])
+		checkExamples(t, v.Examples)
+		for _, sub := range v.Subs {
+			require.NotEmpty(t, sub.Short, sub.Use)
+			checkExamples(t, sub.Examples)
+		}
+	}
+}
+
+// checkExamples finds the command of each example and parses its flags, without
+// running it.
+func checkExamples(t *testing.T, examples []string) {
+	for _, line := range examples {
+		line, _, _ = strings.Cut(line, " |")
+		words := split(line)
+		require.Equal(t, "sardctl", words[0])
+		root := newRoot(verbs.NewSession(nil, nil, nil, nil))
+		c, rest, err := root.Find(words[1:])
+		require.NoError(t, err, line)
+		require.NoError(t, c.ParseFlags(rest), line)
+		require.NoError(t, c.ValidateArgs(c.Flags().Args()), line)
+	}
+}
--- /dev/null
+++ b/sardctl/start/fake_test.go
@@ -0,0 +1,313 @@
+package start
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/status"
+	"sardineswitch.dev/sardine/team"
+	"sardineswitch.dev/sardine/wire"
+)
+
+const (
+	stampStart = 1764817200000 // 2025-12-04 03:00:00 UTC
+	stampNow   = stampStart + 95_000
+)
+
+const adinkra = `cut_policy = "hold_changes"
+
+[deployments.surtitle]
+kind = "engine"
+model = "surtitle"
+model_version = "7"
+group_size = 2
+groups = 1
+
+[deployments.box_office]
+kind = "plain"
+`
+
+// fake is a control node without a quorum: it applies commands at once.
+type fake struct {
+	mu      sync.Mutex
+	machine *state.Machine
+	input   status.Input
+	history *status.History
+	leads   bool
+	held    bool // changes are durable but never in force
+	deaf    int  // answers to lose
+	token   string
+	members []*wire.QuorumMember
+	server  *httptest.Server
+}
+
+func newFake() *fake {
+	f := &fake{machine: state.NewMachine(), history: status.NewHistory(), leads: true}
+	f.input = status.Input{Node: "osu-control", Role: status.RoleControl, Site: "accra", At: stampStart, Leader: "osu-control"}
+	mux := http.NewServeMux()
+	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(f))
+	mux.HandleFunc("GET "+status.Path, f.serveStatus)
+	mux.HandleFunc("GET "+status.DumpPath, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"node":"osu-control","applied":12}`)
+	})
+	mux.HandleFunc("POST /sardine/v1/drain", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.Handle("/sardine/v1/", oper.Handler(f))
+	f.server = httptest.NewServer(mux)
+	f.fill()
+	return f
+}
+
+func (f *fake) address() string {
+	return f.server.Listener.Addr().String()
+}
+
+// fill makes a small site that is well.
+func (f *fake) fill() {
+	apply := func(c state.Command) {
+		if err := f.apply(c).Err; err != nil {
+			panic(err)
+		}
+	}
+	for _, n := range []sardine.NodeID{"osu-entry-1", "tema-entry-1"} {
+		apply(state.JoinEntry{Node: n, Incarnation: 1, Address: f.address(), DataCentre: "osu"})
+		f.input.Leases = append(f.input.Leases, status.Lease{Node: n, Held: true, Applied: 1 << 40})
+	}
+	apply(state.ChangeSettings{Team: "adinkra", ChangeID: "first", Document: adinkra, Author: "esi", Path: "/teams/adinkra"})
+	var members []sardine.Member
+	for i, vm := range []sardine.VMID{"vm-1", "vm-2", "vm-3"} {
+		apply(state.TargetUp{Target: state.Target{
+			VM: vm, Incarnation: 1, Kind: sardine.KindEngine, DataCentre: "osu", Domain: "rack-1", Accelerators: 4, ChecksEpoch: true,
+		}})
+		f.input.Seen = append(f.input.Seen, status.Seen{VM: vm, Incarnation: 1, Present: true})
+		if i < 2 {
+			members = append(members, sardine.Member{VM: vm, Incarnation: 1, Rank: i})
+		}
+	}
+	apply(state.TargetUp{Target: state.Target{VM: "app-1", Incarnation: 1, Kind: sardine.KindPlain, DataCentre: "osu", Service: "box_office"}})
+	f.input.Seen = append(f.input.Seen, status.Seen{VM: "app-1", Incarnation: 1, Present: true})
+	apply(state.AssignGroup{Group: sardine.Group{ID: "g-1", Team: "adinkra", Service: "surtitle", Domain: "rack-1", Members: members}})
+	apply(state.MoveGroup{Group: "g-1", Epoch: sardine.Epoch(f.machine.Index()), State: sardine.GroupServing})
+	for i, n := range []sardine.NodeID{"osu-control", "tema-control", "legon-control"} {
+		address := fmt.Sprintf("10.1.%d.5:7070", i+1)
+		f.input.Peers = append(f.input.Peers, status.Peer{Node: n, Address: address, Leader: i == 0, Reachable: true})
+		f.members = append(f.members, &wire.QuorumMember{Node: string(n), Address: address})
+	}
+	f.report()
+	f.input.At = stampNow
+}
+
+// act carries out a line of a script that concerns the site.
+func (f *fake) act(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch name {
+	case "member lost":
+		f.input.Seen[1].Present = false
+		g, _ := f.machine.Group("g-1")
+		f.apply(state.MoveGroup{Group: "g-1", Epoch: g.Epoch, State: sardine.GroupDegraded})
+	case "quorum lost":
+		f.leads, f.input.Leader = false, ""
+		f.input.Peers[1].Reachable, f.input.Peers[2].Reachable = false, false
+	case "entry cut off":
+		f.input.Leases[1].Held = false
+	case "changes held":
+		f.held = true
+	case "answer lost":
+		f.deaf = 1
+	case "other change":
+		r, _ := f.machine.Current("adinkra")
+		f.apply(state.ChangeSettings{Team: "adinkra", Base: r.Version, ChangeID: "other", Document: adinkra + "idempotent = [\"GET\"]\n", Author: "kofi", Path: "/teams/adinkra/deployments/box_office"})
+	case "poison":
+		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, Group: "g-1"})
+		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, Group: "g-2"})
+	case "token wanted":
+		f.token = "right"
+	default:
+		panic("unknown act " + name)
+	}
+}
+
+func (f *fake) apply(c state.Command) state.Result {
+	return f.machine.Apply(f.machine.Index()+1, stampStart, c)
+}
+
+func (f *fake) report() status.Report {
+	return status.Build(f.machine, f.input, f.history)
+}
+
+func (f *fake) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text, err := status.Encode(f.report())
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.Write(text)
+}
+
+// Authorise implements oper.Backend.
+func (f *fake) Authorise(token string, _ sardine.Team) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.token != "" && token != f.token {
+		return codes.New(codes.KeyRefused, "the token is missing, unknown or expired")
+	}
+	return nil
+}
+
+// Propose implements oper.Backend.
+func (f *fake) Propose(c state.Command) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leads {
+		return codes.New(codes.NotLeader, "this control node does not lead")
+	}
+	return f.apply(c).Err
+}
+
+// View implements oper.Backend.
+func (f *fake) View(show func(m *state.Machine)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	show(f.machine)
+}
+
+func fault(err error) *wire.Fault {
+	if err == nil {
+		return nil
+	}
+	detail := err.Error()
+	if coded, is := err.(*codes.Error); is {
+		detail = coded.Message()
+	}
+	return &wire.Fault{Code: int32(codes.Of(err)), Detail: detail}
+}
+
+// Settings implements wire.Control.
+func (f *fake) Settings(_ context.Context, r *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	if err := f.Authorise(r.Token, ""); err != nil {
+		return &wire.SettingsReply{Fault: fault(err)}, nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leads {
+		return &wire.SettingsReply{Fault: fault(codes.New(codes.NotLeader, "this control node does not lead"))}, nil
+	}
+	reply, err := f.settings(r)
+	if f.deaf > 0 && r.ChangeId != "" {
+		f.deaf--
+		panic(http.ErrAbortHandler)
+	}
+	reply.Fault = fault(err)
+	return reply, nil
+}
+
+func (f *fake) settings(r *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	if r.Operation == "teams" {
+		reply := &wire.SettingsReply{}
+		for _, t := range f.machine.Teams() {
+			reply.Teams = append(reply.Teams, string(t))
+		}
+		return reply, nil
+	}
+	path, err := team.ParsePath(r.Path)
+	if err != nil {
+		return &wire.SettingsReply{}, err
+	}
+	switch r.Operation {
+	case "get":
+		return f.get(path, r)
+	case "history":
+		reply := &wire.SettingsReply{}
+		for _, v := range f.machine.History(path.Team()) {
+			reply.History = append(reply.History, state.RevisionToWire(v))
+		}
+		return reply, nil
+	default:
+		return f.change(path, r)
+	}
+}
+
+func (f *fake) get(path team.Path, r *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	for _, v := range f.machine.History(path.Team()) {
+		current, _ := f.machine.Current(path.Team())
+		if uint64(v.Version) == r.Version || r.Version == 0 && v.Version == current.Version {
+			text, err := team.Get(v.Document, path.String())
+			return &wire.SettingsReply{Version: uint64(v.Version), Document: text, InForce: !f.held}, err
+		}
+	}
+	return &wire.SettingsReply{}, codes.New(codes.UnknownPath, "%s has no settings at version %d", path, r.Version)
+}
+
+func (f *fake) change(path team.Path, r *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	current, _ := f.machine.Current(path.Team())
+	document, err := team.Replace(current.Document, path.String(), r.Document)
+	if r.Operation == "delete" {
+		document, err = team.Delete(current.Document, path.String())
+	}
+	if err == nil {
+		_, err = team.Parse(path.Team(), document)
+	}
+	if err != nil {
+		return &wire.SettingsReply{}, err
+	}
+	result := f.apply(state.ChangeSettings{
+		Team: path.Team(), Base: sardine.Version(r.Base), ChangeID: r.ChangeId, Document: document, Author: r.Author, Path: r.Path,
+	})
+	reply := &wire.SettingsReply{Version: uint64(result.Version), Repeat: result.Repeat, InForce: !f.held}
+	if codes.Is(result.Err, codes.VersionRace) {
+		reply.Document, _ = team.Get(current.Document, path.String())
+		reply.History = []*wire.Revision{state.RevisionToWire(current)}
+	}
+	if result.Err == nil && f.held {
+		return reply, codes.New(codes.ChangeHeld, "the change is durable; not yet in force on [tema-entry-1]")
+	}
+	return reply, result.Err
+}
+
+// Members implements wire.Control.
+func (f *fake) Members(_ context.Context, r *wire.MembersRequest) (*wire.MembersReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var kept []*wire.QuorumMember
+	for _, m := range f.members {
+		if r.Operation != "remove" || m.Node != r.Node {
+			kept = append(kept, m)
+		}
+	}
+	var err error
+	if r.Operation == "remove" && len(kept) == len(f.members) {
+		err = codes.New(codes.UnknownMember, "no member %q", r.Node)
+	}
+	if r.Operation == "add" {
+		kept = append(kept, &wire.QuorumMember{Node: r.Node, Address: r.Address})
+	}
+	f.members = kept
+	return &wire.MembersReply{Fault: fault(err), Members: f.members, Leader: "osu-control"}, nil
+}
+
+// Submit implements wire.Control; sardctl does not call it.
+func (f *fake) Submit(context.Context, *wire.SubmitRequest) (*wire.SubmitReply, error) {
+	return &wire.SubmitReply{}, nil
+}
+
+// Follow implements wire.Control; sardctl does not call it.
+func (f *fake) Follow(context.Context, *wire.FollowRequest) (*wire.FollowReply, error) {
+	return &wire.FollowReply{}, nil
+}
+
+// script replays the lines of a run and returns both streams.
+func (f *fake) script(lines, folder string, in string) (out, errs string) {
+	var o, e bytes.Buffer
+	replay(f, lines, folder, in, &o, &e)
+	return o.String(), e.String()
+}
--- /dev/null
+++ b/sardctl/verbs/explain.go
@@ -0,0 +1,115 @@
+package verbs
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/status"
+)
+
+func explainVerb() Verb {
+	return Verb{
+		Use:     "explain group|target|code|event NAME",
+		Section: SectionSite,
+		Short:   "Explain a group, a target, a refusal or a log event",
+		Long: `Explains the state of one group or target, or what a result code or a log event
+means and what to do. Codes and events are found by number or name and need no
+node.`,
+		Examples: []string{
+			"sardctl explain group g-17",
+			"sardctl explain target vm-4",
+			"sardctl explain code no_lease",
+			"sardctl explain event 405",
+		},
+		Args: cobra.ExactArgs(2),
+		Complete: func(*Call) []string {
+			return []string{"group", "target", "code", "event"}
+		},
+		Run: runExplain,
+	}
+}
+
+func runExplain(c *Call) error {
+	name := c.args[1]
+	switch c.args[0] {
+	case "group":
+		return c.explainGroup(sardine.GroupID(name))
+	case "target":
+		return c.explainTarget(sardine.VMID(name))
+	case "code":
+		return c.explainCode(name)
+	case "event":
+		return c.explainEvent(name)
+	default:
+		return codes.New(codes.UsageError, "explain %q: expected group, target, code or event", c.args[0])
+	}
+}
+
+func (c *Call) explainGroup(id sardine.GroupID) error {
+	r, err := c.report()
+	if err != nil {
+		return err
+	}
+	g, known := r.Group(id)
+	if !known {
+		return codes.New(codes.UnknownMember, "no group %q, see sardctl groups", id)
+	}
+	c.printf("group %s of %s/%s has been %s for %s, epoch %d, domain %s\n", g.ID, g.Team, g.Service, g.Condition.State, since(r.At, g.Condition.Since), g.Epoch, g.Domain)
+	c.printAdvice(g.Condition)
+	for _, m := range g.Members {
+		t, _ := r.Target(m.VM)
+		c.printf("  rank %d: %s, %s for %s\n", m.Rank, m.VM, orDash(t.Condition.State), since(r.At, t.Condition.Since))
+	}
+	return nil
+}
+
+func (c *Call) explainTarget(vm sardine.VMID) error {
+	r, err := c.report()
+	if err != nil {
+		return err
+	}
+	t, known := r.Target(vm)
+	if !known {
+		return codes.New(codes.UnknownMember, "no target %q, see sardctl targets", vm)
+	}
+	c.printf("target %s (%s, %s, %s) has been %s for %s\n", t.VM, t.Kind, t.DataCentre, orDash(string(t.Domain)), t.Condition.State, since(r.At, t.Condition.Since))
+	c.printAdvice(t.Condition)
+	if t.Group != "" {
+		c.printf("it belongs to group %s\n", t.Group)
+	}
+	return nil
+}
+
+func (c *Call) printAdvice(k status.Condition) {
+	if k.System != "" {
+		c.printf("the system: %s\n", k.System)
+	}
+	if k.Person != "" {
+		c.printf("you: %s\n", k.Person)
+	}
+}
+
+func (c *Call) explainCode(name string) error {
+	for _, r := range codes.Table() {
+		if r.Name == name || strconv.Itoa(int(r.Code)) == name {
+			c.printf("%s (%d), HTTP status %d: %s\nwhat to do: %s\n", r.Name, int(r.Code), r.Status, r.Meaning, r.Remedy)
+			return nil
+		}
+	}
+	return codes.New(codes.UnknownMember, "no result code %q, see docs/CODES.md", name)
+}
+
+func (c *Call) explainEvent(name string) error {
+	for _, r := range event.Table() {
+		if r.Name == name || strconv.Itoa(int(r.ID)) == name {
+			c.printf("%s (%d), level %s: %s\nwhat to do: %s\n", r.Name, int(r.ID), strings.ToLower(r.Level.String()), r.Meaning, r.Remedy)
+			return nil
+		}
+	}
+	return codes.New(codes.UnknownMember, "no log event %q, see docs/EVENTS.md", name)
+}
--- /dev/null
+++ b/sardctl/verbs/node.go
@@ -0,0 +1,152 @@
+package verbs
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/status"
+)
+
+const maxAnswer = 64 << 20 // bytes of a node's answer
+
+// client returns an HTTP client and the scheme to use.
+func (s *Session) client() (*http.Client, string, error) {
+	transport := &http.Transport{}
+	if s.authority == "" {
+		return &http.Client{Transport: transport}, "http", nil
+	}
+	text, err := os.ReadFile(s.authority)
+	if err != nil {
+		return nil, "", usage(err, "--authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, "", codes.New(codes.UsageError, "--authority %s holds no certificate", s.authority)
+	}
+	transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}
+	return &http.Client{Transport: transport}, "https", nil
+}
+
+// ask sends one plain request to a node and returns the body of a 2xx answer.
+// Errors of package oper keep their code.
+func (c *Call) ask(method, node, path string, content []byte) ([]byte, error) {
+	client, scheme, err := c.session.client()
+	if err != nil {
+		return nil, err
+	}
+	defer client.CloseIdleConnections()
+	ctx, cancel := c.limited()
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+node+path, bytes.NewReader(content))
+	if err != nil {
+		return nil, usage(err, "address "+node)
+	}
+	token, err := c.session.readToken()
+	if err != nil {
+		return nil, err
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, unanswered(node, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return nil, codes.Wrap(codes.AnswerInvalid, err, "answer of "+node)
+	}
+	return body, answered(node, path, answer, body)
+}
+
+// unanswered tells a node that was not reached from one whose answer was lost.
+func unanswered(node string, err error) error {
+	if neverSent(err) {
+		return codes.New(codes.NoQuorum, "node %s can't be reached: %v", node, err)
+	}
+	return codes.New(codes.OutcomeUnknown, "node %s gave no answer: %v", node, err)
+}
+
+func answered(node, path string, answer *http.Response, body []byte) error {
+	if answer.StatusCode/100 == 2 {
+		return nil
+	}
+	fault := oper.DecodeFault(body)
+	if !codes.Is(fault, codes.AnswerInvalid) {
+		return fault
+	}
+	if answer.StatusCode == http.StatusNotFound {
+		return codes.New(codes.UsageError, "node %s serves no %s; is it an operators' or internal address?", node, path)
+	}
+	return codes.New(codes.AnswerInvalid, "node %s answered %s to %s: %.200s", node, answer.Status, path, body)
+}
+
+// operate sends a request of package oper to the leading control node.
+func (c *Call) operate(method, path string, content []byte) ([]byte, error) {
+	nodes, err := c.controls()
+	if err != nil {
+		return nil, err
+	}
+	var last error
+	for _, node := range nodes {
+		body, err := c.ask(method, node, path, content)
+		if err == nil {
+			return body, nil
+		}
+		last = err
+		if !codes.Is(err, codes.NotLeader) && !codes.Is(err, codes.NoQuorum) {
+			return nil, err
+		}
+	}
+	return nil, last
+}
+
+// report asks the control nodes for the status of the site; the first that knows
+// a leader is believed, else the last that answers.
+func (c *Call) report() (status.Report, error) {
+	nodes, err := c.controls()
+	if err != nil {
+		return status.Report{}, err
+	}
+	var best status.Report
+	var last error
+	found := false
+	for _, node := range nodes {
+		body, err := c.ask(http.MethodGet, node, status.Path, nil)
+		if err != nil {
+			last = err
+			continue
+		}
+		r, err := status.Decode(body)
+		if err != nil {
+			return status.Report{}, err
+		}
+		if r.Leader != "" {
+			return r, nil
+		}
+		best, found = r, true
+	}
+	if !found {
+		return status.Report{}, last
+	}
+	return best, nil
+}
+
+// neverSent reports whether a call failed before its request was sent.
+func neverSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	var dns *net.DNSError
+	return errors.As(err, &dns)
+}
--- /dev/null
+++ b/sardctl/verbs/poison.go
@@ -0,0 +1,64 @@
+package verbs
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/status"
+)
+
+func poisonVerb() Verb {
+	return Verb{
+		Use:     "poison",
+		Section: SectionRepair,
+		Short:   "List or release requests that crash their targets",
+		Long: `A request that has cost two groups is refused at every entry node. list shows
+such requests by their fingerprint, release lets one run again.`,
+		Examples: []string{"sardctl poison list", "sardctl poison release 9f86d081 --yes"},
+		Subs: []Verb{
+			{
+				Use: "list", Short: "List suspected and refused requests",
+				Examples: []string{"sardctl poison list"}, Args: cobra.NoArgs, Run: runPoisonList,
+			},
+			{
+				Use: "release FINGERPRINT", Short: "Let a refused request run again",
+				Examples: []string{"sardctl poison release 9f86d081 --yes"}, Args: cobra.ExactArgs(1), Run: runPoisonRelease,
+			},
+		},
+	}
+}
+
+func runPoisonList(c *Call) error {
+	r, err := c.report()
+	if err != nil {
+		return err
+	}
+	if c.session.json {
+		return c.printPart(status.Report{Poisons: r.Poisons}, "poisons")
+	}
+	var rows [][]string
+	for _, p := range r.Poisons {
+		var groups []string
+		for _, g := range p.Groups {
+			groups = append(groups, string(g))
+		}
+		rows = append(rows, []string{p.Fingerprint, p.Condition.State, since(r.At, p.Condition.Since), strings.Join(groups, " ")})
+	}
+	c.printTable("poison requests", []string{"fingerprint", "state", "for", "groups it cost"}, rows)
+	return nil
+}
+
+func runPoisonRelease(c *Call) error {
+	if err := c.confirm("The request may crash two more groups."); err != nil {
+		return err
+	}
+	if _, err := c.operate(http.MethodPost, oper.PoisonPath+"?fingerprint="+url.QueryEscape(c.args[0]), nil); err != nil {
+		return err
+	}
+	c.printf("%s may run again\n", c.args[0])
+	return nil
+}
--- /dev/null
+++ b/sardctl/verbs/targets.go
@@ -0,0 +1,60 @@
+package verbs
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/status"
+)
+
+func targetsVerb() Verb {
+	return Verb{
+		Use:      "targets",
+		Section:  SectionSite,
+		Short:    "List the target VMs",
+		Long:     `Lists every engine and plain service VM that has announced itself: its state, its place, its group and its load.`,
+		Examples: []string{"sardctl targets", "sardctl targets --json"},
+		Args:     cobra.NoArgs,
+		Run:      runTargets,
+	}
+}
+
+func runTargets(c *Call) error {
+	r, err := c.report()
+	if err != nil {
+		return err
+	}
+	if c.session.json {
+		return c.printPart(status.Report{Targets: r.Targets}, "targets")
+	}
+	var rows [][]string
+	for _, t := range r.Targets {
+		belongs := string(t.Group)
+		if belongs == "" {
+			belongs = string(t.Service)
+		}
+		rows = append(rows, []string{
+			string(t.VM), t.Kind.String(), t.Condition.State, since(r.At, t.Condition.Since), string(t.DataCentre),
+			string(t.Domain), belongs, strconv.Itoa(t.Load.Running), strconv.Itoa(t.Load.Queued),
+		})
+	}
+	header := []string{"vm", "kind", "state", "for", "data centre", "domain", "serves", "running", "queued"}
+	c.printTable("targets", header, rows)
+	return nil
+}
+
+// printPart prints one list of a report as JSON.
+func (c *Call) printPart(r status.Report, key string) error {
+	text, err := status.Encode(r)
+	if err != nil {
+		return err
+	}
+	var parts map[string]json.RawMessage
+	if err := json.Unmarshal(text, &parts); err != nil {
+		return codes.Wrap(codes.Internal, err, "status")
+	}
+	return c.printJSON(parts[key])
+}
