Prove settings and spread by seeded runs of the cores

On every acceptance and admission it asserts that no node with a valid lease serves an older version; porcupine checks the histories of changes and reads.

Nine planted defects are each caught by a test.

--- a/follow/absorb.go
+++ b/follow/absorb.go
@@ -46,6 +46,9 @@
 			return outcome, err
 		}
 		if m.Index() > have {
+			if err := checkRises(f.machine, m); err != nil {
+				return outcome, err
+			}
 			f.machine = m
 			f.relay.cache.reset(m.Index())
 			outcome.Restored = true
@@ -66,3 +69,15 @@
 	f.relay.cache.reach(r.Through)
 	return outcome, nil
 }
+
+// checkRises is the invariant that no team's version falls.
+func checkRises(from, to *state.Machine) error {
+	for _, name := range from.Teams() {
+		before, _ := from.Current(name)
+		after, _ := to.Current(name)
+		if after.Version < before.Version {
+			return codes.New(codes.InvariantBroken, "a snapshot at index %d takes team %s from version %d to %d", to.Index(), name, before.Version, after.Version)
+		}
+	}
+	return nil
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -258,7 +258,7 @@
 // Took takes in the answer to a request. An answer to a request that is no
 // longer under way changes nothing. After an outcome with news or a restored
 // state the shell publishes it and calls Published. The error is that of a
-// snapshot which can't be read.
+// snapshot which can't be read, or codes.InvariantBroken.
 func (f *Follower) Took(now sardine.Millis, sequence uint64, r Reply) (Outcome, error) {
 	s := f.take(sequence)
 	if s == nil || f.left {
--- a/follow/server.go
+++ b/follow/server.go
@@ -144,6 +144,7 @@
 	}
 	s.polls[id] = p
 	if s.defect == DefectNoRound {
+		p.asked = true
 		s.Confirmed(now, []uint64{id})
 	}
 }
--- /dev/null
+++ b/standin/spread/operator.go
@@ -0,0 +1,141 @@
+package spread
+
+import (
+	"fmt"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/state"
+)
+
+const resendPause = 700 * sardine.Millis(1)
+
+// Operation is one change or read of an operator, for the check of histories.
+type Operation struct {
+	Client   int
+	Team     sardine.Team
+	Read     bool
+	Base     sardine.Version
+	Call     sardine.Millis // on the driver's clock
+	Return   sardine.Millis // 0 while unanswered
+	Accepted bool
+	Version  sardine.Version // accepted, read, or the one that won the race
+	ID       string          // change id of this operation
+	Seen     string          // change id of Version, of a read or a lost race
+	Resends  int
+}
+
+// operator sends one operation after the other and resends it, under the same
+// change id, until it is answered.
+type operator struct {
+	id       sardine.NodeID
+	client   int
+	w        *World
+	now      sardine.Millis
+	lives    int
+	known    map[sardine.Team]sardine.Version
+	leader   sardine.NodeID
+	current  *Operation
+	command  state.ChangeSettings
+	call     uint64
+	next     sardine.Millis // of the next send
+	sequence int
+}
+
+// Start begins a life.
+func (o *operator) Start(now sardine.Millis) {
+	o.now, o.next = now, now+sardine.Millis(o.w.random().IntN(500))
+	o.lives++
+	o.current = nil
+	if o.known == nil {
+		o.known = make(map[sardine.Team]sardine.Version)
+	}
+}
+
+// Crash ends a life: its operation stays unanswered.
+func (o *operator) Crash() {
+	o.current = nil
+}
+
+// Wake returns when Tick is due.
+func (o *operator) Wake() sardine.Millis {
+	return o.next
+}
+
+// Tick sends or resends.
+func (o *operator) Tick(now sardine.Millis) {
+	o.now = now
+	if now < o.next {
+		return
+	}
+	if o.current == nil {
+		o.begin()
+	} else {
+		o.current.Resends++
+		o.leader = ""
+	}
+	o.send()
+}
+
+func (o *operator) begin() {
+	r := o.w.random()
+	name := o.w.teams[r.IntN(len(o.w.teams))]
+	o.sequence++
+	o.current = &Operation{Client: o.client, Team: name, Read: r.IntN(4) == 0, Base: o.known[name], Call: o.w.driver.Now()}
+	o.w.History = append(o.w.History, o.current)
+	policy := "refuse_requests"
+	if o.w.options.Hold && r.IntN(3) == 0 {
+		policy = "hold_changes"
+	}
+	o.current.ID = fmt.Sprintf("%s-%d-%d", o.id, o.lives, o.sequence)
+	o.command = state.ChangeSettings{
+		Team:     name,
+		Base:     o.current.Base,
+		ChangeID: o.current.ID,
+		Document: fmt.Sprintf("cut_policy = %q\n", policy),
+		Author:   string(o.id),
+	}
+}
+
+func (o *operator) send() {
+	o.next = o.now + resendPause
+	to := o.leader
+	if to == "" {
+		to = o.w.controlIDs[o.w.random().IntN(len(o.w.controlIDs))]
+	}
+	o.call++
+	m := Message{Kind: kindChange, Call: o.call, Command: o.command}
+	if o.current.Read {
+		m.Kind = kindRead
+	}
+	o.w.send(o.id, to, m)
+}
+
+// Receive takes the answer to any sending of the current operation.
+func (o *operator) Receive(now sardine.Millis, from sardine.NodeID, m Message) {
+	o.now = now
+	if m.Kind != kindResult || o.current == nil || m.Call > o.call || m.Call <= o.call-uint64(o.current.Resends)-1 {
+		return
+	}
+	switch m.Result.Code {
+	case codes.OK:
+		o.leader = from
+		o.finish(m.Result, !o.current.Read)
+	case codes.VersionRace:
+		o.finish(m.Result, false)
+	case codes.NotLeader:
+		o.leader = m.Result.Leader
+		o.next = now + 20
+	default:
+		o.w.breach("operator %s got %d", o.id, m.Result.Code)
+	}
+}
+
+func (o *operator) finish(r result, accepted bool) {
+	o.current.Return = o.w.driver.Now()
+	o.current.Accepted = accepted
+	o.current.Version, o.current.Seen = r.Version, r.Change
+	o.known[o.current.Team] = r.Version
+	o.current = nil
+	o.next = o.now + sardine.Millis(o.w.random().IntN(400))
+}
--- /dev/null
+++ b/standin/spread/world.go
@@ -0,0 +1,316 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/drive"
+	"sardineswitch.dev/sardine/follow"
+	"sardineswitch.dev/sardine/lease"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/team"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Options sets up a world.
+type Options struct {
+	Seed      uint64
+	Controls  int
+	Centres   []int // entry nodes of each data centre
+	Operators int
+	Teams     int
+	Faults    drive.Faults
+	Hold      bool           // some changes choose hold_changes
+	Holding   sardine.Millis // length of the holding lease, 0 for the default
+	Follow    follow.Defect
+	Lease     lease.Defect
+	// LoseChangeIDs leaves the change ids out of snapshots.
+	LoseChangeIDs bool
+	// Steady switches off the random publish delays, for measurements.
+	Steady bool
+}
+
+// World is a site under simulation.
+type World struct {
+	options    Options
+	driver     *drive.Driver[Message]
+	board      board
+	controls   []*control
+	controlIDs []sardine.NodeID
+	nodes      []*node
+	operators  []*operator
+	teams      []sardine.Team
+	policies   map[string]sardine.CutPolicy
+	maxima     map[sardine.Team]sardine.Version
+	traffic    map[sardine.NodeID]*Traffic
+	links      func(from, to sardine.NodeID) sardine.Millis
+	leads      int
+
+	// History is every operation of the operators.
+	History []*Operation
+	// Breaches are the invariants found broken.
+	Breaches []string
+	// Admitted and Refused count the requests that entry nodes were asked to
+	// admit.
+	Admitted, Refused int
+	onPublish         func(*node)
+}
+
+// Traffic counts what one node sent and received.
+type Traffic struct {
+	Messages int
+	Bytes    int // of the encoded bodies, both directions
+}
+
+// New returns a running world.
+func New(o Options) *World {
+	w := &World{
+		options:  o,
+		driver:   drive.New[Message](o.Seed, o.Faults),
+		policies: make(map[string]sardine.CutPolicy),
+		maxima:   make(map[sardine.Team]sardine.Version),
+		traffic:  make(map[sardine.NodeID]*Traffic),
+	}
+	for i := range o.Teams {
+		w.teams = append(w.teams, sardine.Team(fmt.Sprintf("team%d", i+1)))
+	}
+	for i := range o.Controls {
+		w.controlIDs = append(w.controlIDs, sardine.NodeID(fmt.Sprintf("c%d", i+1)))
+	}
+	for _, id := range w.controlIDs {
+		c := newControl(w, id)
+		w.controls = append(w.controls, c)
+		w.driver.Add(id, c)
+	}
+	w.addNodes()
+	for i := range o.Operators {
+		op := &operator{id: sardine.NodeID(fmt.Sprintf("o%d", i+1)), client: i, w: w}
+		w.operators = append(w.operators, op)
+		w.driver.Add(op.id, op)
+	}
+	return w
+}
+
+func (w *World) addNodes() {
+	for centre, count := range w.options.Centres {
+		name := sardine.DataCentre(fmt.Sprintf("dc%d", centre+1))
+		for i := range count {
+			n := newNode(w, sardine.NodeID(fmt.Sprintf("e%d-%d", centre+1, i+1)), name)
+			w.nodes = append(w.nodes, n)
+			w.driver.Add(n.id, n)
+		}
+	}
+}
+
+// AddTwin starts a second process under a node's name, at another address and
+// with a later incarnation.
+func (w *World) AddTwin(of sardine.NodeID) {
+	for _, n := range w.nodes {
+		if n.id == of {
+			twin := newNode(w, of+"-twin", n.centre)
+			twin.name, twin.incarnation = n.name, 1000
+			w.nodes = append(w.nodes, twin)
+			w.driver.Add(twin.id, twin)
+			return
+		}
+	}
+}
+
+// Run does a number of steps, but stops at the first breach.
+func (w *World) Run(steps int) {
+	for range steps {
+		if len(w.Breaches) > 0 || !w.driver.Step() {
+			return
+		}
+	}
+}
+
+// RunFor lets virtual time pass.
+func (w *World) RunFor(d sardine.Millis) {
+	end := w.driver.Now() + d
+	for w.driver.Now() < end && len(w.Breaches) == 0 && w.driver.Step() {
+	}
+}
+
+func (w *World) random() *rand.Rand {
+	return w.driver.Random()
+}
+
+func (w *World) breach(format string, args ...any) {
+	w.Breaches = append(w.Breaches, fmt.Sprintf("at %d ms: ", w.driver.Now())+fmt.Sprintf(format, args...))
+}
+
+func (w *World) leaseOptions() []lease.Option {
+	options := []lease.Option{lease.WithDefect(w.options.Lease)}
+	if w.options.Holding > 0 {
+		options = append(options, lease.WithHolding(w.options.Holding))
+	}
+	return options
+}
+
+func (w *World) controlNames() []string {
+	names := make([]string, len(w.controlIDs))
+	for i, id := range w.controlIDs {
+		names[i] = string(id)
+	}
+	return names
+}
+
+// accepted notes that an operator is told that a version is in force, and checks
+// that no entry node would serve by an older one, also a paused or cut off one.
+func (w *World) accepted(name sardine.Team, version sardine.Version) {
+	w.maxima[name] = max(w.maxima[name], version)
+	for _, n := range w.nodes {
+		w.checkServed(n)
+	}
+}
+
+// admit asks a node to admit a request of each team.
+func (w *World) admit(n *node) {
+	if n.view.lease.Serving(n.now) {
+		w.Admitted++
+	} else {
+		w.Refused++
+	}
+	w.checkServed(n)
+}
+
+func (w *World) checkServed(n *node) {
+	if name, stale := n.stale(w.driver.Local(n.id), w.maxima); stale {
+		w.breach("entry node %s serves team %s by version %d, %d is accepted", n.id, name, n.view.teams[name].version, w.maxima[name])
+	}
+}
+
+func (w *World) inForceAt(n *node) {
+	if w.onPublish != nil {
+		w.onPublish(n)
+	}
+}
+
+func (w *World) led() {
+	w.leads++
+}
+
+func (w *World) publishDelay() sardine.Millis {
+	if w.options.Steady {
+		return 0
+	}
+	if w.random().IntN(8) == 0 {
+		return sardine.Millis(w.random().IntN(500))
+	}
+	return sardine.Millis(w.random().IntN(20))
+}
+
+func (w *World) admitPause() sardine.Millis {
+	if w.options.Steady {
+		return sardine.Second
+	}
+	return sardine.Millis(10 + w.random().IntN(60))
+}
+
+// policy returns the cut policy of a document.
+func (w *World) policy(document string) sardine.CutPolicy {
+	if p, known := w.policies[document]; known {
+		return p
+	}
+	s, err := team.Parse("any", document)
+	if err != nil {
+		w.breach("a document in the log is not valid: %v", err)
+	}
+	w.policies[document] = s.Cut
+	return s.Cut
+}
+
+// restore returns the machine of a control node that starts again.
+func (w *World) restore(m *state.Machine) *state.Machine {
+	b, err := m.Snapshot()
+	if err == nil && w.options.LoseChangeIDs {
+		b, err = withoutChangeIDs(b)
+	}
+	if err == nil {
+		m, err = state.RestoreMachine(b)
+	}
+	if err != nil {
+		w.breach("a snapshot can't be restored: %v", err)
+	}
+	return m
+}
+
+func withoutChangeIDs(b []byte) ([]byte, error) {
+	var s wire.Snapshot
+	if err := proto.Unmarshal(b, &s); err != nil {
+		return nil, err
+	}
+	for _, t := range s.GetTeams() {
+		t.Changes = nil
+	}
+	return proto.Marshal(&s)
+}
+
+func (w *World) send(from, to sardine.NodeID, m Message) {
+	w.driver.Send(from, to, m)
+}
+
+func (w *World) sendRequest(from, to sardine.NodeID, number uint64, r follow.Request) {
+	b, err := proto.Marshal(follow.RequestToWire(r))
+	w.deliver(from, to, Message{Kind: kindFollow, Call: number, Body: b}, err)
+}
+
+func (w *World) sendReply(from, to sardine.NodeID, number uint64, r follow.Reply) {
+	b, err := proto.Marshal(follow.ReplyToWire(r))
+	w.deliver(from, to, Message{Kind: kindFollowed, Call: number, Body: b}, err)
+}
+
+func (w *World) deliver(from, to sardine.NodeID, m Message, err error) {
+	if err != nil {
+		w.breach("encode: %v", err)
+		return
+	}
+	w.count(from, len(m.Body))
+	w.count(to, len(m.Body))
+	w.send(from, to, m)
+}
+
+func (w *World) count(id sardine.NodeID, bytes int) {
+	t := w.traffic[id]
+	if t == nil {
+		t = &Traffic{}
+		w.traffic[id] = t
+	}
+	t.Messages++
+	t.Bytes += bytes
+}
+
+func (w *World) decodeRequest(b []byte) follow.Request {
+	var m wire.FollowRequest
+	if err := proto.Unmarshal(b, &m); err != nil {
+		w.breach("decode: %v", err)
+	}
+	return follow.RequestFromWire(&m)
+}
+
+func (w *World) decodeReply(b []byte) follow.Reply {
+	var m wire.FollowReply
+	err := proto.Unmarshal(b, &m)
+	if err != nil {
+		w.breach("decode: %v", err)
+	}
+	r, err := follow.ReplyFromWire(&m)
+	if err != nil {
+		w.breach("decode: %v", err)
+	}
+	return r
+}
+
+// Leader returns the control node that leads the newest term, or an empty name.
+func (w *World) Leader() sardine.NodeID {
+	for _, c := range w.controls {
+		if c.ready && c.term == w.board.term {
+			return c.id
+		}
+	}
+	return ""
+}
