--- a/route/candidate.go
+++ b/route/candidate.go
@@ -56,6 +56,7 @@
 	Model        sardine.ModelName // "" takes any
 	Version      string            // "" takes any
 	PrefixHashes []uint64          // hash of the prompt's first 1, 2, 3... blocks of BlockTokens
+	Conversation uint64            // hash of the messages up to the caller's first, 0 is none
 	PromptTokens int               // estimate, 0 for plain services
 	Deadline     sardine.Millis    // of the first token, 0 is none
 	Exclude      []Ref             // targets already tried
@@ -69,7 +70,7 @@
 
 	target   *target
 	request  Request
-	rank     int     // place in the prefix's rendezvous order, -1 outside of it
+	placed   bool    // one of the prefix's rendezvous places
 	uncached float64 // expected tokens to prefill
 	hinted   int     // blocks hinted to be cached
 	at       sardine.Millis
--- a/route/feedback.go
+++ b/route/feedback.go
@@ -24,7 +24,7 @@
 	c.at = now
 	c.target.inFlight++
 	c.target.prefill += c.uncached
-	c.target.hints.add(c.request.PrefixHashes)
+	r.hints.add(c.target, c.request.PrefixHashes)
 }
 
 // FirstToken records the first token, or a plain service's answer. cached is the
@@ -72,9 +72,11 @@
 		return
 	}
 	blocks := min(cached/BlockTokens, len(q.PrefixHashes))
-	if c.rank >= 0 && c.rank < len(s.hitShare) {
-		share := float64(blocks) / float64(len(q.PrefixHashes))
-		s.hitShare[c.rank] += hitGain * (share - s.hitShare[c.rank])
+	share := float64(blocks) / float64(len(q.PrefixHashes))
+	if c.placed {
+		s.placeShare += hitGain * (share - s.placeShare)
+	} else if c.hinted == 0 {
+		s.otherShare += hitGain * (share - s.otherShare)
 	}
 	if c.hinted == 0 {
 		return
@@ -130,9 +132,9 @@
 			continue
 		}
 		if e.Cleared {
-			t.hints.clear()
+			r.hints.forget(t)
 		}
-		t.hints.drop(e.Evicted)
-		t.hints.add(e.Stored)
+		r.hints.drop(t, e.Evicted)
+		r.hints.add(t, e.Stored)
 	}
 }
--- a/route/hints.go
+++ b/route/hints.go
@@ -1,66 +1,154 @@
 package route
 
-// hintSet holds the prefix hashes that one target probably caches, at most
-// limit of them; the oldest is forgotten first, as the engine's own cache does.
+// holdersKept is how many targets are remembered for one prefix.
+const holdersKept = 3
+
+// hintTable holds the targets that probably cache a prefix, for at most limit
+// prefixes of all services; the least recently used is forgotten first.
 //
 // The use of hints follows P. Sarkar and J. Hartman, "Efficient Cooperative
 // Caching using Hints" (OSDI 1996): a place learned from own dispatches and
 // late cache events is used unchecked and corrected only when contact shows it
 // wrong.
-type hintSet struct {
-	limit int
-	clock uint64
-	used  map[uint64]uint64
-	order []hintUse // oldest first, with outdated entries
+type hintTable struct {
+	limit   int
+	entries map[uint64]*hint
+	newest  *hint
+	oldest  *hint
 }
 
-type hintUse struct {
-	hash uint64
-	tick uint64
+// hint is one prefix in the table's list, ordered by use.
+type hint struct {
+	hash    uint64
+	holders [holdersKept]*target // newest first
+	newer   *hint
+	older   *hint
 }
 
-func newHintSet(limit int) *hintSet {
-	return &hintSet{limit: limit, used: make(map[uint64]uint64)}
+func newHintTable(limit int) *hintTable {
+	return &hintTable{limit: max(limit, 1), entries: make(map[uint64]*hint)}
 }
 
-// add marks the hashes as most recently used.
-func (h *hintSet) add(hashes []uint64) {
+// add notes that the target holds the prefixes.
+func (h *hintTable) add(t *target, hashes []uint64) {
 	for _, hash := range hashes {
-		h.clock++
-		h.used[hash] = h.clock
-		h.order = append(h.order, hintUse{hash: hash, tick: h.clock})
+		e := h.entries[hash]
+		if e == nil {
+			e = &hint{hash: hash}
+			h.entries[hash] = e
+		} else {
+			h.unlink(e)
+		}
+		h.link(e)
+		e.put(t)
+	}
+	for len(h.entries) > h.limit {
+		delete(h.entries, h.oldest.hash)
+		h.unlink(h.oldest)
 	}
-	h.shrink()
 }
 
-// drop forgets the hashes.
-func (h *hintSet) drop(hashes []uint64) {
+// drop notes that the target does not hold the prefixes.
+func (h *hintTable) drop(t *target, hashes []uint64) {
 	for _, hash := range hashes {
-		delete(h.used, hash)
+		e := h.entries[hash]
+		if e == nil {
+			continue
+		}
+		e.remove(t)
+		if e.holders[0] == nil {
+			delete(h.entries, hash)
+			h.unlink(e)
+		}
 	}
 }
 
-func (h *hintSet) clear() {
-	h.used = make(map[uint64]uint64)
-	h.order = nil
+// forget drops all hints about a target.
+func (h *hintTable) forget(t *target) {
+	for hash, e := range h.entries {
+		e.remove(t)
+		if e.holders[0] == nil {
+			delete(h.entries, hash)
+			h.unlink(e)
+		}
+	}
 }
 
-// match returns how many leading blocks are hinted.
-func (h *hintSet) match(hashes []uint64) int {
+// match returns how many leading blocks the target probably holds.
+func (h *hintTable) match(t *target, hashes []uint64) int {
 	for i := len(hashes) - 1; i >= 0; i-- {
-		if _, held := h.used[hashes[i]]; held {
+		if e := h.entries[hashes[i]]; e != nil && e.holds(t) {
 			return i + 1
 		}
 	}
 	return 0
 }
 
-func (h *hintSet) shrink() {
-	for len(h.used) > h.limit || len(h.order) > 4*h.limit {
-		oldest := h.order[0]
-		h.order = h.order[1:]
-		if h.used[oldest.hash] == oldest.tick {
-			delete(h.used, oldest.hash)
+// holders returns the probable holders of the longest known prefix.
+func (h *hintTable) holders(hashes []uint64) []*target {
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if e := h.entries[hashes[i]]; e != nil {
+			return e.holders[:]
 		}
 	}
+	return nil
+}
+
+func (e *hint) holds(t *target) bool {
+	for _, held := range e.holders {
+		if held == t {
+			return true
+		}
+	}
+	return false
+}
+
+// put makes t the newest holder.
+func (e *hint) put(t *target) {
+	last := t
+	for i, held := range e.holders {
+		e.holders[i] = last
+		if held == t || held == nil {
+			return
+		}
+		last = held
+	}
+}
+
+func (e *hint) remove(t *target) {
+	kept := 0
+	for _, held := range e.holders {
+		if held != nil && held != t {
+			e.holders[kept] = held
+			kept++
+		}
+	}
+	for ; kept < holdersKept; kept++ {
+		e.holders[kept] = nil
+	}
+}
+
+func (h *hintTable) link(e *hint) {
+	e.older = h.newest
+	e.newer = nil
+	if h.newest != nil {
+		h.newest.newer = e
+	}
+	h.newest = e
+	if h.oldest == nil {
+		h.oldest = e
+	}
+}
+
+func (h *hintTable) unlink(e *hint) {
+	if e.newer != nil {
+		e.newer.older = e.older
+	} else {
+		h.newest = e.older
+	}
+	if e.older != nil {
+		e.older.newer = e.newer
+	} else {
+		h.oldest = e.newer
+	}
 }
--- a/route/mixed.go
+++ b/route/mixed.go
@@ -1,7 +1,11 @@
 package route
 
 import (
+	"cmp"
 	"math"
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
 )
 
 // place is one target of a prefix's rendezvous order.
@@ -10,84 +14,101 @@
 	score  uint64
 }
 
-// mixed weighs the expected time to first token of a few candidates: the first
-// places of the prefix's rendezvous order, the hinted holders of the prefix and
-// some random ones. Weighing all candidates would send every entry node that
-// holds the same late load report to the same target at once.
-func (r *Router) mixed(s *service, q Request) Choice {
-	best := Choice{Expected: math.MaxInt64}
-	bestTime := math.Inf(1)
-	weigh := func(t *target, rank int) {
-		c := r.choice(s, q, t, rank)
-		if expected := t.expected(s, c.uncached); expected < bestTime {
-			best, bestTime = c, expected
-		}
+// weighing is the best of the candidates weighed so far.
+type weighing struct {
+	choice Choice
+	time   float64
+}
+
+// mixed weighs the expected time to first token of a few candidates: places of
+// the prefix's rendezvous order, the hinted holders of the prefix and some
+// random ones. Weighing all candidates would send every entry node that holds
+// the same late load report to the same target at once.
+func (r *Router) mixed(now sardine.Millis, s *service, q Request) Choice {
+	best := weighing{time: math.Inf(1)}
+	for _, p := range r.places(s, q) {
+		r.weigh(now, s, q, &best, p.target, true)
 	}
-	for rank, t := range r.places(q) {
-		if t != nil {
-			weigh(t, rank)
+	if r.options.hintLimit > 0 {
+		for _, t := range r.hints.holders(q.PrefixHashes) {
+			if t != nil && r.mayUse(now, t, q) {
+				r.weigh(now, s, q, &best, t, false)
+			}
 		}
 	}
-	if holder := r.holder(q); holder != nil {
-		weigh(holder, -1)
-	}
 	for range r.options.samples {
-		weigh(r.sample(), -1)
+		r.weigh(now, s, q, &best, r.sample(), false)
+	}
+	if best.choice.target == nil {
+		return r.choice(now, s, q, r.sample(), false)
 	}
-	if best.target == nil {
-		return r.choice(s, q, r.sample(), -1)
+	return best.choice
+}
+
+func (r *Router) weigh(now sardine.Millis, s *service, q Request, best *weighing, t *target, placed bool) {
+	c := r.choice(now, s, q, t, placed)
+	if time := t.expected(now, s, c.uncached); time < best.time {
+		*best = weighing{choice: c, time: time}
 	}
-	return best
 }
 
-// places returns the first targets of the prefix's rendezvous order.
-func (r *Router) places(q Request) []*target {
+// mayUse reports whether a target found through a hint is among the usable.
+func (r *Router) mayUse(now sardine.Millis, t *target, q Request) bool {
+	return t.candidate.Service == q.Service && t.takes(now, q) && !t.outlier.ejected(now) && r.hasRoom(t)
+}
+
+// places returns the targets that the prefix's rendezvous order gives to the
+// request. The order's first targets, more of them the more requests share the
+// prefix, hold the prefix; the conversation picks among those, so that its later
+// requests meet its earlier ones on every entry node.
+func (r *Router) places(s *service, q Request) []place {
 	anchor, ok := r.anchor(q)
-	if !ok || r.options.ranks == 0 {
+	if !ok || r.options.places == 0 {
 		return nil
 	}
-	top := make([]place, 0, r.options.ranks+1)
+	s.popular.count(anchor)
+	all := r.scratch[:0]
 	for _, t := range r.usable {
-		top = insertPlace(top, place{target: t, score: mix(t.hash ^ anchor)}, r.options.ranks)
+		all = append(all, place{target: t, score: mix(t.hash ^ anchor)})
 	}
-	found := make([]*target, len(top))
-	for i, p := range top {
-		found[i] = p.target
+	r.scratch = all
+	set := highest(all, s.popular.places(anchor, len(all), r.options.spread, r.options.least))
+	pick := q.Conversation
+	if pick == 0 {
+		pick = r.random.Uint64()
 	}
-	return found
-}
-
-func insertPlace(top []place, p place, limit int) []place {
-	if len(top) == limit && p.score <= top[limit-1].score {
-		return top
-	}
-	top = append(top, p)
-	for i := len(top) - 1; i > 0 && top[i].score > top[i-1].score; i-- {
-		top[i], top[i-1] = top[i-1], top[i]
+	for i := range set {
+		set[i].score = mix(set[i].target.hash ^ mix(pick))
 	}
-	return top[:min(len(top), limit)]
+	return highest(set, r.options.places)
 }
 
-// holder returns the target with the longest hinted prefix, nil if there is
-// none; the one with the fewest requests among equals.
-func (r *Router) holder(q Request) *target {
-	var best *target
-	bestBlocks := 0
-	for _, t := range r.usable {
-		blocks := t.hints.match(q.PrefixHashes)
-		if blocks > bestBlocks || (blocks > 0 && blocks == bestBlocks && t.requests() < best.requests()) {
-			best, bestBlocks = t, blocks
+// highest moves the n places with the highest scores to the front and returns
+// them, highest first.
+func highest(all []place, n int) []place {
+	n = min(n, len(all))
+	if n <= 8 {
+		for i := range n {
+			best := i
+			for j := i + 1; j < len(all); j++ {
+				if all[j].score > all[best].score {
+					best = j
+				}
+			}
+			all[i], all[best] = all[best], all[i]
 		}
+		return all[:n]
 	}
-	return best
+	slices.SortFunc(all, func(a, b place) int { return cmp.Compare(b.score, a.score) })
+	return all[:n]
 }
 
 // cachedBlocks returns the expected cached blocks: the hinted ones, corrected by
-// how often hints hold, or the share usually found at this rendezvous place.
-func (s *service) cachedBlocks(q Request, hinted, rank int) float64 {
-	expected := s.hintShare * float64(hinted)
-	if rank >= 0 && rank < len(s.hitShare) {
-		expected = max(expected, s.hitShare[rank]*float64(len(q.PrefixHashes)))
+// how often hints hold, or the share usually found at such a target.
+func (s *service) cachedBlocks(q Request, hinted int, placed bool) float64 {
+	usual := s.otherShare
+	if placed {
+		usual = max(usual, s.placeShare)
 	}
-	return expected
+	return max(s.hintShare*float64(hinted), usual*float64(len(q.PrefixHashes)))
 }
--- a/route/options.go
+++ b/route/options.go
@@ -43,11 +43,13 @@
 	costs       Costs
 	ownCentre   sardine.DataCentre
 	distance    func(from, to sardine.DataCentre) sardine.Millis
-	samples     int // random candidates weighed by Mixed
-	ranks       int // rendezvous places weighed by Mixed
-	hintLimit   int // hints kept for each target
-	anchor      int // blocks of the prefix that decide its rendezvous order
-	concurrency int // bound on own requests in flight to one plain target, 0 is none
+	samples     int     // random candidates weighed by Mixed
+	places      int     // rendezvous places weighed by Mixed
+	spread      float64 // places of a prefix over its share of the requests
+	least       int     // places of a rare prefix
+	hintLimit   int     // prefixes with hints
+	anchor      int     // blocks of the prefix that decide its rendezvous order
+	concurrency int     // bound on own requests in flight to one plain target, 0 is none
 	floor       float64
 	maxFailures int
 	ejection    sardine.Millis
@@ -77,13 +79,27 @@
 
 // WithSamples sets how many random candidates and how many places of the
 // rendezvous order are weighed.
-func WithSamples(random, ranks int) Option {
+func WithSamples(random, places int) Option {
 	return func(o *options) {
 		o.samples = random
-		o.ranks = ranks
+		o.places = places
 	}
 }
 
+// WithSpread sets over how many targets a prefix is spread: its share of the
+// requests times the number of targets times factor, at least least.
+func WithSpread(factor float64, least int) Option {
+	return func(o *options) {
+		o.spread = factor
+		o.least = least
+	}
+}
+
+// WithHints bounds the prefixes whose holders are remembered; 0 turns hints off.
+func WithHints(limit int) Option {
+	return func(o *options) { o.hintLimit = limit }
+}
+
 // WithPlainConcurrency bounds the node's requests in flight to one plain target.
 func WithPlainConcurrency(limit int) Option {
 	return func(o *options) { o.concurrency = limit }
@@ -106,8 +122,10 @@
 		costs:       Costs{Base: 15, PerToken: 0.1, PerRunning: 0.02},
 		distance:    func(_, _ sardine.DataCentre) sardine.Millis { return 0 },
 		samples:     3,
-		ranks:       3,
-		hintLimit:   4096,
+		places:      3,
+		spread:      2,
+		least:       3,
+		hintLimit:   32768,
 		anchor:      4,
 		concurrency: 64,
 		floor:       0.5,
--- a/route/policy.go
+++ b/route/policy.go
@@ -11,20 +11,20 @@
 const loadBound = 1.25
 
 // choose applies the policy to r.usable, which is not empty.
-func (r *Router) choose(s *service, q Request) Choice {
+func (r *Router) choose(now sardine.Millis, s *service, q Request) Choice {
 	switch r.options.policy {
 	case Random:
-		return r.choice(s, q, r.sample(), -1)
+		return r.choice(now, s, q, r.sample(), false)
 	case LeastInFlight:
-		return r.choice(s, q, r.least(func(t *target) float64 { return float64(t.inFlight) }), -1)
+		return r.choice(now, s, q, r.least(func(t *target) float64 { return float64(t.inFlight) }), false)
 	case TwoChoices:
-		return r.choice(s, q, r.lessLoaded(r.sample(), r.sample()), -1)
+		return r.choice(now, s, q, r.lessLoaded(r.sample(), r.sample()), false)
 	case Rendezvous:
-		return r.bounded(s, q)
+		return r.bounded(now, s, q)
 	case Hints:
-		return r.hinted(s, q)
+		return r.hinted(now, s, q)
 	default:
-		return r.mixed(s, q)
+		return r.mixed(now, s, q)
 	}
 }
 
@@ -54,10 +54,10 @@
 
 // bounded walks the prefix's rendezvous order to the first target whose load is
 // not far above the mean.
-func (r *Router) bounded(s *service, q Request) Choice {
+func (r *Router) bounded(now sardine.Millis, s *service, q Request) Choice {
 	anchor, ok := r.anchor(q)
 	if !ok {
-		return r.choice(s, q, r.lessLoaded(r.sample(), r.sample()), -1)
+		return r.choice(now, s, q, r.lessLoaded(r.sample(), r.sample()), false)
 	}
 	total := 0.0
 	for _, t := range r.usable {
@@ -75,16 +75,22 @@
 	if best == nil {
 		best = r.lessLoaded(r.sample(), r.sample())
 	}
-	return r.choice(s, q, best, -1)
+	return r.choice(now, s, q, best, false)
 }
 
 // hinted takes the holder of the longest hinted prefix, the less loaded one
 // among equals.
-func (r *Router) hinted(s *service, q Request) Choice {
-	best := r.least(func(t *target) float64 {
-		return t.requests() - 1e6*float64(t.hints.match(q.PrefixHashes))
-	})
-	return r.choice(s, q, best, -1)
+func (r *Router) hinted(now sardine.Millis, s *service, q Request) Choice {
+	var best *target
+	for _, t := range r.hints.holders(q.PrefixHashes) {
+		if t != nil && r.mayUse(now, t, q) && (best == nil || t.requests() < best.requests()) {
+			best = t
+		}
+	}
+	if best == nil {
+		best = r.lessLoaded(r.sample(), r.sample())
+	}
+	return r.choice(now, s, q, best, false)
 }
 
 // anchor returns the hash that decides the rendezvous order. A hash of the
@@ -98,17 +104,17 @@
 }
 
 // choice completes a choice with what the router expects of it.
-func (r *Router) choice(s *service, q Request, t *target, rank int) Choice {
-	blocks := t.hints.match(q.PrefixHashes)
-	cached := s.cachedBlocks(q, blocks, rank)
+func (r *Router) choice(now sardine.Millis, s *service, q Request, t *target, placed bool) Choice {
+	blocks := r.hints.match(t, q.PrefixHashes)
+	cached := s.cachedBlocks(q, blocks, placed)
 	uncached := uncachedTokens(q, cached)
 	return Choice{
 		Candidate: t.candidate,
-		Expected:  sardine.Millis(t.expected(s, uncached)),
+		Expected:  sardine.Millis(t.expected(now, s, uncached)),
 		Hinted:    blocks > 0,
 		target:    t,
 		request:   q,
-		rank:      rank,
+		placed:    placed,
 		uncached:  uncached,
 		hinted:    blocks,
 	}
--- /dev/null
+++ b/route/popular.go
@@ -0,0 +1,46 @@
+package route
+
+import (
+	"math"
+)
+
+// popularWindow is the number of requests after which older ones count half.
+const popularWindow = 1024
+
+// popular estimates the share of requests that each prefix has.
+type popular struct {
+	counts map[uint64]float64
+	total  float64
+	seen   int
+}
+
+func newPopular() *popular {
+	return &popular{counts: make(map[uint64]float64)}
+}
+
+// count adds a request.
+func (p *popular) count(anchor uint64) {
+	p.counts[anchor]++
+	p.total++
+	p.seen++
+	if p.seen%popularWindow != 0 {
+		return
+	}
+	p.total = 0
+	for a, n := range p.counts {
+		if n < 1 {
+			delete(p.counts, a)
+			continue
+		}
+		p.counts[a] = n / 2
+		p.total += n / 2
+	}
+}
+
+// places returns how many of n targets a prefix is spread over: its share of
+// the requests times spread, at least least.
+func (p *popular) places(anchor uint64, n int, spread float64, least int) int {
+	share := p.counts[anchor] / max(p.total, popularWindow/4)
+	wanted := int(math.Ceil(share * spread * float64(n)))
+	return min(max(wanted, least), n)
+}
--- a/route/router.go
+++ b/route/router.go
@@ -12,10 +12,12 @@
 type service struct {
 	targets     []*target // sorted by hash
 	costs       Costs
-	scale       float64   // observed time over assumed time
-	meanPrefill float64   // uncached tokens of a request
-	hitShare    []float64 // cached share of a prefix by place in the rendezvous order
-	hintShare   float64   // share of hinted blocks found cached
+	scale       float64 // observed time over assumed time
+	meanPrefill float64 // uncached tokens of a request
+	placeShare  float64 // cached share of a prefix at its rendezvous places
+	otherShare  float64 // cached share of a prefix elsewhere
+	hintShare   float64 // share of hinted blocks found cached
+	popular     *popular
 }
 
 // Router picks targets for one entry node. It is not safe for concurrent use.
@@ -24,7 +26,9 @@
 	random   sardine.Random
 	targets  map[Ref]*target
 	services map[sardine.ServiceName]*service
+	hints    *hintTable
 	usable   []*target // scratch of Pick
+	scratch  []place   // scratch of Pick
 	counts   Counts
 }
 
@@ -47,6 +51,7 @@
 		random:   random,
 		targets:  make(map[Ref]*target),
 		services: make(map[sardine.ServiceName]*service),
+		hints:    newHintTable(o.hintLimit),
 	}
 }
 
@@ -95,11 +100,9 @@
 			costs:       r.options.costs,
 			scale:       1,
 			meanPrefill: 500,
-			hitShare:    make([]float64, max(r.options.ranks, 1)),
+			placeShare:  0.5,
 			hintShare:   0.9,
-		}
-		for i := range s.hitShare {
-			s.hitShare[i] = 0.5 / float64(i+1)
+			popular:     newPopular(),
 		}
 		r.services[name] = s
 	}
@@ -118,7 +121,7 @@
 	if len(r.usable) == 0 {
 		return Choice{}, codes.New(codes.NoTarget, "none of the %d targets of %s takes the request", len(s.targets), q.Service)
 	}
-	c := r.choose(s, q)
+	c := r.choose(now, s, q)
 	if err := r.check(now, c.target, q); err != nil {
 		return Choice{}, err
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -10,6 +10,10 @@
 	hitGain   = 0.02
 )
 
+// queueMemory is the age in milliseconds at which a report's word on the queue
+// counts half.
+const queueMemory = 200.0
+
 // Bounds of a target's learned slowness, relative to its service.
 const (
 	minSlowness = 0.25
@@ -24,10 +28,9 @@
 	inFlight  int     // own requests, exact
 	prefill   float64 // own uncached tokens sent whose first token is not back
 	load      sardine.Load
-	loadAt    sardine.Millis
-	ownThen   int     // own requests in flight when load was reported
-	slowness  float64 // observed time over expected time
-	hints     *hintSet
+	loadAt    sardine.Millis // instant of the report
+	ownThen   int            // own requests in flight when load was reported
+	slowness  float64        // observed time over expected time
 	outlier   outlier
 	gone      bool
 }
@@ -38,7 +41,6 @@
 		hash:      c.hash(),
 		roundTrip: float64(o.distance(o.ownCentre, c.DataCentre)),
 		slowness:  1,
-		hints:     newHintSet(o.hintLimit),
 	}
 }
 
@@ -71,18 +73,20 @@
 }
 
 // backlog returns the estimated tokens to prefill before a new request. Own
-// unanswered requests are exact; the others' are taken from the report, which
-// counts the own ones too.
-func (t *target) backlog(meanPrefill float64) float64 {
-	return max(t.prefill, float64(t.load.Queued)*meanPrefill)
+// unanswered requests are exact. The others' are taken from the report, whose
+// word on the queue loses worth as it ages: a queue of first tokens is gone
+// long before the next report.
+func (t *target) backlog(now sardine.Millis, meanPrefill float64) float64 {
+	worth := queueMemory / (queueMemory + float64(max(now-t.loadAt, 0)))
+	return max(t.prefill, worth*float64(t.load.Queued)*meanPrefill)
 }
 
 // expected returns the expected milliseconds to first token of a request with
 // the given uncached tokens.
-func (t *target) expected(s *service, uncached float64) float64 {
+func (t *target) expected(now sardine.Millis, s *service, uncached float64) float64 {
 	c := s.costs
-	tokens := uncached + t.backlog(s.meanPrefill)
-	work := c.Base + c.PerToken*tokens*(1+c.PerRunning*t.requests())
+	tokens := uncached + t.backlog(now, s.meanPrefill)
+	work := (c.Base + c.PerToken*tokens) * (1 + c.PerRunning*t.requests())
 	return t.roundTrip + work*s.scale*t.slowness
 }
 
