--- a/route/candidate.go
+++ b/route/candidate.go
@@ -57,6 +57,7 @@
 	Version      string            // "" takes any
 	PrefixHashes []uint64          // hash of the prompt's first 1, 2, 3... blocks of BlockTokens
 	Conversation uint64            // hash of the messages up to the caller's first, 0 is none
+	Later        bool              // the conversation has earlier answers
 	PromptTokens int               // estimate, 0 for plain services
 	Deadline     sardine.Millis    // of the first token, 0 is none
 	Exclude      []Ref             // targets already tried
@@ -70,7 +71,7 @@
 
 	target   *target
 	request  Request
-	placed   bool    // one of the prefix's rendezvous places
+	rank     int     // among the prefix's rendezvous places, -1 outside of them
 	uncached float64 // expected tokens to prefill
 	hinted   int     // blocks hinted to be cached
 	at       sardine.Millis
--- a/route/feedback.go
+++ b/route/feedback.go
@@ -73,10 +73,9 @@
 	}
 	blocks := min(cached/BlockTokens, len(q.PrefixHashes))
 	share := float64(blocks) / float64(len(q.PrefixHashes))
-	if c.placed {
-		s.placeShare += hitGain * (share - s.placeShare)
-	} else if c.hinted == 0 {
-		s.otherShare += hitGain * (share - s.otherShare)
+	if c.rank >= 0 || c.hinted == 0 {
+		usual := s.usual(q, c.rank)
+		*usual += hitGain * (share - *usual)
 	}
 	if c.hinted == 0 {
 		return
--- a/route/mixed.go
+++ b/route/mixed.go
@@ -8,6 +8,10 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
+// nearBand is how many milliseconds of round trip over the nearest target still
+// count as near.
+const nearBand = 10
+
 // place is one target of a prefix's rendezvous order.
 type place struct {
 	target *target
@@ -25,28 +29,46 @@
 // random ones. Weighing all candidates would send every entry node that holds
 // the same late load report to the same target at once.
 func (r *Router) mixed(now sardine.Millis, s *service, q Request) Choice {
+	r.findNear()
 	best := weighing{time: math.Inf(1)}
-	for _, p := range r.places(s, q) {
-		r.weigh(now, s, q, &best, p.target, true)
+	for rank, p := range r.places(s, q) {
+		r.weigh(now, s, q, &best, p.target, rank)
 	}
 	if r.options.hintLimit > 0 {
 		for _, t := range r.hints.holders(q.PrefixHashes) {
 			if t != nil && r.mayUse(now, t, q) {
-				r.weigh(now, s, q, &best, t, false)
+				r.weigh(now, s, q, &best, t, noRank)
 			}
 		}
 	}
 	for range r.options.samples {
-		r.weigh(now, s, q, &best, r.sample(), false)
+		r.weigh(now, s, q, &best, r.near[r.random.IntN(len(r.near))], noRank)
 	}
+	r.weigh(now, s, q, &best, r.sample(), noRank)
 	if best.choice.target == nil {
-		return r.choice(now, s, q, r.sample(), false)
+		return r.choice(now, s, q, r.sample(), noRank)
 	}
 	return best.choice
 }
 
-func (r *Router) weigh(now sardine.Millis, s *service, q Request, best *weighing, t *target, placed bool) {
-	c := r.choice(now, s, q, t, placed)
+// findNear collects the usable targets that are about as near as the nearest.
+// Each region then has places of its own for a prefix; a place in another
+// region would cost its round trip or stay unused.
+func (r *Router) findNear() {
+	nearest := math.Inf(1)
+	for _, t := range r.usable {
+		nearest = min(nearest, t.roundTrip)
+	}
+	r.near = r.near[:0]
+	for _, t := range r.usable {
+		if t.roundTrip <= nearest+nearBand {
+			r.near = append(r.near, t)
+		}
+	}
+}
+
+func (r *Router) weigh(now sardine.Millis, s *service, q Request, best *weighing, t *target, rank int) {
+	c := r.choice(now, s, q, t, rank)
 	if time := t.expected(now, s, c.uncached); time < best.time {
 		*best = weighing{choice: c, time: time}
 	}
@@ -68,7 +90,7 @@
 	}
 	s.popular.count(anchor)
 	all := r.scratch[:0]
-	for _, t := range r.usable {
+	for _, t := range r.near {
 		all = append(all, place{target: t, score: mix(t.hash ^ anchor)})
 	}
 	r.scratch = all
@@ -104,11 +126,21 @@
 }
 
 // cachedBlocks returns the expected cached blocks: the hinted ones, corrected by
-// how often hints hold, or the share usually found at such a target.
-func (s *service) cachedBlocks(q Request, hinted int, placed bool) float64 {
-	usual := s.otherShare
-	if placed {
-		usual = max(usual, s.placeShare)
-	}
+// how often hints hold, or the share usually found at a target of this rank.
+func (s *service) cachedBlocks(q Request, hinted, rank int) float64 {
+	usual := *s.usual(q, rank)
 	return max(s.hintShare*float64(hinted), usual*float64(len(q.PrefixHashes)))
 }
+
+// usual returns the cached share of a prefix that is usually found at a target
+// of this rank. Later requests of a conversation have shares of their own.
+func (s *service) usual(q Request, rank int) *float64 {
+	shares := s.firstShares
+	if q.Later {
+		shares = s.laterShares
+	}
+	if rank < 0 || rank >= len(shares) {
+		return &shares[len(shares)-1]
+	}
+	return &shares[rank]
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -10,15 +10,18 @@
 // moves on to the next place.
 const loadBound = 1.25
 
+// noRank is the rank of a target outside of the rendezvous places.
+const noRank = -1
+
 // choose applies the policy to r.usable, which is not empty.
 func (r *Router) choose(now sardine.Millis, s *service, q Request) Choice {
 	switch r.options.policy {
 	case Random:
-		return r.choice(now, s, q, r.sample(), false)
+		return r.choice(now, s, q, r.sample(), noRank)
 	case LeastInFlight:
-		return r.choice(now, s, q, r.least(func(t *target) float64 { return float64(t.inFlight) }), false)
+		return r.choice(now, s, q, r.least(func(t *target) float64 { return float64(t.inFlight) }), noRank)
 	case TwoChoices:
-		return r.choice(now, s, q, r.lessLoaded(r.sample(), r.sample()), false)
+		return r.choice(now, s, q, r.lessLoaded(r.sample(), r.sample()), noRank)
 	case Rendezvous:
 		return r.bounded(now, s, q)
 	case Hints:
@@ -57,7 +60,7 @@
 func (r *Router) bounded(now sardine.Millis, s *service, q Request) Choice {
 	anchor, ok := r.anchor(q)
 	if !ok {
-		return r.choice(now, s, q, r.lessLoaded(r.sample(), r.sample()), false)
+		return r.choice(now, s, q, r.lessLoaded(r.sample(), r.sample()), noRank)
 	}
 	total := 0.0
 	for _, t := range r.usable {
@@ -75,7 +78,7 @@
 	if best == nil {
 		best = r.lessLoaded(r.sample(), r.sample())
 	}
-	return r.choice(now, s, q, best, false)
+	return r.choice(now, s, q, best, noRank)
 }
 
 // hinted takes the holder of the longest hinted prefix, the less loaded one
@@ -90,7 +93,7 @@
 	if best == nil {
 		best = r.lessLoaded(r.sample(), r.sample())
 	}
-	return r.choice(now, s, q, best, false)
+	return r.choice(now, s, q, best, noRank)
 }
 
 // anchor returns the hash that decides the rendezvous order. A hash of the
@@ -104,9 +107,9 @@
 }
 
 // choice completes a choice with what the router expects of it.
-func (r *Router) choice(now sardine.Millis, s *service, q Request, t *target, placed bool) Choice {
+func (r *Router) choice(now sardine.Millis, s *service, q Request, t *target, rank int) Choice {
 	blocks := r.hints.match(t, q.PrefixHashes)
-	cached := s.cachedBlocks(q, blocks, placed)
+	cached := s.cachedBlocks(q, blocks, rank)
 	uncached := uncachedTokens(q, cached)
 	return Choice{
 		Candidate: t.candidate,
@@ -114,7 +117,7 @@
 		Hinted:    blocks > 0,
 		target:    t,
 		request:   q,
-		placed:    placed,
+		rank:      rank,
 		uncached:  uncached,
 		hinted:    blocks,
 	}
--- a/route/popular.go
+++ b/route/popular.go
@@ -7,6 +7,9 @@
 // popularWindow is the number of requests after which older ones count half.
 const popularWindow = 1024
 
+// doubt is how many standard deviations a count is lowered by.
+const doubt = 2
+
 // popular estimates the share of requests that each prefix has.
 type popular struct {
 	counts map[uint64]float64
@@ -38,9 +41,12 @@
 }
 
 // places returns how many of n targets a prefix is spread over: its share of
-// the requests times spread, at least least.
+// the requests times spread, at least least. The share is a lower bound, since
+// a prefix seen a few times by chance must not be spread over targets that
+// forget it between two requests.
 func (p *popular) places(anchor uint64, n int, spread float64, least int) int {
-	share := p.counts[anchor] / max(p.total, popularWindow/4)
+	count := p.counts[anchor]
+	share := max(count-doubt*math.Sqrt(count), 0) / max(p.total, popularWindow/4)
 	wanted := int(math.Ceil(share * spread * float64(n)))
 	return min(max(wanted, least), n)
 }
--- a/route/router.go
+++ b/route/router.go
@@ -12,11 +12,11 @@
 type service struct {
 	targets     []*target // sorted by hash
 	costs       Costs
-	scale       float64 // observed time over assumed time
-	meanPrefill float64 // uncached tokens of a request
-	placeShare  float64 // cached share of a prefix at its rendezvous places
-	otherShare  float64 // cached share of a prefix elsewhere
-	hintShare   float64 // share of hinted blocks found cached
+	scale       float64   // observed time over assumed time
+	meanPrefill float64   // uncached tokens of a request
+	firstShares []float64 // cached share of a prefix by rank, last that of other targets
+	laterShares []float64 // the same of conversations' later requests
+	hintShare   float64   // share of hinted blocks found cached
 	popular     *popular
 }
 
@@ -28,6 +28,7 @@
 	services map[sardine.ServiceName]*service
 	hints    *hintTable
 	usable   []*target // scratch of Pick
+	near     []*target // scratch of Pick: the usable ones in reach
 	scratch  []place   // scratch of Pick
 	counts   Counts
 }
@@ -100,7 +101,8 @@
 			costs:       r.options.costs,
 			scale:       1,
 			meanPrefill: 500,
-			placeShare:  0.5,
+			firstShares: startShares(r.options.places),
+			laterShares: startShares(r.options.places),
 			hintShare:   0.9,
 			popular:     newPopular(),
 		}
@@ -109,6 +111,15 @@
 	return s
 }
 
+// startShares returns the shares assumed before any were seen.
+func startShares(places int) []float64 {
+	shares := make([]float64, places+1)
+	for rank := range places {
+		shares[rank] = 0.5 / float64(rank+1)
+	}
+	return shares
+}
+
 // Pick chooses the target of a request. The error carries codes.NoTarget if no
 // candidate may take it, and codes.DeadlineTight if none can answer in time; in
 // both cases nothing was started.
--- a/standin/gauge/engine.go
+++ b/standin/gauge/engine.go
@@ -14,7 +14,7 @@
 	modelPerRunning = 0.02  // relative slowdown of prefill per running request
 	modelDecode     = 20.0  // milliseconds between tokens of a lone request
 	modelDecodeMore = 0.12  // milliseconds more per running request
-	modelCache      = 800  // blocks of prefix cache
+	modelCache      = 800   // blocks of prefix cache
 	modelBlock      = 64    // tokens in a block
 	modelBatch      = 96    // running requests at most
 	stragglerFactor = 4.0   // slowdown of a straggler
@@ -28,6 +28,7 @@
 	familyBlocks int
 	talk         int // conversation
 	blocks       int // of the whole prompt
+	later        bool
 }
 
 func (p prompt) tokens() int {
--- a/standin/gauge/routerun.go
+++ b/standin/gauge/routerun.go
@@ -120,7 +120,11 @@
 		distance := func(_, to sardine.DataCentre) sardine.Millis {
 			return sardine.Millis(roundTrip(own, int(to[0]-'0')))
 		}
-		options := append([]route.Option{route.WithDistance("", distance), route.WithHints(8192)}, r.variant.options...)
+		options := []route.Option{
+			route.WithDistance("", distance), route.WithHints(8192),
+			route.WithSamples(r.flags.samples, r.flags.places), route.WithSpread(r.flags.spread, r.flags.least),
+		}
+		options = append(options, r.variant.options...)
 		router := route.New(rand.New(rand.NewPCG(r.flags.seed, uint64(100+i))), options...)
 		router.Update(0, candidates)
 		r.routers = append(r.routers, router)
@@ -166,7 +170,7 @@
 func (r *routingRun) ask(p prompt, turns int, own *rand.Rand) {
 	node := own.IntN(r.flags.nodes)
 	tokens := min(own.ExpFloat64()*generatedTokens, 2000) + 1
-	q := route.Request{Service: "model", PrefixHashes: hashes(p, p.blocks), PromptTokens: p.tokens(), Conversation: uint64(p.talk)}
+	q := route.Request{Service: "model", PrefixHashes: hashes(p, p.blocks), PromptTokens: p.tokens(), Conversation: uint64(p.talk), Later: p.later}
 	target, choice, err := r.pick(node, p, q)
 	if err != nil {
 		r.failure = err
@@ -241,6 +245,7 @@
 	if turns <= 1 {
 		return
 	}
+	p.later = true
 	p.blocks += int(tokens)/modelBlock + 1 + own.IntN(3)
 	r.after(own.ExpFloat64()*thinkTime, func() { r.ask(p, turns-1, own) })
 }
--- a/standin/gauge/routing.go
+++ b/standin/gauge/routing.go
@@ -38,6 +38,10 @@
 	seconds int
 	rate    float64
 	only    []string
+	samples int
+	places  int
+	spread  float64
+	least   int
 }
 
 func routing() Measure {
@@ -53,6 +57,10 @@
 			c.Flags().IntVar(&f.seconds, "seconds", 60, "seconds of virtual time, the first third is not counted")
 			c.Flags().Float64Var(&f.rate, "rate", 6.2, "requests a second for each engine")
 			c.Flags().StringSliceVar(&f.only, "only", nil, "policies to run, all by default")
+			c.Flags().IntVar(&f.samples, "samples", 2, "random candidates that mixed weighs")
+			c.Flags().IntVar(&f.places, "places", 2, "rendezvous places that mixed weighs")
+			c.Flags().Float64Var(&f.spread, "spread", 3, "targets of a prefix over its share of the requests")
+			c.Flags().IntVar(&f.least, "least", 1, "targets of a rare prefix")
 			return func(out io.Writer) (any, error) { return measureRouting(out, f) }
 		},
 	}
