--- a/route/mixed.go
+++ b/route/mixed.go
@@ -1,93 +1,146 @@
 package route
 
 import (
+	"cmp"
 	"math"
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
 )
 
+// nearBand is how many milliseconds of round trip over the nearest target still
+// count as near.
+const nearBand = 10
+
 // place is one target of a prefix's rendezvous order.
 type place struct {
 	target *target
 	score  uint64
 }
 
-// mixed weighs the expected time to first token of a few candidates: the first
-// places of the prefix's rendezvous order, the hinted holders of the prefix and
-// some random ones. Weighing all candidates would send every entry node that
-// holds the same late load report to the same target at once.
-func (r *Router) mixed(s *service, q Request) Choice {
-	best := Choice{Expected: math.MaxInt64}
-	bestTime := math.Inf(1)
-	weigh := func(t *target, rank int) {
-		c := r.choice(s, q, t, rank)
-		if expected := t.expected(s, c.uncached); expected < bestTime {
-			best, bestTime = c, expected
-		}
+// weighing is the best of the candidates weighed so far.
+type weighing struct {
+	choice Choice
+	time   float64
+}
+
+// mixed weighs the expected time to first token of a few candidates: places of
+// the prefix's rendezvous order, the hinted holders of the prefix and some
+// random ones. Weighing all candidates would send every entry node that holds
+// the same late load report to the same target at once.
+func (r *Router) mixed(now sardine.Millis, s *service, q Request) Choice {
+	r.findNear()
+	best := weighing{time: math.Inf(1)}
+	for rank, p := range r.places(s, q) {
+		r.weigh(now, s, q, &best, p.target, rank)
 	}
-	for rank, t := range r.places(q) {
-		if t != nil {
-			weigh(t, rank)
+	if r.options.hintLimit > 0 {
+		for _, t := range r.hints.holders(q.PrefixHashes) {
+			if t != nil && r.mayUse(now, t, q) {
+				r.weigh(now, s, q, &best, t, noRank)
+			}
 		}
 	}
-	if holder := r.holder(q); holder != nil {
-		weigh(holder, -1)
-	}
 	for range r.options.samples {
-		weigh(r.sample(), -1)
+		r.weigh(now, s, q, &best, r.near[r.random.IntN(len(r.near))], noRank)
 	}
-	if best.target == nil {
-		return r.choice(s, q, r.sample(), -1)
+	r.weigh(now, s, q, &best, r.sample(), noRank)
+	if best.choice.target == nil {
+		return r.choice(now, s, q, r.sample(), noRank)
 	}
-	return best
+	return best.choice
 }
 
-// places returns the first targets of the prefix's rendezvous order.
-func (r *Router) places(q Request) []*target {
-	anchor, ok := r.anchor(q)
-	if !ok || r.options.ranks == 0 {
-		return nil
+// findNear collects the usable targets that are about as near as the nearest.
+// Each region then has places of its own for a prefix; a place in another
+// region would cost its round trip or stay unused.
+func (r *Router) findNear() {
+	nearest := math.Inf(1)
+	for _, t := range r.usable {
+		nearest = min(nearest, t.roundTrip)
 	}
-	top := make([]place, 0, r.options.ranks+1)
+	r.near = r.near[:0]
 	for _, t := range r.usable {
-		top = insertPlace(top, place{target: t, score: mix(t.hash ^ anchor)}, r.options.ranks)
+		if t.roundTrip <= nearest+nearBand {
+			r.near = append(r.near, t)
+		}
 	}
-	found := make([]*target, len(top))
-	for i, p := range top {
-		found[i] = p.target
+}
+
+func (r *Router) weigh(now sardine.Millis, s *service, q Request, best *weighing, t *target, rank int) {
+	c := r.choice(now, s, q, t, rank)
+	if time := t.expected(now, s, c.uncached); time < best.time {
+		*best = weighing{choice: c, time: time}
 	}
-	return found
 }
 
-func insertPlace(top []place, p place, limit int) []place {
-	if len(top) == limit && p.score <= top[limit-1].score {
-		return top
+// mayUse reports whether a target found through a hint is among the usable.
+func (r *Router) mayUse(now sardine.Millis, t *target, q Request) bool {
+	return t.candidate.Service == q.Service && t.takes(now, q) && !t.outlier.ejected(now) && r.hasRoom(t)
+}
+
+// places returns the targets that the prefix's rendezvous order gives to the
+// request. The order's first targets, more of them the more requests share the
+// prefix, hold the prefix; the conversation picks among those, so that its later
+// requests meet its earlier ones on every entry node.
+func (r *Router) places(s *service, q Request) []place {
+	anchor, ok := r.anchor(q)
+	if !ok || r.options.places == 0 {
+		return nil
+	}
+	s.popular.count(anchor)
+	all := r.scratch[:0]
+	for _, t := range r.near {
+		all = append(all, place{target: t, score: mix(t.hash ^ anchor)})
 	}
-	top = append(top, p)
-	for i := len(top) - 1; i > 0 && top[i].score > top[i-1].score; i-- {
-		top[i], top[i-1] = top[i-1], top[i]
+	r.scratch = all
+	set := highest(all, s.popular.places(anchor, len(all), r.options.spread, r.options.least))
+	pick := q.Conversation
+	if pick == 0 {
+		pick = r.random.Uint64()
 	}
-	return top[:min(len(top), limit)]
+	for i := range set {
+		set[i].score = mix(set[i].target.hash ^ mix(pick))
+	}
+	return highest(set, r.options.places)
 }
 
-// holder returns the target with the longest hinted prefix, nil if there is
-// none; the one with the fewest requests among equals.
-func (r *Router) holder(q Request) *target {
-	var best *target
-	bestBlocks := 0
-	for _, t := range r.usable {
-		blocks := t.hints.match(q.PrefixHashes)
-		if blocks > bestBlocks || (blocks > 0 && blocks == bestBlocks && t.requests() < best.requests()) {
-			best, bestBlocks = t, blocks
+// highest moves the n places with the highest scores to the front and returns
+// them, highest first.
+func highest(all []place, n int) []place {
+	n = min(n, len(all))
+	if n <= 8 {
+		for i := range n {
+			best := i
+			for j := i + 1; j < len(all); j++ {
+				if all[j].score > all[best].score {
+					best = j
+				}
+			}
+			all[i], all[best] = all[best], all[i]
 		}
+		return all[:n]
 	}
-	return best
+	slices.SortFunc(all, func(a, b place) int { return cmp.Compare(b.score, a.score) })
+	return all[:n]
 }
 
 // cachedBlocks returns the expected cached blocks: the hinted ones, corrected by
-// how often hints hold, or the share usually found at this rendezvous place.
+// how often hints hold, or the share usually found at a target of this rank.
 func (s *service) cachedBlocks(q Request, hinted, rank int) float64 {
-	expected := s.hintShare * float64(hinted)
-	if rank >= 0 && rank < len(s.hitShare) {
-		expected = max(expected, s.hitShare[rank]*float64(len(q.PrefixHashes)))
+	usual := *s.usual(q, rank)
+	return max(s.hintShare*float64(hinted), usual*float64(len(q.PrefixHashes)))
+}
+
+// usual returns the cached share of a prefix that is usually found at a target
+// of this rank. Later requests of a conversation have shares of their own.
+func (s *service) usual(q Request, rank int) *float64 {
+	shares := s.firstShares
+	if q.Later {
+		shares = s.laterShares
+	}
+	if rank < 0 || rank >= len(shares) {
+		return &shares[len(shares)-1]
 	}
-	return expected
+	return &shares[rank]
 }
--- a/route/router.go
+++ b/route/router.go
@@ -14,8 +14,10 @@
 	costs       Costs
 	scale       float64   // observed time over assumed time
 	meanPrefill float64   // uncached tokens of a request
-	hitShare    []float64 // cached share of a prefix by place in the rendezvous order
+	firstShares []float64 // cached share of a prefix by rank, last that of other targets
+	laterShares []float64 // the same of conversations' later requests
 	hintShare   float64   // share of hinted blocks found cached
+	popular     *popular
 }
 
 // Router picks targets for one entry node. It is not safe for concurrent use.
@@ -24,7 +26,10 @@
 	random   sardine.Random
 	targets  map[Ref]*target
 	services map[sardine.ServiceName]*service
+	hints    *hintTable
 	usable   []*target // scratch of Pick
+	near     []*target // scratch of Pick: the usable ones in reach
+	scratch  []place   // scratch of Pick
 	counts   Counts
 }
 
@@ -47,6 +52,7 @@
 		random:   random,
 		targets:  make(map[Ref]*target),
 		services: make(map[sardine.ServiceName]*service),
+		hints:    newHintTable(o.hintLimit),
 	}
 }
 
@@ -95,17 +101,25 @@
 			costs:       r.options.costs,
 			scale:       1,
 			meanPrefill: 500,
-			hitShare:    make([]float64, max(r.options.ranks, 1)),
+			firstShares: startShares(r.options.places),
+			laterShares: startShares(r.options.places),
 			hintShare:   0.9,
-		}
-		for i := range s.hitShare {
-			s.hitShare[i] = 0.5 / float64(i+1)
+			popular:     newPopular(),
 		}
 		r.services[name] = s
 	}
 	return s
 }
 
+// startShares returns the shares assumed before any were seen.
+func startShares(places int) []float64 {
+	shares := make([]float64, places+1)
+	for rank := range places {
+		shares[rank] = 0.5 / float64(rank+1)
+	}
+	return shares
+}
+
 // Pick chooses the target of a request. The error carries codes.NoTarget if no
 // candidate may take it, and codes.DeadlineTight if none can answer in time; in
 // both cases nothing was started.
@@ -118,7 +132,7 @@
 	if len(r.usable) == 0 {
 		return Choice{}, codes.New(codes.NoTarget, "none of the %d targets of %s takes the request", len(s.targets), q.Service)
 	}
-	c := r.choose(s, q)
+	c := r.choose(now, s, q)
 	if err := r.check(now, c.target, q); err != nil {
 		return Choice{}, err
 	}
