--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -16,12 +16,14 @@
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/listen"
 	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/order"
 	"sardineswitch.dev/sardine/peer"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/repl"
 	"sardineswitch.dev/sardine/ring"
+	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -52,6 +54,8 @@
 	orders     *ring.Ring[plan.SendOrder]
 	internal   *listen.Server
 	operators  *listen.Server
+	historyMu  sync.Mutex
+	history    *status.History
 
 	tomb    tomb.Tomb
 	rounds  sync.WaitGroup  // quorum rounds under way
@@ -69,6 +73,7 @@
 		policy:  plan.NewCheapest(),
 		parsed:  newParsedSettings(),
 		granted: newSignal(),
+		history: status.NewHistory(),
 		wake:    make(chan struct{}, 1),
 		orders:  ring.New[plan.SendOrder](orderQueue, ring.Wait),
 	}
@@ -131,6 +136,10 @@
 func (n *Node) operatorMux() http.Handler {
 	mux := goji.NewMux()
 	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), wire.NewControlServer(n))
+	operations := oper.Handler(backend{node: n})
+	for _, path := range []string{oper.LeavePath, oper.PoisonPath, oper.TokensPath} {
+		mux.Handle(pat.New(path), operations)
+	}
 	n.addOperations(mux)
 	return mux
 }
--- /dev/null
+++ b/ctrl/oper.go
@@ -0,0 +1,36 @@
+package ctrl
+
+import (
+	"context"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/state"
+)
+
+// backend is the node as package oper sees it.
+type backend struct {
+	node *Node
+}
+
+// Authorise checks that a token covers the team; an empty team asks for an
+// operator's token.
+func (b backend) Authorise(token string, t sardine.Team) error {
+	return b.node.authorise(token, t)
+}
+
+// Propose returns once the command is committed and applied.
+func (b backend) Propose(c state.Command) error {
+	ctx, cancel := context.WithTimeout(b.node.life, b.node.timing.Propose.Duration())
+	defer cancel()
+	r, err := b.node.log.Propose(ctx, c)
+	if err != nil {
+		return b.node.redirect(err)
+	}
+	b.node.logCommand(c, r)
+	return r.Err
+}
+
+// View shows the replicated state.
+func (b backend) View(f func(m *state.Machine)) {
+	b.node.log.View(f)
+}
--- a/ctrl/ops.go
+++ b/ctrl/ops.go
@@ -9,16 +9,18 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/plan"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/repl"
+	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/status"
 )
 
 // addOperations routes what operators and the platform ask of any node.
 func (n *Node) addOperations(mux *goji.Mux) {
 	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
 	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
-	mux.HandleFunc(pat.Get("/sardine/v1/dump"), n.handleDump)
+	mux.HandleFunc(pat.Get(status.DumpPath), n.handleDump)
+	mux.HandleFunc(pat.Get(status.Path), n.handleStatus)
 	mux.HandleFunc(pat.Get("/sardine/v1/explain/group/:group"), n.handleExplain)
 }
 
--- /dev/null
+++ b/ctrl/status.go
@@ -0,0 +1,100 @@
+package ctrl
+
+import (
+	"net/http"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/status"
+)
+
+// handleStatus tells how the site fares, as far as this node knows.
+func (n *Node) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	text, err := status.Encode(n.Report())
+	if err != nil {
+		reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text) // the operator asks again
+}
+
+// Report returns how the site fares, as far as this node knows.
+func (n *Node) Report() status.Report {
+	info := n.log.Leader()
+	in := status.Input{
+		Node:   n.id,
+		Role:   status.RoleControl,
+		Site:   n.site,
+		At:     state.WallTime(time.Now().UnixMilli()),
+		Leader: info.ID,
+		Peers:  n.peers(),
+	}
+	var r status.Report
+	n.log.View(func(m *state.Machine) {
+		n.leadership.observe(n.clock.Now(), m, &in)
+		n.historyMu.Lock()
+		defer n.historyMu.Unlock()
+		r = status.Build(m, in, n.history)
+	})
+	return r
+}
+
+// peers tells which control members answer. Only the leader knows about others.
+func (n *Node) peers() []status.Peer {
+	info := n.log.Leader()
+	s := n.log.Status()
+	reachable := make(map[sardine.NodeID]bool)
+	applied := make(map[sardine.NodeID]uint64)
+	for _, p := range s.Core.Peers {
+		reachable[p.Node] = p.Active
+		applied[p.Node] = p.Match
+	}
+	var peers []status.Peer
+	for _, m := range n.log.Members() {
+		p := status.Peer{Node: m.Node, Address: m.Address, Leader: m.Node == info.ID, Learner: m.Learner}
+		p.Reachable = !info.Leading || reachable[m.Node]
+		p.Applied = applied[m.Node]
+		if m.Node == n.id {
+			p.Reachable = true
+			p.Applied = s.Applied
+		}
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+// observe adds what only the leader knows: leases, live targets and what the
+// planner is doing.
+func (l *leadership) observe(now sardine.Millis, m *state.Machine, in *status.Input) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 {
+		return
+	}
+	for _, h := range l.ledger.Holders() {
+		in.Leases = append(in.Leases, status.Lease{Node: h.Entry.Node, Held: h.Live(now), Applied: h.Applied})
+	}
+	view := l.fleet.At(now)
+	for _, t := range m.Targets() {
+		live, known := view.Live(t.VM)
+		in.Seen = append(in.Seen, status.Seen{
+			VM:          t.VM,
+			Incarnation: t.Incarnation,
+			Present:     !view.Settled() || (known && live.Incarnation == t.Incarnation),
+			Leaving:     t.Leaving,
+			Load:        live.Load,
+		})
+	}
+	for _, w := range l.waits {
+		if w.Group != "" {
+			in.Notes = append(in.Notes, status.Note{Group: w.Group, Text: w.Reason})
+		}
+	}
+	if l.breach != nil {
+		in.Notes = append(in.Notes, status.Note{Text: codes.InvariantBroken.Row().Meaning})
+	}
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -48,6 +48,12 @@
 	id uint64
 }
 
+// inspection looks at the followed state. Done is closed afterwards.
+type inspection struct {
+	look func(m *state.Machine)
+	done chan struct{}
+}
+
 // left says that the node has stopped serving. Done is closed once its lease is
 // dropped.
 type left struct {
@@ -58,6 +64,7 @@
 func (childAsked) followEvent() {}
 func (childGone) followEvent()  {}
 func (left) followEvent()       {}
+func (inspection) followEvent() {}
 
 // published is what requests are served by: the view and the lease that was
 // computed with it.
@@ -161,6 +168,9 @@
 	case childGone:
 		delete(f.children, e.id)
 		f.core.Relay().Gone(e.id)
+	case inspection:
+		e.look(f.core.Machine())
+		close(e.done)
 	case left:
 		f.core.Leave()
 		f.publish()
@@ -292,6 +302,21 @@
 	})
 }
 
+// inspect calls look with the followed state, which it must not keep. It reports
+// whether it did.
+func (f *follower) inspect(ctx context.Context, look func(m *state.Machine)) bool {
+	e := inspection{look: look, done: make(chan struct{})}
+	if !f.events.Push(ctx, e) {
+		return false
+	}
+	select {
+	case <-e.done:
+		return true
+	case <-f.node.life.Done():
+		return false
+	}
+}
+
 // leave drops the lease and stops following.
 func (f *follower) leave() {
 	e := left{done: make(chan struct{})}
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,7 @@
 	"sardineswitch.dev/sardine/logs"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
+	"sardineswitch.dev/sardine/status"
 )
 
 // Node is one entry node. New, Start and Stop are called once each.
@@ -52,6 +53,7 @@
 	claims         *claims
 	follower       *follower
 	meter          *instruments
+	history        *status.History // the follow duty's
 
 	homeMu   sync.Mutex
 	home     *fleet.Home
@@ -82,6 +84,7 @@
 		timing:  DefaultTiming(),
 		limits:  DefaultLimits(),
 		flights: newFlights(),
+		history: status.NewHistory(),
 	}
 	for _, o := range options {
 		o(n)
--- a/entry/ops.go
+++ b/entry/ops.go
@@ -13,6 +13,7 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -20,7 +21,8 @@
 func (n *Node) internalMux() http.Handler {
 	mux := goji.NewMux()
 	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), wire.NewRelayServer(n.follower))
-	mux.HandleFunc(pat.Get("/sardine/v1/dump"), n.handleDump)
+	mux.HandleFunc(pat.Get(status.DumpPath), n.handleDump)
+	mux.HandleFunc(pat.Get(status.Path), n.handleStatus)
 	mux.HandleFunc(pat.Post("/sardine/v1/drain"), n.handleDrain)
 	mux.Handle(pat.Get("/metrics"), n.meter.meter.Handler())
 	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
--- /dev/null
+++ b/sardctl/demo/demo.go
@@ -0,0 +1,163 @@
+// Package demo runs the whole path on loopback in one process: real nodes, real
+// HTTP, and stand-ins for what surrounds them. Each step prints its figure.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/standin/site"
+)
+
+// Options are the demo's settings.
+type Options struct {
+	Seed uint64
+	JSON bool
+	Keep bool // leave the site up until Stop is closed
+	Stop <-chan struct{}
+}
+
+// limit is the time in which the whole demo ends.
+const limit = 60 * time.Second
+
+// stage is what the steps work on.
+type stage struct {
+	site *site.Site
+	load *load
+	base uint64 // version of the team's settings
+}
+
+// step is one row of the demo. Its run returns the figure to print.
+type step struct {
+	name string
+	unit string
+	run  func(ctx context.Context, s *stage) (float64, error)
+}
+
+// steps is the demo in its order.
+var steps = []step{
+	{"control quorum elects a leader", "ms", electLeader},
+	{"settings of a team in force on every entry node", "ms", setSettings},
+	{"two groups of 4 VMs formed, loaded and serving", "ms", formGroups},
+	{"first token of a chat through each entry node", "ms", chatEverywhere},
+	{"booking sent twice through two entry nodes runs once", "runs", bookOnce},
+	{"a member dies: its group gets no more requests", "ms", killMember},
+	{"the group is repaired and serves again", "ms", awaitRepair},
+	{"a target leaves: it gets no new requests", "ms", leaveTarget},
+	{"a settings change in force on every entry node", "ms", changeSettings},
+	{"the control leader dies: next change accepted", "ms", killLeader},
+	{"an entry node drains under load, requests cut off", "requests", drainEntry},
+	{"answers right under all of this", "answers", checkLoad},
+}
+
+// result is one step's outcome as JSON.
+type result struct {
+	Step   string  `json:"step"`
+	Held   bool    `json:"held"`
+	Figure float64 `json:"figure"`
+	Unit   string  `json:"unit"`
+	Error  string  `json:"error,omitempty"`
+}
+
+type report struct {
+	Seed    uint64   `json:"seed"`
+	Held    bool     `json:"held"`
+	Seconds float64  `json:"seconds"`
+	Steps   []result `json:"steps"`
+	Answers tally    `json:"answers"`
+}
+
+// Run runs the demo and prints each step. It fails if any step did not hold.
+func Run(options Options, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	started := time.Now()
+	running, err := site.Start(site.WithSeed(options.Seed))
+	if err != nil {
+		return err
+	}
+	defer running.Stop()
+	s := &stage{site: running}
+	r := report{Seed: options.Seed, Held: true}
+	for _, t := range steps {
+		done := perform(ctx, s, t)
+		r.Steps = append(r.Steps, done)
+		r.Held = r.Held && done.Held
+		if !options.JSON {
+			printStep(out, done)
+		}
+		if !done.Held {
+			break
+		}
+	}
+	if s.load != nil {
+		r.Answers = s.load.stop()
+	}
+	r.Seconds = time.Since(started).Seconds()
+	if err := conclude(r, options, out); err != nil {
+		return err
+	}
+	if options.Keep && r.Held {
+		keep(running, options, out)
+	}
+	return nil
+}
+
+func perform(ctx context.Context, s *stage, t step) result {
+	figure, err := t.run(ctx, s)
+	done := result{Step: t.name, Held: err == nil, Figure: figure, Unit: t.unit}
+	if err != nil {
+		done.Error = err.Error()
+	}
+	return done
+}
+
+func printStep(out io.Writer, r result) {
+	mark := "ok"
+	if !r.Held {
+		mark = "FAILED"
+	}
+	fmt.Fprintf(out, "%-6s %-56s %9.1f %s\n", mark, r.Step, r.Figure, r.Unit)
+	if r.Error != "" {
+		fmt.Fprintf(out, "       %s\n", r.Error)
+	}
+}
+
+func conclude(r report, options Options, out io.Writer) error {
+	if options.JSON {
+		line, err := json.Marshal(r)
+		if err != nil {
+			return codes.Wrap(codes.Internal, err, "report can't be written")
+		}
+		fmt.Fprintln(out, string(line))
+	} else {
+		fmt.Fprintf(out, "\nanswers: %d right, %d wrong, %d refused and not run, %d broken off; first token %d ms (median)\n",
+			r.Answers.Right, r.Answers.Wrong, r.Answers.NotRun, r.Answers.Broken, r.Answers.FirstMS)
+		fmt.Fprintf(out, "took %.1f s\n", r.Seconds)
+	}
+	if !r.Held {
+		return codes.New(codes.Internal, "a step of the demo did not hold")
+	}
+	return nil
+}
+
+// keep leaves the site up and prints commands that work against it.
+func keep(s *site.Site, options Options, out io.Writer) {
+	fmt.Fprintf(out, "\nThe site is up until you press Ctrl-C. Try:\n\n")
+	fmt.Fprintf(out, "curl -N http://%s/v1/chat/completions -H 'Content-Type: application/json' -H 'X-Sardine-Workspace: %s' \\\n"+
+		"  -d '{\"model\":\"surtitles\",\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"line 1\"}]}'\n\n",
+		s.Balancer(), site.Workspace)
+	fmt.Fprintf(out, "curl http://%s/services/%s/bookings -H 'X-Sardine-Workspace: %s' -H 'Idempotency-Key: seat-7' -d 'seat 7'\n\n",
+		s.Balancer(), site.Service, site.Workspace)
+	for _, c := range s.Controls() {
+		if c.Node() != nil {
+			fmt.Fprintf(out, "sardctl --control %s status\n", c.Node().OperatorAddress())
+			break
+		}
+	}
+	<-options.Stop
+}
