--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -50,7 +50,7 @@
 	reachable := make(map[sardine.NodeID]bool)
 	applied := make(map[sardine.NodeID]uint64)
 	for _, p := range s.Core.Peers {
-		reachable[p.Node] = p.Active
+		reachable[p.Node] = n.clock.Now()-p.HeardAt < n.timing.Quorum.ElectionMax
 		applied[p.Node] = p.Match
 	}
 	var peers []status.Peer
--- a/sardctl/demo/demo.go
+++ b/sardctl/demo/demo.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"sardineswitch.dev/sardine/codes"
@@ -17,8 +18,8 @@
 type Options struct {
 	Seed uint64
 	JSON bool
-	Keep bool // leave the site up until Stop is closed
-	Stop <-chan struct{}
+	Keep bool // leave the site up until Stop receives
+	Stop <-chan os.Signal
 }
 
 // limit is the time in which the whole demo ends.
--- a/sardctl/verbs/table.go
+++ b/sardctl/verbs/table.go
@@ -24,6 +24,7 @@
 		poisonVerb(),
 		membersVerb(),
 		keysVerb(),
+		demoVerb(),
 		docsVerb(),
 		versionVerb(),
 	}
