--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -61,6 +61,9 @@
 	rounds  sync.WaitGroup  // quorum rounds under way
 	life    context.Context // ends when the node stops
 	endLife context.CancelFunc
+
+	handOver    context.Context // ends when no leadership is to be handed over any more
+	endHandOver context.CancelFunc
 }
 
 // New opens the data folder and the listeners and returns a node that does not
@@ -88,6 +91,7 @@
 		n.engines = n.ownEngines
 	}
 	n.life, n.endLife = context.WithCancel(context.Background())
+	n.handOver, n.endHandOver = context.WithCancel(context.Background())
 	if err := n.open(); err != nil {
 		n.release()
 		return nil, err
@@ -170,6 +174,7 @@
 		n.tomb.Go(n.sendOrders)
 	}
 	n.tomb.Go(n.watchLog)
+	n.tomb.Go(n.close)
 	event.Log(n.logger, event.NodeStarted,
 		slog.String("internal", n.internal.Address()), slog.String("operators", n.operators.Address()))
 }
@@ -184,22 +189,29 @@
 	}
 }
 
+// close is a duty: it ends the log and the servers with the other duties. The
+// log ends first, because a leadership is handed over through the servers.
+func (n *Node) close() error {
+	<-n.tomb.Dying()
+	err := n.log.Stop(n.handOver)
+	n.release()
+	return err
+}
+
 // Dead is closed when all duties have ended.
 func (n *Node) Dead() <-chan struct{} {
 	return n.tomb.Dead()
 }
 
-// Stop hands a leadership over, ends the duties and releases every goroutine,
-// socket and file. It returns the error that had ended the node before, if any.
+// Stop hands a leadership over as long as ctx lasts, ends the duties and releases
+// every goroutine, socket and file. It returns the error that had ended the node
+// before, if any.
 func (n *Node) Stop(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, n.endHandOver)
+	defer stop()
 	n.tomb.Kill(nil)
-	err := n.log.Stop(ctx)
-	n.endLife()
-	n.release()
+	err := n.tomb.Wait()
 	n.rounds.Wait()
-	if waited := n.tomb.Wait(); waited != nil {
-		err = waited
-	}
 	event.Log(n.logger, event.NodeStopped)
 	return err
 }
@@ -207,6 +219,7 @@
 // release closes what New has opened.
 func (n *Node) release() {
 	n.endLife()
+	n.endHandOver()
 	for _, s := range []*listen.Server{n.internal, n.operators} {
 		if s != nil {
 			_ = s.Close() // the process ends, callers see a broken connection
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -64,7 +64,6 @@
 // any. For a graceful end call Drain and wait for Dead first.
 func (n *Node) Stop() error {
 	n.tomb.Kill(nil)
-	n.release()
 	err := n.tomb.Wait()
 	n.claims.drain()
 	event.Log(n.log, event.NodeStopped)
--- a/entry/node.go
+++ b/entry/node.go
@@ -183,9 +183,17 @@
 	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
+	n.tomb.Go(n.close)
 	event.Log(n.log, event.NodeStarted, slog.String("public", n.public.Address()), slog.String("internal", n.internal.Address()))
 }
 
+// close is a duty: it ends the servers with the other duties.
+func (n *Node) close() error {
+	<-n.tomb.Dying()
+	n.release()
+	return nil
+}
+
 // tickEvery is the time between two looks at what has become due.
 const tickEvery = 50 * sardine.Millis(1)
 
--- a/sardctl/demo/steps.go
+++ b/sardctl/demo/steps.go
@@ -157,10 +157,10 @@
 	if leader < 0 {
 		return 0, codes.New(codes.NoQuorum, "no control node leads")
 	}
+	started := time.Now()
 	if err := s.site.StopControl(leader); err != nil {
 		return 0, err
 	}
-	started := time.Now()
 	// Durable on a quorum within this bound; in force a lease later at most.
 	if _, err := site.Await(newLeader, "a new leader", func() bool { return s.site.Leader() >= 0 }); err != nil {
 		return milliseconds(time.Since(started)), err
