--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
-	"strings"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/state"
@@ -41,6 +41,8 @@
 	latest  sardine.Announcement
 	at      sardine.Millis // when its home heard it
 	vouched map[sardine.NodeID]bool
+	synced  bool   // the log had the same facts
+	index   uint64 // at this fleet index of the log
 }
 
 type proposal struct {
@@ -65,6 +67,9 @@
 	homes    map[sardine.NodeID]*homeView
 	targets  map[sardine.VMID]*targetView
 	proposed map[sardine.VMID]proposal
+	sorted   []sardine.VMID // of targets, nil when it must be made anew
+	logged   []state.Target // the log's targets
+	loggedAt uint64         // fleet index of the machine that logged is from
 }
 
 // NewLeader returns a view that knows no home.
@@ -81,6 +86,9 @@
 	l.homes = make(map[sardine.NodeID]*homeView)
 	l.targets = make(map[sardine.VMID]*targetView)
 	l.proposed = make(map[sardine.VMID]proposal)
+	l.sorted = nil
+	l.logged = nil
+	l.loggedAt = 0
 }
 
 // Lead forgets all earlier reports: this node leads from now on in a new term,
@@ -157,6 +165,7 @@
 	if t == nil || t.latest.Incarnation < s.Incarnation {
 		t = &targetView{latest: s.Announcement, at: at, vouched: make(map[sardine.NodeID]bool, 1)}
 		l.targets[s.VM] = t
+		l.sorted = nil
 	}
 	if t.latest.Incarnation > s.Incarnation {
 		return
@@ -165,6 +174,7 @@
 	if at >= t.at {
 		t.latest = s.Announcement
 		t.at = at
+		t.synced = false
 	}
 }
 
@@ -202,6 +212,7 @@
 		if !l.vouchedFor(now, t) {
 			if l.Settled(now) {
 				delete(l.targets, vm)
+				l.sorted = nil
 			}
 			continue
 		}
@@ -211,12 +222,19 @@
 }
 
 func (l *Leader) sortedTargets() []sardine.VMID {
-	vms := make([]sardine.VMID, 0, len(l.targets))
-	for vm := range l.targets {
-		vms = append(vms, vm)
+	if l.sorted == nil {
+		l.sorted = slices.Sorted(maps.Keys(l.targets))
 	}
-	slices.SortFunc(vms, func(a, b sardine.VMID) int { return strings.Compare(string(a), string(b)) })
-	return vms
+	return l.sorted
+}
+
+// loggedTargets returns the log's targets, read again when they changed.
+func (l *Leader) loggedTargets(m *state.Machine) []state.Target {
+	if l.logged == nil || l.loggedAt != m.FleetIndex() {
+		l.logged = m.Targets()
+		l.loggedAt = m.FleetIndex()
+	}
+	return l.logged
 }
 
 func (l *Leader) lostTargets(now sardine.Millis, m *state.Machine) []state.Command {
@@ -224,7 +242,7 @@
 		return nil
 	}
 	var commands []state.Command
-	for _, known := range m.Targets() {
+	for _, known := range l.loggedTargets(m) {
 		t := l.targets[known.VM]
 		if t != nil && t.latest.Incarnation >= known.Incarnation && l.vouchedFor(now, t) {
 			continue
@@ -237,6 +255,9 @@
 }
 
 func (l *Leader) newsOf(now sardine.Millis, m *state.Machine, t *targetView) []state.Command {
+	if t.synced && t.index == m.FleetIndex() {
+		return nil
+	}
 	want := state.TargetOf(t.latest)
 	known, ok := m.Target(want.VM)
 	if ok && known.Incarnation > want.Incarnation {
@@ -251,6 +272,8 @@
 	if want.Leaving && !known.Leaving && l.propose(now, want.VM, want.Incarnation, proposedLeaving) {
 		return []state.Command{state.TargetLeaving{VM: want.VM, Incarnation: want.Incarnation}}
 	}
+	t.synced = known.Leaving == want.Leaving
+	t.index = m.FleetIndex()
 	return nil
 }
 
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -4,6 +4,9 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
+// idleWake is how long a planner sleeps while all is well and nothing is new.
+const idleWake = 30 * sardine.Second
+
 // sendOrders sends the orders that members, dropped members and strays lack.
 // Loads wait for the weight store, the most valuable groups first.
 func (r *round) sendOrders() {
@@ -22,7 +25,7 @@
 	if r.active() {
 		return
 	}
-	r.out.Wake = r.now + 10*sardine.Second
+	r.out.Wake = r.now + idleWake
 }
 
 // active reports whether something is under way that a round must follow.
@@ -31,6 +34,9 @@
 		return true
 	}
 	for _, g := range r.groups {
+		if g.slow {
+			return true
+		}
 		if !g.spare && g.State != sardine.GroupServing || g.spare && !g.ready() {
 			return true
 		}
@@ -107,12 +113,11 @@
 	if !v.owned {
 		return held.Group, held.Epoch
 	}
-	g := r.byID[v.owner.Group]
-	if g != nil && g.State != sardine.GroupFenced && holds(g.Group, v.owner.VM) {
+	if v.member {
 		return "", 0
 	}
 	epoch = v.owner.Epoch
-	if g != nil {
+	if g := r.byID[v.owner.Group]; g != nil {
 		epoch = max(epoch, g.Epoch)
 	}
 	if held.Group == v.owner.Group {
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -29,6 +29,7 @@
 	claims  map[sardine.GroupID]Kind            // victim to the deployment that waits for it
 	history history
 	last    *round // the newest round, for Explain
+	logged  logged
 }
 
 // New returns a planner that does not lead yet.
@@ -50,6 +51,7 @@
 	p.claims = make(map[sardine.GroupID]Kind)
 	p.history = history{}
 	p.last = nil
+	p.logged = logged{}
 }
 
 // Lead starts a term: the planner forgets what it knew and goes on from the
@@ -73,7 +75,8 @@
 // stop.
 func (p *Planner) Round(now sardine.Millis, m *state.Machine, live Fleet, teams []sardine.TeamSettings) (Output, error) {
 	p.expirePending(now)
-	r := newRound(p, now, m, live, teams)
+	p.logged.renew(m, p)
+	r := newRound(p, now, live, teams)
 	if err := r.check(); err != nil {
 		return Output{}, err
 	}
--- a/plan/release.go
+++ b/plan/release.go
@@ -27,19 +27,14 @@
 // freeMembers releases the VMs that their group no longer needs, and lists the
 // free ones.
 func (r *round) freeMembers() {
-	for _, t := range r.m.Targets() {
-		v := r.vms[t.VM]
-		if v != nil && r.isFree(v) {
-			r.free[t.Domain] = append(r.free[t.Domain], v)
+	for _, vm := range r.sorted {
+		v := r.vms[vm]
+		if r.isFree(v) {
+			r.free[v.target.Domain] = append(r.free[v.target.Domain], v)
 		}
-	}
-	for _, o := range r.m.Owners() {
-		v := r.vms[o.VM]
-		g := r.byID[o.Group]
-		if g != nil && g.State != sardine.GroupFenced && holds(g.Group, o.VM) {
-			continue
+		if v.owned && !v.member {
+			r.freeMember(v, r.byID[v.owner.Group])
 		}
-		r.freeMember(v, g)
 	}
 	r.releaseGroups()
 }
@@ -84,12 +79,3 @@
 		}
 	}
 }
-
-func holds(g sardine.Group, vm sardine.VMID) bool {
-	for _, m := range g.Members {
-		if m.VM == vm {
-			return true
-		}
-	}
-	return false
-}
--- a/plan/swap.go
+++ b/plan/swap.go
@@ -34,6 +34,7 @@
 			n.slowSince = 0
 			continue
 		}
+		g.slow = true
 		if n.slowSince == 0 {
 			n.slowSince = r.now
 		}
--- a/plan/view.go
+++ b/plan/view.go
@@ -43,6 +43,7 @@
 	alive  bool // vouched for under the log's incarnation
 	owner  state.Owner
 	owned  bool
+	member bool // of a group of its owner that is not dissolved
 	note   *vmNote
 }
 
@@ -72,6 +73,7 @@
 	members []memberView
 	spare   bool
 	busy    bool // commands are under way
+	slow    bool // a member may be a straggler
 }
 
 func (g *groupView) ready() bool {
@@ -147,7 +149,6 @@
 type round struct {
 	p        *Planner
 	now      sardine.Millis
-	m        *state.Machine
 	live     Fleet
 	out      Output
 	vms      map[sardine.VMID]*vmView
@@ -178,13 +179,13 @@
 	value float64
 }
 
-func newRound(p *Planner, now sardine.Millis, m *state.Machine, live Fleet, teams []sardine.TeamSettings) *round {
+func newRound(p *Planner, now sardine.Millis, live Fleet, teams []sardine.TeamSettings) *round {
 	r := &round{
 		p:        p,
 		now:      now,
-		m:        m,
 		live:     live,
-		vms:      make(map[sardine.VMID]*vmView),
+		vms:      p.logged.vms,
+		sorted:   p.logged.sorted,
 		byID:     make(map[sardine.GroupID]*groupView),
 		taken:    make(map[sardine.VMID]bool),
 		free:     make(map[sardine.FabricDomain][]*vmView),
@@ -196,30 +197,18 @@
 	r.viewVMs()
 	r.viewKinds(teams)
 	r.viewGroups()
-	for vm := range r.vms {
-		r.sorted = append(r.sorted, vm)
-	}
-	slices.Sort(r.sorted)
 	return r
 }
 
 func (r *round) viewVMs() {
-	for _, o := range r.m.Owners() {
-		r.vms[o.VM] = &vmView{owner: o, owned: true, note: r.p.vm(o.VM)}
-	}
-	for _, t := range r.m.Targets() {
-		if t.Kind != sardine.KindEngine {
+	for _, vm := range r.sorted {
+		v := r.vms[vm]
+		v.member = false
+		if !v.known {
 			continue
 		}
-		v := r.vms[t.VM]
-		if v == nil {
-			v = &vmView{note: r.p.vm(t.VM)}
-			r.vms[t.VM] = v
-		}
-		v.target = t
-		v.known = true
-		v.status, v.alive = r.live.Live(t.VM)
-		v.alive = v.alive && v.status.Incarnation == t.Incarnation
+		v.status, v.alive = r.live.Live(vm)
+		v.alive = v.alive && v.status.Incarnation == v.target.Incarnation
 	}
 	for _, w := range r.p.pending {
 		for _, vm := range w.vms {
--- a/plan/viewgroup.go
+++ b/plan/viewgroup.go
@@ -13,7 +13,7 @@
 		kinds[k.Kind] = k
 	}
 	seen := make(map[sardine.GroupID]bool)
-	for _, group := range r.m.Groups() {
+	for _, group := range r.p.logged.groups {
 		seen[group.ID] = true
 		g := r.viewGroup(group)
 		g.kind = kinds[Kind{Team: group.Team, Service: group.Service}]
@@ -52,11 +52,8 @@
 	}
 	g.members = make([]memberView, len(group.Members))
 	for i, member := range group.Members {
-		v := r.vms[member.VM]
-		if v == nil {
-			v = &vmView{note: r.p.vm(member.VM)}
-			r.vms[member.VM] = v
-		}
+		v := r.p.logged.view(member.VM, r.p)
+		v.member = v.member || group.State != sardine.GroupFenced && v.owner.Group == group.ID
 		g.members[i] = memberView{Member: member, vm: v, condition: r.conditionOf(group, member, v)}
 		if v.alive && v.status.Holding.State == sardine.MemberLoading {
 			r.loading++
--- a/standin/fake/leader.go
+++ b/standin/fake/leader.go
@@ -60,7 +60,9 @@
 	w.reporter.heard(l)
 	view := l.fleet.At(w.now)
 	commands := l.fleet.Tick(w.now, l.machine)
+	started := w.stopwatch()
 	out, err := l.planner.Round(w.now, l.machine, view, w.teams)
+	w.timed(w.stopwatch() - started)
 	w.fail(err)
 	l.wakeAt = out.Wake
 	w.propose(l, slices.Concat(commands, out.Commands))
@@ -69,6 +71,11 @@
 	}
 }
 
+func (w *World) timed(millis float64) {
+	w.roundSum += millis
+	w.roundMost = max(w.roundMost, millis)
+}
+
 // propose commits commands in their order, if the leader still leads then.
 func (w *World) propose(l *leader, commands []state.Command) {
 	if len(commands) == 0 {
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -51,6 +51,11 @@
 	return func(w *World) { w.store = store{atOnce: atOnce, loadTime: loadTime} }
 }
 
+// WithStopwatch measures the rounds with a clock that tells milliseconds.
+func WithStopwatch(read func() float64) Option {
+	return func(w *World) { w.stopwatch = read }
+}
+
 // entry is one committed command.
 type entry struct {
 	index   uint64
@@ -80,6 +85,9 @@
 	checker   checker
 	err       error
 	rounds    int
+	stopwatch func() float64
+	roundSum  float64 // milliseconds
+	roundMost float64
 }
 
 // NewWorld returns a world whose engines all start at its first instant.
@@ -92,6 +100,8 @@
 		store:   store{atOnce: 8, loadTime: 40 * sardine.Second},
 		teams:   teams,
 		truth:   state.NewMachine(),
+
+		stopwatch: func() float64 { return 0 },
 	}
 	for _, option := range options {
 		option(w)
@@ -127,6 +137,17 @@
 	return w.rounds
 }
 
+// RoundTimes returns the mean and the worst time of a round in milliseconds, 0
+// without a stopwatch.
+func (w *World) RoundTimes() (mean, worst float64) {
+	return w.roundSum / float64(max(w.rounds, 1)), w.roundMost
+}
+
+// Engine returns a VM's engine.
+func (w *World) Engine(vm sardine.VMID) *Engine {
+	return w.byVM[vm]
+}
+
 // Planner returns the leader's planner, nil while there is no leader.
 func (w *World) Planner() *plan.Planner {
 	if w.leader == nil {
--- /dev/null
+++ b/standin/gauge/groups_test.go
@@ -0,0 +1,33 @@
+package gauge
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sardineswitch.dev/sardine/plan"
+)
+
+// TestGroupsSchedules runs every small schedule under every policy once.
+func TestGroupsSchedules(t *testing.T) {
+	for _, s := range schedules() {
+		if s.large {
+			continue
+		}
+		for _, p := range plan.Policies() {
+			r, err := runGroups(p.Name(), "adinkra", s.name, 1)
+			require.NoError(t, err)
+			require.Positive(t, r.Stranded)
+		}
+	}
+}
+
+// TestGroupsRepeat shows that a seed fixes a run.
+func TestGroupsRepeat(t *testing.T) {
+	first, err := runGroups("cheapest", "dobra", "dark", 3)
+	require.NoError(t, err)
+	again, err := runGroups("cheapest", "dobra", "dark", 3)
+	require.NoError(t, err)
+	require.Equal(t, first.Weighted, again.Weighted)
+	require.Equal(t, first.Rounds, again.Rounds)
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -41,6 +41,7 @@
 // Machine is the replicated state. It is not safe for concurrent use.
 type Machine struct {
 	index      uint64
+	changed    uint64 // index of the last command about targets or groups
 	at         WallTime
 	entries    map[sardine.NodeID]JoinEntry
 	teams      map[sardine.Team]*team
@@ -74,6 +75,12 @@
 	return m.index
 }
 
+// FleetIndex returns the index of the last applied command about targets,
+// groups or ownership. As long as it stays, so do these.
+func (m *Machine) FleetIndex() uint64 {
+	return m.changed
+}
+
 // At returns the highest stamp applied.
 func (m *Machine) At() WallTime {
 	return m.at
@@ -101,6 +108,9 @@
 }
 
 func (m *Machine) execute(c Command) Result {
+	if concernsFleet(c) {
+		m.changed = m.index
+	}
 	switch c := c.(type) {
 	case JoinEntry:
 		return m.joinEntry(c)
@@ -131,6 +141,15 @@
 	}
 }
 
+func concernsFleet(c Command) bool {
+	switch c.(type) {
+	case TargetUp, TargetDown, TargetLeaving, AssignGroup, MoveGroup, FreeMember:
+		return true
+	default:
+		return false
+	}
+}
+
 func (m *Machine) executeGuard(c Command) Result {
 	switch c := c.(type) {
 	case Strike:
