--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	cd tools && GOWORK=off go build -o $(BIN)/ mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
 
 format-check:
-	@bad=$$($(BIN)/gofumpt -l $(SOURCES)); if [ -n "$$bad" ]; then echo "make: not formatted, run 'make format':"; echo "$$bad"; exit 1; fi
+	@bad=$$($(BIN)/gofumpt -l $(SOURCES)) || exit 1; if [ -n "$$bad" ]; then echo "make: not formatted, run 'make format':"; echo "$$bad"; exit 1; fi
 
 format:
 	$(BIN)/gofumpt -w $(SOURCES)
