--- a/route/feedback.go
+++ b/route/feedback.go
@@ -118,9 +118,9 @@
 	if t == nil || at < t.loadAt {
 		return
 	}
-	t.load = l
-	t.loadAt = at
-	t.ownThen = t.inFlight
+	if s := r.services[t.candidate.Service]; s != nil {
+		t.report(s, at, l)
+	}
 }
 
 // CacheEvents takes engines' words about their caches.
--- a/route/router.go
+++ b/route/router.go
@@ -17,6 +17,7 @@
 	firstShares []float64 // cached share of a prefix by rank, last that of other targets
 	laterShares []float64 // the same of conversations' later requests
 	hintShare   float64   // share of hinted blocks found cached
+	tokenRate   float64   // usual reported tokens per second of one running request
 	popular     *popular
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -8,8 +8,14 @@
 const (
 	speedGain = 0.05
 	hitGain   = 0.02
+	tokenGain = 0.01
+	lagGain   = 0.3
 )
 
+// reportRunning is the number of running requests from which a reported token
+// rate tells something.
+const reportRunning = 4
+
 // queueMemory is the age in milliseconds at which a report's word on the queue
 // counts half.
 const queueMemory = 200.0
@@ -31,6 +37,7 @@
 	loadAt    sardine.Millis // instant of the report
 	ownThen   int            // own requests in flight when load was reported
 	slowness  float64        // observed time over expected time
+	lag       float64        // usual time between tokens over this target's, by its reports
 	outlier   outlier
 	gone      bool
 }
@@ -41,6 +48,7 @@
 		hash:      c.hash(),
 		roundTrip: float64(o.distance(o.ownCentre, c.DataCentre)),
 		slowness:  1,
+		lag:       1,
 	}
 }
 
@@ -87,7 +95,25 @@
 	c := s.costs
 	tokens := uncached + t.backlog(now, s.meanPrefill)
 	work := (c.Base + c.PerToken*tokens) * (1 + c.PerRunning*t.requests())
-	return t.roundTrip + work*s.scale*t.slowness
+	return t.roundTrip + work*s.scale*t.slowness*t.lag
+}
+
+// report takes a load report. The rate of tokens for each running request shows
+// a straggler to nodes that rarely dispatch to it.
+func (t *target) report(s *service, at sardine.Millis, l sardine.Load) {
+	t.load = l
+	t.loadAt = at
+	t.ownThen = t.inFlight
+	if l.Running < reportRunning || l.TokensPerSecond <= 0 {
+		return
+	}
+	rate := l.TokensPerSecond / float64(l.Running)
+	if s.tokenRate == 0 {
+		s.tokenRate = rate
+	}
+	s.tokenRate += tokenGain * (rate - s.tokenRate)
+	lag := min(max(s.tokenRate/rate, 1), maxSlowness)
+	t.lag += lagGain * (lag - t.lag)
 }
 
 // observe learns from an observed time to first token.
--- a/standin/gauge/engine.go
+++ b/standin/gauge/engine.go
@@ -132,5 +132,6 @@
 
 // load returns the engine's report.
 func (e *engine) load() sardine.Load {
-	return sardine.Load{Running: e.running, Queued: e.queued}
+	perToken := e.decode(1)
+	return sardine.Load{Running: e.running, Queued: e.queued, TokensPerSecond: float64(e.running) * 1000 / perToken}
 }
