Measure routing in two steps through home nodes

A home node picks among about eight engines for all entry nodes, so that it knows their requests in flight exactly; an entry node picks the home. Trial in the measurement only, no shell does it yet.

--- a/standin/gauge/engine.go
+++ b/standin/gauge/engine.go
@@ -29,6 +29,7 @@
 	talk         int // conversation
 	blocks       int // of the whole prompt
 	later        bool
+	region       int // of the caller
 }
 
 func (p prompt) tokens() int {
--- a/standin/gauge/routerun.go
+++ b/standin/gauge/routerun.go
@@ -36,6 +36,8 @@
 	refs     []route.Ref
 	byRef    map[route.Ref]int
 	routers  []*route.Router
+	homes    []*home
+	homeOf   map[route.Ref]*home
 	talks    int
 	first    sample
 	cached   int
@@ -49,6 +51,7 @@
 		arrivals: rand.New(rand.NewPCG(f.seed, 1)),
 		delays:   rand.New(rand.NewPCG(f.seed, 2)),
 		byRef:    make(map[route.Ref]int),
+		homeOf:   make(map[route.Ref]*home),
 	}
 	r.makeFamilies()
 	r.makeEngines()
@@ -90,13 +93,18 @@
 	}
 }
 
+// regionOf returns the region of a data centre.
+func regionOf(centre int) int {
+	return centre / 3
+}
+
 // roundTrip returns the milliseconds between two data centres and back: 1
 // within one, 2 within a region, 40 between the regions (3 and 2 data centres).
 func roundTrip(a, b int) float64 {
 	switch {
 	case a == b:
 		return 1
-	case (a < 3) == (b < 3):
+	case regionOf(a) == regionOf(b):
 		return 2
 	default:
 		return 40
@@ -111,6 +119,10 @@
 			DataCentre: sardine.DataCentre(fmt.Sprint(e.centre)),
 		}
 	}
+	if r.variant.homes {
+		r.makeHomes()
+		candidates = r.homeCandidates()
+	}
 	count := r.flags.nodes
 	if r.variant.oneView {
 		count = 1
@@ -155,6 +167,7 @@
 		turns = 2 + r.arrivals.IntN(5)
 	}
 	p := prompt{family: family + 1, familyBlocks: r.lengths[family], talk: r.talks}
+	p.region = regionOf(r.arrivals.IntN(r.centres()))
 	p.blocks = p.familyBlocks + 1 + r.arrivals.IntN(8)
 	r.ask(p, turns, rand.New(rand.NewPCG(r.flags.seed, uint64(1e6+r.talks))))
 }
@@ -168,21 +181,51 @@
 
 // ask sends one request of a conversation through a random entry node.
 func (r *routingRun) ask(p prompt, turns int, own *rand.Rand) {
-	node := own.IntN(r.flags.nodes)
+	node := r.node(p.region, own)
 	tokens := min(own.ExpFloat64()*generatedTokens, 2000) + 1
 	q := route.Request{Service: "model", PrefixHashes: hashes(p, p.blocks), PromptTokens: p.tokens(), Conversation: uint64(p.talk), Later: p.later}
+	next := func() { r.continueTalk(p, turns, tokens, own) }
+	if r.variant.homes {
+		r.askHome(node, p, q, tokens, next)
+		return
+	}
 	target, choice, err := r.pick(node, p, q)
 	if err != nil {
 		r.failure = err
 		return
 	}
 	trip := roundTrip(node%r.centres(), r.engines[target].centre)
-	if !r.variant.oracle {
-		r.router(node).Started(&choice, sardine.Millis(r.now))
-	}
 	start := r.now
-	next := func() { r.continueTalk(p, turns, tokens, own) }
-	r.after(trip/2, func() { r.serve(node, target, p, choice, start, trip, tokens, next) })
+	told := r.tellRouter(node, &choice)
+	r.after(trip/2, func() { r.serve(target, p, told, start, trip, tokens, next) })
+}
+
+// feedback is what an entry node does with an engine's words on a request.
+type feedback struct {
+	first func(cachedTokens int)
+	ended func()
+}
+
+func (r *routingRun) tellRouter(node int, c *route.Choice) feedback {
+	if r.variant.oracle {
+		return feedback{first: func(int) {}, ended: func() {}}
+	}
+	router := r.router(node)
+	router.Started(c, sardine.Millis(r.now))
+	return feedback{
+		first: func(cached int) { router.FirstToken(c, sardine.Millis(r.now), cached) },
+		ended: func() { router.Ended(c, sardine.Millis(r.now), route.End{OK: true}) },
+	}
+}
+
+// node draws an entry node of the caller's region.
+func (r *routingRun) node(region int, own *rand.Rand) int {
+	for {
+		n := own.IntN(r.flags.nodes)
+		if regionOf(n%r.centres()) == region {
+			return n
+		}
+	}
 }
 
 func (r *routingRun) pick(node int, p prompt, q route.Request) (int, route.Choice, error) {
@@ -208,7 +251,7 @@
 }
 
 // serve runs a request on an engine.
-func (r *routingRun) serve(node, target int, p prompt, c route.Choice, start, trip, tokens float64, next func()) {
+func (r *routingRun) serve(target int, p prompt, told feedback, start, trip, tokens float64, next func()) {
 	e := r.engines[target]
 	at, cached, evicted := e.accept(r.now, p)
 	r.publish(target, p, evicted)
@@ -217,16 +260,12 @@
 		e.running++
 		r.after(e.decode(tokens), func() {
 			e.running--
-			if !r.variant.oracle {
-				r.router(node).Ended(&c, sardine.Millis(r.now), route.End{OK: true})
-			}
+			told.ended()
 			next()
 		})
 	})
 	r.after(at-r.now+trip/2, func() {
-		if !r.variant.oracle {
-			r.router(node).FirstToken(&c, sardine.Millis(r.now), cached*modelBlock)
-		}
+		told.first(cached * modelBlock)
 		r.count(start, p, cached)
 	})
 }
@@ -258,6 +297,9 @@
 		for _, router := range r.routers {
 			router.Load(at, r.refs[i], l)
 		}
+		for _, h := range r.homes {
+			h.router.Load(at, r.refs[i], l)
+		}
 	})
 	r.after(reportEvery, func() { r.report(i) })
 }
@@ -273,6 +315,10 @@
 	}
 	lag := cacheLagLow + r.delays.Float64()*(cacheLagHigh-cacheLagLow)
 	r.after(lag, func() {
+		if r.variant.homes {
+			r.tellHome(i, event)
+			return
+		}
 		for k := range min(homeNodes, len(r.routers)) {
 			r.routers[(i*homeNodes+k)%len(r.routers)].CacheEvents([]route.CacheEvent{event})
 		}
--- a/standin/gauge/routing.go
+++ b/standin/gauge/routing.go
@@ -71,6 +71,7 @@
 	name    string
 	oracle  bool
 	oneView bool // one router for all nodes: what exact knowledge of the load is worth
+	homes   bool // two steps: a home node of the prefix, then an engine of that home
 	options []route.Option
 }
 
@@ -88,6 +89,7 @@
 		policy(route.Mixed),
 		{name: "mixed_without_hints", options: []route.Option{route.WithHints(0)}},
 		{name: "mixed_one_view", oneView: true},
+		{name: "mixed_homes", homes: true},
 	}
 }
 
