Add the load generator and the stand-ins' commands

standin load keeps a steady rate, checks every answer against the text that the stand-in targets must give and prints counts and percentiles, JSON last. The test makes an engine cut streams and repeat tokens and expects both to be noticed.

--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,74 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/standin/engine"
+	"sardineswitch.dev/sardine/standin/plain"
+	"sardineswitch.dev/sardine/standin/weight"
+)
+
+func ready(t *testing.T) *engine.Engine {
+	e := engine.New(engine.WithLoader(weight.New(weight.WithSize(1))), engine.WithSpeed(1, 0))
+	require.NoError(t, e.Start())
+	t.Cleanup(e.Stop)
+	c := order.NewClient()
+	defer c.Close()
+	require.NoError(t, c.Send(context.Background(), e.Address(), sardine.Order{Group: "g", Epoch: 1, Size: 1, Model: "surtitle"}))
+	require.Eventually(t, func() bool { return e.Holding().State == sardine.MemberReady }, 5*time.Second, time.Millisecond)
+	return e
+}
+
+// TestJudgesEachFault sends a few requests straight to an engine that misbehaves
+// and expects the run to notice.
+func TestJudgesEachFault(t *testing.T) {
+	for name, c := range map[string]struct {
+		set func(*engine.Faults)
+		bad func(*Result) int
+	}{
+		"none":      {func(*engine.Faults) {}, func(r *Result) int { return r.Wrong() + r.Broken() + r.Refused() }},
+		"cut":       {func(f *engine.Faults) { f.CutStreams(2, 1000) }, (*Result).Broken},
+		"duplicate": {func(f *engine.Faults) { f.AnswerTwice(1000) }, (*Result).Wrong},
+	} {
+		e := ready(t)
+		c.set(e.Faults())
+		l := New(WithTarget(e.Address(), "surtitle", "stage"), WithRate(200, 100), WithStreams(0.5), WithTokens(4))
+		r := l.Run(context.Background())
+		sent := r.Right() + r.Wrong() + r.Broken() + r.Refused()
+		require.Positive(t, sent, name)
+		if name == "none" {
+			require.Equal(t, sent, r.Right(), name)
+			continue
+		}
+		require.Zero(t, r.Right(), name)
+		require.Equal(t, sent, c.bad(r), name)
+	}
+}
+
+func TestRefusalsAndTables(t *testing.T) {
+	e := engine.New()
+	require.NoError(t, e.Start())
+	defer e.Stop()
+	r := New(WithTarget(e.Address(), "surtitle", "stage"), WithRate(200, 50)).Run(context.Background())
+	require.Positive(t, r.Refused())
+	require.Zero(t, r.Summary().Unknown, "an engine that is not ready says that it did not run the request")
+	var b bytes.Buffer
+	r.Print(&b)
+	require.Contains(t, b.String(), "status 503")
+}
+
+func TestPlain(t *testing.T) {
+	p := plain.New()
+	require.NoError(t, p.Start())
+	defer p.Stop()
+	r := New(WithTarget(p.Address(), "box_office", "stage"), WithPlain("/book"), WithRate(200, 50)).Run(context.Background())
+	require.Positive(t, r.Wrong(), "the stand-in sees the whole path, so its answer is not the service's")
+	require.Positive(t, p.Runs("cue 0 of run 1"))
+}
--- /dev/null
+++ b/standin/load/send.go
@@ -0,0 +1,194 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/standin/engine"
+	"sardineswitch.dev/sardine/standin/plain"
+)
+
+const maxAnswer = 64 << 20 // bytes
+
+type chatBody struct {
+	Model     string        `json:"model"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+	Messages  []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// sendChat sends one chat request and judges the answer.
+func (l *Load) sendChat(ctx context.Context, i int, stream bool) outcome {
+	body, err := json.Marshal(chatBody{
+		Model: l.settings.service, MaxTokens: l.settings.tokens, Stream: stream,
+		Messages: []chatMessage{{Role: "user", Content: l.name(i)}},
+	})
+	if err != nil {
+		return outcome{verdict: verdictBroken, reason: err.Error()}
+	}
+	wanted, err := engine.ParseRequest(engine.ChatPath, body)
+	if err != nil {
+		return outcome{verdict: verdictBroken, reason: err.Error()}
+	}
+	started := time.Now()
+	answer, err := l.post(ctx, engine.ChatPath, body, "application/json", "")
+	if err != nil {
+		return outcome{verdict: verdictBroken, reason: short(err)}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return refusal(answer)
+	}
+	if stream {
+		return judgeStream(answer.Body, engine.Expect(wanted), started)
+	}
+	return judgeWhole(answer.Body, engine.Expect(wanted), started)
+}
+
+// sendPlain books once, with a key of its own.
+func (l *Load) sendPlain(ctx context.Context, i int) outcome {
+	path := "/services/" + l.settings.service + l.settings.plainPath
+	started := time.Now()
+	answer, err := l.post(ctx, path, []byte(l.name(i)), "text/plain", fmt.Sprintf("load-%d-%d", l.settings.seed, i))
+	if err != nil {
+		return outcome{verdict: verdictBroken, reason: short(err)}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return refusal(answer)
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return outcome{verdict: verdictBroken, reason: short(err)}
+	}
+	o := outcome{verdict: verdictRight, total: time.Since(started)}
+	if string(text) != plain.Expect(http.MethodPost, l.settings.plainPath, l.name(i)) {
+		o.verdict = verdictWrong
+	}
+	return o
+}
+
+func (l *Load) post(ctx context.Context, path string, body []byte, kind, key string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.settings.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", kind)
+	request.Header.Set("X-Sardine-Workspace", l.settings.workspace)
+	if l.settings.token != "" {
+		request.Header.Set("Authorization", "Bearer "+l.settings.token)
+	}
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	return l.http.Do(request)
+}
+
+// refusal notes the problem's code and whether the request ran.
+func refusal(answer *http.Response) outcome {
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxAnswer)) // a cut body has no code
+	var problem struct {
+		Code json.RawMessage `json:"code"`
+		Name string          `json:"name"`
+		Ran  string          `json:"ran"`
+	}
+	_ = json.Unmarshal(text, &problem) // as above
+	reason := problem.Name
+	if reason == "" {
+		reason = strings.Trim(string(problem.Code), `"`)
+	}
+	if reason == "" {
+		reason = fmt.Sprintf("status %d", answer.StatusCode)
+	}
+	ran := problem.Ran
+	if ran == "" {
+		ran = answer.Header.Get(order.HeaderRan)
+	}
+	return outcome{verdict: verdictRefused, reason: reason, ran: ran}
+}
+
+type chatChunk struct {
+	Choices []struct {
+		Delta        chatMessage `json:"delta"`
+		Message      chatMessage `json:"message"`
+		FinishReason string      `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// judgeStream reads server-sent events to their end. A stream that breaks off is
+// broken; one that ends but holds another text is wrong.
+func judgeStream(body io.Reader, wanted string, started time.Time) outcome {
+	o := outcome{verdict: verdictBroken, reason: "stream without an end"}
+	var text strings.Builder
+	var last time.Time
+	lines := bufio.NewScanner(io.LimitReader(body, maxAnswer))
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			o.total, o.verdict, o.reason = time.Since(started), verdictRight, ""
+			if text.String() != wanted {
+				o.verdict = verdictWrong
+			}
+			return o
+		}
+		var c chatChunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) == 0 {
+			o.reason = "error frame"
+			continue
+		}
+		if c.Choices[0].Delta.Content == "" {
+			continue
+		}
+		now := time.Now()
+		if last.IsZero() {
+			o.first = now.Sub(started)
+		} else {
+			o.gaps = append(o.gaps, now.Sub(last))
+		}
+		last = now
+		text.WriteString(c.Choices[0].Delta.Content)
+	}
+	return o
+}
+
+func judgeWhole(body io.Reader, wanted string, started time.Time) outcome {
+	text, err := io.ReadAll(io.LimitReader(body, maxAnswer))
+	if err != nil {
+		return outcome{verdict: verdictBroken, reason: short(err)}
+	}
+	o := outcome{verdict: verdictWrong, total: time.Since(started)}
+	var c chatChunk
+	if json.Unmarshal(text, &c) == nil && len(c.Choices) == 1 && c.Choices[0].Message.Content == wanted {
+		o.verdict = verdictRight
+	}
+	return o
+}
+
+// short drops addresses from an error, so that equal ones are counted together.
+func short(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "timeout"
+	}
+	for unwrapped := errors.Unwrap(err); unwrapped != nil; unwrapped = errors.Unwrap(err) {
+		err = unwrapped
+	}
+	return err.Error()
+}
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -2,8 +2,12 @@
 package start
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -39,6 +43,19 @@
 // commands is the lookup table of the program's commands, one file each.
 var commands = []func() *cobra.Command{
 	newMeasure,
+	newEngine,
+	newPlain,
+	newWeights,
+	newLoad,
+}
+
+// untilSignal returns a context that ends with SIGINT or SIGTERM.
+func untilSignal(c *cobra.Command) (context.Context, context.CancelFunc) {
+	parent := c.Context()
+	if parent == nil {
+		parent = context.Background()
+	}
+	return signal.NotifyContext(parent, os.Interrupt, syscall.SIGTERM)
 }
 
 func newMeasure() *cobra.Command {
