Say of a site only what the asked node can know; give learners their vote

Only the leading control node knows leases and announcements; a report of another would have called every entry node cut off and every target lost. Such things are unknown now, and sardctl believes the leader. members add and replace ask for the vote of the learner until it has caught up. explain group adds the planner's lines.

--- a/sardctl/verbs/doctor.go
+++ b/sardctl/verbs/doctor.go
@@ -94,6 +94,8 @@
 		findings = append(findings, checkClock(r, asked, time.Now())...)
 		if r.Leader != "" {
 			leaders[string(r.Leader)] = true
+		}
+		if r.Leader == r.Node || best.Node == "" {
 			best = r
 		}
 	}
--- a/sardctl/verbs/explain.go
+++ b/sardctl/verbs/explain.go
@@ -1,6 +1,9 @@
 package verbs
 
 import (
+	"encoding/json"
+	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -12,6 +15,9 @@
 	"sardineswitch.dev/sardine/status"
 )
 
+// explainPath is where the leading control node explains a group, by GET.
+const explainPath = "/sardine/v1/explain/group/"
+
 func explainVerb() Verb {
 	return Verb{
 		Use:     "explain group|target|code|event NAME",
@@ -65,6 +71,29 @@
 		t, _ := r.Target(m.VM)
 		c.printf("  rank %d: %s, %s for %s\n", m.Rank, m.VM, orDash(t.Condition.State), since(r.At, t.Condition.Since))
 	}
+	return c.printPlanner(id)
+}
+
+// printPlanner adds what the leader's planner says about a group. A site without
+// a leader has no planner.
+func (c *Call) printPlanner(id sardine.GroupID) error {
+	body, err := c.operate(http.MethodGet, explainPath+url.PathEscape(string(id)), nil)
+	if codes.Is(err, codes.NotLeader) || codes.Is(err, codes.NoQuorum) {
+		c.printf("no leader answers, nothing is planned\n")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var answer struct {
+		Lines []string `json:"lines"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return codes.Wrap(codes.AnswerInvalid, err, "explanation")
+	}
+	for _, line := range answer.Lines {
+		c.printf("planner: %s\n", line)
+	}
 	return nil
 }
 
--- a/sardctl/verbs/members.go
+++ b/sardctl/verbs/members.go
@@ -31,7 +31,8 @@
 			{
 				Use: "add NODE ADDRESS", Short: "Add a control member", Args: cobra.ExactArgs(2),
 				Examples: []string{"sardctl members add legon-control-2 10.1.3.6:7070"},
-				Run:      func(c *Call) error { return c.changeMember("add", c.args[0], c.args[1]) },
+				Run:      runMembersAdd,
+				Flags:    waitFlag,
 			},
 			{
 				Use: "remove NODE", Short: "Remove a control member", Args: cobra.ExactArgs(1), Complete: completeNodes,
@@ -41,9 +42,7 @@
 				Use: "replace OLD NEW ADDRESS", Short: "Add a control member, wait for it, remove another",
 				Args: cobra.ExactArgs(3), Complete: completeNodes, Run: runMembersReplace,
 				Examples: []string{"sardctl members replace legon-control legon-control-2 10.1.3.6:7070 --yes"},
-				Flags: func(f *pflag.FlagSet) {
-					f.Duration("wait", 5*time.Minute, "give up if the new member has not caught up by then")
-				},
+				Flags:    waitFlag,
 			},
 		},
 	}
@@ -79,7 +78,7 @@
 		switch {
 		case m.GetLearner():
 			role = "learner"
-		case m.GetNode() == reply.GetLeader():
+		case reply.GetLeader() != "" && m.GetAddress() == reply.GetLeader():
 			role = "leader"
 		}
 		rows = append(rows, []string{m.GetNode(), m.GetAddress(), role})
@@ -92,8 +91,12 @@
 	return nil
 }
 
-func (c *Call) changeMember(operation, node, address string) error {
-	reply, err := c.members(&wire.MembersRequest{Operation: operation, Node: node, Address: address})
+func waitFlag(f *pflag.FlagSet) {
+	f.Duration("wait", 5*time.Minute, "give up if the new member has not caught up by then")
+}
+
+func runMembersAdd(c *Call) error {
+	reply, err := c.addMember(c.args[0], c.args[1])
 	if err != nil {
 		return err
 	}
@@ -104,7 +107,7 @@
 	if err := c.confirm("The control node " + c.args[0] + " no longer counts for the quorum."); err != nil {
 		return err
 	}
-	return c.changeMember("remove", c.args[0], "")
+	return c.removeMember(c.args[0])
 }
 
 // runMembersReplace adds the new member before it removes the old one, so that
@@ -114,31 +117,64 @@
 	if err := c.confirm("The control node " + old + " no longer counts for the quorum once " + fresh + " has caught up."); err != nil {
 		return err
 	}
-	if _, err := c.members(&wire.MembersRequest{Operation: "add", Node: fresh, Address: address}); err != nil {
+	if _, err := c.addMember(fresh, address); err != nil {
 		return err
 	}
-	c.tell("%s added as a learner\n", fresh)
-	if err := c.awaitVoter(fresh); err != nil {
+	return c.removeMember(old)
+}
+
+func (c *Call) removeMember(node string) error {
+	reply, err := c.members(&wire.MembersRequest{Operation: "remove", Node: node})
+	if err != nil {
 		return err
 	}
-	c.tell("%s has caught up\n", fresh)
-	return c.changeMember("remove", old, "")
+	return c.printMembers(reply)
 }
 
-func (c *Call) awaitVoter(node string) error {
+// addMember adds a learner and gives it a vote once it has caught up. It may be
+// called again after it was interrupted.
+func (c *Call) addMember(node, address string) (*wire.MembersReply, error) {
+	listed, err := c.members(&wire.MembersRequest{Operation: "list"})
+	if err != nil {
+		return nil, err
+	}
+	if found := member(listed, node); found == nil {
+		if _, err := c.members(&wire.MembersRequest{Operation: "add", Node: node, Address: address}); err != nil {
+			return nil, err
+		}
+		c.tell("%s added as a learner\n", node)
+	}
 	wait, _ := c.flags.GetDuration("wait") // the command defined it
-	end := time.Now().Add(wait)
-	for time.Now().Before(end) {
-		reply, err := c.members(&wire.MembersRequest{Operation: "list"})
-		if err != nil {
-			return err
+	for end := time.Now().Add(wait); ; time.Sleep(roundPause) {
+		reply, err := c.promote(node, address)
+		if err == nil {
+			c.tell("%s has caught up and votes\n", node)
+			return reply, nil
 		}
-		for _, m := range reply.GetMembers() {
-			if m.GetNode() == node && !m.GetLearner() {
-				return nil
-			}
+		if !codes.Is(err, codes.MemberBusy) || time.Now().After(end) {
+			return nil, codes.Wrap(codes.Of(err), err, node+" stays a learner, nothing was removed; send the command again")
 		}
-		time.Sleep(roundPause)
 	}
-	return codes.New(codes.MemberBusy, "%s has not caught up in %s; both members are in the list, nothing was removed", node, wait)
+}
+
+// promote gives a learner its vote. A member that votes already is left alone, so
+// that a lost answer does no harm.
+func (c *Call) promote(node, address string) (*wire.MembersReply, error) {
+	listed, err := c.members(&wire.MembersRequest{Operation: "list"})
+	if err != nil {
+		return nil, err
+	}
+	if found := member(listed, node); found != nil && !found.GetLearner() {
+		return listed, nil
+	}
+	return c.members(&wire.MembersRequest{Operation: "promote", Node: node, Address: address})
+}
+
+func member(reply *wire.MembersReply, node string) *wire.QuorumMember {
+	for _, m := range reply.GetMembers() {
+		if m.GetNode() == node {
+			return m
+		}
+	}
+	return nil
 }
--- a/sardctl/verbs/node.go
+++ b/sardctl/verbs/node.go
@@ -110,8 +110,9 @@
 	return nil, last
 }
 
-// report asks the control nodes for the status of the site; the first that knows
-// a leader is believed, else the last that answers.
+// report asks the control nodes for the status of the site. The leader is
+// believed, since only it knows leases and announcements; without it, one that
+// knows who leads, else any that answers.
 func (c *Call) report() (status.Report, error) {
 	nodes, err := c.controls()
 	if err != nil {
@@ -130,10 +131,12 @@
 		if err != nil {
 			return status.Report{}, err
 		}
-		if r.Leader != "" {
+		if r.Leader != "" && r.Leader == r.Node {
 			return r, nil
 		}
-		best, found = r, true
+		if !found || r.Leader != "" {
+			best, found = r, true
+		}
 	}
 	if !found {
 		return status.Report{}, last
--- a/sardctl/verbs/status.go
+++ b/sardctl/verbs/status.go
@@ -107,7 +107,12 @@
 // depends on them.
 func troubleRows(r status.Report) [][]string {
 	var rows [][]string
+	unknown := 0
 	add := func(what string, k status.Condition) {
+		if k.State == status.Unknown {
+			unknown++
+			return
+		}
 		if !k.Good {
 			rows = append(rows, []string{what, k.State, since(r.At, k.Since), k.System, k.Person})
 		}
@@ -130,6 +135,12 @@
 	for _, p := range r.Poisons {
 		add("request "+p.Fingerprint, p.Condition)
 	}
+	if unknown > 0 {
+		rows = append(rows, []string{
+			fmt.Sprintf("%d other(s)", unknown), status.Unknown, "", "only the leading control node knows them",
+			"name all control nodes to sardctl; without a leader see docs/operate/lost-quorum.md",
+		})
+	}
 	return rows
 }
 
--- a/status/advise.go
+++ b/status/advise.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	sardine "sardineswitch.dev/sardine"
 )
@@ -13,6 +14,14 @@
 	person string
 }
 
+// Unknown is the state of what only the leader could tell.
+const Unknown = "unknown"
+
+// adviseUnknown sends the reader to the leader.
+func adviseUnknown() advice {
+	return advice{system: "only the leading control node knows", person: "name all control nodes to sardctl; without a leader see docs/operate/lost-quorum.md"}
+}
+
 func adviseGroup(s sardine.GroupState, missing int) advice {
 	switch s {
 	case sardine.GroupServing:
@@ -48,6 +57,8 @@
 
 func adviseTarget(name string) advice {
 	switch name {
+	case Unknown:
+		return adviseUnknown()
 	case "lost":
 		return advice{system: "sends it no work and repairs its group", person: "check that VM and its network"}
 	case "leaving":
@@ -61,6 +72,9 @@
 	if name == "serving" {
 		return advice{good: true}
 	}
+	if name == Unknown {
+		return adviseUnknown()
+	}
 	return advice{system: "the node refuses new requests", person: "check that VM and its network to the control nodes"}
 }
 
@@ -79,6 +93,8 @@
 
 func adviseControl(name string) advice {
 	switch name {
+	case Unknown:
+		return adviseUnknown()
 	case "unreachable":
 		return advice{system: "the other members go on", person: "restart that VM, or replace it: sardctl members replace"}
 	case "learning":
@@ -89,6 +105,9 @@
 }
 
 func adviseTeam(spread string, services []Service) advice {
+	if spread == Unknown {
+		return adviseUnknown()
+	}
 	if spread != "in_force" {
 		return advice{system: "brings the newest version to every entry node", person: "wait; see entry nodes that are cut off"}
 	}
@@ -136,6 +155,10 @@
 		}
 	}
 	c := Check{Name: "settings can be changed", Held: r.Leader != "" && reachable*2 > voters}
+	if !b.informed() && r.Leader != "" {
+		c.Held, c.Detail = false, fmt.Sprintf("%s leads, but %s was asked", r.Leader, r.Node)
+		return c
+	}
 	if !c.Held {
 		c.Detail = fmt.Sprintf("%d of %d control members reachable, leader %q", reachable, voters, r.Leader)
 	}
@@ -147,7 +170,7 @@
 	for _, e := range r.Entries {
 		if !e.Condition.Good {
 			c.Held = false
-			c.Detail += string(e.Node) + " is cut off; "
+			c.Detail += string(e.Node) + " is " + strings.ReplaceAll(e.Condition.State, "_", " ") + "; "
 		}
 	}
 	return c
@@ -176,7 +199,7 @@
 	for _, t := range r.Teams {
 		if t.Condition.State != "in_force" {
 			c.Held = false
-			c.Detail += fmt.Sprintf("version %d of %s is spreading; ", t.Version, t.Name)
+			c.Detail += fmt.Sprintf("version %d of %s is %s; ", t.Version, t.Name, t.Condition.State)
 		}
 	}
 	return c
--- a/status/build.go
+++ b/status/build.go
@@ -134,6 +134,12 @@
 	}
 }
 
+// informed reports whether the node knows leases and announcements. Of control
+// nodes only the leader does; the others would call everything lost.
+func (b builder) informed() bool {
+	return b.in.Role != RoleControl || b.in.Leader == b.in.Node
+}
+
 // present reports whether this incarnation announced itself within its lease.
 func (b builder) present(vm sardine.VMID, i sardine.Incarnation) bool {
 	s, known := b.seen[vm]
@@ -146,7 +152,7 @@
 		row := Group{ID: g.ID, Epoch: g.Epoch, Team: g.Team, Service: g.Service, Domain: g.Domain}
 		missing := 0
 		for _, member := range g.Members {
-			here := b.present(member.VM, member.Incarnation)
+			here := !b.informed() || b.present(member.VM, member.Incarnation)
 			if !here {
 				missing++
 			}
@@ -181,6 +187,9 @@
 			Service: t.Service, Group: owner.Group, Accelerators: t.Accelerators, Load: seen.Load,
 		}
 		name := targetState(b.present(t.VM, t.Incarnation), t.Leaving || seen.Leaving, t.Kind, owner.Group)
+		if !b.informed() {
+			name = Unknown
+		}
 		row.Condition = b.condition("target "+string(t.VM), name, adviseTarget(name))
 		all = append(all, row)
 	}
@@ -195,6 +204,9 @@
 		if !known || !lease.Held {
 			name = "cut_off"
 		}
+		if !b.informed() {
+			name = Unknown
+		}
 		all = append(all, Entry{
 			Node: e.Node, DataCentre: e.DataCentre, Address: e.Address, Applied: lease.Applied,
 			Condition: b.condition("entry "+string(e.Node), name, adviseEntry(name)),
@@ -207,6 +219,9 @@
 	var all []Control
 	for _, p := range b.in.Peers {
 		name := peerState(p)
+		if p.Reachable && !b.informed() && p.Node != b.in.Node {
+			name = Unknown
+		}
 		all = append(all, Control{
 			Node: p.Node, Address: p.Address, Leader: p.Leader, Learner: p.Learner, Applied: p.Applied,
 			Condition: b.condition("control "+string(p.Node), name, adviseControl(name)),
@@ -228,6 +243,9 @@
 			row.Services = services(settings, r)
 		}
 		spread := "in_force"
+		if !b.informed() {
+			spread = Unknown
+		}
 		if b.behind(revision.Index) > 0 {
 			spread = "spreading"
 		}
