--- a/status/advise.go
+++ b/status/advise.go
@@ -91,11 +91,14 @@
 	}
 }
 
-func adviseControl(name string) advice {
+func adviseControl(name string, led bool) advice {
 	switch name {
 	case Unknown:
 		return adviseUnknown()
 	case "unreachable":
+		if !led {
+			return advice{system: "waits for a majority, nothing can be changed", person: "start that VM again, see docs/operate/lost-quorum.md"}
+		}
 		return advice{system: "the other members go on", person: "restart that VM, or replace it: sardctl members replace"}
 	case "learning":
 		return advice{good: true, system: "copies the state to it"}
@@ -139,7 +142,7 @@
 		checkLeases(r),
 		checkOwners(r),
 		checkSpread(r),
-		checkWanted(r),
+		b.checkWanted(r),
 	}
 }
 
@@ -205,8 +208,12 @@
 	return c
 }
 
-func checkWanted(r Report) Check {
+func (b builder) checkWanted(r Report) Check {
 	c := Check{Name: "every wanted group serves", Held: true}
+	if !b.informed() {
+		c.Held, c.Detail = false, "only the leader knows whether members are missing"
+		return c
+	}
 	for _, t := range r.Teams {
 		for _, s := range t.Services {
 			if s.Serving < s.Wanted {
--- a/status/build.go
+++ b/status/build.go
@@ -224,7 +224,7 @@
 		}
 		all = append(all, Control{
 			Node: p.Node, Address: p.Address, Leader: p.Leader, Learner: p.Learner, Applied: p.Applied,
-			Condition: b.condition("control "+string(p.Node), name, adviseControl(name)),
+			Condition: b.condition("control "+string(p.Node), name, adviseControl(name, b.in.Leader != "")),
 		})
 	}
 	return all
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -76,7 +76,7 @@
 	}{
 		"quorum lost": {change: func(in *Input) { in.Peers[1].Reachable, in.Peers[2].Reachable = false, false }, broken: []string{"settings can be changed"}},
 		"no leader": {change: func(in *Input) { in.Leader = "" }, broken: []string{
-			"settings can be changed", "every entry node serves", "accepted settings are in force",
+			"settings can be changed", "every entry node serves", "accepted settings are in force", "every wanted group serves",
 		}},
 		"entry cut off":    {change: func(in *Input) { in.Leases[1].Held = false }, broken: []string{"every entry node serves"}},
 		"change spreading": {change: func(in *Input) { in.Leases[1].Applied = 1 }, broken: []string{"accepted settings are in force"}},
