--- a/entry/claims.go
+++ b/entry/claims.go
@@ -13,9 +13,6 @@
 	"sardineswitch.dev/sardine/wire"
 )
 
-// claimTick is the time between two looks at claims that are due for a resend.
-const claimTick = 50 * sardine.Millis(1)
-
 // verdict is what a request with an idempotency key gets.
 type verdict struct {
 	answer state.Answer
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 
-	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/route"
 )
@@ -71,14 +70,3 @@
 	defer f.mu.Unlock()
 	return len(f.all)
 }
-
-// byGroup returns the number of dispatches in flight for each group.
-func (f *flights) byGroup() map[sardine.GroupID]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	counts := make(map[sardine.GroupID]int)
-	for _, flying := range f.all {
-		counts[flying.candidate.Group]++
-	}
-	return counts
-}
