--- /dev/null
+++ b/drive/fault.go
@@ -0,0 +1,116 @@
+package drive
+
+import sardine "sardineswitch.dev/sardine"
+
+// Crash ends a node's life.
+func (d *Driver[M]) Crash(id sardine.NodeID) {
+	n := d.find(id)
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.life++
+	n.crash()
+}
+
+// Restart begins a node's next life.
+func (d *Driver[M]) Restart(id sardine.NodeID) {
+	n := d.find(id)
+	if n.up {
+		return
+	}
+	n.up = true
+	n.paused = 0
+	n.start0(n.local(d.now))
+	d.arm(n)
+}
+
+// Pause holds a node up: it does nothing, and what happens to it waits.
+func (d *Driver[M]) Pause(id sardine.NodeID, length sardine.Millis) {
+	d.find(id).paused = d.now + length
+}
+
+// Cut loses all messages of one direction for a time.
+func (d *Driver[M]) Cut(from, to sardine.NodeID, length sardine.Millis) {
+	d.cuts[direction{from, to}] = d.now + length
+}
+
+// Isolate cuts all links between a node and the others.
+func (d *Driver[M]) Isolate(id sardine.NodeID, length sardine.Millis) {
+	for _, n := range d.nodes {
+		d.Cut(id, n.id, length)
+		d.Cut(n.id, id, length)
+	}
+}
+
+// Calm ends all faults, now and in future, and restarts what is down.
+func (d *Driver[M]) Calm() {
+	d.faults = Faults{Delay: d.faults.Delay}
+	clear(d.cuts)
+	for _, n := range d.nodes {
+		n.paused = 0
+		d.Restart(n.id)
+	}
+}
+
+func (d *Driver[M]) scheduleDisturbance() {
+	if d.faults.Every <= 0 {
+		return
+	}
+	wait := 1 + sardine.Millis(d.random.IntN(int(2*d.faults.Every)))
+	d.At(wait, func(sardine.Millis) {
+		if d.faults.Every <= 0 {
+			return
+		}
+		d.disturb()
+		d.scheduleDisturbance()
+	})
+}
+
+// disturb begins one random disturbance; several may overlap.
+func (d *Driver[M]) disturb() {
+	if len(d.nodes) == 0 {
+		return
+	}
+	n := d.nodes[d.random.IntN(len(d.nodes))]
+	length := 1 + sardine.Millis(d.random.IntN(int(d.faults.Length)))
+	switch d.random.IntN(5) {
+	case 0, 1:
+		d.disturbLife(n, length)
+	case 2:
+		if d.faults.Pauses {
+			d.Pause(n.id, length)
+		}
+	case 3:
+		if d.faults.Cuts {
+			d.Cut(n.id, d.nodes[d.random.IntN(len(d.nodes))].id, length)
+		}
+	default:
+		if d.faults.Cuts {
+			d.partition(length)
+		}
+	}
+}
+
+func (d *Driver[M]) disturbLife(n *node, length sardine.Millis) {
+	if !d.faults.Crashes {
+		return
+	}
+	d.Crash(n.id)
+	d.At(length/2, func(sardine.Millis) { d.Restart(n.id) })
+}
+
+// partition splits the nodes in two halves that can't reach each other.
+func (d *Driver[M]) partition(length sardine.Millis) {
+	side := make(map[sardine.NodeID]bool)
+	for _, n := range d.nodes {
+		side[n.id] = d.random.IntN(2) == 0
+	}
+	for _, a := range d.nodes {
+		for _, b := range d.nodes {
+			if side[a.id] != side[b.id] {
+				d.Cut(a.id, b.id, length)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/wire"
+	"sardineswitch.dev/sardine/wirequ"
+)
+
+// Receiver takes messages; repl.Node is one.
+type Receiver interface {
+	Deliver(batch []quorum.Message)
+}
+
+// Server receives messages of other members.
+type Server struct {
+	site     string
+	receiver Receiver
+	link     *Link
+}
+
+// NewServer returns a server of a site. link learns the senders' addresses; it
+// may be nil.
+func NewServer(site string, receiver Receiver, link *Link) *Server {
+	return &Server{site: site, receiver: receiver, link: link}
+}
+
+// Handler returns the HTTP handler and the path prefix to mount it under.
+func (s *Server) Handler() (prefix string, h http.Handler) {
+	t := wire.NewPeerServer(s)
+	return t.PathPrefix(), t
+}
+
+// Deliver hands messages over.
+func (s *Server) Deliver(_ context.Context, w *wire.PeerBatch) (*wire.PeerAck, error) {
+	if w.GetSite() != s.site {
+		return nil, twirp.InvalidArgumentError("site", "this is site "+s.site)
+	}
+	if s.link != nil && w.GetAddress() != "" {
+		s.link.Learn(sardine.NodeID(w.GetFrom()), w.GetAddress())
+	}
+	batch := make([]quorum.Message, 0, len(w.GetMessages()))
+	for _, m := range w.GetMessages() {
+		if m.GetFrom() != w.GetFrom() {
+			return nil, twirp.InvalidArgumentError("from", "a message names another sender than its batch")
+		}
+		batch = append(batch, wirequ.MessageOf(m))
+	}
+	s.receiver.Deliver(batch)
+	return &wire.PeerAck{}, nil
+}
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -74,3 +74,20 @@
 func (c *Core) Members() []Member {
 	return c.members()
 }
+
+// Leadership tells who leads in the core's view.
+type Leadership struct {
+	Leader sardine.NodeID // empty if unknown
+	Term   uint64
+	Since  sardine.Millis
+}
+
+// Leadership returns who leads in the core's view.
+func (c *Core) Leadership() Leadership {
+	return Leadership{Leader: c.leader, Term: c.hard.Term, Since: c.leaderSince}
+}
+
+// First returns the oldest entry held.
+func (c *Core) First() uint64 {
+	return c.log.base.Index + 1
+}
--- /dev/null
+++ b/repl/node.go
@@ -0,0 +1,240 @@
+package repl
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	tomb "gopkg.in/tomb.v2"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/ring"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/store"
+)
+
+// Sizes of the rings between the duties, in items.
+const (
+	inboxItems   = 1024 // batches of messages; when full the oldest is dropped, the sender repeats
+	requestItems = 1024 // calls; when full the caller waits
+	diskItems    = 256  // writes; when full the core waits
+	applyItems   = 256  // committed batches; when full the core waits
+)
+
+// Node is one running member of the replicated log. Its methods are safe for
+// concurrent use.
+type Node struct {
+	settings settings
+	tomb     tomb.Tomb
+	store    *store.Store
+
+	inbox    *ring.Ring[[]quorum.Message]
+	requests *ring.Ring[*request]
+	writes   *ring.Ring[diskJob]
+	applies  *ring.Ring[applyJob]
+	saves    *ring.Ring[quorum.Snapshot]
+	synced   atomic.Uint64 // highest durable sequence
+	syncedCh chan struct{} // signals a change of synced
+
+	mu       sync.Mutex // guards core and what follows
+	core     *quorum.Core
+	stamp    state.WallTime // highest in the log
+	tickets  map[uint64]*request
+	lost     chan struct{} // closed when the current leadership ends; nil without
+	lostTerm uint64
+	awaiting []*request // appended since the last turn
+
+	info    atomic.Pointer[LeaderInfo]
+	members atomic.Pointer[[]quorum.Member]
+
+	applied *applied
+	disk    diskFigures
+}
+
+// New opens the data folder and returns a node that is not yet running. Errors:
+// codes.ForeignFolder, codes.FormatVersion, codes.LogDamaged, codes.DiskFull,
+// codes.SyncFailed, codes.BadSettings.
+func New(options ...Option) (*Node, error) {
+	s, err := newSettings(options)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: s,
+		inbox:    ring.New[[]quorum.Message](inboxItems, ring.Replace),
+		requests: ring.New[*request](requestItems, ring.Wait),
+		writes:   ring.New[diskJob](diskItems, ring.Wait),
+		applies:  ring.New[applyJob](applyItems, ring.Wait),
+		saves:    ring.New[quorum.Snapshot](1, ring.Refuse),
+		syncedCh: make(chan struct{}, 1),
+		tickets:  make(map[uint64]*request),
+	}
+	if err := n.open(); err != nil {
+		event.Log(s.logger, event.StorageFailed, attrError(err))
+		return nil, err
+	}
+	n.publish()
+	return n, nil
+}
+
+// open reads the folder and builds core and state from it.
+func (n *Node) open() error {
+	s := n.settings
+	files, loaded, err := store.Open(s.disk, store.Identity{Site: s.site, Node: s.id})
+	if err != nil {
+		return err
+	}
+	n.store = files
+	if loaded.CutBytes > 0 {
+		event.Log(s.logger, event.TailCut, attrInt("bytes", loaded.CutBytes))
+	}
+	stored := loaded.Stored
+	if loaded.Empty && slices.ContainsFunc(s.members, func(m quorum.Member) bool { return m.Node == s.id }) {
+		if stored, err = files.Bootstrap(s.members); err != nil {
+			return err
+		}
+	}
+	machine, err := restore(loaded.Snapshot.Data, stored.Snapshot.Index)
+	if err != nil {
+		return err
+	}
+	n.stamp = machine.At()
+	for _, e := range stored.Entries {
+		n.stamp = max(n.stamp, stampOf(e))
+	}
+	n.applied = newApplied(machine, stored.Snapshot, len(loaded.Snapshot.Data))
+	n.core = quorum.New(s.id, s.random, stored, s.clock.Now(), quorum.WithTiming(s.timing), quorum.WithLimits(s.limits))
+	return nil
+}
+
+func restore(data []byte, index uint64) (*state.Machine, error) {
+	if len(data) == 0 {
+		m := state.NewMachine()
+		m.Skip(index)
+		return m, nil
+	}
+	m, err := state.RestoreMachine(data)
+	if err != nil {
+		return nil, err
+	}
+	m.Skip(index)
+	return m, nil
+}
+
+// Start starts the duties.
+func (n *Node) Start() {
+	n.tomb.Go(func() error {
+		n.tomb.Go(n.guard(n.diskDuty))
+		n.tomb.Go(n.guard(n.applyDuty))
+		n.tomb.Go(n.guard(n.saveDuty))
+		return n.guard(n.coreDuty)()
+	})
+}
+
+// guard logs why a duty ends.
+func (n *Node) guard(duty func() error) func() error {
+	return func() error {
+		err := duty()
+		switch codes.Of(err) {
+		case codes.OK:
+		case codes.InvariantBroken:
+			event.Log(n.settings.logger, event.InvariantBroken, attrError(err))
+		case codes.DiskFull, codes.SyncFailed, codes.LogDamaged:
+			event.Log(n.settings.logger, event.StorageFailed, attrError(err))
+		default:
+			event.Log(n.settings.logger, event.DutyFailed, attrError(err))
+		}
+		return err
+	}
+}
+
+// Stop hands a leadership over, ends the duties and closes the files. It
+// returns the error that had ended the node before, if any.
+func (n *Node) Stop(ctx context.Context) error {
+	n.handOver(ctx)
+	n.tomb.Kill(nil)
+	err := n.tomb.Wait()
+	if closeErr := n.store.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// handOver waits until another member leads, ctx ends or nobody takes over.
+func (n *Node) handOver(ctx context.Context) {
+	if !n.Leader().Leading || len(n.Members()) < 2 {
+		return
+	}
+	n.submit(ctx, &request{kind: askHandOver})
+	limit := n.settings.clock.After(n.settings.timing.ElectionMin)
+	n.mu.Lock()
+	lost := n.lost
+	n.mu.Unlock()
+	if lost == nil {
+		return
+	}
+	select {
+	case <-lost:
+	case <-limit:
+	case <-ctx.Done():
+	case <-n.tomb.Dying():
+	}
+}
+
+// Dying is closed when the node stops or has failed.
+func (n *Node) Dying() <-chan struct{} {
+	return n.tomb.Dying()
+}
+
+// Err returns why the node ended, tomb.ErrStillAlive while it runs.
+func (n *Node) Err() error {
+	return n.tomb.Err()
+}
+
+// Deliver takes messages of other members. It never blocks: a full ring drops
+// the oldest batch, which the sender repeats.
+func (n *Node) Deliver(batch []quorum.Message) {
+	n.inbox.Push(context.Background(), batch)
+}
+
+// View calls f with the state. Calls may run beside each other; f must neither
+// change nor keep the machine, and should be brief.
+func (n *Node) View(f func(m *state.Machine)) {
+	n.applied.view(f)
+}
+
+// News returns the spread commands after an index, oldest first, at most limit,
+// and the index up to which they are complete. ok is false if some of them are
+// no longer kept: use SpreadSnapshot then.
+func (n *Node) News(after uint64, limit int) (news []Applied, through uint64, ok bool) {
+	return n.applied.news(after, limit)
+}
+
+// SpreadSnapshot returns the state that an entry node needs, and its index.
+func (n *Node) SpreadSnapshot() (data []byte, index uint64, err error) {
+	n.applied.view(func(m *state.Machine) {
+		index = m.Index()
+		data, err = m.SpreadSnapshot()
+	})
+	return data, index, err
+}
+
+// Changed returns a channel that is closed at the next advance of the applied
+// index.
+func (n *Node) Changed() <-chan struct{} {
+	return n.applied.changed()
+}
+
+// Applied returns the index of the last applied entry.
+func (n *Node) Applied() uint64 {
+	return n.applied.at()
+}
+
+// ID returns the node's name.
+func (n *Node) ID() sardine.NodeID {
+	return n.settings.id
+}
