--- a/route/candidate.go
+++ b/route/candidate.go
@@ -61,6 +61,8 @@
 	PromptTokens int               // estimate, 0 for plain services
 	Deadline     sardine.Millis    // of the first token, 0 is none
 	Exclude      []Ref             // targets already tried
+	Avoid        []sardine.GroupID // groups that failed while they ran it
+	Prefer       sardine.GroupID   // group that runs a copy of it, "" is none
 }
 
 // Choice is a picked target. Pass it back to Started, FirstToken and Ended.
--- a/route/mixed.go
+++ b/route/mixed.go
@@ -34,6 +34,9 @@
 	for rank, p := range r.places(s, q) {
 		r.weigh(now, s, q, &best, p.target, rank)
 	}
+	if best.choice.target != nil && r.options.strict {
+		return best.choice
+	}
 	if r.options.hintLimit > 0 {
 		for _, t := range r.hints.holders(q.PrefixHashes) {
 			if t != nil && r.mayUse(now, t, q) {
--- a/route/options.go
+++ b/route/options.go
@@ -47,6 +47,7 @@
 	places      int     // rendezvous places weighed by Mixed
 	spread      float64 // places of a prefix over its share of the requests
 	least       int     // places of a rare prefix
+	strict      bool    // Mixed weighs only places
 	hintLimit   int     // prefixes with hints
 	anchor      int     // blocks of the prefix that decide its rendezvous order
 	concurrency int     // bound on own requests in flight to one plain target, 0 is none
@@ -95,6 +96,13 @@
 	}
 }
 
+// WithStrictPlaces lets Mixed weigh only a prefix's rendezvous places. Copies of
+// one request sent through several entry nodes at once then meet on as many
+// targets at most, at the cost of longer queues.
+func WithStrictPlaces() Option {
+	return func(o *options) { o.strict = true }
+}
+
 // WithHints bounds the prefixes whose holders are remembered; 0 turns hints off.
 func WithHints(limit int) Option {
 	return func(o *options) { o.hintLimit = limit }
--- a/route/router.go
+++ b/route/router.go
@@ -133,7 +133,10 @@
 	if len(r.usable) == 0 {
 		return Choice{}, codes.New(codes.NoTarget, "none of the %d targets of %s takes the request", len(s.targets), q.Service)
 	}
-	c := r.choose(now, s, q)
+	c := r.preferred(now, s, q)
+	if c.target == nil {
+		c = r.choose(now, s, q)
+	}
 	if err := r.check(now, c.target, q); err != nil {
 		return Choice{}, err
 	}
@@ -144,6 +147,19 @@
 	return c, nil
 }
 
+// preferred returns a choice of the group that the request prefers, if usable.
+func (r *Router) preferred(now sardine.Millis, s *service, q Request) Choice {
+	if q.Prefer == "" {
+		return Choice{}
+	}
+	for _, t := range r.usable {
+		if t.candidate.Group == q.Prefer {
+			return r.choice(now, s, q, t, noRank)
+		}
+	}
+	return Choice{}
+}
+
 // gather collects the targets that may take the request. Ejected ones are used
 // only when no other is left.
 func (r *Router) gather(now sardine.Millis, s *service, q Request) {
--- a/route/target.go
+++ b/route/target.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"slices"
+
 	sardine "sardineswitch.dev/sardine"
 )
 
@@ -53,24 +55,24 @@
 }
 
 // takes reports whether the target may get a new request.
-func (t *target) takes(now sardine.Millis, r Request) bool {
+func (t *target) takes(now sardine.Millis, q Request) bool {
 	c := &t.candidate
 	switch {
 	case c.Leaving, t.gone:
 		return false
 	case c.LeaseUntil != 0 && now >= c.LeaseUntil:
 		return false
-	case r.Model != "" && c.Model != r.Model:
+	case q.Model != "" && c.Model != q.Model:
 		return false
-	case r.Version != "" && c.Version != r.Version:
+	case q.Version != "" && c.Version != q.Version:
 		return false
 	}
-	for _, e := range r.Exclude {
+	for _, e := range q.Exclude {
 		if e == c.Ref {
 			return false
 		}
 	}
-	return true
+	return c.Group == "" || !slices.Contains(q.Avoid, c.Group)
 }
 
 // requests returns the target's estimated number of requests: those reported,
