--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestFloorKeepsBatchAlive(t *testing.T) {
-	c := New(rand.New(rand.NewPCG(1, 2)), WithLimit(1, 1, 1), WithQueue(100000, 1e9), WithHeadroom(0))
+	c := New(rand.New(rand.NewPCG(1, 2)), WithLimit(1, 1, 1), WithQueue(100000, 1e9), WithLiveShare(0))
 	kind := map[Ticket]sardine.Priority{}
 	first := c.Offer(0, Request{Service: "s"})
 	for range 2000 {
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -12,9 +12,10 @@
 
 // running is an admitted request.
 type running struct {
-	gate    *gate
-	request Request
-	at      sardine.Millis
+	gate     *gate
+	request  Request
+	at       sardine.Millis
+	observed bool
 }
 
 // Controller admits the requests of one entry node. It is not safe for
@@ -25,7 +26,7 @@
 	gates   map[sardine.ServiceName]*gate
 	names   []sardine.ServiceName // of gates, sorted, so that runs repeat
 	queued  map[Ticket]*waiter
-	running map[Ticket]running
+	running map[Ticket]*running
 	evicted []Decision // refused in favour of others, not yet returned by Next
 	last    Ticket
 }
@@ -41,7 +42,7 @@
 		random:  random,
 		gates:   make(map[sardine.ServiceName]*gate),
 		queued:  make(map[Ticket]*waiter),
-		running: make(map[Ticket]running),
+		running: make(map[Ticket]*running),
 	}
 }
 
@@ -78,7 +79,7 @@
 		return c.refuse(0, g, codes.DeadlineTight)
 	}
 	c.last++
-	if g.ahead(k) == 0 && g.room(k, c.options.headroom) {
+	if g.ahead(k) == 0 && g.room(k, c.options.liveShare) {
 		g.classes[k].charge(r, c.weight(r.Workspace))
 		return c.start(now, c.last, g, r)
 	}
@@ -136,8 +137,11 @@
 
 func (c *Controller) start(now sardine.Millis, t Ticket, g *gate, r Request) Decision {
 	g.inFlight++
-	g.limiter.used = g.limiter.used || float64(g.inFlight) >= g.limiter.limit*(1-c.options.headroom)-1
-	c.running[t] = running{gate: g, request: r, at: now}
+	if r.Priority == sardine.PriorityLive {
+		g.live++
+	}
+	g.limiter.used = g.limiter.used || float64(g.inFlight) >= g.limiter.limit-1
+	c.running[t] = &running{gate: g, request: r, at: now}
 	return Decision{Verdict: Admit, Ticket: t}
 }
 
@@ -160,7 +164,7 @@
 	c.evicted = nil
 	for _, name := range c.names {
 		g := c.gates[name]
-		for w := g.next(c.options.headroom); w != nil; w = g.next(c.options.headroom) {
+		for w := g.next(c.options.liveShare); w != nil; w = g.next(c.options.liveShare) {
 			delete(c.queued, w.ticket)
 			if code := c.expired(now, g, w); code != codes.OK {
 				decisions = append(decisions, c.refuse(w.ticket, g, code))
@@ -196,24 +200,43 @@
 	return true
 }
 
+// FirstToken records the time from dispatch to the first token of an admitted
+// request, or to a plain answer. Told only at the end of a long answer it would
+// let the limit follow what was true seconds ago.
+func (c *Controller) FirstToken(now sardine.Millis, t Ticket, latency sardine.Millis) {
+	held := c.running[t]
+	if held == nil || held.observed {
+		return
+	}
+	held.observed = true
+	held.gate.limiter.observe(latency)
+	held.gate.limiter.adjust(now, held.gate.inFlight)
+}
+
 // Done records the end of an admitted request. firstToken is the time from
-// dispatch to its first token, used for Answered only.
+// dispatch to its first token, used for Answered only and unless FirstToken was
+// called.
 func (c *Controller) Done(now sardine.Millis, t Ticket, firstToken sardine.Millis, o Outcome) error {
-	held, known := c.running[t]
-	if !known {
+	held := c.running[t]
+	if held == nil {
 		return codes.New(codes.InvariantBroken, "ticket %d is not in flight", t)
 	}
 	delete(c.running, t)
 	g := held.gate
 	g.inFlight--
+	if held.request.Priority == sardine.PriorityLive {
+		g.live--
+	}
 	switch o {
 	case Answered:
 		g.learn(now - held.at)
-		g.limiter.observe(firstToken)
+		if !held.observed {
+			g.limiter.observe(firstToken)
+		}
 	case Overloaded:
 		g.limiter.refuse()
 	}
-	g.limiter.adjust(now)
+	g.limiter.adjust(now, g.inFlight)
 	return c.Check()
 }
 
@@ -231,7 +254,7 @@
 	}
 	for _, name := range c.names {
 		g := c.gates[name]
-		g.limiter.adjust(now)
+		g.limiter.adjust(now, g.inFlight)
 		for _, k := range g.classes {
 			k.forget()
 		}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -8,6 +8,7 @@
 type gate struct {
 	limiter  limiter
 	inFlight int
+	live     int       // of those in flight
 	classes  [3]*class // by priority, lowest first
 	service  float64   // moving mean of an admitted request's milliseconds in flight
 }
@@ -36,13 +37,14 @@
 }
 
 // room reports whether a request of the class may start now. Live requests may
-// use the whole limit, the others leave the headroom.
-func (g *gate) room(class int, headroom float64) bool {
-	limit := g.limiter.limit
-	if class < 2 {
-		limit *= 1 - headroom
+// pass the limit while they are less than their share of it: requests last for
+// seconds, and after the limit fell a live cue must not wait until others end.
+func (g *gate) room(class int, liveShare float64) bool {
+	limit := max(g.limiter.limit, 1)
+	if class == 2 && float64(g.live) < limit*liveShare {
+		return true
 	}
-	return float64(g.inFlight) < max(limit, 1)
+	return float64(g.inFlight) < limit
 }
 
 func (g *gate) waiting() int {
@@ -66,16 +68,16 @@
 
 // next takes the next request to release: a lower class that is owed one under
 // its floor, else the highest class with a request waiting.
-func (g *gate) next(headroom float64) *waiter {
+func (g *gate) next(liveShare float64) *waiter {
 	for i := range 2 {
 		c := g.classes[i]
-		if c.owed >= 1 && c.waiting > 0 && g.room(i, headroom) {
+		if c.owed >= 1 && c.waiting > 0 && g.room(i, liveShare) {
 			c.owed--
 			return c.pop()
 		}
 	}
 	for i := len(g.classes) - 1; i >= 0; i-- {
-		if g.classes[i].waiting == 0 || !g.room(i, headroom) {
+		if g.classes[i].waiting == 0 || !g.room(i, liveShare) {
 			continue
 		}
 		g.owe(i)
--- a/admit/limit.go
+++ b/admit/limit.go
@@ -8,12 +8,14 @@
 
 // Parameters of the adaptive limit.
 const (
-	window       = 500 * sardine.Millis(1) // one adjustment each
-	decrease     = 0.9                     // factor after a window with queueing
-	overDecrease = 0.7                     // factor after a window with refusals of targets
-	baselineRise = 1.002                   // factor a window on the unloaded time, so that it is forgotten
-	minSamples   = 4
-	latencyGain  = 0.2
+	window        = 500 * sardine.Millis(1) // one adjustment each
+	decrease      = 0.9                     // factor after a window with queueing
+	startIncrease = 1.25                    // factor until the first queueing
+	overDecrease  = 0.7                     // factor after a window with refusals of targets
+	baselineRise  = 1.002                   // factor a window on the unloaded time, so that it is forgotten
+	drained       = 1.05                    // in flight over the limit that counts as reached
+	minSamples    = 4
+	latencyGain   = 0.2
 )
 
 // limiter is the number of requests that may be in flight. It rises by a square
@@ -31,6 +33,7 @@
 	samples    int
 	overloaded int
 	used       bool // the limit was reached in this window
+	congested  bool // it has fallen before
 }
 
 func newLimiter(o *options) limiter {
@@ -49,14 +52,14 @@
 }
 
 // adjust moves the limit at the end of a window.
-func (l *limiter) adjust(now sardine.Millis) {
+func (l *limiter) adjust(now sardine.Millis, inFlight int) {
 	if now-l.since < window {
 		return
 	}
 	if l.samples < minSamples && l.overloaded == 0 {
 		return
 	}
-	l.move()
+	l.move(inFlight)
 	l.since = now
 	l.sum = 0
 	l.samples = 0
@@ -64,16 +67,23 @@
 	l.used = false
 }
 
-func (l *limiter) move() {
+// move does not lower the limit while more are in flight than it allows: those
+// admitted before take seconds to end, and until then each window would lower
+// it again.
+func (l *limiter) move(inFlight int) {
 	if l.overloaded > l.samples/10 {
 		l.set(l.limit * overDecrease)
 		return
 	}
-	mean := l.sum / float64(max(l.samples, 1))
-	l.learn(mean)
+	l.learn(l.sum / float64(max(l.samples, 1)))
+	bound := l.baseline * l.tolerance
 	switch {
-	case mean > l.baseline*l.tolerance:
-		l.set(l.limit * max(decrease, math.Sqrt(l.baseline*l.tolerance/mean)))
+	case l.latency > bound && float64(inFlight) > l.limit*drained:
+	case l.latency > bound:
+		l.set(l.limit * max(decrease, math.Sqrt(bound/l.latency)))
+		l.congested = true
+	case l.used && !l.congested:
+		l.set(l.limit * startIncrease)
 	case l.used:
 		l.set(l.limit + math.Sqrt(l.limit))
 	}
@@ -85,7 +95,7 @@
 		l.latency = mean
 	}
 	l.latency += latencyGain * (mean - l.latency)
-	l.baseline = min(l.baseline*baselineRise, mean)
+	l.baseline = min(l.baseline*baselineRise, l.latency)
 }
 
 func (l *limiter) set(limit float64) {
--- a/admit/options.go
+++ b/admit/options.go
@@ -10,7 +10,7 @@
 	largest    float64
 	queue      int            // requests waiting in one gate
 	longest    sardine.Millis // wait without a deadline
-	headroom   float64        // share of the limit kept for live requests
+	liveShare  float64        // share of the limit that live requests get on top of others
 	normalPart float64        // floor of the normal class
 	batchPart  float64        // floor of the batch class
 	tolerance  float64        // latency over the unloaded one that is taken as queueing
@@ -39,10 +39,10 @@
 	}
 }
 
-// WithHeadroom sets the share of the limit, 0 to 1, that only live requests may
-// use.
-func WithHeadroom(share float64) Option {
-	return func(o *options) { o.headroom = share }
+// WithLiveShare sets the share of the limit, 0 to 1, up to which live requests
+// start even when the limit is reached.
+func WithLiveShare(share float64) Option {
+	return func(o *options) { o.liveShare = share }
 }
 
 // WithFloors sets the shares of released requests, 0 to 1, that waiting normal
@@ -67,10 +67,10 @@
 		largest:    4096,
 		queue:      512,
 		longest:    10 * sardine.Second,
-		headroom:   0.1,
+		liveShare:  0.5,
 		normalPart: 0.2,
 		batchPart:  0.05,
-		tolerance:  1.5,
+		tolerance:  2.5,
 		weights:    make(map[sardine.Workspace]float64),
 	}
 }
