--- a/entry/follow.go
+++ b/entry/follow.go
@@ -250,8 +250,8 @@
 		f.node.ackReport(fleet.Ack{WantFull: true})
 	}
 	sending := now >= f.core.Wake()
-	r, any := f.node.nextReport(now, sending)
-	if !any {
+	r, news := f.node.nextReport(now, sending)
+	if !news {
 		return 0
 	}
 	f.core.Report(reportOf(r, !sending))
--- a/repl/duty.go
+++ b/repl/duty.go
@@ -104,7 +104,7 @@
 		return
 	}
 	n.noteLeadership(n.core.Leads())
-	if n.lost != nil {
+	if n.lost != nil && r.taken != nil {
 		r.taken <- n.lost
 	}
 	switch r.kind {
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -25,6 +25,7 @@
 	return []Measure{
 		routing(),
 		groupsMeasure(),
+		admission(),
 	}
 }
 
