Ask control nodes at once, so that one that hangs hides nothing

A trial against a site whose leader hung in its shutdown left sardctl status without an answer for its whole timeout. Reports are now asked of all nodes at once, reads and operators' requests leave a silent node after 3 s; a test puts a node that accepts and never answers before the leader.

--- a/sardctl/start/cases_test.go
+++ b/sardctl/start/cases_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -156,3 +157,19 @@
 		require.NoError(t, c.ValidateArgs(c.Flags().Args()), line)
 	}
 }
+
+// TestHungNodeHidesNothing names a node that accepts and never answers before
+// the one that leads.
+func TestHungNodeHidesNothing(t *testing.T) {
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = hung.Close() }()
+	f := newFake()
+	defer f.server.Close()
+	for _, line := range []string{"status", "leave vm-3 --yes", "get /teams/adinkra"} {
+		var out, errs bytes.Buffer
+		args := append(strings.Fields(line), "--timeout", "2s", "--controls", hung.Addr().String()+","+f.address())
+		exit := Run(args, strings.NewReader(""), &out, &errs, func(string) string { return "" })
+		require.Zero(t, exit, "%s: %s", line, errs.String())
+	}
+}
--- a/sardctl/verbs/control.go
+++ b/sardctl/verbs/control.go
@@ -84,7 +84,7 @@
 	lost := false
 	for {
 		for _, node := range k.nodes {
-			reply, fault, err := call(ctx, wire.NewControlProtobufClient(k.scheme+"://"+node, k.http))
+			reply, fault, err := callOne(ctx, k, node, again, call)
 			if err == nil && !codes.Is(faultError(fault), codes.NotLeader) {
 				return reply, faultError(fault)
 			}
@@ -108,6 +108,17 @@
 	}
 }
 
+// callOne asks one node. Reads are answered from memory, so that one that hangs is
+// left soon; a change may wait until it is in force.
+func callOne[R any](ctx context.Context, k *control, node string, again repeat, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, *wire.Fault, error) {
+	if again == repeatRead {
+		brief, cancel := context.WithTimeout(ctx, k.call.brief())
+		defer cancel()
+		ctx = brief
+	}
+	return call(ctx, wire.NewControlProtobufClient(k.scheme+"://"+node, k.http))
+}
+
 func gaveUp(nodes []string, lost bool, last error) error {
 	if lost {
 		return codes.New(codes.OutcomeUnknown, "no answer from the control nodes %v: %v", nodes, last)
--- a/sardctl/verbs/doctor.go
+++ b/sardctl/verbs/doctor.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/status"
 )
 
@@ -81,16 +82,12 @@
 	leaders := map[string]bool{}
 	for _, node := range nodes {
 		asked := time.Now()
-		body, err := c.ask(http.MethodGet, node, status.Path, nil)
-		if err != nil {
-			findings = append(findings, finding{fmt.Sprintf("control node %s: %v", node, err), "check that controld runs there: sardctl dump " + node})
-			continue
-		}
-		r, err := status.Decode(body)
-		if err != nil {
-			findings = append(findings, finding{fmt.Sprintf("control node %s: %v", node, err), "check that " + node + " is an operators' address"})
+		t := c.reportOf(node)
+		if t.err != nil {
+			findings = append(findings, finding{fmt.Sprintf("control node %s: %v", node, t.err), mendNode(node, t.err)})
 			continue
 		}
+		r := t.report
 		findings = append(findings, checkClock(r, asked, time.Now())...)
 		if r.Leader != "" {
 			leaders[string(r.Leader)] = true
@@ -105,6 +102,13 @@
 	return append(findings, c.checkReport(best)...)
 }
 
+func mendNode(node string, err error) string {
+	if codes.Is(err, codes.AnswerInvalid) {
+		return "check that " + node + " is an operators' address"
+	}
+	return "check that controld runs there: sardctl dump " + node
+}
+
 // checkClock compares the node's clock with this VM's, to half the time that the
 // question took.
 func checkClock(r status.Report, asked, answered time.Time) []finding {
--- a/sardctl/verbs/node.go
+++ b/sardctl/verbs/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/oper"
@@ -38,13 +40,17 @@
 // ask sends one plain request to a node and returns the body of a 2xx answer.
 // Errors of package oper keep their code.
 func (c *Call) ask(method, node, path string, content []byte) ([]byte, error) {
+	ctx, cancel := c.limited()
+	defer cancel()
+	return c.askWithin(ctx, method, node, path, content)
+}
+
+func (c *Call) askWithin(ctx context.Context, method, node, path string, content []byte) ([]byte, error) {
 	client, scheme, err := c.session.client()
 	if err != nil {
 		return nil, err
 	}
 	defer client.CloseIdleConnections()
-	ctx, cancel := c.limited()
-	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+node+path, bytes.NewReader(content))
 	if err != nil {
 		return nil, usage(err, "address "+node)
@@ -90,58 +96,93 @@
 	return codes.New(codes.AnswerInvalid, "node %s answered %s to %s: %.200s", node, answer.Status, path, body)
 }
 
-// operate sends a request of package oper to the leading control node.
+// operate sends a request of package oper to the leading control node. All of
+// them may be repeated, so a lost answer is no reason to stop.
 func (c *Call) operate(method, path string, content []byte) ([]byte, error) {
 	nodes, err := c.controls()
 	if err != nil {
 		return nil, err
 	}
-	var last error
+	var lost, last error
 	for _, node := range nodes {
-		body, err := c.ask(method, node, path, content)
-		if err == nil {
+		body, err := c.askBriefly(method, node, path, content)
+		switch codes.Of(err) {
+		case codes.OK:
 			return body, nil
-		}
-		last = err
-		if !codes.Is(err, codes.NotLeader) && !codes.Is(err, codes.NoQuorum) {
+		case codes.OutcomeUnknown:
+			lost = err
+		case codes.NotLeader, codes.NoQuorum:
+			last = err
+		default:
 			return nil, err
 		}
 	}
+	if lost != nil {
+		return nil, lost
+	}
 	return nil, last
 }
 
-// report asks the control nodes for the status of the site. The leader is
-// believed, since only it knows leases and announcements; without it, one that
-// knows who leads, else any that answers.
+// briefLimit bounds the wait for a node that answers from its memory: one that
+// hangs must not hide what the others say.
+const briefLimit = 3 * time.Second
+
+// brief leaves most of --timeout for the other nodes.
+func (c *Call) brief() time.Duration {
+	return min(briefLimit, c.session.timeout/4)
+}
+
+func (c *Call) askBriefly(method, node, path string, content []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.brief())
+	defer cancel()
+	return c.askWithin(ctx, method, node, path, content)
+}
+
+// told is one node's answer to the question for its report.
+type told struct {
+	report status.Report
+	err    error
+}
+
+// report asks all control nodes for the status of the site at once. The leader
+// is believed, since only it knows leases and announcements; without it, one
+// that knows who leads, else any that answers.
 func (c *Call) report() (status.Report, error) {
 	nodes, err := c.controls()
 	if err != nil {
 		return status.Report{}, err
 	}
-	var best status.Report
-	var last error
-	found := false
+	answers := make(chan told, len(nodes))
 	for _, node := range nodes {
-		body, err := c.ask(http.MethodGet, node, status.Path, nil)
-		if err != nil {
-			last = err
+		go func() { answers <- c.reportOf(node) }()
+	}
+	var best, last told
+	for range nodes {
+		t := <-answers
+		if t.err != nil {
+			last = t
 			continue
 		}
-		r, err := status.Decode(body)
-		if err != nil {
-			return status.Report{}, err
-		}
-		if r.Leader != "" && r.Leader == r.Node {
-			return r, nil
+		if t.report.Leader != "" && t.report.Leader == t.report.Node {
+			return t.report, nil
 		}
-		if !found || r.Leader != "" {
-			best, found = r, true
+		if best.report.Node == "" || t.report.Leader != "" {
+			best = t
 		}
 	}
-	if !found {
-		return status.Report{}, last
+	if best.report.Node == "" {
+		return status.Report{}, last.err
+	}
+	return best.report, nil
+}
+
+func (c *Call) reportOf(node string) told {
+	body, err := c.askBriefly(http.MethodGet, node, status.Path, nil)
+	if err != nil {
+		return told{err: err}
 	}
-	return best, nil
+	r, err := status.Decode(body)
+	return told{report: r, err: codes.Wrap(codes.AnswerInvalid, err, "node "+node)}
 }
 
 // neverSent reports whether a call failed before its request was sent.
