--- a/sardctl/verbs/poison.go
+++ b/sardctl/verbs/poison.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/status"
 )
@@ -17,7 +18,7 @@
 		Section: SectionRepair,
 		Short:   "List or release requests that crash their targets",
 		Long: `A request that has cost two groups is refused at every entry node. list shows
-such requests by their fingerprint, release lets one run again.`,
+such requests by their fingerprint, release lets one run again; the first digits of a fingerprint suffice.`,
 		Examples: []string{"sardctl poison list", "sardctl poison release 9f86d081 --yes"},
 		Subs: []Verb{
 			{
@@ -46,7 +47,7 @@
 		for _, g := range p.Groups {
 			groups = append(groups, string(g))
 		}
-		rows = append(rows, []string{p.Fingerprint, p.Condition.State, since(r.At, p.Condition.Since), strings.Join(groups, " ")})
+		rows = append(rows, []string{shortFingerprint(p.Fingerprint), p.Condition.State, since(r.At, p.Condition.Since), strings.Join(groups, " ")})
 	}
 	c.printTable("poison requests", []string{"fingerprint", "state", "for", "groups it cost"}, rows)
 	return nil
@@ -56,9 +57,36 @@
 	if err := c.confirm("The request may crash two more groups."); err != nil {
 		return err
 	}
-	if _, err := c.operate(http.MethodPost, oper.PoisonPath+"?fingerprint="+url.QueryEscape(c.args[0]), nil); err != nil {
+	fingerprint, err := c.fingerprint(c.args[0])
+	if err != nil {
+		return err
+	}
+	if _, err := c.operate(http.MethodPost, oper.PoisonPath+"?fingerprint="+url.QueryEscape(fingerprint), nil); err != nil {
 		return err
 	}
-	c.printf("%s may run again\n", c.args[0])
+	c.printf("%s may run again\n", shortFingerprint(fingerprint))
 	return nil
 }
+
+// fingerprint returns the one listed fingerprint that begins with prefix.
+func (c *Call) fingerprint(prefix string) (string, error) {
+	r, err := c.report()
+	if err != nil {
+		return "", err
+	}
+	var found []string
+	for _, p := range r.Poisons {
+		if strings.HasPrefix(p.Fingerprint, prefix) {
+			found = append(found, p.Fingerprint)
+		}
+	}
+	if len(found) != 1 {
+		return "", codes.New(codes.UnknownMember, "%d requests begin with %q, see sardctl poison list", len(found), prefix)
+	}
+	return found[0], nil
+}
+
+// shortFingerprint returns as many digits as tell one request from another.
+func shortFingerprint(full string) string {
+	return full[:min(len(full), 12)]
+}
--- a/sardctl/verbs/status.go
+++ b/sardctl/verbs/status.go
@@ -133,7 +133,7 @@
 		add("target "+string(t.VM), t.Condition)
 	}
 	for _, p := range r.Poisons {
-		add("request "+p.Fingerprint, p.Condition)
+		add("request "+shortFingerprint(p.Fingerprint), p.Condition)
 	}
 	if unknown > 0 {
 		rows = append(rows, []string{
