--- a/keys/bundle.go
+++ b/keys/bundle.go
@@ -29,8 +29,8 @@
 }
 
 // OpenBundle reads the files. The authority's file may hold several
-// certificates, so that an old and a new one overlap. Errors carry
-// codes.BadSettings.
+// certificates, so that an old and a new one overlap; without one, its path is
+// empty and the bundle is only good for serving. Errors carry codes.BadSettings.
 func OpenBundle(certificate, key, authority string) (*Bundle, error) {
 	b := &Bundle{certificate: certificate, key: key, authority: authority}
 	if _, err := b.Reload(); err != nil {
@@ -45,6 +45,9 @@
 func (b *Bundle) Reload() (bool, error) {
 	var content [3][]byte
 	for i, path := range []string{b.certificate, b.key, b.authority} {
+		if path == "" {
+			continue
+		}
 		text, err := os.ReadFile(path)
 		if err != nil {
 			return false, codes.Wrap(codes.BadSettings, err, "keys")
@@ -62,7 +65,7 @@
 		return false, codes.Wrap(codes.BadSettings, err, "certificate "+b.certificate)
 	}
 	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(content[2]) {
+	if b.authority != "" && !roots.AppendCertsFromPEM(content[2]) {
 		return false, codes.New(codes.BadSettings, "authority %s holds no certificate", b.authority)
 	}
 	b.pair, b.roots, b.loaded = pair, roots, joined
