--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -38,17 +39,18 @@
 
 // fake is a control node without a quorum: it applies commands at once.
 type fake struct {
-	mu      sync.Mutex
-	machine *state.Machine
-	input   status.Input
-	history *status.History
-	leads   bool
-	held    bool // changes are durable but never in force
-	deaf    int  // answers to lose
-	behind  bool // a learner lacks entries
-	token   string
-	members []*wire.QuorumMember
-	server  *httptest.Server
+	mu       sync.Mutex
+	machine  *state.Machine
+	input    status.Input
+	history  *status.History
+	leads    bool
+	held     bool        // changes are durable but never in force
+	deaf     int         // answers to lose
+	draining atomic.Bool // ends after it was looked at once
+	behind   bool        // a learner lacks entries
+	token    string
+	members  []*wire.QuorumMember
+	server   *httptest.Server
 }
 
 func newFake() *fake {
@@ -58,9 +60,12 @@
 	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(f))
 	mux.HandleFunc("GET "+status.Path, f.serveStatus)
 	mux.HandleFunc("GET "+status.DumpPath, func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprint(w, `{"node":"osu-control","applied":12}`)
+		_, _ = fmt.Fprint(w, `{"node":"osu-control","applied":12,"in_flight":2}`)
+		if f.draining.Load() {
+			go f.server.Close() // it waits for this answer
+		}
 	})
-	mux.HandleFunc("POST /sardine/v1/drain", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /sardine/v1/drain", func(http.ResponseWriter, *http.Request) { f.draining.Store(true) })
 	mux.HandleFunc("GET /sardine/v1/explain/group/{group}", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = fmt.Fprintf(w, `{"group":%q,"lines":["waits for a spare in rack-1"]}`, r.PathValue("group"))
 	})
--- a/sardctl/verbs/backup.go
+++ b/sardctl/verbs/backup.go
@@ -9,17 +9,20 @@
 	"github.com/spf13/pflag"
 
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/wire"
 )
 
 // backupFormat is the version of the backup file's form.
 const backupFormat = 1
 
-// backupFile is the JSON form of a backup: every team's newest document.
+// backupFile is the JSON form of a backup: every team's newest document and the
+// hashes of the tokens.
 type backupFile struct {
-	Format int          `json:"format"`
-	At     int64        `json:"at_ms"`
-	Teams  []backupTeam `json:"teams"`
+	Format int             `json:"format"`
+	At     int64           `json:"at_ms"`
+	Teams  []backupTeam    `json:"teams"`
+	Tokens json.RawMessage `json:"tokens"` // as package oper encodes them
 }
 
 type backupTeam struct {
@@ -32,8 +35,9 @@
 	return Verb{
 		Use:     "backup FILE",
 		Section: SectionSettings,
-		Short:   "Save every team's settings to a file",
-		Long: `Saves the newest settings of every team, with their versions. Groups, leases and
+		Short:   "Save every team's settings and the tokens' hashes to a file",
+		Long: `Saves the newest settings of every team, with their versions, and the hashes of
+the tokens, from which no token can be found. Groups, leases and
 request keys are not saved: they describe the running site, not what was wanted.
 Needs an operator's token.`,
 		Examples: []string{"sardctl backup site.json", "sardctl backup - | gzip > site.json.gz"},
@@ -59,6 +63,17 @@
 		}
 		b.Teams = append(b.Teams, backupTeam{Name: name, Version: reply.GetVersion(), Document: reply.GetDocument()})
 	}
+	tokens, err := c.tokens()
+	if err != nil {
+		return err
+	}
+	if b.Tokens, err = oper.EncodeTokens(tokens); err != nil {
+		return codes.Wrap(codes.Internal, err, "tokens")
+	}
+	return c.writeBackup(b, len(tokens))
+}
+
+func (c *Call) writeBackup(b backupFile, tokens int) error {
 	text, err := json.MarshalIndent(b, "", "  ")
 	if err != nil {
 		return codes.Wrap(codes.Internal, err, "backup")
@@ -70,7 +85,7 @@
 	if err := os.WriteFile(c.args[0], append(text, '\n'), privateMode); err != nil {
 		return usage(err, "backup")
 	}
-	c.printf("%d team(s) saved to %s\n", len(b.Teams), c.args[0])
+	c.printf("%d team(s) and %d token(s) saved to %s\n", len(b.Teams), tokens, c.args[0])
 	return nil
 }
 
@@ -82,11 +97,13 @@
 		Long: `Sends each team's saved document as a new change, based on the newest version.
 Versions only rise: a team whose version would end below the saved one, as on an
 empty site, is refused, since entry nodes would have to go back. Teams that are
-not in the backup stay as they are.`,
+not in the backup stay as they are. Tokens are restored only with --tokens: one
+that was revoked since would count again.`,
 		Examples: []string{"sardctl restore site.json --yes", "sardctl restore site.json --team adinkra --yes"},
 		Args:     cobra.ExactArgs(1),
 		Flags: func(f *pflag.FlagSet) {
 			f.String("team", "", "restore this team only")
+			f.Bool("tokens", false, "restore the tokens as well, also those revoked since")
 		},
 		Run: runRestore,
 	}
@@ -115,6 +132,23 @@
 		restored++
 	}
 	c.printf("%d team(s) restored\n", restored)
+	if withTokens, _ := c.flags.GetBool("tokens"); !withTokens { // the command defined it
+		return nil
+	}
+	return c.restoreTokens(b)
+}
+
+func (c *Call) restoreTokens(b backupFile) error {
+	all, err := oper.DecodeTokens(b.Tokens)
+	if err != nil {
+		return codes.Wrap(codes.UsageError, err, "backup "+c.args[0])
+	}
+	for _, t := range all {
+		if err := c.putToken(t); err != nil {
+			return err
+		}
+	}
+	c.printf("%d token(s) restored\n", len(all))
 	return nil
 }
 
--- a/sardctl/verbs/drain.go
+++ b/sardctl/verbs/drain.go
@@ -1,9 +1,16 @@
 package verbs
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/status"
 )
 
 // drainPath is where entry nodes begin a graceful shutdown, by POST.
@@ -16,8 +23,12 @@
 		Short:   "Shut an entry node down without cutting off a request",
 		Long: `Begins a graceful shutdown of an entry node, as SIGTERM does: it turns unready,
 finishes the requests in flight and exits. NODE is its name, or host:port of its
-internal address. Watch it with sardctl watch.`,
-		Examples: []string{"sardctl drain osu-entry-1 --yes"},
+internal address. With --wait, tells how many requests are left until the process has
+ended.`,
+		Examples: []string{"sardctl drain osu-entry-1 --yes", "sardctl drain osu-entry-1 --wait 10m --yes"},
+		Flags: func(f *pflag.FlagSet) {
+			f.Duration("wait", 0, "wait until the process has ended, at most this long; 0 does not wait")
+		},
 		Args:     cobra.ExactArgs(1),
 		Complete: completeNodes,
 		Run:      runDrain,
@@ -36,5 +47,33 @@
 		return err
 	}
 	c.printf("%s drains\n", c.args[0])
-	return nil
+	wait, _ := c.flags.GetDuration("wait") // the command defined it
+	if wait <= 0 {
+		return nil
+	}
+	return c.awaitEnd(address, wait)
+}
+
+// awaitEnd tells the requests in flight as they change, until the node no longer
+// answers.
+func (c *Call) awaitEnd(address string, wait time.Duration) error {
+	told := ""
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(roundPause) {
+		body, err := c.askBriefly(http.MethodGet, address, status.DumpPath, nil)
+		if codes.Is(err, codes.NoQuorum) {
+			c.printf("%s has ended\n", c.args[0])
+			return nil
+		}
+		var dump struct {
+			InFlight int `json:"in_flight"`
+		}
+		if err != nil || json.Unmarshal(body, &dump) != nil {
+			continue // it may be about to end
+		}
+		if now := fmt.Sprintf("%d request(s) in flight", dump.InFlight); now != told {
+			told = now
+			c.tell("%s\n", now)
+		}
+	}
+	return codes.New(codes.Draining, "%s has not ended in %s, it goes on draining", c.args[0], wait)
 }
--- a/sardctl/verbs/status.go
+++ b/sardctl/verbs/status.go
@@ -12,6 +12,9 @@
 	"sardineswitch.dev/sardine/status"
 )
 
+// maxTroubles keeps the status of a large site on one screen.
+const maxTroubles = 40
+
 func statusVerb() Verb {
 	return Verb{
 		Use:     "status",
@@ -65,6 +68,9 @@
 		return
 	}
 	c.printf("\n")
+	if hidden := len(troubles) - maxTroubles; hidden > 0 {
+		troubles = append(troubles[:maxTroubles], []string{fmt.Sprintf("and %d more", hidden), "", "", "", "see sardctl groups, sardctl targets"})
+	}
 	c.printTable("troubles", []string{"what", "state", "for", "the system", "you"}, troubles)
 }
 
