--- a/state/codecreq.go
+++ b/state/codecreq.go
@@ -16,7 +16,7 @@
 			Fingerprint: c.Fingerprint,
 			Node:        string(c.Node),
 			Incarnation: uint64(c.Incarnation),
-			Attempt: c.Attempt,
+			Attempt:     c.Attempt,
 		}}
 	case FinishClaim:
 		w.Body = &wire.Command_FinishClaim{FinishClaim: &wire.FinishClaim{
@@ -24,7 +24,7 @@
 			Key:         c.Key,
 			Node:        string(c.Node),
 			Incarnation: uint64(c.Incarnation),
-			Attempt: c.Attempt,
+			Attempt:     c.Attempt,
 			Ran:         uint32(c.Ran),
 			Answer:      AnswerToWire(c.Answer),
 		}}
@@ -34,7 +34,7 @@
 			Key:         c.Key,
 			Node:        string(c.Node),
 			Incarnation: uint64(c.Incarnation),
-			Attempt: c.Attempt,
+			Attempt:     c.Attempt,
 		}}
 	case Strike:
 		w.Body = &wire.Command_Strike{Strike: &wire.Strike{
@@ -59,7 +59,7 @@
 			Fingerprint: b.ClaimKey.GetFingerprint(),
 			Node:        sardine.NodeID(b.ClaimKey.GetNode()),
 			Incarnation: sardine.Incarnation(b.ClaimKey.GetIncarnation()),
-			Attempt: b.ClaimKey.GetAttempt(),
+			Attempt:     b.ClaimKey.GetAttempt(),
 		}
 	case *wire.Command_FinishClaim:
 		return FinishClaim{
@@ -67,7 +67,7 @@
 			Key:         b.FinishClaim.GetKey(),
 			Node:        sardine.NodeID(b.FinishClaim.GetNode()),
 			Incarnation: sardine.Incarnation(b.FinishClaim.GetIncarnation()),
-			Attempt: b.FinishClaim.GetAttempt(),
+			Attempt:     b.FinishClaim.GetAttempt(),
 			Ran:         sardine.Ran(b.FinishClaim.GetRan()),
 			Answer:      AnswerFromWire(b.FinishClaim.GetAnswer()),
 		}
@@ -77,7 +77,7 @@
 			Key:         b.DropClaim.GetKey(),
 			Node:        sardine.NodeID(b.DropClaim.GetNode()),
 			Incarnation: sardine.Incarnation(b.DropClaim.GetIncarnation()),
-			Attempt: b.DropClaim.GetAttempt(),
+			Attempt:     b.DropClaim.GetAttempt(),
 		}
 	case *wire.Command_Strike:
 		return Strike{
