--- a/repl/node.go
+++ b/repl/node.go
@@ -169,7 +169,7 @@
 	if !n.Leader().Leading || len(n.Members()) < 2 {
 		return
 	}
-	n.submit(ctx, &request{kind: askHandOver})
+	n.submit(ctx, newRequest(askHandOver))
 	limit := n.settings.clock.After(n.settings.timing.ElectionMin)
 	n.mu.Lock()
 	lost := n.lost
