--- a/disk/fault.go
+++ b/disk/fault.go
@@ -12,10 +12,12 @@
 	m.room = n
 }
 
-// FailSyncs makes the next n syncs fail; a negative n all of them, zero none.
-func (m *Memory) FailSyncs(n int) {
+// FailSyncs lets a number of syncs pass and makes the next n fail; a negative n
+// all of them, zero none.
+func (m *Memory) FailSyncs(after, n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.passSyncs = after
 	m.failSyncs = n
 }
 
--- a/disk/memory.go
+++ b/disk/memory.go
@@ -28,7 +28,8 @@
 	names     map[string]*content // as the program sees them
 	durable   map[string]*content // names as last synced
 	room      int64               // bytes that may still be written; negative is no limit
-	failSyncs int                 // next syncs that fail; negative is all
+	passSyncs int                 // syncs that still succeed before those that fail
+	failSyncs int                 // syncs that fail then; negative is all
 	lose      bool                // syncs succeed without effect
 	crashes   uint64              // files opened before a crash are dead
 	syncs     uint64
@@ -148,6 +149,11 @@
 }
 
 func (m *Memory) syncFault(what string) error {
+	if m.failSyncs != 0 && m.passSyncs > 0 {
+		m.passSyncs--
+		m.syncs++
+		return nil
+	}
 	if m.failSyncs != 0 {
 		m.failSyncs = max(m.failSyncs-1, -1)
 		return codes.Wrap(codes.SyncFailed, syscall.EIO, what)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -114,6 +114,7 @@
 		o(c)
 	}
 	c.durable = c.log.last().Index
+	c.hard.Term = max(c.hard.Term, c.log.last().Term)
 	c.lists = []membership{{index: stored.Snapshot.Index, members: stored.Snapshot.Members}}
 	for _, e := range stored.Entries {
 		if e.Index > stored.Snapshot.Index {
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -8,10 +8,11 @@
 // term is raised: a member that was cut off can't depose a working leader when
 // it returns.
 func (c *Core) startElection() {
-	c.resetElection()
 	if !c.isVoter(c.id) {
+		c.resetElection()
 		return
 	}
+	c.retryElection()
 	c.role = PreCandidate
 	c.leader = ""
 	c.votes = map[sardine.NodeID]bool{c.id: true}
@@ -28,7 +29,7 @@
 // campaign raises the term and asks for votes. The own vote counts once it is
 // durable, and the others are asked then.
 func (c *Core) campaign(force bool) {
-	c.resetElection()
+	c.retryElection()
 	c.role = Candidate
 	c.leader = ""
 	c.force = force
@@ -214,6 +215,13 @@
 	})
 }
 
+// retryElection sets the next attempt of a failed election. No leader is heard
+// and pre-votes disturb nobody, so it comes sooner than the first one.
+func (c *Core) retryElection() {
+	least := max(c.timing.ElectionMin/6, 1)
+	c.electionAt = c.now + least + sardine.Millis(c.random.IntN(int(2*least)))
+}
+
 func (c *Core) resetElection() {
 	spread := int(c.timing.ElectionMax-c.timing.ElectionMin) + 1
 	c.electionAt = c.now + c.timing.ElectionMin + sardine.Millis(c.random.IntN(spread))
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -101,7 +101,22 @@
 	if err := c.checkReachable(next); err != nil {
 		return Position{}, err
 	}
-	return c.appendOwn(Entry{Kind: KindMembers, Members: next}), nil
+	position := c.appendOwn(Entry{Kind: KindMembers, Members: next})
+	if !c.check(c.openLists() == 1, "%d member changes are uncommitted at once", c.openLists()) {
+		return Position{}, c.err
+	}
+	return position, nil
+}
+
+// openLists returns the number of member lists that are not committed.
+func (c *Core) openLists() int {
+	open := 0
+	for _, l := range c.lists[1:] {
+		if l.index > c.commit {
+			open++
+		}
+	}
+	return open
 }
 
 // changed returns the list after the change.
@@ -116,6 +131,8 @@
 		return nil, codes.New(codes.MemberBusy, "%s is a member already", change.Member.Node)
 	case at < 0:
 		return nil, codes.New(codes.UnknownMember, "%s is not a member", change.Member.Node)
+	case change.Kind == Promote && !next[at].Learner:
+		return nil, codes.New(codes.MemberBusy, "%s has a vote already", change.Member.Node)
 	case change.Kind == Promote:
 		next[at].Learner = false
 		return next, c.checkCaughtUp(change.Member.Node)
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -26,6 +26,7 @@
 	Commit      uint64
 	Durable     uint64
 	Snapshot    Position
+	FirstOfTerm uint64 // of a leader: its first entry
 	Members     []Member
 	Peers       []PeerStatus // of a leader, in the order of Members
 }
@@ -43,6 +44,7 @@
 		Commit:      c.commit,
 		Durable:     c.durable,
 		Snapshot:    c.snapshot.Position,
+		FirstOfTerm: c.firstOfTerm,
 		Members:     slices.Clone(c.members()),
 	}
 	if c.role != Leader {
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -13,7 +13,7 @@
 
 // DefaultTiming returns the intervals for links of up to 50 ms one way.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 400, ElectionMin: 900, ElectionMax: 1400}
+	return Timing{Heartbeat: 400, ElectionMin: 850, ElectionMax: 1250}
 }
 
 // Limits bound what the core keeps and sends.
