--- a/quorum/append.go
+++ b/quorum/append.go
@@ -247,13 +247,20 @@
 		return
 	}
 	if c.role == Leader {
-		for _, e := range c.log.between(c.commit, index) {
-			c.waiting -= e.size()
-		}
+		c.noteCommitted(index)
 	}
 	c.commit = index
 }
 
+// noteCommitted follows a leader's commit up to index.
+func (c *Core) noteCommitted(index uint64) {
+	term, _ := c.log.term(index)
+	c.check(term == c.hard.Term, "entry %d of term %d was committed by counting in term %d", index, term, c.hard.Term)
+	for _, e := range c.log.between(c.commit, index) {
+		c.waiting -= e.size()
+	}
+}
+
 // peer returns the progress of a member that answered this leader.
 func (c *Core) peer(n sardine.NodeID) *progress {
 	if c.role != Leader {
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -8,7 +8,7 @@
 // term is raised: a member that was cut off can't depose a working leader when
 // it returns.
 func (c *Core) startElection() {
-	if !c.isVoter(c.id) {
+	if !c.mayLead() {
 		c.resetElection()
 		return
 	}
@@ -162,7 +162,7 @@
 
 // handleElectNow takes over from a leader that leaves.
 func (c *Core) handleElectNow(m Message) {
-	if c.role == Follower && m.From == c.leader && c.isVoter(c.id) {
+	if c.role == Follower && m.From == c.leader && c.mayLead() {
 		c.campaign(true)
 	}
 }
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -41,6 +41,19 @@
 	return slices.Contains(c.voters(), n)
 }
 
+// mayLead reports whether this node may stand for election. A voter whose removal
+// is not committed still may: it can be the only one whose log is long enough.
+func (c *Core) mayLead() bool {
+	if c.isVoter(c.id) {
+		return true
+	}
+	n := len(c.lists)
+	if n < 2 || c.lists[n-1].index <= c.commit {
+		return false
+	}
+	return slices.ContainsFunc(c.lists[n-2].members, func(m Member) bool { return m.Node == c.id && !m.Learner })
+}
+
 func (c *Core) memberAddress(n sardine.NodeID) string {
 	for _, m := range c.members() {
 		if m.Node == n {
--- a/standin/trial/closing.go
+++ b/standin/trial/closing.go
@@ -12,7 +12,9 @@
 	settleMost = 20 * sardine.Second
 	// failoverMost bounds the time from a leader's loss to the next change.
 	failoverMost = 2 * sardine.Second
-	apartFor     = 4 * sardine.Second
+	apartFor     = 3 * sardine.Second
+	// quietFor is how long the load rests, so that all logs are equal.
+	quietFor = 1 * sardine.Second
 )
 
 // closing ends the faults and checks what must hold on a healthy site.
@@ -114,6 +116,8 @@
 	if l == nil || t.book.violation != "" || !t.spare(l) {
 		return
 	}
+	t.quiet = true
+	t.until(quietFor, func() bool { return false })
 	term := l.core.Term()
 	for _, m := range t.members {
 		if m != l && !m.broken && t.lists(l, m.id) {
@@ -121,7 +125,8 @@
 			break
 		}
 	}
-	t.until(2*apartFor, func() bool { return false })
+	t.until(apartFor+quietFor, func() bool { return false })
+	t.quiet = false
 	if now := t.leader(); t.book.violation == "" && (now == nil || now.core.Term() != term) {
 		t.book.fail("a member that did not hear the leader %s of term %d deposed it", l.id, term)
 	}
--- a/standin/trial/member.go
+++ b/standin/trial/member.go
@@ -24,6 +24,8 @@
 	batchBytes    = 400      // of one message
 	flightBytes   = 4 * 400  // for each follower
 	openBytes     = 64 << 10 // uncommitted
+	crashVotes    = 0.03     // share of votes after which the node crashes soon
+	crashAppends  = 0.002    // share of acknowledgements after which it does
 )
 
 func limits() quorum.Limits {
@@ -53,7 +55,10 @@
 	term    uint64
 	state   uint64
 	members []quorum.Member
+	names   string // members, as text
 	saved   uint64
+	acked   uint64            // highest entry that it claimed to hold durably
+	vote    quorum.HardState  // newest vote that it gave
 	reads   map[uint64]uint64 // ticket to the highest entry applied anywhere before
 }
 
@@ -70,6 +75,7 @@
 		m.refuse(err)
 		return
 	}
+	m.checkDurable(loaded.Stored)
 	stored := loaded.Stored
 	if loaded.Empty && m.first != nil {
 		if stored, err = files.Bootstrap(m.first); err != nil {
@@ -86,9 +92,47 @@
 		quorum.WithTiming(m.trial.options.Timing), quorum.WithLimits(limits()), quorum.WithDefects(m.trial.options.Defects))
 }
 
+// checkDurable compares what the disk holds with what the node has told others.
+func (m *member) checkDurable(stored quorum.Stored) {
+	last := stored.Base.Index + uint64(len(stored.Entries))
+	if last < m.acked {
+		m.trial.book.fail("%s acknowledged entry %d, after a crash its log ends at %d", m.id, m.acked, last)
+	}
+	if stored.Hard.Term < m.vote.Term || stored.Hard.Term == m.vote.Term && stored.Hard.Vote != m.vote.Vote {
+		m.trial.book.fail("%s voted %+v, after a crash it knows %+v", m.id, m.vote, stored.Hard)
+	}
+}
+
+// claim notes what a message says about the node's disk.
+func (m *member) claim(message quorum.Message) {
+	switch {
+	case message.Kind == quorum.AppendReply && !message.Reject:
+		m.acked = max(m.acked, message.LogIndex)
+	case message.Kind == quorum.Vote:
+		m.vote = quorum.HardState{Term: message.Term, Vote: m.id}
+	case message.Kind == quorum.VoteReply && !message.Reject:
+		m.vote = quorum.HardState{Term: message.Term, Vote: message.To}
+	}
+}
+
+// replace notes that a write drops entries that were acknowledged.
+func (m *member) replace(w quorum.Write) {
+	if w.Install != nil {
+		m.acked = min(m.acked, w.Install.Index)
+	}
+	if len(w.Entries) > 0 {
+		m.acked = min(m.acked, w.Entries[0].Index-1)
+	}
+}
+
 // refuse notes that the folder can't be used. That is right only after bit
-// damage.
+// damage, or while the disk fails.
 func (m *member) refuse(err error) {
+	if codes.Is(err, codes.SyncFailed) || codes.Is(err, codes.DiskFull) {
+		m.store = nil
+		m.stop()
+		return
+	}
 	if !m.trial.damaged[m.id] || !codes.Is(err, codes.LogDamaged) {
 		m.trial.book.fail("%s does not start: %v", m.id, err)
 	}
@@ -98,7 +142,7 @@
 
 func (m *member) load(snap, known quorum.Snapshot) {
 	m.index, m.term = known.Index, known.Term
-	m.members = known.Members
+	m.setMembers(known.Members)
 	m.saved = known.Index
 	m.state = 0
 	if len(snap.Data) > 0 {
@@ -109,8 +153,13 @@
 	}
 }
 
+func (m *member) setMembers(members []quorum.Member) {
+	m.members = members
+	m.names = fmt.Sprint(members)
+}
+
 func (m *member) fact() fact {
-	return fact{term: m.term, state: m.state, members: fmt.Sprint(m.members)}
+	return fact{term: m.term, state: m.state, members: m.names}
 }
 
 // Receive takes a message.
@@ -159,6 +208,7 @@
 	if m.core.Leads() {
 		m.trial.book.lead(m.id, m.core.Term())
 	}
+	m.replace(out.Write)
 	m.sendAll(out.Messages)
 	if !out.Write.Empty() {
 		m.queue = append(m.queue, out.Write)
@@ -173,10 +223,30 @@
 			continue
 		}
 		m.trial.book.send(message)
+		m.claim(message)
+		m.crashSoon(message)
 		m.trial.driver.Send(m.id, message.To, message)
 	}
 }
 
+// crashSoon lets some crashes follow closely on what a node promised: that is
+// where a missing sync would show.
+func (m *member) crashSoon(message quorum.Message) {
+	d := m.trial.driver
+	share := 0.0
+	switch message.Kind {
+	case quorum.Vote, quorum.VoteReply:
+		share = crashVotes
+	case quorum.AppendReply:
+		share = crashAppends
+	}
+	if m.trial.calm || d.Random().Float64() >= share {
+		return
+	}
+	d.At(sardine.Millis(d.Random().IntN(syncMost)), func(sardine.Millis) { d.Crash(m.id) })
+	d.At(sardine.Millis(syncMost+d.Random().IntN(1000)), func(sardine.Millis) { d.Restart(m.id) })
+}
+
 // beginWrite starts one sync for all writes that wait.
 func (m *member) beginWrite() {
 	if len(m.writing) > 0 || len(m.queue) == 0 {
@@ -198,6 +268,7 @@
 	last := uint64(0)
 	for _, w := range m.writing {
 		last = w.Sequence
+		m.replace(w)
 		m.sendAll(w.After)
 	}
 	m.writing = nil
@@ -243,7 +314,7 @@
 	}
 	m.index, m.term = e.Index, e.Term
 	if e.Kind == quorum.KindMembers {
-		m.members = e.Members
+		m.setMembers(e.Members)
 	}
 	if e.Kind == quorum.KindCommand {
 		m.state = xxhash.Sum64(binary.LittleEndian.AppendUint64(e.Data[:len(e.Data):len(e.Data)], m.state))
--- a/standin/trial/trial.go
+++ b/standin/trial/trial.go
@@ -49,6 +49,7 @@
 	counter int
 	joined  int
 	calm    bool // the faults have ended
+	quiet   bool // no changes are proposed
 }
 
 // sizes are the member counts that seeds go through.
@@ -123,6 +124,9 @@
 
 // propose offers a command to every member that believes to lead.
 func (t *trial) propose() {
+	if t.quiet {
+		return
+	}
 	for _, m := range t.members {
 		if t.running(m) && m.core.Leads() {
 			t.counter++
