--- a/peer/link.go
+++ b/peer/link.go
@@ -98,6 +98,15 @@
 	return &http.Transport{Protocols: protocols, DisableCompression: true}
 }
 
+// Protocols returns what an http.Server needs to serve NewTransport: HTTP/1.1 and
+// HTTP/2 without TLS.
+func Protocols() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
 // SetMembers tells the addresses of the members.
 func (l *Link) SetMembers(members []quorum.Member) {
 	l.mu.Lock()
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -24,6 +24,7 @@
 func Table() []Measure {
 	return []Measure{
 		quorumMeasure(),
+		logMeasure(),
 	}
 }
 
