--- a/quorum/member.go
+++ b/quorum/member.go
@@ -41,6 +41,19 @@
 	return slices.Contains(c.voters(), n)
 }
 
+// mayLead reports whether this node may stand for election. A voter whose removal
+// is not committed still may: it can be the only one whose log is long enough.
+func (c *Core) mayLead() bool {
+	if c.isVoter(c.id) {
+		return true
+	}
+	n := len(c.lists)
+	if n < 2 || c.lists[n-1].index <= c.commit {
+		return false
+	}
+	return slices.ContainsFunc(c.lists[n-2].members, func(m Member) bool { return m.Node == c.id && !m.Learner })
+}
+
 func (c *Core) memberAddress(n sardine.NodeID) string {
 	for _, m := range c.members() {
 		if m.Node == n {
@@ -101,7 +114,22 @@
 	if err := c.checkReachable(next); err != nil {
 		return Position{}, err
 	}
-	return c.appendOwn(Entry{Kind: KindMembers, Members: next}), nil
+	position := c.appendOwn(Entry{Kind: KindMembers, Members: next})
+	if !c.check(c.openLists() == 1, "%d member changes are uncommitted at once", c.openLists()) {
+		return Position{}, c.err
+	}
+	return position, nil
+}
+
+// openLists returns the number of member lists that are not committed.
+func (c *Core) openLists() int {
+	open := 0
+	for _, l := range c.lists[1:] {
+		if l.index > c.commit {
+			open++
+		}
+	}
+	return open
 }
 
 // changed returns the list after the change.
@@ -116,6 +144,8 @@
 		return nil, codes.New(codes.MemberBusy, "%s is a member already", change.Member.Node)
 	case at < 0:
 		return nil, codes.New(codes.UnknownMember, "%s is not a member", change.Member.Node)
+	case change.Kind == Promote && !next[at].Learner:
+		return nil, codes.New(codes.MemberBusy, "%s has a vote already", change.Member.Node)
 	case change.Kind == Promote:
 		next[at].Learner = false
 		return next, c.checkCaughtUp(change.Member.Node)
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -26,6 +26,8 @@
 		routing(),
 		groupsMeasure(),
 		admission(),
+		quorumMeasure(),
+		logMeasure(),
 	}
 }
 
