Count a victim's loss only while its members are missed

Re-forming a group from less valuable groups of another domain was charged for their loss over the whole horizon of 1200 s, though their VMs are missed only until the lost members are expected back.

--- a/plan/form.go
+++ b/plan/form.go
@@ -141,18 +141,18 @@
 type preemption struct {
 	domain  sardine.FabricDomain
 	victims []*groupView
-	cost    float64 // over the horizon
+	cost    float64
 }
 
-// preemption returns the cheapest one outside a domain, without victims if
-// there is none.
-func (r *round) preemption(k *kindView, except sardine.FabricDomain) preemption {
+// preemption returns the one outside a domain that costs least over the time for
+// which its victims are missed, without victims if there is none.
+func (r *round) preemption(k *kindView, except sardine.FabricDomain, missed sardine.Millis) preemption {
 	var best preemption
 	for _, d := range r.domains() {
 		if d == except {
 			continue
 		}
-		p := r.preemptionIn(k, d)
+		p := r.preemptionIn(k, d, missed)
 		if p.victims != nil && (best.victims == nil || p.cost < best.cost) {
 			best = p
 		}
@@ -160,7 +160,7 @@
 	return best
 }
 
-func (r *round) preemptionIn(k *kindView, d sardine.FabricDomain) preemption {
+func (r *round) preemptionIn(k *kindView, d sardine.FabricDomain, missed sardine.Millis) preemption {
 	p := preemption{domain: d}
 	have := len(r.candidates(k, d))
 	for i := len(r.groups) - 1; i >= 0 && have < k.deployment.GroupSize; i-- {
@@ -175,7 +175,7 @@
 		need := min(takes, k.deployment.GroupSize-have)
 		have += takes
 		p.victims = append(p.victims, v)
-		p.cost += r.victimCost(v, need, r.p.limits.Horizon)
+		p.cost += r.victimCost(v, need, missed)
 	}
 	if have < k.deployment.GroupSize {
 		return preemption{}
@@ -190,7 +190,7 @@
 		r.waitKind(k, "waits until less valuable groups are drained")
 		return
 	}
-	p := r.preemption(k, "")
+	p := r.preemption(k, "", r.p.limits.Horizon)
 	gain := seconds(r.p.limits.Horizon) * k.down()
 	if p.victims == nil || !r.p.policy.Preempt(gain, p.cost) {
 		r.waitKind(k, fmt.Sprintf("no domain has %d free VMs that can load model %s", k.deployment.GroupSize, k.deployment.Model))
--- a/plan/ways.go
+++ b/plan/ways.go
@@ -203,7 +203,7 @@
 	load := r.p.limits.loadDelay(r.loading + len(g.members) - 1)
 	ready := wait + load
 	extra := 0.0
-	if anew, cost, open := r.anew(g); open {
+	if anew, cost, open := r.anew(g, wait); open {
 		ready = anew
 		extra = cost
 	}
@@ -214,15 +214,16 @@
 }
 
 // anew returns how soon a group could be formed from free VMs of another domain,
-// or from the members of less valuable groups there, and what they cost.
-func (r *round) anew(g *groupView) (ready sardine.Millis, cost float64, open bool) {
+// or from the members of less valuable groups there, and what these cost while
+// they are missed.
+func (r *round) anew(g *groupView, missed sardine.Millis) (ready sardine.Millis, cost float64, open bool) {
 	load := r.p.limits.loadDelay(r.loading + len(g.members) - 1)
 	for _, d := range r.domains() {
 		if d != g.Domain && len(r.candidates(g.kind, d)) >= len(g.members) {
 			return load + orderTrip, 0, true
 		}
 	}
-	p := r.preemption(g.kind, g.Domain)
+	p := r.preemption(g.kind, g.Domain, missed)
 	if p.victims == nil {
 		return 0, 0, false
 	}
