Give each entry node targets of its own

Requests that no cache speaks for go to the node's share of the targets, where its requests in flight are exact.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -213,6 +213,16 @@
 	held.gate.limiter.adjust(now, held.gate.inFlight)
 }
 
+// Pressure takes the mean number of requests that wait at each target of a
+// service, as the targets report it (route.Router.Pressure); ok is false if they
+// do not. Reports tell all entry nodes the same, so that their limits even out;
+// the latency alone lets early ones keep what they have.
+func (c *Controller) Pressure(name sardine.ServiceName, queued float64, ok bool) {
+	g := c.gate(name)
+	g.limiter.pressure = queued
+	g.limiter.reported = ok
+}
+
 // Done records the end of an admitted request. firstToken is the time from
 // dispatch to its first token, used for Answered only and unless FirstToken was
 // called.
--- a/admit/limit.go
+++ b/admit/limit.go
@@ -12,8 +12,12 @@
 	decrease      = 0.9                     // factor after a window with queueing
 	startIncrease = 1.25                    // factor until the first queueing
 	overDecrease  = 0.7                     // factor after a window with refusals of targets
-	baselineRise  = 1.002                   // factor a window on the unloaded time, so that it is forgotten
+	baselineRise  = 1.02                    // factor a window on the unloaded time where it is forgotten
+	unloaded      = 0.3                     // in flight over the limit up to which load is not the reason for a latency
+	futileFalls   = 20                      // falls in a row after which load is not the reason either
 	drained       = 1.05                    // in flight over the limit that counts as reached
+	maxPressure   = 4.0                     // requests waiting at each target that are taken as queueing
+	reportedSlack = 6.0                     // further rise of latency that counts where targets report
 	minSamples    = 4
 	latencyGain   = 0.2
 )
@@ -32,8 +36,11 @@
 	sum        float64
 	samples    int
 	overloaded int
-	used       bool // the limit was reached in this window
-	congested  bool // it has fallen before
+	used       bool    // the limit was reached in this window
+	congested  bool    // it has fallen before
+	falls      int     // falls of the limit in a row
+	reported   bool    // the targets report their queues
+	pressure   float64 // requests that wait at each target
 }
 
 func newLimiter(o *options) limiter {
@@ -75,27 +82,40 @@
 		l.set(l.limit * overDecrease)
 		return
 	}
-	l.learn(l.sum / float64(max(l.samples, 1)))
+	l.learn(l.sum/float64(max(l.samples, 1)), inFlight)
 	bound := l.baseline * l.tolerance
+	late := l.latency > bound
+	if l.reported {
+		late = l.pressure > maxPressure || l.latency > bound*reportedSlack
+	}
 	switch {
-	case l.latency > bound && float64(inFlight) > l.limit*drained:
-	case l.latency > bound:
-		l.set(l.limit * max(decrease, math.Sqrt(bound/l.latency)))
+	case late && float64(inFlight) > l.limit*drained:
+	case late:
+		l.set(l.limit * decrease)
 		l.congested = true
+		l.falls++
+		return
 	case l.used && !l.congested:
 		l.set(l.limit * startIncrease)
 	case l.used:
 		l.set(l.limit + math.Sqrt(l.limit))
 	}
+	l.falls = 0
 }
 
-func (l *limiter) learn(mean float64) {
+// learn follows the latency. The unloaded latency is its minimum, forgotten only
+// where load can't be the reason that it is passed: while the limit is far from
+// used, or when lowering the limit again and again changed nothing.
+func (l *limiter) learn(mean float64, inFlight int) {
 	if l.baseline == 0 {
 		l.baseline = mean
 		l.latency = mean
 	}
 	l.latency += latencyGain * (mean - l.latency)
-	l.baseline = min(l.baseline*baselineRise, l.latency)
+	if l.falls >= futileFalls || float64(inFlight) < l.limit*unloaded {
+		l.baseline *= baselineRise
+	}
+	l.baseline = min(l.baseline, l.latency)
 }
 
 func (l *limiter) set(limit float64) {
--- a/route/mixed.go
+++ b/route/mixed.go
@@ -12,6 +12,10 @@
 // count as near.
 const nearBand = 10
 
+// liveSamples is how many times the random candidates a live request gets. They
+// are too few to crowd a target.
+const liveSamples = 4
+
 // place is one target of a prefix's rendezvous order.
 type place struct {
 	target *target
@@ -44,7 +48,16 @@
 			}
 		}
 	}
-	for range r.options.samples {
+	for _, t := range r.near {
+		if r.owns(t) {
+			r.weigh(now, s, q, &best, t, noRank)
+		}
+	}
+	samples := r.options.samples
+	if q.Priority == sardine.PriorityLive {
+		samples *= liveSamples
+	}
+	for range samples {
 		r.weigh(now, s, q, &best, r.near[r.random.IntN(len(r.near))], noRank)
 	}
 	r.weigh(now, s, q, &best, r.sample(), noRank)
--- a/route/router.go
+++ b/route/router.go
@@ -29,6 +29,8 @@
 	services map[sardine.ServiceName]*service
 	hints    *hintTable
 	usable   []*target // scratch of Pick
+	position int       // of this node among the entry nodes
+	nodes    int       // entry nodes, 0 if not known
 	near     []*target // scratch of Pick: the usable ones in reach
 	scratch  []place   // scratch of Pick
 	counts   Counts
@@ -85,6 +87,28 @@
 	r.sortTargets()
 }
 
+// SetPosition tells the node's position among the entry nodes, from 0, and their
+// number. Requests that no cache speaks for then go to targets of the node's
+// own, where the requests in flight are its own and known exactly.
+func (r *Router) SetPosition(position, nodes int) {
+	r.position = position
+	r.nodes = nodes
+}
+
+// owns reports whether the target is one of the node's own.
+func (r *Router) owns(t *target) bool {
+	return r.nodes > 0 && t.slot%r.nodes == r.position%min(r.nodes, r.targetsOf(t))
+}
+
+// targetsOf returns the number of targets of t's service, at least 1.
+func (r *Router) targetsOf(t *target) int {
+	s := r.services[t.candidate.Service]
+	if s == nil {
+		return 1
+	}
+	return max(len(s.targets), 1)
+}
+
 func (r *Router) sortTargets() {
 	for name, s := range r.services {
 		if len(s.targets) == 0 {
@@ -92,6 +116,9 @@
 			continue
 		}
 		slices.SortFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.hash, b.hash) })
+		for i, t := range s.targets {
+			t.slot = i
+		}
 	}
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -41,6 +41,7 @@
 	slowness  float64        // observed time over expected time
 	lag       float64        // usual time between tokens over this target's, by its reports
 	outlier   outlier
+	slot      int // place among the service's targets by hash
 	gone      bool
 }
 
--- a/standin/gauge/admitflow.go
+++ b/standin/gauge/admitflow.go
@@ -66,7 +66,7 @@
 
 // dispatch sends a request to a target.
 func (r *admitRun) dispatch(n *admitNode, t admit.Ticket, q *ask) {
-	c, err := n.router.Pick(sardine.Millis(r.now), route.Request{Service: "model", PromptTokens: int(q.work / slotPerToken)})
+	c, err := n.router.Pick(sardine.Millis(r.now), route.Request{Service: "model", PromptTokens: int(q.work / slotPerToken), Priority: sardine.Priority(q.class + 1)})
 	if err != nil {
 		r.failure = err
 		return
--- a/standin/gauge/admitrun.go
+++ b/standin/gauge/admitrun.go
@@ -95,7 +95,7 @@
 		n := &admitNode{
 			centre:  i % 3,
 			control: admit.New(newRandom(f.seed, uint64(10+i))),
-			router:  route.New(newRandom(f.seed, uint64(1000+i))),
+			router:  route.New(newRandom(f.seed, uint64(1000+i)), route.WithSamples(6, 2)),
 			budget:  retry.New(newRandom(f.seed, uint64(2000+i))),
 			queued:  make(map[admit.Ticket]*ask),
 		}
@@ -120,9 +120,24 @@
 	}
 	for _, n := range r.nodes {
 		n.router.Update(sardine.Millis(r.now), candidates)
+		n.router.SetPosition(r.position(n, dark))
 	}
 }
 
+// position returns a node's place among those that are up.
+func (r *admitRun) position(n *admitNode, dark bool) (position, nodes int) {
+	for _, o := range r.nodes {
+		if dark && o.centre == 0 {
+			continue
+		}
+		if o == n {
+			position = nodes
+		}
+		nodes++
+	}
+	return position, nodes
+}
+
 func (r *admitRun) run(span float64) {
 	r.after(0, r.arrive)
 	r.after(0, r.tick)
@@ -169,6 +184,8 @@
 
 func (r *admitRun) tick() {
 	for _, n := range r.nodes {
+		queued, ok := n.router.Pressure(sardine.Millis(r.now), "model", 3000)
+		n.control.Pressure("model", queued, ok)
 		r.decide(n, n.control.Tick(sardine.Millis(r.now)))
 		r.decide(n, n.control.Next(sardine.Millis(r.now)))
 	}
--- a/standin/gauge/routerun.go
+++ b/standin/gauge/routerun.go
@@ -139,6 +139,7 @@
 		options = append(options, r.variant.options...)
 		router := route.New(rand.New(rand.NewPCG(r.flags.seed, uint64(100+i))), options...)
 		router.Update(0, candidates)
+		router.SetPosition(i, count)
 		r.routers = append(r.routers, router)
 	}
 }
