Keep answers whole and bookings single when engines, members and nodes fail

Change: the guard core decides dispatches, a stream resumes at its own group without charge to the retry budget, a group that still listens may be asked again when no other is there, a struck request's permit travels as text (raw bytes could not be encoded, so the retry hung), settings calls whose answer was lost are sent again with their change id, and a control node without a leader sends callers on.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -78,12 +78,18 @@
 	})
 }
 
-// Settings reads or changes settings. Errors are as of Submit.
+// Settings reads or changes settings. A call whose answer was lost is sent again
+// until ctx ends: reads change nothing, and a change is recognised by its id.
 func (c *Client) Settings(ctx context.Context, request *wire.SettingsRequest) (*wire.SettingsReply, error) {
-	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
-		r, err := s.Settings(ctx, request)
-		return r, r.GetFault(), err
-	})
+	for {
+		answer, err := atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
+			r, err := s.Settings(ctx, request)
+			return r, r.GetFault(), err
+		})
+		if !codes.Is(err, codes.OutcomeUnknown) || pause(ctx) != nil {
+			return answer, err
+		}
+	}
 }
 
 // Members lists or changes the control members. Errors are as of Submit.
@@ -110,7 +116,7 @@
 				return none, codes.New(codes.OutcomeUnknown, "control node %s broke off: %v", address, err)
 			}
 			failed := ErrorOf(fault)
-			if !codes.Is(failed, codes.NotLeader) {
+			if !elsewhere(failed) {
 				c.remember(address)
 				return answer, failed
 			}
@@ -122,6 +128,12 @@
 	}
 }
 
+// elsewhere reports whether a refusal says that nothing was proposed and another
+// control node, or the same one soon, may do better.
+func elsewhere(err error) bool {
+	return codes.Is(err, codes.NotLeader) || codes.Is(err, codes.NoQuorum) || codes.Is(err, codes.Draining)
+}
+
 func pause(ctx context.Context) error {
 	t := time.NewTimer(roundPause)
 	defer t.Stop()
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -35,7 +35,7 @@
 	return &leadership{
 		ledger:  ledger,
 		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
-		fleet:   fleet.NewLeader(),
+		fleet:   fleet.NewLeader(fleet.WithGrace(t.Grace)),
 		planner: plan.New(plan.WithPolicy(policy)),
 	}
 }
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/fleet"
 	"sardineswitch.dev/sardine/lease"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/quorum"
@@ -18,6 +19,7 @@
 	Propose sardine.Millis // longest wait for an own command
 	Order   sardine.Millis // longest wait for an engine to take an order
 	Accept  sardine.Millis // longest wait until a change is in force
+	Grace   sardine.Millis // after an election, until a silent target counts as lost
 }
 
 // DefaultTiming returns the times for a site of any size.
@@ -30,6 +32,7 @@
 		Propose: 2 * sardine.Second,
 		Order:   2 * sardine.Second,
 		Accept:  11 * sardine.Second,
+		Grace:   fleet.DefaultGrace,
 	}
 }
 
--- a/entry/attrs.go
+++ b/entry/attrs.go
@@ -15,6 +15,10 @@
 	return slog.String("vm", string(vm))
 }
 
+func groupAttr(id sardine.GroupID) slog.Attr {
+	return slog.String("group", string(id))
+}
+
 func codeAttr(err error) slog.Attr {
 	return slog.Group("error", slog.Int("code", int(codes.Of(err))), slog.String("detail", err.Error()))
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -91,14 +91,15 @@
 // enter admits a request: its workspace, service, limits, and its turn. The
 // ticket goes back by leave. An error means that the request was not run.
 func (n *Node) enter(ctx context.Context, q *request) (tenancy, serviceKey, admit.Ticket, error) {
-	if err := n.mayDispatch(q.fingerprint); err != nil {
-		return tenancy{}, serviceKey{}, 0, err
-	}
 	v := n.view()
 	t, d, err := v.admit(q)
+	if lapsed := n.mayServeUnder(v.cuts[t.team]); lapsed != nil {
+		err = lapsed // what the view says may be outdated
+	}
 	if err != nil {
 		return tenancy{}, serviceKey{}, 0, err
 	}
+	q.cut = v.cuts[t.team]
 	key := serviceKey{t.team, d.Name}
 	if len(v.candidates[key]) == 0 {
 		err := codes.New(codes.NoTarget, "no target serves %q now", d.Name)
@@ -135,18 +136,6 @@
 	}
 }
 
-// mayDispatch refuses while the node must not serve, and a request that has
-// crashed too many groups.
-func (n *Node) mayDispatch(fingerprint []byte) error {
-	if err := n.mayServe(); err != nil {
-		return err
-	}
-	if n.poisoned(fingerprint) {
-		return codes.New(codes.PoisonRequest, "the request crashed the groups that ran it")
-	}
-	return nil
-}
-
 // refuse answers a request that was not run.
 func (n *Node) refuse(w http.ResponseWriter, id sardine.RequestID, err error) {
 	event.Log(n.log, event.RequestRefused, requestAttr(id), codeAttr(err))
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -7,7 +7,6 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/claim"
 	"sardineswitch.dev/sardine/codes"
-	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/wire"
@@ -30,8 +29,7 @@
 // claim core: proposals go to the control quorum, dispatches run in goroutines
 // that outlive their callers.
 type claims struct {
-	node    *Node
-	control *ctlapi.Client
+	node *Node
 
 	mu      sync.Mutex
 	keeper  *claim.Keeper
@@ -40,10 +38,9 @@
 	running sync.WaitGroup
 }
 
-func newClaims(n *Node, control *ctlapi.Client) *claims {
+func newClaims(n *Node) *claims {
 	return &claims{
 		node:    n,
-		control: control,
 		keeper:  claim.New(n.id, n.incarnation, n.random),
 		waiting: make(map[claim.RequestID]claimant),
 	}
@@ -124,16 +121,23 @@
 }
 
 func (c *claims) propose(p claim.Propose) {
-	ctx, cancel := context.WithTimeout(c.node.life, c.node.timing.Submit.Duration())
+	result, err := c.node.propose(p.Command)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.perform(c.keeper.Proposed(c.node.clock.Now(), p.ID, result, err))
+}
+
+// propose submits a command. err is not nil if it is unknown whether the log
+// took it; result.Err is the log's own refusal.
+func (n *Node) propose(command state.Command) (result state.Result, err error) {
+	ctx, cancel := context.WithTimeout(n.life, n.timing.Submit.Duration())
 	defer cancel()
-	answer, err := c.control.Submit(ctx, &wire.SubmitRequest{Command: state.ToWire(0, p.Command)})
-	result := resultOf(answer, err)
+	answer, err := n.control.Submit(ctx, &wire.SubmitRequest{Command: state.ToWire(0, command)})
+	result = resultOf(answer, err)
 	if !codes.Is(err, codes.OutcomeUnknown) && !codes.Is(err, codes.NoQuorum) {
 		err = nil // the log has answered
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.perform(c.keeper.Proposed(c.node.clock.Now(), p.ID, result, err))
+	return result, err
 }
 
 // resultOf maps the answer to a proposal.
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -36,6 +36,7 @@
 		_ = n.public.Shutdown(last) // what still runs is cut off by release
 	}
 	n.claims.drain()
+	n.guards.drain()
 	event.Log(n.log, event.DrainEnded, slog.Bool("whole", err == nil))
 	n.quit()
 	n.tomb.Kill(nil)
@@ -66,6 +67,7 @@
 	n.tomb.Kill(nil)
 	err := n.tomb.Wait()
 	n.claims.drain()
+	n.guards.drain()
 	event.Log(n.log, event.NodeStopped)
 	return err
 }
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -118,11 +118,28 @@
 	return err
 }
 
-// tick refuses what waited for too long.
-func (g *gate) tick() {
+// answered tells how long an admitted request waited for its first token.
+func (g *gate) answered(t admit.Ticket, latency sardine.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.admission.Tick(g.clock.Now()))
+	g.admission.FirstToken(g.clock.Now(), t, latency)
+	g.release()
+}
+
+// loadMaxAge is how old a target's reported load may be to count.
+const loadMaxAge = 5 * sardine.Second
+
+// tick refuses what waited for too long, and tells the admission what targets
+// report about their queues.
+func (g *gate) tick(services []sardine.ServiceName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for _, name := range services {
+		queued, ok := g.router.Pressure(now, name, loadMaxAge)
+		g.admission.Pressure(name, queued, ok)
+	}
+	g.deliver(g.admission.Tick(now))
 	g.release()
 }
 
--- a/entry/model.go
+++ b/entry/model.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"sardineswitch.dev/sardine/admit"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 )
@@ -20,20 +22,32 @@
 // maxAnswerBytes bounds an answer that is held whole before it is passed on.
 const maxAnswerBytes = 4 << 20
 
+const (
+	// maxResumes bounds the resumes of one stream at its own group.
+	maxResumes = 16
+	// resumePause is the wait before a resume.
+	resumePause = 10 * sardine.Millis(1)
+)
+
 // modelRun is one caller's request to a model, over all its dispatches.
 type modelRun struct {
-	node     *Node
-	request  *request
-	tenancy  tenancy
-	service  serviceKey
-	sink     *sink
-	ran      sardine.Ran // over all dispatches
-	tokens   int         // passed on to the caller
-	last     route.Candidate
-	tried    []route.Ref
-	attempts int
-	firstIn  sardine.Millis // from the last dispatch to its first token
-	deadline *time.Timer    // cancels the request unless its first token comes before
+	node      *Node
+	request   *request
+	tenancy   tenancy
+	service   serviceKey
+	ticket    admit.Ticket
+	sink      *sink
+	ran       sardine.Ran // over all dispatches
+	tokens    int         // passed on to the caller
+	last      route.Candidate
+	gone      []route.Ref // never asked again
+	tried     []route.Ref // asked again only if no other is there
+	attempts  int
+	resumes   int
+	resumedAt int            // tokens at the last resume
+	failed    error          // of the last dispatch
+	firstIn   sardine.Millis // from the last dispatch to its first token
+	deadline  *time.Timer    // cancels the request unless its first token comes before
 }
 
 // handleModel answers chat and completion requests.
@@ -54,7 +68,7 @@
 		n.refuse(w, id, err)
 		return
 	}
-	run := &modelRun{node: n, request: q, tenancy: t, service: key, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
+	run := &modelRun{node: n, request: q, tenancy: t, service: key, ticket: ticket, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
 	run.deadline = n.startDeadline(q, cancel)
 	defer run.deadline.Stop()
 	outcome := admit.Abandoned
@@ -83,11 +97,19 @@
 // tried.
 func (m *modelRun) serve(ctx context.Context) error {
 	for {
-		choice, err := m.pick()
+		id, allowed, err := m.node.guards.offer(ctx, m.request)
 		if err != nil {
-			return err
+			return m.worse(err)
+		}
+		choice, err := m.pick(allowed)
+		if err != nil {
+			m.node.guards.ended(id, route.Candidate{}, guard.Unclear)
+			return m.worse(err)
 		}
+		m.node.guards.placed(id, choice.Candidate.Group)
 		err = m.attempt(ctx, choice)
+		fate := m.node.fateOf(ctx, choice.Candidate, err)
+		m.node.guards.ended(id, choice.Candidate, fate)
 		if err == nil {
 			m.node.gate.succeeded(m.request.workspace)
 			return nil
@@ -95,17 +117,27 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		if err := m.mayContinue(ctx, choice, err); err != nil {
+		m.failed = err
+		if err := m.mayContinue(ctx, choice, fate, err); err != nil {
 			return err
 		}
 	}
 }
 
+// worse returns the failure of an earlier dispatch, if there was one: that no
+// other target is there tells the caller less.
+func (m *modelRun) worse(err error) error {
+	if m.failed != nil && !codes.Is(err, codes.PoisonRequest) {
+		return m.failed
+	}
+	return err
+}
+
 // pick chooses the next target. A stream that is partly passed on goes on only
 // where it continues exactly: at the same epoch of its group, or for an exact
 // request at any group of the same model version.
-func (m *modelRun) pick() (*route.Choice, error) {
-	if err := m.node.mayDispatch(m.request.fingerprint); err != nil {
+func (m *modelRun) pick(p permit) (*route.Choice, error) {
+	if err := m.node.mayServeUnder(m.request.cut); err != nil {
 		return nil, err
 	}
 	q := route.Request{
@@ -114,7 +146,9 @@
 		Priority:     m.request.priority,
 		PrefixHashes: m.request.prefixes,
 		PromptTokens: m.request.tokens,
-		Exclude:      m.tried,
+		Exclude:      slices.Concat(m.gone, m.tried),
+		Avoid:        p.avoid,
+		Prefer:       p.prefer,
 	}
 	if m.request.deadline > 0 && m.tokens == 0 {
 		q.Deadline = m.request.arrived + m.request.deadline
@@ -122,14 +156,23 @@
 	if m.tokens > 0 {
 		q.Model = m.last.Model
 		q.Version = m.last.Version
+		q.Prefer = m.last.Group
 	}
 	choice, err := m.node.gate.pick(q)
+	if codes.Is(err, codes.NoTarget) && len(m.tried) > 0 {
+		m.tried = nil
+		return m.pick(p)
+	}
 	if err != nil {
 		return nil, err
 	}
-	if !m.node.view().current(choice.Candidate) {
+	if m.tokens > 0 && !m.request.exact && choice.Candidate.Ref != m.last.Ref {
 		m.node.gate.finish(choice, route.End{Abort: true})
-		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+		return nil, codes.New(codes.StreamBroken, "the answer broke off and its group does not take it up again")
+	}
+	if err := m.node.stillCurrent(choice); err != nil {
+		m.gone = append(m.gone, choice.Candidate.Ref)
+		return m.pick(p)
 	}
 	m.last = choice.Candidate
 	m.attempts++
@@ -137,13 +180,23 @@
 }
 
 // mayContinue decides whether another dispatch may follow the failed one, and
-// waits until it may. It returns the final error if not.
-func (m *modelRun) mayContinue(ctx context.Context, c *route.Choice, failed error) error {
-	m.strike(ctx, c, failed)
-	if m.tokens > 0 && !m.request.exact {
+// waits until it may. It returns the final error if not. A group that still
+// listens is excluded only while nothing of its answer was passed on: the
+// others would have to run the request anew.
+func (m *modelRun) mayContinue(ctx context.Context, c *route.Choice, fate guard.Fate, failed error) error {
+	resumable := m.tokens > 0 && fate != guard.Crashed && !m.node.view().lost(c.Candidate)
+	if m.tokens > 0 && !m.request.exact && !resumable {
 		return failed
 	}
-	m.tried = append(m.tried, c.Candidate.Ref)
+	switch {
+	case fate == guard.Crashed:
+		m.gone = append(m.gone, c.Candidate.Ref)
+	case !resumable:
+		m.tried = append(m.tried, c.Candidate.Ref)
+	}
+	if resumable && m.tokens > m.resumedAt && m.resumes < maxResumes {
+		return m.resume(ctx)
+	}
 	d := m.node.gate.mayRetry(m.request.workspace, m.ran, true, m.attempts)
 	if !d.Retry {
 		return failed
@@ -154,15 +207,15 @@
 	return m.node.sleep(ctx, d.After)
 }
 
-// strike tells the other nodes that this request was running when its group
-// failed.
-func (m *modelRun) strike(ctx context.Context, c *route.Choice, failed error) {
-	if m.ran == sardine.RanNo || c.Candidate.Group == "" || errors.Is(failed, errStalled) {
-		return
-	}
-	if codes.Is(failed, codes.TargetFailed) || codes.Is(failed, codes.StreamBroken) {
-		m.node.strike(ctx, m.request, c.Candidate)
-	}
+// resume lets the group that runs the request go on where its stream broke. That
+// repeats no work, so it is not charged to the retry budget as long as each
+// resume brings the answer on; charged, six cut streams in a row would end the
+// workspace's answers while its group is well.
+func (m *modelRun) resume(ctx context.Context) error {
+	m.resumedAt = m.tokens
+	m.resumes++
+	event.Log(m.node.log, event.StreamResumed, requestAttr(m.request.id), tokensAttr(m.tokens))
+	return m.node.sleep(ctx, resumePause)
 }
 
 // attempt runs one dispatch. A nil error means that the caller has the whole
@@ -241,6 +294,7 @@
 	m.deadline.Stop()
 	m.firstIn = max(m.node.clock.Now()-started, 1)
 	m.node.gate.firstToken(choice, cachedTokens(resp.Header))
+	m.node.gate.answered(m.ticket, m.firstIn)
 	m.node.meter.firstToken(m.node.clock.Now() - m.request.arrived)
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -51,6 +51,7 @@
 	gate           *gate
 	flights        *flights
 	claims         *claims
+	guards         *guards
 	follower       *follower
 	meter          *instruments
 	history        *status.History // the follow duty's
@@ -120,7 +121,8 @@
 	n.gate = newGate(n.clock, n.random, route.New(n.random))
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
 	n.limiter = limit.NewLimiter(n.id, n.random)
-	n.claims = newClaims(n, n.control)
+	n.claims = newClaims(n)
+	n.guards = newGuards(n)
 	n.follower = newFollower(n)
 	return nil
 }
@@ -206,8 +208,9 @@
 		case <-n.clock.After(tickEvery):
 		}
 		n.tickHome()
-		n.gate.tick()
+		n.gate.tick(n.view().routed)
 		n.claims.tick()
+		n.guards.tick()
 	}
 }
 
@@ -225,11 +228,17 @@
 // mayServe refuses to dispatch without a lease or after a broken invariant. The
 // clock is read after the lease was loaded, so that a pause in between is seen.
 func (n *Node) mayServe() error {
+	return n.mayServeUnder(sardine.CutRefuseRequests)
+}
+
+// mayServeUnder is mayServe for a team with the cut policy: under hold_changes
+// the node serves on while it is cut off, because the team's changes wait.
+func (n *Node) mayServeUnder(policy sardine.CutPolicy) error {
 	if err := n.breach(); err != nil {
 		return err
 	}
 	lease := n.published.Load().lease
-	if !lease.Serving(n.clock.Now()) {
+	if !lease.ServingTeam(n.clock.Now(), policy) {
 		return codes.New(codes.NoLease, "this entry node is cut off from the control quorum")
 	}
 	return nil
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -204,7 +204,7 @@
 }
 
 func (p *plainRun) pick() (*route.Choice, error) {
-	if err := p.node.mayDispatch(p.request.fingerprint); err != nil {
+	if err := p.node.mayServeUnder(p.request.cut); err != nil {
 		return nil, err
 	}
 	q := route.Request{
@@ -220,9 +220,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if !p.node.view().current(choice.Candidate) {
-		p.node.gate.finish(choice, route.End{Abort: true})
-		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+	if err := p.node.stillCurrent(choice); err != nil {
+		p.tried = append(p.tried, choice.Candidate.Ref)
+		return p.pick()
 	}
 	p.attempts++
 	return choice, nil
--- a/entry/request.go
+++ b/entry/request.go
@@ -10,9 +10,11 @@
 	"os"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/reply"
 )
 
@@ -42,7 +44,9 @@
 	tokens      int  // estimate of the prompt's tokens
 	maxTokens   int  // asked for, 0 if not said
 	prefixes    []uint64
-	fingerprint []byte
+	fingerprint []byte            // of the caller's request, for its idempotency key
+	poison      guard.Fingerprint // of what the target runs
+	cut         sardine.CutPolicy // of its team
 }
 
 // modelJSON is the part of a completion request that routing needs. All else is
@@ -77,6 +81,9 @@
 	if len(q.key) > maxKeyBytes {
 		return nil, codes.New(codes.BadRequest, "header %s has %d bytes, at most %d are taken", reply.HeaderKey, len(q.key), maxKeyBytes)
 	}
+	if !utf8.ValidString(q.key) || !utf8.ValidString(string(q.workspace)) {
+		return nil, codes.New(codes.BadRequest, "headers %s and %s must be valid UTF-8", reply.HeaderWorkspace, reply.HeaderKey)
+	}
 	if q.token, err = bearer(r.Header.Get("Authorization")); err != nil {
 		return nil, err
 	}
@@ -177,6 +184,7 @@
 	q.tokens = len(prompt)/bytesPerWord + 1
 	q.prefixes = prefixHashes(q.service, prompt)
 	q.setFingerprint()
+	q.poison = guard.Of(q.service, q.method, q.path, q.body)
 	return q, nil
 }
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -41,8 +41,11 @@
 	serving     map[sardine.GroupID]sardine.Epoch // groups that get new work
 	intact      map[sardine.GroupID]sardine.Epoch // groups that may finish work, a superset
 	plain       map[sardine.VMID]sardine.Incarnation
-	poisons     map[string]bool // by fingerprint
-	nodes       int             // entry nodes of the site
+	strikes     map[string][]sardine.GroupID // by fingerprint
+	cuts        map[sardine.Team]sardine.CutPolicy
+	members     map[sardine.GroupID][]sardine.VMID
+	nodes       int                   // entry nodes of the site
+	routed      []sardine.ServiceName // as the router knows the deployments
 }
 
 // newView arranges the machine's state. Documents that can't be parsed are
@@ -61,9 +64,7 @@
 	v.addGroups(m)
 	v.addPlain(m)
 	for _, p := range m.Poisons() {
-		if m.Poisoned(p.Fingerprint) {
-			v.poisons[string(p.Fingerprint)] = true
-		}
+		v.strikes[string(p.Fingerprint)] = p.Groups
 	}
 	return v, failed
 }
@@ -78,7 +79,9 @@
 		serving:     make(map[sardine.GroupID]sardine.Epoch),
 		intact:      make(map[sardine.GroupID]sardine.Epoch),
 		plain:       make(map[sardine.VMID]sardine.Incarnation),
-		poisons:     make(map[string]bool),
+		strikes:     make(map[string][]sardine.GroupID),
+		cuts:        make(map[sardine.Team]sardine.CutPolicy),
+		members:     make(map[sardine.GroupID][]sardine.VMID),
 	}
 }
 
@@ -92,11 +95,14 @@
 	if err != nil {
 		return codes.Wrap(codes.BadSettings, err, "settings of team "+string(name))
 	}
+	v.cuts[name] = settings.Cut
 	for _, t := range settings.Tenants {
 		v.tenancies[t.Name] = tenancy{team: name, tenant: t}
 	}
 	for _, d := range settings.Deployments {
-		v.deployments[serviceKey{name, d.Name}] = d
+		key := serviceKey{name, d.Name}
+		v.deployments[key] = d
+		v.routed = append(v.routed, key.routed())
 	}
 	return nil
 }
@@ -107,6 +113,9 @@
 			continue
 		}
 		v.intact[g.ID] = g.Epoch
+		for _, member := range g.Members {
+			v.members[g.ID] = append(v.members[g.ID], member.VM)
+		}
 		if leaving(m, g) {
 			continue
 		}
--- a/guard/action.go
+++ b/guard/action.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/claim"
@@ -16,6 +17,11 @@
 // same one, whoever sends them.
 type Fingerprint [16]byte
 
+// String returns the hexadecimal form. Keys and messages hold text only.
+func (f Fingerprint) String() string {
+	return hex.EncodeToString(f[:])
+}
+
 // Of returns the fingerprint of a request's service, method, path and body.
 func Of(service sardine.ServiceName, method, path string, body []byte) Fingerprint {
 	h := sha256.New()
--- a/guard/permit.go
+++ b/guard/permit.go
@@ -31,7 +31,7 @@
 			return []Action{Run{Request: r.id, Avoid: struck}}
 		default:
 			r.started = true
-			key := claim.Key{Workspace: permits, Key: string(f[:]) + string(struck[0])}
+			key := claim.Key{Workspace: permits, Key: f.String() + "/" + string(struck[0])}
 			return g.perform(now, g.keeper.Offer(now, r.id, key, f[:], r.deadline))
 		}
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -128,6 +128,11 @@
 	return func(s *settings) { change(&s.timing) }
 }
 
+// WithControlTiming changes the control nodes' times.
+func WithControlTiming(change func(*ctrl.Timing)) Option {
+	return func(s *settings) { change(&s.control) }
+}
+
 // Names of what the site deploys.
 const (
 	Model   = sardine.ModelName("twi-surtitles")
