Measure settings in force, and mend the relays by what it showed

New: standin measure config, 9 to 350 nodes, with a pause, a cut data centre or a leader loss. Followers now forget the leader when a relay fails, probe first, and avoid silent control nodes. Hold is 700 ms and the lease 3500 ms, so that a lease outlasts a silent leader loss.

--- a/drive/drive.go
+++ b/drive/drive.go
@@ -93,6 +93,7 @@
 	actors map[sardine.NodeID]Actor[M]
 	cuts   map[direction]sardine.Millis // until when
 	steps  int
+	link   func(from, to sardine.NodeID) sardine.Millis
 }
 
 // New returns a driver without actors.
@@ -148,7 +149,7 @@
 		if d.random.Float64() < d.faults.Loss {
 			continue
 		}
-		d.push(&item{at: d.now + d.delay(), node: n, life: n.life, work: func(now sardine.Millis) {
+		d.push(&item{at: d.now + d.delay() + d.linkTime(from, to), node: n, life: n.life, work: func(now sardine.Millis) {
 			if n.up && d.cuts[direction{from, to}] <= d.now {
 				d.actors[to].Receive(now, from, m)
 			}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -126,6 +126,11 @@
 	return f.route.control()
 }
 
+// ThroughRelay reports whether the node asks a relay at present.
+func (f *Follower) ThroughRelay() bool {
+	return f.route.relay != ""
+}
+
 // Published notes that every request admitted from now on is served by the state
 // up to index. Only then is index reported as applied.
 func (f *Follower) Published(index uint64) {
@@ -159,7 +164,7 @@
 		f.main = f.send(now, true)
 		return f.main.ask, true
 	}
-	if f.prompt == nil && now >= f.relay.promptAt(f.main.at) {
+	if f.prompt == nil && now >= f.relay.promptAt(f.main.cover.included) {
 		f.prompt = f.send(now, false)
 		return f.prompt.ask, true
 	}
@@ -185,7 +190,7 @@
 		return min(next, f.mainAt())
 	}
 	if f.prompt == nil {
-		next = min(next, f.relay.promptAt(f.main.at))
+		next = min(next, f.relay.promptAt(f.main.cover.included))
 	}
 	return next
 }
@@ -195,7 +200,7 @@
 	f.sentAt[f.sequence] = now
 	delete(f.sentAt, f.sequence-maxSent)
 	address, relay := f.route.next()
-	c := f.relay.gather(f.reportable())
+	c := f.relay.gather(now, f.underWay(), f.reportable())
 	s := &sending{at: now, cover: c, main: main}
 	s.ask = Ask{Address: address, Relay: relay, Timeout: ProbeTimeout, Request: Request{
 		From:     f.self,
@@ -213,6 +218,9 @@
 	if main && f.route.failures == 0 {
 		s.ask.Request.Hold = f.timing.Hold
 		s.ask.Timeout = f.timing.Hold + ReplyMargin
+		if relay {
+			s.ask.Timeout += RelayMargin
+		}
 	}
 	return s
 }
@@ -224,6 +232,14 @@
 	return f.published
 }
 
+// underWay returns the polls of followers that the main request includes.
+func (f *Follower) underWay() map[uint64]bool {
+	if f.main == nil {
+		return nil
+	}
+	return f.main.cover.included
+}
+
 // take returns the request with the sequence and forgets it.
 func (f *Follower) take(sequence uint64) *sending {
 	for _, s := range []**sending{&f.main, &f.prompt} {
@@ -242,16 +258,17 @@
 	if s == nil {
 		return Outcome{}
 	}
-	f.fail(now, s)
+	f.route.failed(now, s.ask.Address, s.ask.Relay)
+	f.cutOff(s)
 	return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 }
 
-func (f *Follower) fail(now sardine.Millis, s *sending) {
+// cutOff turns the followers away after a request without a useful answer.
+func (f *Follower) cutOff(s *sending) {
 	for _, r := range s.cover.reports {
 		f.relay.wantFull[r.Home] = true
 	}
 	f.setOwner = ""
-	f.route.failed(now, s.ask.Address, s.ask.Relay)
 	f.relay.close("this relay is cut off")
 }
 
@@ -274,7 +291,8 @@
 	}
 	outcome, err := f.absorb(r)
 	if err != nil {
-		f.fail(now, s)
+		f.route.failed(now, s.ask.Address, s.ask.Relay)
+		f.cutOff(s)
 		return outcome, err
 	}
 	f.accept(now, r, &outcome)
@@ -297,7 +315,8 @@
 		f.route.redirected(now, s.ask.Address, fault.Leader)
 		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 	}
-	f.fail(now, s)
+	f.route.refused(now, s.ask.Address, s.ask.Relay)
+	f.cutOff(s)
 	return Outcome{
 		Superseded: fault.Code == codes.Superseded,
 		WantFull:   len(s.ask.Request.Reports) > 0,
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -7,21 +7,8 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
-	"sardineswitch.dev/sardine/lease"
 )
 
-// child is one node that follows through the relay.
-type child struct {
-	ref      NodeRef
-	seen     sardine.Millis
-	arrived  sardine.Millis // of the poll
-	poll     *poll          // nil while the child has been answered
-	set      []NodeRef      // nodes that follow through the child
-	reported uint64         // applied index that the upstream node was told
-	granted  sardine.Millis // last lease handed out
-	missed   bool           // it did not ask in time for the last request
-}
-
 // Relay is the part of an entry node that others of its data centre follow
 // through. It belongs to a Follower, whose requests carry its followers'
 // reports; the shell hands it their requests and sends its answers.
@@ -51,19 +38,19 @@
 
 // Arrived takes in a follower's request, which Answers answers under id.
 func (y *Relay) Arrived(now sardine.Millis, id uint64, r Request) {
-	p := &poll{id: id, r: r, until: now + min(r.Hold, y.timing.Hold) + RelaySlack}
+	p := &poll{id: id, r: r, arrived: now, until: now + min(r.Hold, y.timing.Hold) + RelaySlack}
 	c, refusal := y.admit(now, r)
 	if refusal != nil {
 		y.send(id, *refusal)
 		return
 	}
-	if c.poll != nil {
-		y.answer(c, nil)
+	if old := c.replaced(p); old != nil {
+		y.answer(c, old, nil)
 	}
-	c.poll, c.arrived = p, now
+	c.polls = append(c.polls, p)
 	y.reports = append(y.reports, r.Reports...)
 	if y.cache.newer(r.Have) {
-		y.answer(c, nil)
+		y.answer(c, p, nil)
 	}
 }
 
@@ -93,127 +80,6 @@
 	return c, nil
 }
 
-// cover is what one request of the relay's own node says for its followers.
-type cover struct {
-	set      []NodeRef
-	covered  []bool
-	applied  uint64
-	included map[sardine.NodeID]uint64 // sequence of each child's poll
-	reports  []TargetReport
-}
-
-// gather returns the cover of a request that is sent now.
-func (y *Relay) gather(applied uint64) cover {
-	c := cover{applied: applied, included: make(map[sardine.NodeID]uint64), reports: y.reports}
-	y.reports = nil
-	for _, child := range y.sorted() {
-		asked := child.poll != nil
-		child.missed = !asked
-		if asked {
-			c.applied = min(c.applied, child.poll.r.Applied)
-			c.included[child.ref.Node] = child.poll.r.Sequence
-			child.reported = child.poll.r.Applied
-		}
-		c.set = append(c.set, child.ref)
-		c.covered = append(c.covered, asked || y.defect == DefectCoverAbsent)
-		for i, ref := range child.set {
-			c.set = append(c.set, ref)
-			c.covered = append(c.covered, asked && i < len(child.poll.r.Covered) && child.poll.r.Covered[i])
-		}
-	}
-	return c
-}
-
-// complete reports whether every follower waits for an answer, but those that
-// were missing last time.
-func (y *Relay) complete() bool {
-	for _, c := range y.children {
-		if c.poll == nil && !c.missed {
-			return false
-		}
-	}
-	return true
-}
-
-// promptAt returns when to ask for followers that arrived after the request
-// sent at: those with progress to report, or whose last lease is old.
-func (y *Relay) promptAt(sent sardine.Millis) sardine.Millis {
-	next := sardine.Millis(math.MaxInt64)
-	for _, c := range y.children {
-		if c.poll == nil || c.arrived < sent {
-			continue
-		}
-		if c.poll.r.Applied > c.reported || c.arrived > c.granted+y.timing.Hold*3/2 {
-			next = min(next, c.arrived+PromptDelay)
-		}
-	}
-	return next
-}
-
-// upstream hands out what the answer to the node's own request holds. Main is
-// false for a prompt request, whose answer concerns the included alone.
-func (y *Relay) upstream(now sardine.Millis, c cover, r Reply, main bool) {
-	y.open = true
-	y.term = r.Term
-	for _, home := range r.WantFull {
-		y.wantFull[home] = true
-	}
-	for _, child := range y.sorted() {
-		if child.poll == nil {
-			continue
-		}
-		sequence, included := c.included[child.ref.Node]
-		if included && sequence == child.poll.r.Sequence {
-			y.answer(child, y.share(now, child, r))
-		} else if main {
-			y.answer(child, nil)
-		}
-	}
-}
-
-// share returns a child's part of the answer.
-func (y *Relay) share(now sardine.Millis, c *child, r Reply) *Reply {
-	part := Reply{}
-	for _, f := range r.Refused {
-		if f.Ref == c.ref || slices.Contains(c.set, f.Ref) {
-			part.Refused = append(part.Refused, f)
-		}
-	}
-	if r.Grant != nil && !r.WantSet {
-		c.granted = now
-		part.Grant = &lease.Grant{
-			Sequence: c.poll.r.Sequence,
-			Serving:  r.Grant.Serving,
-			Holding:  r.Grant.Holding,
-			Floor:    r.Grant.Floor,
-		}
-	}
-	return &part
-}
-
-// answer completes a child's reply with the news. Part holds its lease, if any.
-func (y *Relay) answer(c *child, part *Reply) {
-	p := c.poll
-	c.poll = nil
-	reply := Reply{}
-	if part != nil {
-		reply = *part
-	}
-	reply.Term = y.term
-	reply.WantFull = y.takeWantFull(c)
-	news, ok := y.cache.since(p.r.Have)
-	reply.After, reply.Through, reply.News = p.r.Have, max(p.r.Have, y.cache.through), news
-	if !ok {
-		b, index, err := y.snapshot()
-		if err != nil {
-			y.send(p.id, faultReply(codes.Of(err), err.Error(), ""))
-			return
-		}
-		reply.Snapshot, reply.Through = b, index
-	}
-	y.send(p.id, reply)
-}
-
 func (y *Relay) takeWantFull(c *child) []sardine.NodeID {
 	var homes []sardine.NodeID
 	for _, ref := range append([]NodeRef{c.ref}, c.set...) {
@@ -228,9 +94,7 @@
 // Gone notes that the asking side of a request has given up.
 func (y *Relay) Gone(id uint64) {
 	for _, c := range y.children {
-		if c.poll != nil && c.poll.id == id {
-			c.poll = nil
-		}
+		c.polls = slices.DeleteFunc(c.polls, func(p *poll) bool { return p.id == id })
 	}
 }
 
@@ -238,8 +102,8 @@
 func (y *Relay) close(detail string) {
 	y.open = false
 	for _, c := range y.sorted() {
-		if c.poll != nil {
-			y.send(c.poll.id, faultReply(codes.NoLease, detail, ""))
+		for _, p := range c.polls {
+			y.send(p.id, faultReply(codes.NoLease, detail, ""))
 		}
 	}
 	clear(y.children)
@@ -249,10 +113,12 @@
 // tick answers polls past their time and forgets followers that went away.
 func (y *Relay) tick(now sardine.Millis) {
 	for _, c := range y.sorted() {
-		if c.poll != nil && now >= c.poll.until {
-			y.answer(c, nil)
+		for _, p := range slices.Clone(c.polls) {
+			if now >= p.until {
+				y.answer(c, p, nil)
+			}
 		}
-		if c.poll == nil && now >= c.seen+ChildTimeout {
+		if len(c.polls) == 0 && now >= c.seen+ChildTimeout {
 			delete(y.children, c.ref.Node)
 		}
 	}
@@ -261,11 +127,12 @@
 func (y *Relay) wake() sardine.Millis {
 	next := sardine.Millis(math.MaxInt64)
 	for _, c := range y.children {
-		if c.poll != nil {
-			next = min(next, c.poll.until)
-		} else {
+		if len(c.polls) == 0 {
 			next = min(next, c.seen+ChildTimeout)
 		}
+		for _, p := range c.polls {
+			next = min(next, p.until)
+		}
 	}
 	return next
 }
--- a/follow/route.go
+++ b/follow/route.go
@@ -14,7 +14,7 @@
 	at       int    // control node to ask next
 	leader   string // address named by a control node, asked before the others
 	relay    string
-	blocked  map[string]sardine.Millis // relays that failed, until when to avoid them
+	blocked  map[string]sardine.Millis // addresses that failed, until when to avoid them
 	failures int                       // in a row
 	notUntil sardine.Millis            // earliest instant of the next request
 }
@@ -27,7 +27,8 @@
 	return t.control(), false
 }
 
-// control returns the control node to ask.
+// control returns the control node to ask: the leader if it is known, else the
+// next one that did not fail to answer lately.
 func (t *route) control() string {
 	if t.leader != "" {
 		return t.leader
@@ -35,6 +36,12 @@
 	if len(t.controls) == 0 {
 		return ""
 	}
+	for i := range t.controls {
+		address := t.controls[(t.at+i)%len(t.controls)]
+		if _, silent := t.blocked[address]; !silent {
+			return address
+		}
+	}
 	return t.controls[t.at%len(t.controls)]
 }
 
@@ -46,59 +53,89 @@
 		return
 	}
 	t.leader = address
-	if until, failed := t.blocked[assigned]; failed && now < until {
+	delete(t.blocked, address)
+	t.unblock(now)
+	if _, failed := t.blocked[assigned]; failed {
 		return
 	}
-	delete(t.blocked, assigned)
 	if assigned != t.self {
 		t.relay = assigned
 	}
 }
 
-// failed notes a request without a useful answer and moves on to the next
-// address after a pause.
+// failed notes a request without an answer and moves on to the next address
+// after a pause.
 func (t *route) failed(now sardine.Millis, address string, fromRelay bool) {
 	if fromRelay {
-		if t.relay == address {
-			t.relay = ""
-		}
-		t.block(now, address)
-		t.notUntil = now
+		t.leaveRelay(now, address, t.retry)
+		return
+	}
+	t.block(now, address, ControlRest)
+	t.skip(address)
+	t.failures++
+	t.notUntil = now + t.pause(min(BackoffFirst<<min(t.failures, 8), BackoffMost))
+}
+
+// refused notes an answer that is of no use.
+func (t *route) refused(now sardine.Millis, address string, fromRelay bool) {
+	if fromRelay {
+		t.leaveRelay(now, address, RelayRest)
 		return
 	}
+	t.skip(address)
 	t.failures++
+	t.notUntil = now + t.pause(ElectionPause)
+}
+
+func (t *route) leaveRelay(now sardine.Millis, address string, rest sardine.Millis) {
+	if t.relay == address {
+		t.relay = ""
+	}
+	t.block(now, address, rest)
+	// The relay may have failed because its leader did, so the leader that this
+	// node knew long ago is forgotten and the first poll is a short one.
+	t.leader = ""
+	t.at = t.random.IntN(max(len(t.controls), 1))
+	t.failures = max(t.failures, 1)
+	t.notUntil = now
+}
+
+func (t *route) skip(address string) {
 	if address == t.leader {
 		t.leader = ""
 	}
 	t.at++
-	t.notUntil = now + t.pause()
 }
 
-func (t *route) block(now sardine.Millis, address string) {
+// block avoids an address for a time, up to a quarter longer.
+func (t *route) block(now sardine.Millis, address string, rest sardine.Millis) {
+	t.unblock(now)
+	t.blocked[address] = now + rest + sardine.Millis(t.random.IntN(int(rest)/4+1))
+}
+
+func (t *route) unblock(now sardine.Millis) {
 	for old, until := range t.blocked {
 		if now >= until {
 			delete(t.blocked, old)
 		}
 	}
-	t.blocked[address] = now + t.retry + sardine.Millis(t.random.IntN(int(t.retry)/4+1))
 }
 
 // redirected notes the leader that a control node named.
 func (t *route) redirected(now sardine.Millis, address, leader string) {
-	if leader == "" || leader == address {
-		t.failed(now, address, false)
+	if _, silent := t.blocked[leader]; silent || leader == "" || leader == address {
+		t.refused(now, address, false)
 		return
 	}
 	t.failures++
 	t.leader = leader
 	t.notUntil = now
 	if t.failures > 2 {
-		t.notUntil = now + t.pause()
+		t.notUntil = now + t.pause(ElectionPause)
 	}
 }
 
-// pause returns the backoff after the failures so far, drawn from the upper half.
-func (t *route) pause() sardine.Millis {
-	most := min(BackoffFirst<<min(t.failures, 8), BackoffMost)
+// pause draws a time from the upper half of most.
+func (t *route) pause(most sardine.Millis) sardine.Millis {
 	return most/2 + sardine.Millis(t.random.IntN(int(most/2)+1))
 }
--- a/follow/rules.go
+++ b/follow/rules.go
@@ -6,9 +6,12 @@
 
 const (
 	// Hold is how long the leader lets a poll wait for news.
-	Hold = 1 * sardine.Second
+	Hold = sardine.Millis(700)
 	// ReplyMargin is how much longer than its hold time a poll may take.
-	ReplyMargin = sardine.Millis(500)
+	ReplyMargin = sardine.Millis(300)
+	// RelayMargin is added for a poll at a relay, so that the relay's own
+	// failure is answered before the poll times out.
+	RelayMargin = sardine.Millis(100)
 	// ProbeTimeout bounds a poll that is not held.
 	ProbeTimeout = sardine.Millis(400)
 	// Gather is how long a relay that asks a control node waits for its
@@ -27,6 +30,14 @@
 	ChildTimeout = 3 * sardine.Second
 	// RelayRetry is how long a follower stays away from a relay that failed.
 	RelayRetry = 10 * sardine.Second
+	// RelayRest is how long a follower stays away from a relay that said it was
+	// cut off.
+	RelayRest = 1 * sardine.Second
+	// ControlRest is how long a follower avoids a control node that did not
+	// answer, if there are others.
+	ControlRest = 3 * sardine.Second
+	// ElectionPause bounds the pause after a control node that knows no leader.
+	ElectionPause = sardine.Millis(100)
 	// BackoffFirst bounds the pause after the first failed poll. Each pause is
 	// drawn from its upper half.
 	BackoffFirst = sardine.Millis(25)
--- a/follow/server.go
+++ b/follow/server.go
@@ -18,6 +18,7 @@
 type poll struct {
 	id        uint64
 	r         Request
+	arrived   sardine.Millis
 	until     sardine.Millis // end of its hold time
 	asked     bool           // a quorum round for it is under way
 	confirmed bool           // the round ended
@@ -133,7 +134,7 @@
 
 // Arrived takes in a request, which Answers answers under id.
 func (s *Server) Arrived(now sardine.Millis, id uint64, r Request) {
-	p := &poll{id: id, r: r, until: now + min(r.Hold, s.timing.Hold)}
+	p := &poll{id: id, r: r, arrived: now, until: now + min(r.Hold, s.timing.Hold)}
 	switch {
 	case !s.leading:
 		s.answer(p, s.notLeader())
--- a/lease/rules.go
+++ b/lease/rules.go
@@ -5,8 +5,10 @@
 )
 
 const (
-	// Serving is the length of a serving lease.
-	Serving = 3 * sardine.Second
+	// Serving is the length of a serving lease. When a leader dies in silence, a
+	// node's newest grant may be two polls old, and it takes a poll's timeout
+	// and two probes to find the next leader; the lease outlasts both.
+	Serving = sardine.Millis(3500)
 	// Holding is the length of the lease under which an entry node goes on
 	// serving the teams whose cut policy is hold_changes.
 	Holding = 15 * 60 * sardine.Second
--- /dev/null
+++ b/standin/gauge/config.go
@@ -0,0 +1,172 @@
+package gauge
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/drive"
+	"sardineswitch.dev/sardine/standin/spread"
+)
+
+const (
+	// smallSite is the number of entry nodes up to which a site has one region.
+	smallSite = 40
+	// linkNear and linkFar are one-way times. The driver counts whole
+	// milliseconds, so half a millisecond counts as one.
+	linkNear = sardine.Millis(1)
+	linkFar  = sardine.Millis(30)
+	// warmUp is the time until all nodes have joined and found their relays.
+	warmUp = 15 * sardine.Second
+	// faultLength is how long a pause, a cut or a crash lasts.
+	faultLength = 15 * sardine.Second
+	// documentBytes is the size of the changed document.
+	documentBytes = 4000
+)
+
+// configOptions are the flags of the measurement.
+type configOptions struct {
+	nodes   int
+	seed    uint64
+	changes int
+	fail    string
+}
+
+// Latency is the distribution of a time in milliseconds.
+type Latency struct {
+	P50 int64 `json:"p50_ms"`
+	P99 int64 `json:"p99_ms"`
+	Max int64 `json:"max_ms"`
+}
+
+// ConfigResult is what the measurement prints.
+type ConfigResult struct {
+	Nodes    int     `json:"nodes"`
+	Controls int     `json:"controls"`
+	Seed     uint64  `json:"seed"`
+	Fail     string  `json:"fail"`
+	Changes  int     `json:"changes"`
+	Accepted Latency `json:"submitted_to_accepted"`
+	InForce  Latency `json:"submitted_to_last_node"`
+	BoundMs  int64   `json:"bound_ms"`
+	InBound  bool    `json:"in_bound"`
+	Breaches int     `json:"breaches"`
+	Costs    []Spent `json:"costs_at_rest"`
+}
+
+func configMeasure() Measure {
+	return Measure{
+		Name:    "config",
+		Short:   "Time from a settings change to its acceptance and to the last node",
+		Example: "  standin measure config --nodes 350 --seed 1 --fail leader",
+		Build: func(c *cobra.Command) func(io.Writer) (any, error) {
+			o := configOptions{}
+			c.Flags().IntVar(&o.nodes, "nodes", 9, "entry nodes")
+			c.Flags().Uint64Var(&o.seed, "seed", 1, "seed of the run")
+			c.Flags().IntVar(&o.changes, "changes", 40, "changes to make")
+			c.Flags().StringVar(&o.fail, "fail", "none", "none, pause, cut or leader, before each change")
+			return func(out io.Writer) (any, error) { return measureConfig(out, o) }
+		},
+	}
+}
+
+// site returns the world of a site with the given number of entry nodes: one
+// region with three data centres and three control nodes, or two regions with
+// five data centres and five control nodes.
+func site(nodes int, seed uint64) spread.Options {
+	centres, controls := 3, 3
+	if nodes > smallSite {
+		centres, controls = 5, 5
+	}
+	o := spread.Options{
+		Seed:      seed,
+		Controls:  controls,
+		Centres:   make([]int, centres),
+		Operators: 1,
+		Teams:     1,
+		Faults:    drive.Faults{Drift: 0.001},
+		Link:      linkTime,
+		Manual:    true,
+		Steady:    true,
+		Filler:    documentBytes,
+	}
+	for i := range nodes {
+		o.Centres[i%centres]++
+	}
+	return o
+}
+
+// linkTime returns the one-way time between data centres; the last two of five
+// are a region of their own.
+func linkTime(from, to int) sardine.Millis {
+	const farRegion = 3
+	if (from >= farRegion) != (to >= farRegion) {
+		return linkFar
+	}
+	return linkNear
+}
+
+func measureConfig(out io.Writer, o configOptions) (any, error) {
+	w := spread.New(site(o.nodes, o.seed))
+	w.RunFor(warmUp)
+	r := ConfigResult{Nodes: o.nodes, Controls: len(site(o.nodes, o.seed).Centres), Seed: o.seed, Fail: o.fail, BoundMs: 5000}
+	if o.nodes > smallSite {
+		r.BoundMs = 11_000
+	}
+	mean, _ := w.Spend(20 * sardine.Second)
+	overhead, err := measureOverhead()
+	if err != nil {
+		return nil, err
+	}
+	r.Costs = spent(mean, overhead)
+	accepted, inForce := newHistogram(), newHistogram()
+	for range o.changes {
+		if err := fail(w, o.fail); err != nil {
+			return nil, err
+		}
+		trial, err := w.Change()
+		if err != nil {
+			return nil, err
+		}
+		_ = accepted.RecordValue(int64(trial.Accepted))
+		_ = inForce.RecordValue(int64(trial.InForce))
+		r.Changes++
+		if o.fail != "none" {
+			w.RunFor(faultLength + 10*sardine.Second)
+		}
+		w.RunFor(2 * sardine.Second)
+	}
+	r.Accepted, r.InForce = latency(accepted), latency(inForce)
+	r.InBound = r.Accepted.Max <= r.BoundMs && r.InForce.Max <= r.BoundMs
+	r.Breaches = len(w.Breaches)
+	fmt.Fprintf(out, "%d changes at %d nodes, failure %s: accepted p50 %d ms, p99 %d ms, max %d ms; last live node p99 %d ms, max %d ms\n",
+		r.Changes, o.nodes, o.fail, r.Accepted.P50, r.Accepted.P99, r.Accepted.Max, r.InForce.P99, r.InForce.Max)
+	return r, nil
+}
+
+// fail brings a failure about.
+func fail(w *spread.World, kind string) error {
+	switch kind {
+	case "none":
+	case "pause":
+		w.Pause(faultLength)
+	case "cut":
+		w.CutCentre(faultLength)
+	case "leader":
+		w.CrashLeader(faultLength)
+	default:
+		return fmt.Errorf("found the failure %q, expected none, pause, cut or leader", kind)
+	}
+	return nil
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, 600_000, 3)
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	return Latency{P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), Max: h.Max()}
+}
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -22,7 +22,9 @@
 
 // Table returns the measurements in the order of the help text.
 func Table() []Measure {
-	return []Measure{}
+	return []Measure{
+		configMeasure(),
+	}
 }
 
 // Command returns the measurement as a subcommand.
--- /dev/null
+++ b/standin/gauge/overhead.go
@@ -0,0 +1,149 @@
+package gauge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sardineswitch.dev/sardine/standin/spread"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Overhead is what one call costs besides its bodies, measured on loopback.
+type Overhead struct {
+	HTTP1Bytes float64 `json:"http1_bytes_per_call"` // headers and framing, both directions
+	HTTP2Bytes float64 `json:"http2_bytes_per_call"`
+	Micros     float64 `json:"micros_per_call_and_end"` // processor time of one end over HTTP/2
+}
+
+// Spent is what a node of one role spends for control in a second.
+type Spent struct {
+	Role        string  `json:"role"`
+	Nodes       int     `json:"nodes"`
+	Messages    float64 `json:"messages_per_s"`
+	BodyBytes   float64 `json:"body_bytes_per_s"`
+	HTTP1Bytes  float64 `json:"http1_bytes_per_s"`
+	HTTP2Bytes  float64 `json:"http2_bytes_per_s"`
+	CoreMicros  float64 `json:"core_micros_per_s"`
+	CorePercent float64 `json:"core_share_percent"` // with the HTTP calls, of one processor core
+}
+
+// spent adds the overhead of the calls to the costs of the cores. A message is
+// half a call.
+func spent(costs []spread.Cost, o Overhead) []Spent {
+	all := make([]Spent, 0, len(costs))
+	for _, c := range costs {
+		calls := c.Messages / 2
+		all = append(all, Spent{
+			Role:        string(c.Role),
+			Nodes:       c.Nodes,
+			Messages:    c.Messages,
+			BodyBytes:   c.Bytes,
+			HTTP1Bytes:  c.Bytes + calls*o.HTTP1Bytes,
+			HTTP2Bytes:  c.Bytes + calls*o.HTTP2Bytes,
+			CoreMicros:  c.Micros,
+			CorePercent: (c.Micros + calls*o.Micros) / 1e4,
+		})
+	}
+	return all
+}
+
+// countedConn counts the bytes of both directions of one end.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what arrives.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what is sent.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// followStub answers every poll with the same grant.
+type followStub struct {
+	wire.Control
+	reply *wire.FollowReply
+}
+
+// Follow implements wire.Control.
+func (s followStub) Follow(context.Context, *wire.FollowRequest) (*wire.FollowReply, error) {
+	return s.reply, nil
+}
+
+func measureOverhead() (Overhead, error) {
+	one, _, err := callOverhead(false)
+	if err != nil {
+		return Overhead{}, err
+	}
+	two, micros, err := callOverhead(true)
+	return Overhead{HTTP1Bytes: one, HTTP2Bytes: two, Micros: micros}, err
+}
+
+// callOverhead makes real calls on loopback and returns the bytes of a call
+// besides the bodies, and the processor time of one end.
+func callOverhead(http2 bool) (extra, micros float64, err error) {
+	const warm, calls = 50, 2000
+	reply := &wire.FollowReply{Grant: &wire.Grant{Sequence: 100_000, ServingMillis: 3000, Floor: 50_000}, After: 50_000, Through: 50_000, Term: 7}
+	request := &wire.FollowRequest{Node: "entry-osu-17", Incarnation: 12, Sequence: 100_000, Applied: 50_000, Have: 50_000, HoldMillis: 1000}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, err
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	server := &http.Server{Handler: wire.NewControlServer(followStub{reply: reply}), Protocols: protocols, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+
+	var bytes atomic.Int64
+	transport := &http.Transport{Protocols: protocols, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countedConn{Conn: c, bytes: &bytes}, err
+	}}
+	defer transport.CloseIdleConnections()
+	client := wire.NewControlProtobufClient("http://"+listener.Addr().String(), &http.Client{Transport: transport})
+	if err := repeat(client, request, warm); err != nil {
+		return 0, 0, err
+	}
+	before, busy := bytes.Load(), processorTime()
+	if err := repeat(client, request, calls); err != nil {
+		return 0, 0, err
+	}
+	spentTime := processorTime() - busy
+	bodies := proto.Size(request) + proto.Size(reply)
+	extra = float64(bytes.Load()-before)/calls - float64(bodies)
+	return extra, float64(spentTime.Microseconds()) / calls / 2, nil
+}
+
+func repeat(client wire.Control, request *wire.FollowRequest, calls int) error {
+	for range calls {
+		if _, err := client.Follow(context.Background(), request); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// processorTime returns the processor time that this process used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/standin/spread/entry.go
+++ b/standin/spread/entry.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"math"
 	"slices"
 
 	sardine "sardineswitch.dev/sardine"
@@ -30,6 +29,7 @@
 
 // call is a poll under way.
 type call struct {
+	to       sardine.NodeID
 	sequence uint64
 	until    sardine.Millis
 }
@@ -52,6 +52,8 @@
 	joinAt      sardine.Millis // when to send a JoinEntry, if joining
 	joining     bool
 	admitAt     sardine.Millis
+	reportAt    sardine.Millis
+	fresh       string                           // change id of the last change that the measurement saw
 	highest     map[sardine.Team]sardine.Version // served by this incarnation
 }
 
@@ -70,7 +72,8 @@
 	n.polls = make(map[uint64]caller)
 	n.highest = make(map[sardine.Team]sardine.Version)
 	n.joining, n.joinAt = true, now
-	n.admitAt = now
+	n.admitAt = now + sardine.Millis(n.w.random().IntN(100))
+	n.reportAt = now + sardine.Millis(n.w.random().IntN(int(reportPause)))
 	n.pump()
 }
 
@@ -87,6 +90,13 @@
 		n.nextPoll++
 		n.polls[n.nextPoll] = caller{node: from, call: m.Call}
 		n.follower.Relay().Arrived(now, n.nextPoll, n.w.decodeRequest(m.Body))
+	case kindGone:
+		for id, to := range n.polls {
+			if to == (caller{node: from, call: m.Call}) {
+				n.follower.Relay().Gone(id)
+				delete(n.polls, id)
+			}
+		}
 	case kindFollowed:
 		n.followed(m)
 	case kindResult:
@@ -171,12 +181,17 @@
 	for _, id := range n.expired() {
 		c := n.calls[id]
 		delete(n.calls, id)
+		n.w.send(n.id, c.to, Message{Kind: kindGone, Call: id})
 		n.note(n.follower.Failed(now, c.sequence))
 	}
 	if now >= n.admitAt {
 		n.admitAt = now + n.w.admitPause()
 		n.w.admit(n)
 	}
+	if n.w.options.Workers > 0 && now >= n.reportAt {
+		n.reportAt = now + reportPause
+		n.report()
+	}
 	n.pump()
 }
 
@@ -214,7 +229,7 @@
 			break
 		}
 		n.nextCall++
-		n.calls[n.nextCall] = call{sequence: ask.Request.Sequence, until: n.now + ask.Timeout}
+		n.calls[n.nextCall] = call{to: sardine.NodeID(ask.Address), sequence: ask.Request.Sequence, until: n.now + ask.Timeout}
 		n.w.sendRequest(n.id, sardine.NodeID(ask.Address), n.nextCall, ask.Request)
 	}
 	for _, a := range n.follower.Relay().Answers() {
@@ -252,12 +267,3 @@
 	}
 	return "", false
 }
-
-// reach returns the lowest index that the node serves by, or the highest number
-// if it serves nothing.
-func (n *node) reach(now sardine.Millis) uint64 {
-	if !n.view.lease.Serving(now) {
-		return math.MaxUint64
-	}
-	return n.view.index
-}
--- a/standin/spread/log.go
+++ b/standin/spread/log.go
@@ -232,6 +232,10 @@
 		c.server.Arrived(c.now, c.nextPoll, c.w.decodeRequest(m.Body))
 		return
 	}
+	if m.Kind == kindGone {
+		c.gone(to)
+		return
+	}
 	if !c.ready {
 		c.reply(to, result{Code: codes.NotLeader, Leader: c.leader})
 		return
@@ -248,6 +252,15 @@
 	}
 }
 
+func (c *control) gone(asker caller) {
+	for id, to := range c.polls {
+		if to == asker {
+			c.server.Gone(id)
+			delete(c.polls, id)
+		}
+	}
+}
+
 // hint names the leader in the refusals of polls.
 func (c *control) hint() {
 	if !c.leading && c.leader != c.id {
--- a/standin/spread/message.go
+++ b/standin/spread/message.go
@@ -18,6 +18,7 @@
 	kindRounded                  // and hears that it does
 	kindFollow                   // an entry node's poll
 	kindFollowed                 // its answer
+	kindGone                     // an entry node gave up a poll
 	kindSubmit                   // a command for the log
 	kindChange                   // an operator's change of settings
 	kindRead                     // an operator reads the current version
--- a/standin/spread/operator.go
+++ b/standin/spread/operator.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"strings"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/state"
 )
 
-const resendPause = 700 * sardine.Millis(1)
+const (
+	resendPause = 700 * sardine.Millis(1)
+	// idle is the time between the wakes of an operator with nothing to do.
+	idle = 3600 * sardine.Second
+)
 
 // Operation is one change or read of an operator, for the check of histories.
 type Operation struct {
@@ -40,11 +45,16 @@
 	call     uint64
 	next     sardine.Millis // of the next send
 	sequence int
+	asked    sardine.NodeID // last
+	silent   sardine.NodeID // did not answer lately
 }
 
 // Start begins a life.
 func (o *operator) Start(now sardine.Millis) {
 	o.now, o.next = now, now+sardine.Millis(o.w.random().IntN(500))
+	if o.w.options.Manual {
+		o.next = o.now + idle
+	}
 	o.lives++
 	o.current = nil
 	if o.known == nil {
@@ -68,11 +78,15 @@
 	if now < o.next {
 		return
 	}
+	if o.w.options.Manual && o.current == nil {
+		o.next = now + idle
+		return
+	}
 	if o.current == nil {
 		o.begin()
 	} else {
 		o.current.Resends++
-		o.leader = ""
+		o.silent, o.leader = o.asked, ""
 	}
 	o.send()
 }
@@ -83,6 +97,9 @@
 	o.sequence++
 	o.current = &Operation{Client: o.client, Team: name, Read: r.IntN(4) == 0, Base: o.known[name], Call: o.w.driver.Now()}
 	o.w.History = append(o.w.History, o.current)
+	if o.w.options.Manual {
+		o.current.Read = false
+	}
 	policy := "refuse_requests"
 	if o.w.options.Hold && r.IntN(3) == 0 {
 		policy = "hold_changes"
@@ -92,17 +109,24 @@
 		Team:     name,
 		Base:     o.current.Base,
 		ChangeID: o.current.ID,
-		Document: fmt.Sprintf("cut_policy = %q\n", policy),
+		Document: fmt.Sprintf("cut_policy = %q\n# %s\n", policy, strings.Repeat("x", o.w.options.Filler)),
 		Author:   string(o.id),
 	}
 }
 
 func (o *operator) send() {
 	o.next = o.now + resendPause
+	if o.w.options.Manual {
+		o.next = o.now + resendPause/4
+	}
 	to := o.leader
 	if to == "" {
 		to = o.w.controlIDs[o.w.random().IntN(len(o.w.controlIDs))]
 	}
+	if to == o.silent {
+		to = o.w.controlIDs[o.w.random().IntN(len(o.w.controlIDs))]
+	}
+	o.asked = to
 	o.call++
 	m := Message{Kind: kindChange, Call: o.call, Command: o.command}
 	if o.current.Read {
@@ -138,4 +162,7 @@
 	o.known[o.current.Team] = r.Version
 	o.current = nil
 	o.next = o.now + sardine.Millis(o.w.random().IntN(400))
+	if o.w.options.Manual {
+		o.next = o.now + idle
+	}
 }
--- a/standin/spread/spread_test.go
+++ b/standin/spread/spread_test.go
@@ -142,8 +142,8 @@
 
 // cutLeader runs a site whose leader is cut off from the other control nodes,
 // but not from the entry nodes and operators.
-func cutLeader(defect follow.Defect) *World {
-	o := options(7)
+func cutLeader(seed uint64, defect follow.Defect) *World {
+	o := options(seed)
 	o.Faults = drive.Faults{Delay: 3}
 	o.Follow = defect
 	w := New(o)
@@ -158,14 +158,18 @@
 }
 
 func TestCutLeaderGrantsNothing(t *testing.T) {
-	require.Empty(t, cutLeader(follow.DefectNone).Breaches)
-	require.NotEmpty(t, cutLeader(follow.DefectNoRound).Breaches, "grant without a quorum round")
+	found := 0
+	for seed := range uint64(10) {
+		require.Empty(t, cutLeader(seed, follow.DefectNone).Breaches, "seed %d", seed)
+		found += len(cutLeader(seed, follow.DefectNoRound).Breaches)
+	}
+	require.Positive(t, found, "grant without a quorum round")
 }
 
 // replaced runs a site where a process is cut off while another one takes over
 // its name at another address.
-func replaced(defect lease.Defect) *World {
-	o := options(3)
+func replaced(seed uint64, defect lease.Defect) *World {
+	o := options(seed)
 	o.Faults = drive.Faults{Delay: 3}
 	o.Lease = defect
 	w := New(o)
@@ -177,6 +181,10 @@
 }
 
 func TestReplacedNodeKeepsItsClaim(t *testing.T) {
-	require.Empty(t, replaced(lease.DefectNone).Breaches)
-	require.NotEmpty(t, replaced(lease.DefectEarlyReplace).Breaches, "a new incarnation that does not wait")
+	found := 0
+	for seed := range uint64(10) {
+		require.Empty(t, replaced(seed, lease.DefectNone).Breaches, "seed %d", seed)
+		found += len(replaced(seed, lease.DefectEarlyReplace).Breaches)
+	}
+	require.Positive(t, found, "a new incarnation that does not wait")
 }
--- a/standin/spread/world.go
+++ b/standin/spread/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -29,6 +30,14 @@
 	Lease     lease.Defect
 	// LoseChangeIDs leaves the change ids out of snapshots.
 	LoseChangeIDs bool
+	// Link returns the one-way time between two data centres, counted from 0.
+	Link func(from, to int) sardine.Millis
+	// Manual keeps the operators idle until they are told to change something.
+	Manual bool
+	// Filler is the size in bytes that documents are filled up to.
+	Filler int
+	// Workers is the number of targets, reported by the entry nodes.
+	Workers int
 	// Steady switches off the random publish delays, for measurements.
 	Steady bool
 }
@@ -46,7 +55,8 @@
 	policies   map[string]sardine.CutPolicy
 	maxima     map[sardine.Team]sardine.Version
 	traffic    map[sardine.NodeID]*Traffic
-	links      func(from, to sardine.NodeID) sardine.Millis
+	places     map[sardine.NodeID]int // data centre of each node, from 0
+	costs      map[sardine.NodeID]time.Duration
 	leads      int
 
 	// History is every operation of the operators.
@@ -73,6 +83,11 @@
 		policies: make(map[string]sardine.CutPolicy),
 		maxima:   make(map[sardine.Team]sardine.Version),
 		traffic:  make(map[sardine.NodeID]*Traffic),
+		places:   make(map[sardine.NodeID]int),
+		costs:    make(map[sardine.NodeID]time.Duration),
+	}
+	if o.Link != nil {
+		w.driver.SetLinks(func(from, to sardine.NodeID) sardine.Millis { return o.Link(w.places[from], w.places[to]) })
 	}
 	for i := range o.Teams {
 		w.teams = append(w.teams, sardine.Team(fmt.Sprintf("team%d", i+1)))
@@ -83,7 +98,8 @@
 	for _, id := range w.controlIDs {
 		c := newControl(w, id)
 		w.controls = append(w.controls, c)
-		w.driver.Add(id, c)
+		w.places[id] = (len(w.controls) - 1) % len(o.Centres)
+		w.driver.Add(id, &timed{w: w, id: id, inner: c})
 	}
 	w.addNodes()
 	for i := range o.Operators {
@@ -99,8 +115,9 @@
 		name := sardine.DataCentre(fmt.Sprintf("dc%d", centre+1))
 		for i := range count {
 			n := newNode(w, sardine.NodeID(fmt.Sprintf("e%d-%d", centre+1, i+1)), name)
+			w.places[n.id] = centre
 			w.nodes = append(w.nodes, n)
-			w.driver.Add(n.id, n)
+			w.driver.Add(n.id, &timed{w: w, id: n.id, inner: n})
 		}
 	}
 }
