--- /dev/null
+++ b/standin/gauge/cost.go
@@ -0,0 +1,37 @@
+package gauge
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// countedConn counts the bytes of both directions of one end of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what arrives.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what is sent.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// processorTime returns the processor time that this process used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -28,6 +28,7 @@
 		admission(),
 		quorumMeasure(),
 		logMeasure(),
+		configMeasure(),
 	}
 }
 
--- a/standin/gauge/log.go
+++ b/standin/gauge/log.go
@@ -24,8 +24,8 @@
 	highestCommit = 60_000_000
 	// idleFor is how long the idle cost is measured.
 	idleFor = 5 * time.Second
-	// documentBytes is the size of a change's document.
-	documentBytes = 200
+	// logDocument is the size of a change's document.
+	logDocument = 200
 )
 
 // LogResult tells what the replicated log does on loopback with real files.
@@ -154,7 +154,7 @@
 	c := state.JoinEntry{
 		Node:        sardine.NodeID(fmt.Sprintf("entry-%d-%d", caller, i%10)),
 		Incarnation: sardine.Incarnation(i + 1),
-		Address:     fmt.Sprintf("%0*d", documentBytes, i),
+		Address:     fmt.Sprintf("%0*d", logDocument, i),
 	}
 	start := time.Now()
 	_, err := n.Propose(ctx, c)
--- a/standin/gauge/logsite.go
+++ b/standin/gauge/logsite.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
@@ -39,26 +38,6 @@
 	mu      sync.Mutex
 }
 
-// countedConn counts the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read reads and counts.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write writes and counts.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // countedListener counts the bytes of the connections it accepts.
 type countedListener struct {
 	net.Listener
@@ -200,12 +179,3 @@
 		}
 	}
 }
-
-// processorTime returns what this process has used so far.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
