Look at lease and view together, and tell why the last control node failed

Cause: a dump read the view and the lease apart, so a test could see a new lease beside an old view; a command cut short by its timeout printed the timeout in place of the reason.

--- a/entry/node.go
+++ b/entry/node.go
@@ -219,12 +219,6 @@
 	return n.published.Load().view
 }
 
-// leaseUntil returns the end of the serving lease.
-func (n *Node) leaseUntil() sardine.Millis {
-	serves, _ := n.published.Load().lease.Ends()
-	return serves
-}
-
 // mayServe refuses to dispatch without a lease or after a broken invariant. The
 // clock is read after the lease was loaded, so that a pause in between is seen.
 func (n *Node) mayServe() error {
--- a/entry/ops.go
+++ b/entry/ops.go
@@ -138,14 +138,16 @@
 
 // Dump returns the node's state, in a stable order.
 func (n *Node) Dump() Dump {
-	v := n.view()
+	p := n.published.Load() // once: the lease counts for this view only
+	v := p.view
 	now := n.clock.Now()
+	serves, _ := p.lease.Ends()
 	d := Dump{
 		Node:        string(n.id),
 		Incarnation: uint64(n.incarnation),
 		DataCentre:  string(n.dataCentre),
 		Draining:    n.draining.Load(),
-		LeaseMillis: int64(max(n.leaseUntil()-now, 0)),
+		LeaseMillis: int64(max(serves-now, 0)),
 		Applied:     v.index,
 		Versions:    []VersionDump{},
 		Candidates:  []CandidateDump{},
@@ -154,13 +156,18 @@
 		Requests:    n.requests.Load(),
 		Claims:      n.claims.held(),
 	}
-	if err := n.mayAccept(); err != nil {
-		d.Reason = err.Error()
-	}
-	d.Ready = d.Reason == ""
 	if err := n.breach(); err != nil {
 		d.Breach = err.Error()
 	}
+	switch {
+	case d.Breach != "":
+		d.Reason = codes.InvariantBroken.Name()
+	case d.Draining:
+		d.Reason = codes.Draining.Name()
+	case d.LeaseMillis == 0:
+		d.Reason = codes.NoLease.Name()
+	}
+	d.Ready = d.Reason == ""
 	d.addView(v)
 	views, counts := n.gate.dump()
 	d.Routing = counts
--- a/sardctl/verbs/control.go
+++ b/sardctl/verbs/control.go
@@ -91,9 +91,11 @@
 			if err != nil && !neverSent(err) {
 				lost = again != repeatRead
 			}
-			last = err
 			if err == nil {
-				last = faultError(fault)
+				err = faultError(fault)
+			}
+			if last == nil || ctx.Err() == nil { // that the time is up tells less
+				last = err
 			}
 			if lost && again == repeatNever {
 				return reply, gaveUp(k.nodes, lost, last)
