Let no first or last token shut the operators out

In a trial against the demo's site, the first token made was a team's; from then on nobody could act as an operator. While a site has no token, only an operator's can be added, and the holder of the last operator's token can't revoke it.

--- a/oper/handle.go
+++ b/oper/handle.go
@@ -1,6 +1,8 @@
 package oper
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -16,6 +18,9 @@
 	"sardineswitch.dev/sardine/state"
 )
 
+// operatorScope is the scope of tokens that cover everything.
+const operatorScope = "operator"
+
 type handler struct {
 	backend Backend
 }
@@ -118,6 +123,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if t.Scope != operatorScope && h.open() {
+		// The site takes anyone as long as it has no token. A first token that is
+		// not an operator's would shut everyone out for good.
+		return nil, codes.New(codes.ScopeRefused, "the site has no operator's token yet, make one before a token for %s", t.Scope)
+	}
 	return nil, h.backend.Propose(state.PutToken{Token: t})
 }
 
@@ -126,5 +136,34 @@
 	if err != nil || len(hash) != hashBytes {
 		return nil, codes.New(codes.BadRequest, "hash: expected %d bytes in hexadecimal", hashBytes)
 	}
+	if h.lastOperator(hash, Bearer(r)) {
+		return nil, codes.New(codes.ScopeRefused, "this is the last operator's token, make another before it is revoked")
+	}
 	return nil, h.backend.Propose(state.DropToken{Hash: hash})
 }
+
+// open reports whether the site takes anyone, since it has no token.
+func (h handler) open() bool {
+	tokens := 0
+	h.backend.View(func(m *state.Machine) { tokens = len(m.Tokens()) })
+	return tokens == 0 && h.backend.Authorise("", "") == nil
+}
+
+// lastOperator reports whether the replicated state holds no operator's token but
+// the one with the hash, and the caller has no other either. One whose token is
+// in the node's settings keeps that.
+func (h handler) lastOperator(hash []byte, token string) bool {
+	own := sha256.Sum256([]byte(token))
+	operators, named, callers := 0, false, false
+	h.backend.View(func(m *state.Machine) {
+		for _, t := range m.Tokens() {
+			if t.Scope != operatorScope {
+				continue
+			}
+			operators++
+			named = named || bytes.Equal(t.Hash, hash)
+			callers = callers || bytes.Equal(t.Hash, own[:])
+		}
+	})
+	return operators == 1 && named && callers
+}
--- a/oper/oper_test.go
+++ b/oper/oper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -19,10 +21,11 @@
 type node struct {
 	machine *state.Machine
 	leads   bool
+	open    bool // takes any token
 }
 
 func (n *node) Authorise(token string, _ sardine.Team) error {
-	if token != "right" {
+	if !n.open && token != "right" {
 		return codes.New(codes.KeyRefused, "the token is not known")
 	}
 	return nil
@@ -99,3 +102,29 @@
 	_, _ = call(t, n, http.MethodDelete, TokensPath+"?hash="+strings.Repeat("07", hashBytes), "right", "")
 	require.Empty(t, n.machine.Tokens())
 }
+
+// TestNobodyIsShutOut refuses a first token that is not an operator's, and the
+// revocation of the last operator's token by its holder.
+func TestNobodyIsShutOut(t *testing.T) {
+	n := &node{machine: state.NewMachine(), leads: true, open: true}
+	put := func(secret, scope, bearer string) int {
+		hash := sha256.Sum256([]byte(secret))
+		text, err := EncodeToken(state.Token{Hash: hash[:], Scope: scope, Name: secret})
+		require.NoError(t, err)
+		status, _ := call(t, n, http.MethodPost, TokensPath, bearer, string(text))
+		return status
+	}
+	drop := func(secret, bearer string) int {
+		hash := sha256.Sum256([]byte(secret))
+		status, _ := call(t, n, http.MethodDelete, TokensPath+"?hash="+hex.EncodeToString(hash[:]), bearer, "")
+		return status
+	}
+	require.Equal(t, codes.ScopeRefused.Status(), put("team", "team:adinkra", ""))
+	require.Equal(t, codes.ScopeRefused.Status(), put("team", "team:adinkra", "any token is taken"))
+	require.Equal(t, http.StatusOK, put("first", "operator", ""))
+	require.Equal(t, http.StatusOK, put("team", "team:adinkra", "first"))
+	require.Equal(t, codes.ScopeRefused.Status(), drop("first", "first"))
+	require.Equal(t, http.StatusOK, put("second", "operator", "first"))
+	require.Equal(t, http.StatusOK, drop("first", "second"))
+	require.Equal(t, http.StatusOK, drop("second", "kept in the settings"))
+}
--- a/sardctl/start/cases_test.go
+++ b/sardctl/start/cases_test.go
@@ -74,6 +74,9 @@
 	environment := map[string]string{verbs.EnvControls: f.address(), verbs.EnvToken: planted}
 	for line := range strings.Lines(lines) {
 		line = strings.TrimSpace(line)
+		if line == "fake no token" {
+			delete(environment, verbs.EnvToken)
+		}
 		if act, isAct := strings.CutPrefix(line, "fake "); isAct {
 			f.act(act)
 			continue
@@ -166,10 +169,11 @@
 	defer func() { _ = hung.Close() }()
 	f := newFake()
 	defer f.server.Close()
+	token := func(name string) string { return map[string]string{verbs.EnvToken: planted}[name] }
 	for _, line := range []string{"status", "leave vm-3 --yes", "get /teams/adinkra"} {
 		var out, errs bytes.Buffer
 		args := append(strings.Fields(line), "--timeout", "2s", "--controls", hung.Addr().String()+","+f.address())
-		exit := Run(args, strings.NewReader(""), &out, &errs, func(string) string { return "" })
+		exit := Run(args, strings.NewReader(""), &out, &errs, token)
 		require.Zero(t, exit, "%s: %s", line, errs.String())
 	}
 }
--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -54,7 +54,7 @@
 }
 
 func newFake() *fake {
-	f := &fake{machine: state.NewMachine(), history: status.NewHistory(), leads: true, behind: true}
+	f := &fake{machine: state.NewMachine(), history: status.NewHistory(), leads: true, behind: true, token: planted}
 	f.input = status.Input{Node: "osu-control", Role: status.RoleControl, Site: "accra", At: stampStart, Leader: "osu-control"}
 	mux := http.NewServeMux()
 	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(f))
@@ -139,8 +139,10 @@
 	case "poison":
 		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, Group: "g-1"})
 		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, Group: "g-2"})
-	case "token wanted":
+	case "other token":
 		f.token = "right"
+	case "no token":
+		f.token = ""
 	default:
 		panic("unknown act " + name)
 	}
--- a/sardctl/verbs/doctor.go
+++ b/sardctl/verbs/doctor.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -132,7 +133,7 @@
 	}
 	for _, k := range r.Checks {
 		if !k.Held {
-			findings = append(findings, finding{"not held: " + k.Name + ": " + k.Detail, "sardctl status"})
+			findings = append(findings, finding{"not held: " + k.Name + ": " + strings.TrimSuffix(k.Detail, "; "), "sardctl status"})
 		}
 	}
 	return findings
