--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -64,6 +64,12 @@
 	require.Contains(t, b.String(), "status 503")
 }
 
+func TestNeverSentIsKnownNotToHaveRun(t *testing.T) {
+	r := New(WithTarget("127.0.0.1:1", "surtitle", "stage"), WithRate(100, 50)).Run(context.Background())
+	require.Positive(t, r.Broken())
+	require.Zero(t, r.Summary().Unknown)
+}
+
 func TestPlain(t *testing.T) {
 	p := plain.New()
 	require.NoError(t, p.Start())
--- a/standin/load/send.go
+++ b/standin/load/send.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/order"
 	"sardineswitch.dev/sardine/standin/engine"
 	"sardineswitch.dev/sardine/standin/plain"
@@ -47,7 +49,7 @@
 	started := time.Now()
 	answer, err := l.post(ctx, engine.ChatPath, body, "application/json", "")
 	if err != nil {
-		return outcome{verdict: verdictBroken, reason: short(err)}
+		return unanswered(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
@@ -65,7 +67,7 @@
 	started := time.Now()
 	answer, err := l.post(ctx, path, []byte(l.name(i)), "text/plain", fmt.Sprintf("load-%d-%d", l.settings.seed, i))
 	if err != nil {
-		return outcome{verdict: verdictBroken, reason: short(err)}
+		return unanswered(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
@@ -98,6 +100,16 @@
 	return l.http.Do(request)
 }
 
+// unanswered tells a request that was never sent from one whose answer was lost.
+func unanswered(err error) outcome {
+	o := outcome{verdict: verdictBroken, reason: short(err)}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		o.ran = sardine.RanNo.String()
+	}
+	return o
+}
+
 // refusal notes the problem's code and whether the request ran.
 func refusal(answer *http.Response) outcome {
 	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxAnswer)) // a cut body has no code
--- a/status/build.go
+++ b/status/build.go
@@ -162,12 +162,22 @@
 		if note := b.note(g.ID); note != "" && !a.good {
 			a.system = note
 		}
-		row.Condition = b.condition("group "+string(g.ID), g.State.String(), a)
+		name := g.State.String()
+		if isSpare(g) && missing == 0 {
+			name, a = "spare", advice{good: true}
+		}
+		row.Condition = b.condition("group "+string(g.ID), name, a)
 		all = append(all, row)
 	}
 	return all
 }
 
+// isSpare reports whether the group is a loaded VM kept for repairs: it serves no
+// deployment, so the log never calls it serving.
+func isSpare(g sardine.Group) bool {
+	return g.Service == "" && (g.State == sardine.GroupAssigned || g.State == sardine.GroupLoading)
+}
+
 func (b builder) note(id sardine.GroupID) string {
 	for _, n := range b.in.Notes {
 		if n.Group == id {
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -134,3 +134,15 @@
 	}
 	require.True(t, r.Groups[0].Members[0].Present, "missing is a claim, too")
 }
+
+func TestSpareIsNoTrouble(t *testing.T) {
+	m, in := site(t)
+	spare := sardine.Group{ID: "spare.1", Team: "adinkra", Domain: "rack-1", Members: []sardine.Member{{VM: "vm-3", Incarnation: 1}}}
+	require.NoError(t, m.Apply(m.Index()+1, 1, state.AssignGroup{Group: spare}).Err)
+	g, _ := Build(m, in, NewHistory()).Group("spare.1")
+	require.Equal(t, "spare", g.Condition.State)
+	require.True(t, g.Condition.Good)
+	in.Seen[2].Present = false
+	g, _ = Build(m, in, NewHistory()).Group("spare.1")
+	require.False(t, g.Condition.Good)
+}
