--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES  := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
 BIN      := $(CURDIR)/.bin
 
-.PHONY: check demo tools format-check lint vet build catalogues test race generate format pages
+.PHONY: check demo tools format-check lint vet build catalogues test race generate format pages operate
 
 check: tools format-check vet lint build catalogues test race
 
@@ -41,6 +41,10 @@
 test:
 	go test $(PACKAGES)
 
+# Follows the operators' pages with processes of their own on loopback.
+operate: build
+	.ci/operate
+
 # The packages whose goroutines share memory.
 race:
 	go test -race ./ring/... ./clock/...
