--- a/annc/annc.go
+++ b/annc/annc.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math"
 	"net"
+	"strconv"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -169,7 +170,7 @@
 	if err != nil || net.ParseIP(host) == nil {
 		return false
 	}
-	n, err := net.LookupPort("tcp", port)
+	n, err := strconv.ParseUint(port, 10, 16)
 	return err == nil && n > 0
 }
 
--- a/sardctl/verbs/explain.go
+++ b/sardctl/verbs/explain.go
@@ -65,6 +65,9 @@
 	if !known {
 		return codes.New(codes.UnknownMember, "no group %q, see sardctl groups", id)
 	}
+	if c.session.json {
+		return c.printGroup(r, g)
+	}
 	c.printf("group %s of %s/%s has been %s for %s, epoch %d, domain %s\n", g.ID, g.Team, g.Service, g.Condition.State, since(r.At, g.Condition.Since), g.Epoch, g.Domain)
 	c.printAdvice(g.Condition)
 	for _, m := range g.Members {
@@ -74,27 +77,46 @@
 	return c.printPlanner(id)
 }
 
-// printPlanner adds what the leader's planner says about a group. A site without
-// a leader has no planner.
+// printPlanner adds what the leader's planner says about a group.
 func (c *Call) printPlanner(id sardine.GroupID) error {
+	lines, err := c.planner(id)
+	for _, line := range lines {
+		c.printf("planner: %s\n", line)
+	}
+	return err
+}
+
+// planner asks the leader. A site without a leader has no planner.
+func (c *Call) planner(id sardine.GroupID) ([]string, error) {
 	body, err := c.operate(http.MethodGet, explainPath+url.PathEscape(string(id)), nil)
 	if codes.Is(err, codes.NotLeader) || codes.Is(err, codes.NoQuorum) {
-		c.printf("no leader answers, nothing is planned\n")
-		return nil
+		return []string{"no leader answers, nothing is planned"}, nil
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var answer struct {
 		Lines []string `json:"lines"`
 	}
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return codes.Wrap(codes.AnswerInvalid, err, "explanation")
+	err = json.Unmarshal(body, &answer)
+	return answer.Lines, codes.Wrap(codes.AnswerInvalid, err, "explanation")
+}
+
+type explanationJSON struct {
+	Groups  json.RawMessage `json:"groups"`
+	Planner []string        `json:"planner"`
+}
+
+func (c *Call) printGroup(r status.Report, g status.Group) error {
+	lines, err := c.planner(g.ID)
+	if err != nil {
+		return err
 	}
-	for _, line := range answer.Lines {
-		c.printf("planner: %s\n", line)
+	part, err := part(status.Report{At: r.At, Groups: []status.Group{g}}, "groups")
+	if err != nil {
+		return err
 	}
-	return nil
+	return c.printJSON(explanationJSON{Groups: part, Planner: lines})
 }
 
 func (c *Call) explainTarget(vm sardine.VMID) error {
@@ -106,6 +128,9 @@
 	if !known {
 		return codes.New(codes.UnknownMember, "no target %q, see sardctl targets", vm)
 	}
+	if c.session.json {
+		return c.printPart(status.Report{Targets: []status.Target{t}}, "targets")
+	}
 	c.printf("target %s (%s, %s, %s) has been %s for %s\n", t.VM, t.Kind, t.DataCentre, orDash(string(t.Domain)), t.Condition.State, since(r.At, t.Condition.Since))
 	c.printAdvice(t.Condition)
 	if t.Group != "" {
--- a/sardctl/verbs/targets.go
+++ b/sardctl/verbs/targets.go
@@ -48,13 +48,20 @@
 
 // printPart prints one list of a report as JSON.
 func (c *Call) printPart(r status.Report, key string) error {
-	text, err := status.Encode(r)
+	list, err := part(r, key)
 	if err != nil {
 		return err
 	}
-	var parts map[string]json.RawMessage
-	if err := json.Unmarshal(text, &parts); err != nil {
-		return codes.Wrap(codes.Internal, err, "status")
+	return c.printJSON(list)
+}
+
+// part returns one list of a report as JSON.
+func part(r status.Report, key string) (json.RawMessage, error) {
+	text, err := status.Encode(r)
+	if err != nil {
+		return nil, err
 	}
-	return c.printJSON(parts[key])
+	var parts map[string]json.RawMessage
+	err = json.Unmarshal(text, &parts)
+	return parts[key], codes.Wrap(codes.Internal, err, "status")
 }
--- a/standin/callup/callup.go
+++ b/standin/callup/callup.go
@@ -14,7 +14,9 @@
 	"sardineswitch.dev/sardine/codes"
 )
 
-const postTimeout = 2 * time.Second
+// postTimeout leaves time for the balancer within a target lease when the home
+// node accepts connections but does not answer.
+const postTimeout = 500 * time.Millisecond
 
 // Caller sends one target's announcements.
 type Caller struct {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -142,7 +142,9 @@
 	e.leaving = true
 	caller := e.caller
 	e.mu.Unlock()
-	caller.Now()
+	if caller != nil {
+		caller.Now()
+	}
 }
 
 // Faults returns the engine's faults, to switch them on.
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -109,7 +109,9 @@
 	p.leaving = true
 	caller := p.caller
 	p.mu.Unlock()
-	caller.Now()
+	if caller != nil {
+		caller.Now()
+	}
 }
 
 // Fail makes the next count requests suffer f.
