--- a/sardctl/start/cases_test.go
+++ b/sardctl/start/cases_test.go
@@ -102,6 +102,7 @@
 	text = regexp.MustCompile(`sard_[A-Za-z0-9_-]{43}`).ReplaceAllString(text, "sard_...")
 	text = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`).ReplaceAllString(text, "CHANGE-ID")
 	text = regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(text, "ADDRESS")
+	text = regexp.MustCompile(`"[0-9a-f]{64}"`).ReplaceAllString(text, `"HASH"`)
 	text = regexp.MustCompile(`until \d{4}-\S+ \S+`).ReplaceAllString(text, "until TIME")
 	return regexp.MustCompile(`go1\.\S+`).ReplaceAllString(text, "go1")
 }
--- a/sardctl/verbs/keys.go
+++ b/sardctl/verbs/keys.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -91,6 +92,9 @@
 	if err := c.putToken(state.Token{Hash: secret.Hash(), Scope: scope, Name: name, Expires: after(expires)}); err != nil {
 		return err
 	}
+	if workspace, isCaller := strings.CutPrefix(scope, "caller:"); isCaller {
+		c.tell("put it in force: sardctl set /teams/TEAM/workspaces/%s/key_hash '\"%x\"'\n", workspace, secret.Hash())
+	}
 	out := c.text("out")
 	if out == "" {
 		c.printf("%s\n", secret.Reveal())
