Expect a leaving member back only after its absence

The estimate took a leaving member, which is still alive, for one that has come back, and so expected the group to serve after one load. The shipped policy waited for it where taking other VMs was cheaper.

--- a/plan/ways.go
+++ b/plan/ways.go
@@ -8,6 +8,8 @@
 	// orderTrip is the expected time from a command's proposal until the members
 	// that need no load announce that they are ready.
 	orderTrip = sardine.Second
+	// leaveNotice is the expected time from a VM's notice until it is gone.
+	leaveNotice = 30 * sardine.Second
 	// drainUsual is the expected time of a drain.
 	drainUsual = 4 * sardine.Second
 )
@@ -120,7 +122,10 @@
 			gone = r.now - m.vm.note.goneSince
 		}
 		left := r.p.history.remaining(gone, r.p.limits.Return, r.p.limits.LoadTime)
-		if m.vm.alive {
+		switch {
+		case m.condition == memberLeaving:
+			left += leaveNotice
+		case m.vm.alive:
 			left = max(m.vm.note.barredUntil-r.now, 0) + r.p.limits.loadDelay(r.loading)
 		}
 		longest = max(longest, left)
