Smooth the demand behind lent shares

Shares chased the chance of single requests: a workspace at 0.8 of a limit of 20/s over 9 nodes got 0.72 of the limit, one at twice its limit over 350 nodes 0.65.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -7,8 +7,8 @@
 // burst is how many seconds of its rate a bucket keeps, and least how many units
 // of the usual size, so that a small share is not lost to single requests.
 const (
-	burst = 1.0
-	least = 2.0
+	burst = 3.0
+	least = 4.0
 )
 
 // bucket is a token bucket whose rate may change. It may go into debt, because
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -8,6 +8,12 @@
 	"sardineswitch.dev/sardine/codes"
 )
 
+// evenPart is how much of the mean demand each node's demand is raised by.
+const evenPart = 0.15
+
+// stayWithin is the relative change of a share that is not made.
+const stayWithin = 0.1
+
 // lent is one grant that a node may still apply.
 type lent struct {
 	number uint64
@@ -67,7 +73,7 @@
 		return g
 	}
 	opened := lent{number: g.Number, until: now + GrantTerm, shares: make(map[sardine.Workspace]Rate, len(c.wanted))}
-	for w := range c.wanted {
+	for w := range l.limits {
 		rate := l.share(c, w)
 		if rate == (Rate{}) {
 			continue
@@ -121,18 +127,36 @@
 			held = held.plus(other.held(w))
 		}
 	}
-	own := c.wanted[w]
+	own, before := c.wanted[w], c.newest(w)
+	nodes := float64(len(l.clients))
 	return Rate{
-		Requests: part(lendable.Requests, own.Requests, wanted.Requests, held.Requests),
-		Tokens:   part(lendable.Tokens, own.Tokens, wanted.Tokens, held.Tokens),
+		Requests: part(lendable.Requests, own.Requests, wanted.Requests, held.Requests, before.Requests, nodes),
+		Tokens:   part(lendable.Tokens, own.Tokens, wanted.Tokens, held.Tokens, before.Tokens, nodes),
 	}
 }
 
-func part(lendable, own, wanted, held float64) float64 {
+// part divides by demand, in which each node has a part of the mean on top of
+// its own: a node that had no request in the last seconds may get one. A share
+// close to the one before stays as it is, since a change is paid for twice until
+// the node has confirmed it.
+func part(lendable, own, wanted, held, before, nodes float64) float64 {
 	if wanted <= 0 {
 		return 0
 	}
-	return max(min(lendable*own/wanted, lendable-held), 0)
+	mean := wanted / nodes
+	share := lendable * (own + evenPart*mean) / (wanted * (1 + evenPart))
+	if before > 0 && share > before*(1-stayWithin) && share < before*(1+stayWithin) {
+		share = before
+	}
+	return max(min(share, lendable-held), 0)
+}
+
+// newest returns the workspace's rate in the node's newest grant.
+func (c *client) newest(w sardine.Workspace) Rate {
+	if len(c.open) == 0 {
+		return Rate{}
+	}
+	return c.open[len(c.open)-1].shares[w]
 }
 
 // lapse forgets grants that have run out and nodes that report no more.
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -7,8 +7,13 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
-// demandGain is the weight of the newest interval in the demand reported.
-const demandGain = 0.4
+// Weights of the newest interval in the demand reported: the more requests it
+// had, or should have had, the more it tells.
+const (
+	leastGain  = 0.05
+	demandGain = 0.7
+	sureCount  = 8 // requests of an interval that have the full weight
+)
 
 // usualTokens is a request's size before any was seen.
 const usualTokens = 500
@@ -18,8 +23,9 @@
 	limit    Rate
 	requests *bucket
 	tokens   *bucket
-	offered  Rate // since the last report
-	wanted   Rate // per second, moving mean
+	offered  Rate    // since the last report
+	count    float64 // requests since then
+	wanted   Rate    // per second, moving mean
 	reported bool
 }
 
@@ -89,6 +95,7 @@
 		return Decision{Allowed: true}
 	}
 	l.lapse(now)
+	a.count++
 	a.offered = a.offered.plus(Rate{Requests: 1, Tokens: tokens})
 	a.requests.fill(now)
 	a.tokens.fill(now)
@@ -140,7 +147,10 @@
 	for w, a := range l.accounts {
 		recent := a.offered.times(1 / seconds)
 		a.offered = Rate{}
-		a.wanted = a.wanted.times(1 - demandGain).plus(recent.times(demandGain)).higher(recent)
+		count := max(a.count, a.wanted.Requests*seconds)
+		gain := min(leastGain+demandGain*count/sureCount, demandGain)
+		a.count = 0
+		a.wanted = a.wanted.times(1 - gain).plus(recent.times(gain))
 		if a.wanted.Requests < 1e-3 {
 			a.wanted = Rate{}
 		}
