--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -19,21 +19,43 @@
 	require.Equal(t, Exhausted, b.MayRetry(0, "w", sardine.RanNo, true, 3).Reason)
 }
 
-func TestRetriesFollowSuccesses(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)))
-	allowed, requests := 0, 100000
+// callsPerRequest sends requests of which the given share fails at each
+// dispatch, with retries as the budget allows.
+func callsPerRequest(b *Budget, failing float64, random *rand.Rand) float64 {
+	calls, requests := 0, 20000
 	for i := range requests {
 		w := sardine.Workspace(rune('a' + i%10))
-		if i%2 == 0 {
-			b.Succeeded(0, w)
-			continue
-		}
-		if d := b.MayRetry(0, w, sardine.RanNo, true, 1); d.Retry {
-			allowed++
-			require.LessOrEqual(t, d.After, sardine.Millis(500))
+		for attempt := 1; ; attempt++ {
+			calls++
+			if random.Float64() >= failing {
+				b.Succeeded(0, w)
+				break
+			}
+			if !b.MayRetry(0, w, sardine.RanNo, true, attempt).Retry {
+				break
+			}
 		}
 	}
-	require.Less(t, float64(allowed)/float64(requests), 0.1, "upstream calls stay under 1.1 per request")
+	return float64(calls) / float64(requests)
+}
+
+// TestRetriesNeverStorm fails some, half and all dispatches. A budget that earns
+// a retry with each success and never runs out is the seeded defect.
+func TestRetriesNeverStorm(t *testing.T) {
+	for _, failing := range []float64{0.05, 0.33, 0.5, 1} {
+		random := rand.New(rand.NewPCG(1, 2))
+		require.LessOrEqual(t, callsPerRequest(New(random), failing, random), 1.1, "%v fail", failing)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	defect := New(random, WithRatio(1), WithBalances(1e9, 1e9))
+	require.Greater(t, callsPerRequest(defect, 0.5, random), 1.1)
+}
+
+func TestBackoffIsBounded(t *testing.T) {
+	b := New(rand.New(rand.NewPCG(1, 4)), WithAttempts(1000), WithBalances(1e9, 1e9), WithBackoff(10, 300))
+	for attempts := range 100 {
+		require.LessOrEqual(t, b.MayRetry(0, "w", sardine.RanNo, true, attempts).After, sardine.Millis(300))
+	}
 }
 
 func TestTenantsAreBounded(t *testing.T) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -109,3 +109,51 @@
 	s := r.services["surtitle"]
 	require.Less(t, s.hintShare, 0.1, "hints that never hold are not trusted")
 }
+
+// TestCheckFindsAForbiddenPick seeds the defect that a leaving target stays
+// usable.
+func TestCheckFindsAForbiddenPick(t *testing.T) {
+	r := New(rand.New(rand.NewPCG(3, 6)))
+	r.Update(0, engines(1))
+	c, err := r.Pick(0, Request{Service: "surtitle"})
+	require.NoError(t, err)
+	c.target.candidate.Leaving = true
+	require.Equal(t, codes.InvariantBroken, codes.Of(r.check(0, c.target, Request{Service: "surtitle"})))
+	_, err = r.Pick(0, Request{Service: "surtitle"})
+	require.Equal(t, codes.NoTarget, codes.Of(err))
+}
+
+func TestCopiesPreferTheirGroupAndAvoidStruckOnes(t *testing.T) {
+	r := New(rand.New(rand.NewPCG(3, 7)))
+	r.Update(0, engines(6))
+	for range 100 {
+		c, err := r.Pick(0, Request{Service: "surtitle", Prefer: "g4"})
+		require.NoError(t, err)
+		require.EqualValues(t, "g4", c.Candidate.Group)
+		c, err = r.Pick(0, Request{Service: "surtitle", Prefer: "g4", Avoid: []sardine.GroupID{"g4"}})
+		require.NoError(t, err)
+		require.NotEqualValues(t, "g4", c.Candidate.Group)
+	}
+}
+
+// TestEveryNodePlacesAConversationAlike is what keeps a conversation's cache in
+// use over a balancer that picks entry nodes at random.
+func TestEveryNodePlacesAConversationAlike(t *testing.T) {
+	same := 0
+	nodes := make([]*Router, 5)
+	for i := range nodes {
+		nodes[i] = New(rand.New(rand.NewPCG(9, uint64(i))))
+		nodes[i].Update(0, engines(30))
+	}
+	for k := range 200 {
+		q := Request{Service: "surtitle", Conversation: uint64(k + 1), PrefixHashes: []uint64{uint64(k), uint64(k) << 20}, PromptTokens: 128}
+		first, err := nodes[k%5].Pick(0, q)
+		require.NoError(t, err)
+		again, err := nodes[(k+1)%5].Pick(0, q)
+		require.NoError(t, err)
+		if first.Candidate.Ref == again.Candidate.Ref {
+			same++
+		}
+	}
+	require.Equal(t, 200, same)
+}
