--- a/route/mixed.go
+++ b/route/mixed.go
@@ -16,10 +16,6 @@
 // are too few to crowd a target.
 const liveSamples = 4
 
-// fullDelay is the wait in milliseconds that is expected for a place in a full
-// batch.
-const fullDelay = 100
-
 // place is one target of a prefix's rendezvous order.
 type place struct {
 	target *target
@@ -89,11 +85,7 @@
 
 func (r *Router) weigh(now sardine.Millis, s *service, q Request, best *weighing, t *target, rank int) {
 	c := r.choice(now, s, q, t, rank)
-	time := t.expected(now, s, c.uncached)
-	if t.full(s, q.Priority) {
-		time += fullDelay
-	}
-	if time < best.time {
+	if time := t.expected(now, s, c.uncached); time < best.time {
 		*best = weighing{choice: c, time: time}
 	}
 }
--- a/route/router.go
+++ b/route/router.go
@@ -18,7 +18,6 @@
 	laterShares []float64 // the same of conversations' later requests
 	hintShare   float64   // share of hinted blocks found cached
 	tokenRate   float64   // usual reported tokens per second of one running request
-	batch       float64   // largest batch reported with a queue, 0 before
 	popular     *popular
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -14,10 +14,6 @@
 	lagGain   = 0.3
 )
 
-// fullQueued is the reported number of waiting requests from which the running
-// ones are taken for a full batch.
-const fullQueued = 3
-
 // reportRunning is the number of running requests from which a reported token
 // rate tells something.
 const reportRunning = 4
@@ -111,9 +107,6 @@
 	t.load = l
 	t.loadAt = at
 	t.ownThen = t.inFlight
-	if l.Queued >= fullQueued {
-		s.batch = max(s.batch, float64(l.Running))
-	}
 	if l.Running < reportRunning || l.TokensPerSecond <= 0 {
 		return
 	}
@@ -126,19 +119,6 @@
 	t.lag += lagGain * (lag - t.lag)
 }
 
-// full reports whether the target's batch has no place for the request. Places
-// up to a twentieth of the batch are left to live requests.
-func (t *target) full(s *service, p sardine.Priority) bool {
-	if s.batch == 0 {
-		return false
-	}
-	bound := s.batch
-	if p != sardine.PriorityLive {
-		bound *= 0.95
-	}
-	return t.requests() >= bound
-}
-
 // observe learns from an observed time to first token.
 func (t *target) observe(observed, expected float64) {
 	ratio := observed / max(expected, 1)
