--- a/route/hints.go
+++ b/route/hints.go
@@ -1,7 +1,7 @@
 package route
 
 // holdersKept is how many targets are remembered for one prefix.
-const holdersKept = 3
+const holdersKept = 12
 
 // hintTable holds the targets that probably cache a prefix, for at most limit
 // prefixes of all services; the least recently used is forgotten first.
--- a/standin/gauge/homes.go
+++ b/standin/gauge/homes.go
@@ -99,7 +99,7 @@
 		h.router.Started(&inner, sardine.Millis(r.now))
 		target := r.byRef[inner.Candidate.Ref]
 		told := feedback{
-			first: func(cached int) {
+			first: func(cached int, _ sardine.Load) {
 				r.routers[node].FirstToken(&outer, sardine.Millis(r.now), cached)
 				r.after(trip/2, func() { h.router.FirstToken(&inner, sardine.Millis(r.now), cached) })
 			},
--- a/standin/gauge/routerun.go
+++ b/standin/gauge/routerun.go
@@ -203,18 +203,21 @@
 
 // feedback is what an entry node does with an engine's words on a request.
 type feedback struct {
-	first func(cachedTokens int)
+	first func(cachedTokens int, l sardine.Load)
 	ended func()
 }
 
 func (r *routingRun) tellRouter(node int, c *route.Choice) feedback {
 	if r.variant.oracle {
-		return feedback{first: func(int) {}, ended: func() {}}
+		return feedback{first: func(int, sardine.Load) {}, ended: func() {}}
 	}
 	router := r.router(node)
 	router.Started(c, sardine.Millis(r.now))
 	return feedback{
-		first: func(cached int) { router.FirstToken(c, sardine.Millis(r.now), cached) },
+		first: func(cached int, l sardine.Load) {
+			router.FirstToken(c, sardine.Millis(r.now), cached)
+			router.Load(sardine.Millis(r.now), c.Candidate.Ref, l)
+		},
 		ended: func() { router.Ended(c, sardine.Millis(r.now), route.End{OK: true}) },
 	}
 }
@@ -259,16 +262,17 @@
 	r.after(at-r.now, func() {
 		e.queued--
 		e.running++
+		l := e.load()
+		r.after(trip/2, func() {
+			told.first(cached*modelBlock, l)
+			r.count(start, p, cached)
+		})
 		r.after(e.decode(tokens), func() {
 			e.running--
 			told.ended()
 			next()
 		})
 	})
-	r.after(at-r.now+trip/2, func() {
-		told.first(cached * modelBlock)
-		r.count(start, p, cached)
-	})
 }
 
 func (r *routingRun) count(start float64, p prompt, cached int) {
