--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -93,3 +93,16 @@
 	require.True(t, l.Take(6000, "w", 100).Allowed)
 	require.True(t, l.Take(0, "other", 1e9).Allowed, "no limit")
 }
+
+// TestOwnShareFollowsTheNumberOfNodes joins a node while a grant is held.
+func TestOwnShareFollowsTheNumberOfNodes(t *testing.T) {
+	limits := map[sardine.Workspace]Rate{"w": {Requests: 100}}
+	l := NewLimiter("n", rand.New(rand.NewPCG(1, 3)))
+	l.Configure(0, 1, limits)
+	l.Lent(0, 0, Grant{Number: 1, Term: GrantTerm, Shares: []Share{{Workspace: "w", Rate: Rate{Requests: 50}}}})
+	require.InDelta(t, 60, l.accounts["w"].requests.rate, 1e-9)
+	l.Configure(0, 10, limits)
+	require.InDelta(t, 51, l.accounts["w"].requests.rate, 1e-9)
+	l.lapse(GrantTerm)
+	require.InDelta(t, 1, l.accounts["w"].requests.rate, 1e-9)
+}
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -21,6 +21,7 @@
 // account is one workspace's limits on one node.
 type account struct {
 	limit    Rate
+	lent     Rate // by the grant held
 	requests *bucket
 	tokens   *bucket
 	offered  Rate    // since the last report
@@ -55,6 +56,7 @@
 // Configure sets the limits from the settings and the number of entry nodes.
 // Workspaces not named have no limit.
 func (l *Limiter) Configure(now sardine.Millis, nodes int, limits map[sardine.Workspace]Rate) {
+	resized := l.nodes != max(nodes, 1)
 	l.nodes = max(nodes, 1)
 	for w := range l.accounts {
 		if _, limited := limits[w]; !limited {
@@ -68,9 +70,9 @@
 			l.accounts[w] = &account{limit: limit, requests: newBucket(now, own.Requests, 1), tokens: newBucket(now, own.Tokens, usualTokens)}
 			continue
 		}
-		if a.limit != limit {
+		if a.limit != limit || resized {
 			a.limit = limit
-			l.apply(now, a, Rate{})
+			l.apply(now, a, a.lent)
 		}
 	}
 }
@@ -82,6 +84,7 @@
 
 // apply sets the rates of an account to the own share and a lent one.
 func (l *Limiter) apply(now sardine.Millis, a *account, lent Rate) {
+	a.lent = lent
 	total := ownShare(a.limit, l.nodes).plus(lent)
 	a.requests.setRate(now, total.Requests)
 	a.tokens.setRate(now, total.Tokens)
