--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -36,12 +36,22 @@
 	RetryAfter sardine.Millis // with jitter, if not allowed
 }
 
+// Option changes a limiter's construction.
+type Option func(*Limiter)
+
+// WithEvenShares divides each limit evenly among the entry nodes, for a site
+// without a lender. Limits hold, but nodes with few requests leave theirs unused.
+func WithEvenShares() Option {
+	return func(l *Limiter) { l.reserve = 1 }
+}
+
 // Limiter spends the shares lent to one entry node. It is not safe for
 // concurrent use.
 type Limiter struct {
 	node     sardine.NodeID
 	random   sardine.Random
-	nodes    int // entry nodes of the site
+	nodes    int     // entry nodes of the site
+	reserve  float64 // part of each limit that is divided evenly
 	accounts map[sardine.Workspace]*account
 	holding  uint64
 	until    sardine.Millis // end of the grant held
@@ -49,8 +59,12 @@
 }
 
 // NewLimiter returns a limiter without limits.
-func NewLimiter(node sardine.NodeID, random sardine.Random) *Limiter {
-	return &Limiter{node: node, random: random, nodes: 1, accounts: make(map[sardine.Workspace]*account)}
+func NewLimiter(node sardine.NodeID, random sardine.Random, opts ...Option) *Limiter {
+	l := &Limiter{node: node, random: random, nodes: 1, reserve: ReserveShare, accounts: make(map[sardine.Workspace]*account)}
+	for _, option := range opts {
+		option(l)
+	}
+	return l
 }
 
 // Configure sets the limits from the settings and the number of entry nodes.
@@ -66,7 +80,7 @@
 	for w, limit := range limits {
 		a := l.accounts[w]
 		if a == nil {
-			own := ownShare(limit, l.nodes)
+			own := l.ownShare(limit)
 			l.accounts[w] = &account{limit: limit, requests: newBucket(now, own.Requests, 1), tokens: newBucket(now, own.Tokens, usualTokens)}
 			continue
 		}
@@ -78,14 +92,14 @@
 }
 
 // ownShare is what a node may spend without a grant.
-func ownShare(limit Rate, nodes int) Rate {
-	return limit.times(ReserveShare / float64(nodes))
+func (l *Limiter) ownShare(limit Rate) Rate {
+	return limit.times(l.reserve / float64(l.nodes))
 }
 
 // apply sets the rates of an account to the own share and a lent one.
 func (l *Limiter) apply(now sardine.Millis, a *account, lent Rate) {
 	a.lent = lent
-	total := ownShare(a.limit, l.nodes).plus(lent)
+	total := l.ownShare(a.limit).plus(lent)
 	a.requests.setRate(now, total.Requests)
 	a.tokens.setRate(now, total.Tokens)
 }
--- a/standin/gauge/limits.go
+++ b/standin/gauge/limits.go
@@ -101,12 +101,12 @@
 	rates := map[sardine.Workspace]limit.Rate{"w": {Requests: c.limit}}
 	r.lender.Configure(rates)
 	for i := range c.nodes {
-		l := limit.NewLimiter(sardine.NodeID(fmt.Sprint("e", i)), newRandom(seed, uint64(100+i)))
-		own := rates
+		var opts []limit.Option
 		if !lent {
-			own = map[sardine.Workspace]limit.Rate{"w": {Requests: c.limit / limit.ReserveShare}}
+			opts = append(opts, limit.WithEvenShares())
 		}
-		l.Configure(0, c.nodes, own)
+		l := limit.NewLimiter(sardine.NodeID(fmt.Sprint("e", i)), newRandom(seed, uint64(100+i)), opts...)
+		l.Configure(0, c.nodes, rates)
 		r.limiters = append(r.limiters, l)
 		if lent {
 			r.after(r.random.Float64()*float64(limit.ReportInterval), func() { r.report(l) })
