--- a/route/popular.go
+++ b/route/popular.go
@@ -41,12 +41,16 @@
 }
 
 // places returns how many of n targets a prefix is spread over: its share of
-// the requests times spread, at least least. The share is a lower bound, since
+// the requests times spread, at least least, rounded up to a power of two so that
+// entry nodes with slightly different counts agree. The share is a lower bound, since
 // a prefix seen a few times by chance must not be spread over targets that
 // forget it between two requests.
 func (p *popular) places(anchor uint64, n int, spread float64, least int) int {
 	count := p.counts[anchor]
 	share := max(count-doubt*math.Sqrt(count), 0) / max(p.total, popularWindow/4)
-	wanted := int(math.Ceil(share * spread * float64(n)))
-	return min(max(wanted, least), n)
+	wanted := share * spread * float64(n)
+	if wanted <= float64(least) {
+		return min(least, n)
+	}
+	return min(1<<int(math.Ceil(math.Log2(wanted))), n)
 }
--- a/standin/gauge/routerun.go
+++ b/standin/gauge/routerun.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/route"
@@ -173,13 +172,6 @@
 	r.ask(p, turns, rand.New(rand.NewPCG(r.flags.seed, uint64(1e6+r.talks))))
 }
 
-// family draws a shared prefix by its popularity.
-func (r *routingRun) family() int {
-	x := r.arrivals.Float64() * r.shares[len(r.shares)-1]
-	at, _ := slices.BinarySearch(r.shares, x)
-	return min(at, len(r.shares)-1)
-}
-
 // ask sends one request of a conversation through a random entry node.
 func (r *routingRun) ask(p prompt, turns int, own *rand.Rand) {
 	node := r.node(p.region, own)
@@ -330,32 +322,6 @@
 	})
 }
 
-func (r *routingRun) evictedHashes(key int) []uint64 {
-	if key <= 0 {
-		return []uint64{blockHash(key, 0)}
-	}
-	return hashes(prompt{family: key, familyBlocks: r.lengths[key-1]}, r.lengths[key-1])
-}
-
-// hashes returns the prefix hashes of the prompt's first n blocks.
-func hashes(p prompt, n int) []uint64 {
-	all := make([]uint64, n)
-	for i := range all {
-		all[i] = blockHash(p.family, i)
-		if i >= p.familyBlocks {
-			all[i] = blockHash(-p.talk, i-p.familyBlocks)
-		}
-	}
-	return all
-}
-
-func blockHash(key, block int) uint64 {
-	x := uint64(int64(key))*0x9e3779b97f4a7c15 + uint64(block)
-	x ^= x >> 31
-	x *= 0xbf58476d1ce4e5b9
-	return x ^ x>>29
-}
-
 func (r *routingRun) result() PolicyResult {
 	total, busiest := 0.0, 0.0
 	for _, e := range r.engines {
@@ -372,6 +338,7 @@
 		Mean:   r.first.mean(), P50: r.first.at(0.5), P95: r.first.at(0.95), P99: r.first.at(0.99),
 		HitShare:     round(float64(r.cached) / float64(max(r.prompts, 1))),
 		LoadSkew:     round(busiest / (total / float64(len(r.engines)))),
+		CopiesOver2:  r.copiesOver2(),
 		HintAccuracy: round(float64(correct) / float64(max(blocks, 1))),
 	}
 }
--- a/standin/gauge/routing.go
+++ b/standin/gauge/routing.go
@@ -29,6 +29,7 @@
 	HitShare     float64 `json:"hit_share"`
 	LoadSkew     float64 `json:"load_skew"` // busiest engine over the mean
 	HintAccuracy float64 `json:"hint_accuracy"`
+	CopiesOver2  float64 `json:"copies_over_two"` // of new requests sent through nine nodes at once, those on three engines or more
 }
 
 type routingFlags struct {
@@ -96,7 +97,7 @@
 
 func measureRouting(out io.Writer, f *routingFlags) (any, error) {
 	result := RoutingResult{Seed: f.seed, Workers: f.workers, Nodes: f.nodes}
-	fmt.Fprintf(out, "%-22s %8s %8s %8s %8s %6s %6s %6s\n", "policy", "mean", "p50", "p95", "p99", "hits", "skew", "hints")
+	fmt.Fprintf(out, "%-22s %8s %8s %8s %8s %6s %6s %6s %6s\n", "policy", "mean", "p50", "p95", "p99", "hits", "skew", "hints", "over2")
 	for _, v := range variants() {
 		if !wanted(f.only, v.name) {
 			continue
@@ -106,7 +107,7 @@
 			return nil, err
 		}
 		p := run.result()
-		fmt.Fprintf(out, "%-22s %8.1f %8.1f %8.1f %8.1f %6.3f %6.2f %6.3f\n", p.Policy, p.Mean, p.P50, p.P95, p.P99, p.HitShare, p.LoadSkew, p.HintAccuracy)
+		fmt.Fprintf(out, "%-22s %8.1f %8.1f %8.1f %8.1f %6.3f %6.2f %6.3f %6.3f\n", p.Policy, p.Mean, p.P50, p.P95, p.P99, p.HitShare, p.LoadSkew, p.HintAccuracy, p.CopiesOver2)
 		result.Policies = append(result.Policies, p)
 		result.Requests = len(run.first.values)
 	}
