--- a/route/route_test.go
+++ b/route/route_test.go
@@ -157,3 +157,25 @@
 	}
 	require.Equal(t, 200, same)
 }
+
+// BenchmarkPick840 is one pick with its feedback at the target size.
+func BenchmarkPick840(b *testing.B) {
+	r := New(rand.New(rand.NewPCG(9, 9)))
+	r.Update(0, engines(840))
+	r.SetPosition(3, 350)
+	prefix := make([]uint64, 24)
+	b.ReportAllocs()
+	for i := range b.N {
+		for k := range prefix {
+			prefix[k] = uint64(i%500)<<8 + uint64(k)
+		}
+		now := sardine.Millis(i)
+		c, err := r.Pick(now, Request{Service: "surtitle", Conversation: uint64(i + 1), PrefixHashes: prefix, PromptTokens: 1500})
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Started(&c, now)
+		r.FirstToken(&c, now+50, 1000)
+		r.Ended(&c, now+5000, End{OK: true})
+	}
+}
