--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -7,8 +7,13 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
-// demandGain is the weight of the newest interval in the demand reported.
-const demandGain = 0.4
+// Weights of the newest interval in the demand reported: the more requests it
+// had, or should have had, the more it tells.
+const (
+	leastGain  = 0.05
+	demandGain = 0.7
+	sureCount  = 8 // requests of an interval that have the full weight
+)
 
 // usualTokens is a request's size before any was seen.
 const usualTokens = 500
@@ -16,10 +21,12 @@
 // account is one workspace's limits on one node.
 type account struct {
 	limit    Rate
+	lent     Rate // by the grant held
 	requests *bucket
 	tokens   *bucket
-	offered  Rate // since the last report
-	wanted   Rate // per second, moving mean
+	offered  Rate    // since the last report
+	count    float64 // requests since then
+	wanted   Rate    // per second, moving mean
 	reported bool
 }
 
@@ -29,12 +36,22 @@
 	RetryAfter sardine.Millis // with jitter, if not allowed
 }
 
+// Option changes a limiter's construction.
+type Option func(*Limiter)
+
+// WithEvenShares divides each limit evenly among the entry nodes, for a site
+// without a lender. Limits hold, but nodes with few requests leave theirs unused.
+func WithEvenShares() Option {
+	return func(l *Limiter) { l.reserve = 1 }
+}
+
 // Limiter spends the shares lent to one entry node. It is not safe for
 // concurrent use.
 type Limiter struct {
 	node     sardine.NodeID
 	random   sardine.Random
-	nodes    int // entry nodes of the site
+	nodes    int     // entry nodes of the site
+	reserve  float64 // part of each limit that is divided evenly
 	accounts map[sardine.Workspace]*account
 	holding  uint64
 	until    sardine.Millis // end of the grant held
@@ -42,13 +59,18 @@
 }
 
 // NewLimiter returns a limiter without limits.
-func NewLimiter(node sardine.NodeID, random sardine.Random) *Limiter {
-	return &Limiter{node: node, random: random, nodes: 1, accounts: make(map[sardine.Workspace]*account)}
+func NewLimiter(node sardine.NodeID, random sardine.Random, opts ...Option) *Limiter {
+	l := &Limiter{node: node, random: random, nodes: 1, reserve: ReserveShare, accounts: make(map[sardine.Workspace]*account)}
+	for _, option := range opts {
+		option(l)
+	}
+	return l
 }
 
 // Configure sets the limits from the settings and the number of entry nodes.
 // Workspaces not named have no limit.
 func (l *Limiter) Configure(now sardine.Millis, nodes int, limits map[sardine.Workspace]Rate) {
+	resized := l.nodes != max(nodes, 1)
 	l.nodes = max(nodes, 1)
 	for w := range l.accounts {
 		if _, limited := limits[w]; !limited {
@@ -58,25 +80,26 @@
 	for w, limit := range limits {
 		a := l.accounts[w]
 		if a == nil {
-			own := ownShare(limit, l.nodes)
+			own := l.ownShare(limit)
 			l.accounts[w] = &account{limit: limit, requests: newBucket(now, own.Requests, 1), tokens: newBucket(now, own.Tokens, usualTokens)}
 			continue
 		}
-		if a.limit != limit {
+		if a.limit != limit || resized {
 			a.limit = limit
-			l.apply(now, a, Rate{})
+			l.apply(now, a, a.lent)
 		}
 	}
 }
 
 // ownShare is what a node may spend without a grant.
-func ownShare(limit Rate, nodes int) Rate {
-	return limit.times(ReserveShare / float64(nodes))
+func (l *Limiter) ownShare(limit Rate) Rate {
+	return limit.times(l.reserve / float64(l.nodes))
 }
 
 // apply sets the rates of an account to the own share and a lent one.
 func (l *Limiter) apply(now sardine.Millis, a *account, lent Rate) {
-	total := ownShare(a.limit, l.nodes).plus(lent)
+	a.lent = lent
+	total := l.ownShare(a.limit).plus(lent)
 	a.requests.setRate(now, total.Requests)
 	a.tokens.setRate(now, total.Tokens)
 }
@@ -89,6 +112,7 @@
 		return Decision{Allowed: true}
 	}
 	l.lapse(now)
+	a.count++
 	a.offered = a.offered.plus(Rate{Requests: 1, Tokens: tokens})
 	a.requests.fill(now)
 	a.tokens.fill(now)
@@ -140,7 +164,10 @@
 	for w, a := range l.accounts {
 		recent := a.offered.times(1 / seconds)
 		a.offered = Rate{}
-		a.wanted = a.wanted.times(1 - demandGain).plus(recent.times(demandGain)).higher(recent)
+		count := max(a.count, a.wanted.Requests*seconds)
+		gain := min(leastGain+demandGain*count/sureCount, demandGain)
+		a.count = 0
+		a.wanted = a.wanted.times(1 - gain).plus(recent.times(gain))
 		if a.wanted.Requests < 1e-3 {
 			a.wanted = Rate{}
 		}
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -29,6 +29,8 @@
 		quorumMeasure(),
 		logMeasure(),
 		configMeasure(),
+		claims(),
+		limits(),
 	}
 }
 
