--- a/standin/gauge/config.go
+++ b/standin/gauge/config.go
@@ -23,8 +23,8 @@
 	warmUp = 15 * sardine.Second
 	// faultLength is how long a pause, a cut or a crash lasts.
 	faultLength = 15 * sardine.Second
-	// documentBytes is the size of the changed document.
-	documentBytes = 4000
+	// settingsBytes is the size of the changed document.
+	settingsBytes = 4000
 )
 
 // configOptions are the flags of the measurement.
@@ -73,10 +73,10 @@
 	}
 }
 
-// site returns the world of a site with the given number of entry nodes: one
+// spreadSite returns the world of a site with the given number of entry nodes: one
 // region with three data centres and three control nodes, or two regions with
 // five data centres and five control nodes.
-func site(nodes int, seed uint64) spread.Options {
+func spreadSite(nodes int, seed uint64) spread.Options {
 	centres, controls := 3, 3
 	if nodes > smallSite {
 		centres, controls = 5, 5
@@ -91,7 +91,7 @@
 		Link:      linkTime,
 		Manual:    true,
 		Steady:    true,
-		Filler:    documentBytes,
+		Filler:    settingsBytes,
 	}
 	for i := range nodes {
 		o.Centres[i%centres]++
@@ -110,9 +110,9 @@
 }
 
 func measureConfig(out io.Writer, o configOptions) (any, error) {
-	w := spread.New(site(o.nodes, o.seed))
+	w := spread.New(spreadSite(o.nodes, o.seed))
 	w.RunFor(warmUp)
-	r := ConfigResult{Nodes: o.nodes, Controls: len(site(o.nodes, o.seed).Centres), Seed: o.seed, Fail: o.fail, BoundMs: 5000}
+	r := ConfigResult{Nodes: o.nodes, Controls: len(spreadSite(o.nodes, o.seed).Centres), Seed: o.seed, Fail: o.fail, BoundMs: 5000}
 	if o.nodes > smallSite {
 		r.BoundMs = 11_000
 	}
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -23,6 +23,8 @@
 // Table returns the measurements in the order of the help text.
 func Table() []Measure {
 	return []Measure{
+		quorumMeasure(),
+		logMeasure(),
 		configMeasure(),
 	}
 }
--- a/standin/gauge/overhead.go
+++ b/standin/gauge/overhead.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -53,26 +52,6 @@
 	return all
 }
 
-// countedConn counts the bytes of both directions of one end.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read counts what arrives.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts what is sent.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // followStub answers every poll with the same grant.
 type followStub struct {
 	wire.Control
@@ -138,12 +117,3 @@
 	}
 	return nil
 }
-
-// processorTime returns the processor time that this process used so far.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
