--- a/standin/gauge/config.go
+++ b/standin/gauge/config.go
@@ -23,8 +23,8 @@
 	warmUp = 15 * sardine.Second
 	// faultLength is how long a pause, a cut or a crash lasts.
 	faultLength = 15 * sardine.Second
-	// configDocument is the size of the changed document.
-	configDocument = 4000
+	// settingsBytes is the size of the changed document.
+	settingsBytes = 4000
 )
 
 // configOptions are the flags of the measurement.
@@ -91,7 +91,7 @@
 		Link:      linkTime,
 		Manual:    true,
 		Steady:    true,
-		Filler:    configDocument,
+		Filler:    settingsBytes,
 	}
 	for i := range nodes {
 		o.Centres[i%centres]++
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -31,6 +31,9 @@
 		configMeasure(),
 		claims(),
 		limits(),
+		quorumMeasure(),
+		logMeasure(),
+		configMeasure(),
 	}
 }
 
