Log a refused poison request as its own event

Cause: the event request_poison was listed and never written. Change: a refusal for poison is logged with the fingerprint that sardctl poison takes.

--- a/entry/model.go
+++ b/entry/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"slices"
 	"strconv"
@@ -332,7 +333,11 @@
 	if m.tokens > 0 {
 		ran = sardine.RanYes
 	}
-	event.Log(m.node.log, event.RequestFailed, requestAttr(m.request.id), codeAttr(err), ranAttr(ran))
+	id := event.RequestFailed
+	if codes.Is(err, codes.PoisonRequest) {
+		id = event.RequestPoison
+	}
+	event.Log(m.node.log, id, requestAttr(m.request.id), codeAttr(err), ranAttr(ran), slog.String("fingerprint", m.request.poison.String()))
 	m.node.meter.failed(err)
 	m.sink.fail(problemOf(err, m.request.id, ran))
 }
