Take the operator's hash from the settings and note since when things are so

Cause: controld dropped operator_hash, so a new site was open to everyone; times in a status counted from the first question; the demo printed a flag that is not.

--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -75,6 +75,7 @@
 		ctrl.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		ctrl.WithLogger(logs.New(errs, s.Log(), s.Node())),
 		ctrl.WithTiming(timingOf(s.Timings())),
+		ctrl.WithOperatorHash(s.OperatorHash()),
 	)
 }
 
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -174,6 +174,7 @@
 		n.tomb.Go(n.sendOrders)
 	}
 	n.tomb.Go(n.watchLog)
+	n.tomb.Go(n.keepHistory)
 	n.tomb.Go(n.close)
 	event.Log(n.logger, event.NodeStarted,
 		slog.String("internal", n.internal.Address()), slog.String("operators", n.operators.Address()))
--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -43,6 +43,22 @@
 	return r
 }
 
+// historyEvery is the time between two looks at the site, to which the times in
+// a report are exact.
+const historyEvery = sardine.Second
+
+// keepHistory is a duty: it notes since when things are in their state.
+func (n *Node) keepHistory() error {
+	for {
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case <-n.clock.After(historyEvery):
+			n.Report()
+		}
+	}
+}
+
 // peers tells which control members answer. Only the leader knows about others.
 func (n *Node) peers() []status.Peer {
 	info := n.log.Leader()
--- a/sardctl/demo/demo.go
+++ b/sardctl/demo/demo.go
@@ -156,7 +156,7 @@
 		s.Balancer(), site.Service, site.Workspace)
 	for _, c := range s.Controls() {
 		if c.Node() != nil {
-			fmt.Fprintf(out, "sardctl --control %s status\n", c.Node().OperatorAddress())
+			fmt.Fprintf(out, "sardctl --controls %s status\n", c.Node().OperatorAddress())
 			break
 		}
 	}
