Lend shares of workspaces' limits to the entry nodes

Cause: entry nodes never borrowed, so that each held a workspace to its small reserve: 31 of 60 requests at 30/s of a limit of 200/s were refused. Change: a node with demand on a limited workspace asks the leader once a second; only a confirmed leader lends. Figures: 20 requests in a row at a third of the limit through one node of three pass (TestLimitFollowsDemand). Conclusion: limits follow demand; one call a second for each node with such demand is dear at 350 nodes and belongs on the relays (docs/CAPACITY.md).

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -78,6 +78,14 @@
 	})
 }
 
+// Lend reports a node's demand and returns the shares lent to it.
+func (c *Client) Lend(ctx context.Context, request *wire.LendRequest) (*wire.LendReply, error) {
+	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.LendReply, *wire.Fault, error) {
+		r, err := s.Lend(ctx, request)
+		return r, r.GetFault(), err
+	})
+}
+
 // Settings reads or changes settings. A call whose answer was lost is sent again
 // until ctx ends: reads change nothing, and a change is recognised by its id.
 func (c *Client) Settings(ctx context.Context, request *wire.SettingsRequest) (*wire.SettingsReply, error) {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -9,6 +9,7 @@
 	"sardineswitch.dev/sardine/fleet"
 	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/lease"
+	"sardineswitch.dev/sardine/limit"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/state"
 )
@@ -26,6 +27,7 @@
 	fleet   *fleet.Leader
 	planner *plan.Planner
 	polls   *polls
+	lender  *limit.Lender // of this term
 	waits   []plan.Wait
 	breach  error
 }
@@ -55,6 +57,7 @@
 	l.fleet.Lead(now, term)
 	l.planner.Lead(now, term, m)
 	l.polls.server.Lead(term)
+	l.lender = limit.NewLender(now, term)
 }
 
 // end gives the term up. Polls learn the address of the leader that is known.
@@ -120,6 +123,7 @@
 	if l.breach != nil {
 		return work{}, nil
 	}
+	l.configureLimits(settings)
 	targets := l.fleet.Tick(now, m)
 	out, err := l.planner.Round(now, m, l.fleet.At(now), settings)
 	if err != nil {
--- /dev/null
+++ b/ctrl/lend.go
@@ -0,0 +1,72 @@
+package ctrl
+
+import (
+	"context"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/limit"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Lend takes an entry node's demand and lends it shares of the workspaces'
+// limits. Only a leader that a quorum has confirmed lends: two leaders together
+// would lend more than the limit.
+func (n *Node) Lend(ctx context.Context, r *wire.LendRequest) (*wire.LendReply, error) {
+	_, term, err := n.confirm(ctx)
+	if err != nil {
+		return &wire.LendReply{Fault: ctlapi.FaultOf(err)}, nil
+	}
+	grant, err := n.leadership.lend(n.clock.Now(), term, reportOfDemand(r))
+	if err != nil {
+		return &wire.LendReply{Fault: ctlapi.FaultOf(err)}, nil
+	}
+	return grantToWire(grant), nil
+}
+
+func reportOfDemand(r *wire.LendRequest) limit.Report {
+	report := limit.Report{Node: sardine.NodeID(r.GetNode()), Holding: r.GetHolding()}
+	for _, d := range r.GetDemands() {
+		report.Demands = append(report.Demands, limit.Demand{
+			Workspace: sardine.Workspace(d.GetWorkspace()),
+			Wanted:    limit.Rate{Requests: d.GetRequests(), Tokens: d.GetTokens()},
+		})
+	}
+	return report
+}
+
+func grantToWire(g limit.Grant) *wire.LendReply {
+	answer := &wire.LendReply{Number: g.Number, TermMillis: uint64(g.Term)}
+	for _, s := range g.Shares {
+		answer.Shares = append(answer.Shares, &wire.WorkspaceRate{
+			Workspace: string(s.Workspace),
+			Requests:  s.Rate.Requests,
+			Tokens:    s.Rate.Tokens,
+		})
+	}
+	return answer
+}
+
+func (l *leadership) lend(now sardine.Millis, term uint64, r limit.Report) (limit.Grant, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != term || l.lender == nil {
+		return limit.Grant{}, codes.New(codes.NotLeader, "the leadership has changed")
+	}
+	return l.lender.Report(now, r), nil
+}
+
+// configureLimits takes over the workspaces' limits from the settings. The lock
+// is held.
+func (l *leadership) configureLimits(settings []sardine.TeamSettings) {
+	limits := make(map[sardine.Workspace]limit.Rate)
+	for _, s := range settings {
+		for _, t := range s.Tenants {
+			if t.RequestsPerSecond > 0 || t.TokensPerSecond > 0 {
+				limits[t.Name] = limit.Rate{Requests: t.RequestsPerSecond, Tokens: t.TokensPerSecond}
+			}
+		}
+	}
+	l.lender.Configure(limits)
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -185,6 +185,7 @@
 	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
+	n.tomb.Go(n.borrow)
 	n.tomb.Go(n.close)
 	event.Log(n.log, event.NodeStarted, slog.String("public", n.public.Address()), slog.String("internal", n.internal.Address()))
 }
