Test store, member and trials; guard against emptied folders

A control node whose data folder was emptied could vote without what it had acknowledged before. Folders are numbered and a node votes only once it has followed a leader up to an entry of its term (HardState.Settled).

--- a/quorum/append.go
+++ b/quorum/append.go
@@ -73,7 +73,7 @@
 func (c *Core) sendHeartbeat(n sardine.NodeID, p *progress) {
 	commit := min(p.match, c.commit)
 	p.sentCommit = commit
-	c.send(Message{Kind: Heartbeat, To: n, Commit: commit, Round: c.reads.round})
+	c.send(Message{Kind: Heartbeat, To: n, LogIndex: c.commit, Commit: commit, Round: c.reads.round})
 }
 
 func (c *Core) handleHeartbeat(m Message) {
@@ -82,11 +82,12 @@
 		return
 	}
 	c.commitTo(min(m.Commit, c.log.last().Index))
+	c.settle(m.Folder, m.LogIndex)
 	c.send(Message{Kind: HeartbeatReply, To: m.From, Round: m.Round})
 }
 
 func (c *Core) handleHeartbeatReply(m Message) {
-	p := c.peer(m.From)
+	p := c.peer(m)
 	if p == nil || m.Reject {
 		return
 	}
@@ -117,6 +118,7 @@
 	}
 	last := m.LogIndex + uint64(len(m.Entries))
 	c.commitTo(min(m.Commit, last))
+	c.settle(m.Folder, m.Commit)
 	c.acknowledge(Message{Kind: AppendReply, To: m.From, LogIndex: last}, last)
 }
 
@@ -176,7 +178,7 @@
 }
 
 func (c *Core) handleAppendReply(m Message) {
-	p := c.peer(m.From)
+	p := c.peer(m)
 	if p == nil {
 		return
 	}
@@ -259,16 +261,23 @@
 	for _, e := range c.log.between(c.commit, index) {
 		c.waiting -= e.size()
 	}
+	c.settleAt(index)
 }
 
-// peer returns the progress of a member that answered this leader.
-func (c *Core) peer(n sardine.NodeID) *progress {
+// peer returns the progress of a member that answered this leader. Answers from
+// a folder that was replaced since are ignored: what they acknowledge is lost.
+func (c *Core) peer(m Message) *progress {
 	if c.role != Leader {
 		return nil
 	}
-	p := c.peers[n]
-	if p != nil {
-		p.heardAt = c.now
+	p := c.peers[m.From]
+	if p == nil || m.Folder < p.folder {
+		return nil
+	}
+	if m.Folder > p.folder {
+		p.replaceFolder(m.Folder)
 	}
+	p.heardAt = c.now
+	p.settled = p.settled || m.Settled
 	return p
 }
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -17,6 +17,7 @@
 	UnconfirmedRead  bool // reads are confirmed without a quorum round
 	UnlistedSnapshot bool // snapshots are installed without their member list
 	ForgottenVote    bool // a second vote in a term is granted
+	AmnesicVote      bool // a node whose folder was emptied votes on
 	OverlappedChange bool // a member change starts before the last one is committed
 	LeaseForever     bool // a leader without quorum contact goes on
 }
@@ -42,6 +43,7 @@
 	limits  Limits
 	random  sardine.Random
 	defects Defects
+	folder  uint64 // for a new folder
 	err     error
 
 	now         sardine.Millis
@@ -60,6 +62,7 @@
 	electionAt  sardine.Millis
 	heartbeatAt sardine.Millis
 	votes       map[sardine.NodeID]bool
+	yielded     bool // stood back from an election since a leader was heard
 	force       bool // this election is on behalf of the last leader
 	peers       map[sardine.NodeID]*progress
 	firstOfTerm uint64 // index of the leader's empty entry
@@ -88,6 +91,12 @@
 	return func(c *Core) { c.limits = l }
 }
 
+// WithFolder numbers the data folder, if it has no number yet. A folder that
+// replaces a lost one must get a higher number.
+func WithFolder(n uint64) Option {
+	return func(c *Core) { c.folder = n }
+}
+
 // WithDefects switches off safeguards. Tests only.
 func WithDefects(d Defects) Option {
 	return func(c *Core) { c.defects = d }
@@ -121,6 +130,10 @@
 			c.noteMembers(e)
 		}
 	}
+	if c.hard.Folder == 0 {
+		c.hard.Folder = c.folder
+		c.writeHard()
+	}
 	c.resetElection()
 	return c
 }
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -33,7 +33,8 @@
 	c.role = Candidate
 	c.leader = ""
 	c.force = force
-	c.hard = HardState{Term: c.hard.Term + 1, Vote: c.id}
+	c.hard.Term++
+	c.hard.Vote = c.id
 	c.votes = make(map[sardine.NodeID]bool)
 	c.writeHard()
 	last := c.log.last()
@@ -43,14 +44,29 @@
 }
 
 func (c *Core) answerPreVote(m Message) {
-	grant := m.Term > c.hard.Term && c.upToDate(m) && !c.hearsLeader()
+	grant := m.Term > c.hard.Term && c.trusts(m) && c.upToDate(m) && !c.hearsLeader()
 	if grant {
+		c.yieldTo(m)
 		c.send(Message{Kind: PreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
 	c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
 }
 
+// yieldTo stands back from an election that a better placed member began at the
+// same time, so that they do not split the votes. It does so once: a member that
+// can send but not receive would otherwise hold up the others for ever.
+func (c *Core) yieldTo(m Message) {
+	last := c.log.last()
+	equal := m.LogTerm == last.Term && m.LogIndex == last.Index
+	if c.role != PreCandidate || c.yielded || equal && m.From > c.id {
+		return
+	}
+	c.yielded = true
+	c.role = Follower
+	c.retryElection()
+}
+
 func (c *Core) countPreVote(m Message) {
 	if c.role != PreCandidate || m.Term != c.hard.Term+1 {
 		return
@@ -63,7 +79,7 @@
 
 func (c *Core) answerVote(m Message) {
 	free := c.hard.Vote == "" && c.leader == "" || c.hard.Vote == m.From || c.defects.ForgottenVote
-	if !free || !c.upToDate(m) {
+	if !free || !c.trusts(m) || !c.upToDate(m) {
 		c.send(Message{Kind: VoteReply, To: m.From, Reject: true})
 		return
 	}
@@ -94,6 +110,31 @@
 	return c.quorum(func(n sardine.NodeID) bool { return c.votes[n] })
 }
 
+// trusts reports whether neither this node nor the candidate may have lost its
+// memory: then a vote would not count what was acknowledged before. Members of a
+// new site are all unsettled and elect their first leader among themselves.
+func (c *Core) trusts(m Message) bool {
+	return m.Settled == c.hard.Settled || c.defects.AmnesicVote
+}
+
+// settle notes that this node holds all that its leader had committed, and that
+// the leader counts nothing that an earlier folder of this node acknowledged.
+func (c *Core) settle(folder, commit uint64) {
+	if folder == c.hard.Folder && commit <= c.commit {
+		c.settleAt(commit)
+	}
+}
+
+// settleAt does so if the commit index has reached the leader's term.
+func (c *Core) settleAt(commit uint64) {
+	term, ok := c.log.term(commit)
+	if c.hard.Settled || !ok || term != c.hard.Term || commit <= bootstrapIndex {
+		return
+	}
+	c.hard.Settled = true
+	c.writeHard()
+}
+
 // upToDate reports whether the candidate's log holds all that may be committed.
 func (c *Core) upToDate(m Message) bool {
 	last := c.log.last()
@@ -133,7 +174,8 @@
 // becomeFollower enters a term, or gives up a part in the current one.
 func (c *Core) becomeFollower(term uint64, leader sardine.NodeID) {
 	if term > c.hard.Term {
-		c.hard = HardState{Term: term}
+		c.hard.Term = term
+		c.hard.Vote = ""
 		c.writeHard()
 	}
 	if c.role == Leader {
@@ -158,6 +200,7 @@
 	c.becomeFollower(c.hard.Term, from)
 	c.heardAt = c.now
 	c.heard = true
+	c.yielded = false
 }
 
 // handleElectNow takes over from a leader that leaves.
--- a/quorum/install.go
+++ b/quorum/install.go
@@ -25,7 +25,7 @@
 }
 
 func (c *Core) handleInstallReply(m Message) {
-	p := c.peer(m.From)
+	p := c.peer(m)
 	if p == nil || p.mode != installing || m.LogIndex != p.install.Index {
 		return
 	}
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -154,12 +154,17 @@
 	}
 }
 
+// present reports whether a member answers and may vote.
+func (c *Core) present(p *progress) bool {
+	return p.settled && c.now-p.heardAt <= c.timing.ElectionMax
+}
+
 func (c *Core) checkCaughtUp(n sardine.NodeID) error {
 	p := c.peers[n]
 	if p == nil {
 		return nil
 	}
-	if c.now-p.heardAt > c.timing.ElectionMax || p.match+c.limits.PromoteLag < c.log.last().Index {
+	if !c.present(p) || p.match+c.limits.PromoteLag < c.log.last().Index {
 		return codes.New(codes.MemberBusy, "learner %s holds %d of %d entries, wait until it has caught up", n, p.match, c.log.last().Index)
 	}
 	return nil
@@ -175,10 +180,10 @@
 	}
 	reachable := majority(voters, func(n sardine.NodeID) bool {
 		p := c.peers[n]
-		return n == c.id || p != nil && c.now-p.heardAt <= c.timing.ElectionMax
+		return n == c.id || p != nil && c.present(p)
 	})
 	if !reachable {
-		return codes.New(codes.NoQuorum, "the members after this change could not form a quorum")
+		return codes.New(codes.NoQuorum, "the members after this change could not form a quorum: too few of them answer and have caught up")
 	}
 	return nil
 }
--- a/quorum/output.go
+++ b/quorum/output.go
@@ -174,6 +174,11 @@
 	if m.Term == 0 {
 		m.Term = c.hard.Term
 	}
+	m.Folder = c.hard.Folder
+	m.Settled = c.hard.Settled
+	if p := c.peers[m.To]; p != nil && c.role == Leader {
+		m.Folder = p.folder
+	}
 }
 
 func (c *Core) after(m Message) {
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -30,6 +30,8 @@
 	sentAt     sardine.Millis
 	sentCommit uint64
 	round      uint64 // highest heartbeat round answered
+	folder     uint64 // highest number of its data folder
+	settled    bool
 	install    Position
 	offset     uint64
 }
@@ -47,6 +49,16 @@
 	p.sent = false
 }
 
+// replaceFolder forgets what an earlier folder of the member held.
+func (p *progress) replaceFolder(folder uint64) {
+	if p.folder != 0 {
+		p.match = 0
+		p.settled = false
+		p.probe()
+	}
+	p.folder = folder
+}
+
 func (p *progress) launch(now sardine.Millis, last uint64, bytes int) {
 	if len(p.flights) == 0 {
 		p.ackedAt = now
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -19,6 +19,7 @@
 	Role        Role
 	Term        uint64
 	Vote        sardine.NodeID
+	Settled     bool // holds all that was ever committed before its folder began
 	Leader      sardine.NodeID
 	LeaderSince sardine.Millis
 	First       uint64 // oldest entry held
@@ -37,6 +38,7 @@
 		Role:        c.role,
 		Term:        c.hard.Term,
 		Vote:        c.hard.Vote,
+		Settled:     c.hard.Settled,
 		Leader:      c.leader,
 		LeaderSince: c.leaderSince,
 		First:       c.log.base.Index + 1,
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -4,6 +4,9 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
+// bootstrapIndex is the entry that every first member starts from.
+const bootstrapIndex = 1
+
 // Timing holds the intervals of elections.
 type Timing struct {
 	Heartbeat   sardine.Millis // between a leader's heartbeats
@@ -13,7 +16,7 @@
 
 // DefaultTiming returns the intervals for links of up to 50 ms one way.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 400, ElectionMin: 850, ElectionMax: 1250}
+	return Timing{Heartbeat: 400, ElectionMin: 850, ElectionMax: 1150}
 }
 
 // Limits bound what the core keeps and sends.
@@ -89,6 +92,13 @@
 type HardState struct {
 	Term uint64
 	Vote sardine.NodeID
+	// Settled is false in a folder that began empty, until the node has followed
+	// a leader up to an entry of its term. Before, the node may have forgotten
+	// votes and entries along with an earlier folder.
+	Settled bool
+	// Folder numbers the data folder. A folder that replaces a lost one has a
+	// higher number.
+	Folder uint64
 }
 
 // Position names a log entry.
@@ -143,15 +153,17 @@
 	From     sardine.NodeID
 	To       sardine.NodeID
 	Term     uint64
-	LogIndex uint64 // before Entries; the candidate's last; the acknowledged one
+	LogIndex uint64 // before Entries; the candidate's last; the acknowledged one; of a heartbeat: the leader's commit
 	LogTerm  uint64
-	Commit   uint64
+	Commit   uint64 // of a heartbeat: as far as the receiver surely holds it
 	Entries  []Entry
 	Reject   bool
 	Hint     uint64 // of a refused append: highest index that may match; of InstallReply: the wanted offset
 	HintTerm uint64
 	Round    uint64 // heartbeat round, repeated in the reply
 	Force    bool   // vote asked for on behalf of the leader
+	Settled  bool   // the sender's HardState.Settled
+	Folder   uint64 // of the sender; of a leader's message: of the receiver, as far as known
 	Chunk    Chunk
 }
 
--- a/repl/node.go
+++ b/repl/node.go
@@ -107,7 +107,8 @@
 		n.stamp = max(n.stamp, stampOf(e))
 	}
 	n.applied = newApplied(machine, stored.Snapshot, len(loaded.Snapshot.Data))
-	n.core = quorum.New(s.id, s.random, stored, s.clock.Now(), quorum.WithTiming(s.timing), quorum.WithLimits(s.limits))
+	n.core = quorum.New(s.id, s.random, stored, s.clock.Now(),
+		quorum.WithTiming(s.timing), quorum.WithLimits(s.limits), quorum.WithFolder(uint64(s.wallTime())))
 	return nil
 }
 
--- /dev/null
+++ b/repl/repl_test.go
@@ -0,0 +1,264 @@
+package repl
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/clock"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/disk"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/state"
+)
+
+// patience is how long a test waits for goroutines, in real time.
+const patience = 10 * time.Second
+
+// net joins the nodes of a test.
+type net struct {
+	mu    sync.Mutex
+	nodes map[sardine.NodeID]*Node
+	cut   map[sardine.NodeID]bool
+}
+
+// port is one node's link.
+type port struct {
+	net  *net
+	from sardine.NodeID
+}
+
+// Send delivers at once unless one end is cut off.
+func (p port) Send(to sardine.NodeID, batch []quorum.Message) {
+	p.net.mu.Lock()
+	n := p.net.nodes[to]
+	lost := p.net.cut[p.from] || p.net.cut[to]
+	p.net.mu.Unlock()
+	if n != nil && !lost {
+		n.Deliver(batch)
+	}
+}
+
+// site is a set of nodes on a virtual clock.
+type site struct {
+	t     *testing.T
+	clock *clock.Virtual
+	net   *net
+	disks map[sardine.NodeID]*disk.Memory
+	list  []quorum.Member
+	wall  state.WallTime
+}
+
+func newSite(t *testing.T, count int) *site {
+	s := &site{t: t, clock: clock.NewVirtual(0), wall: 1_000_000, disks: make(map[sardine.NodeID]*disk.Memory)}
+	s.net = &net{nodes: make(map[sardine.NodeID]*Node), cut: make(map[sardine.NodeID]bool)}
+	for i := range count {
+		s.list = append(s.list, quorum.Member{Node: sardine.NodeID(fmt.Sprintf("c%d", i+1)), Address: fmt.Sprintf("10.0.0.%d:1", i+1)})
+	}
+	for _, m := range s.list {
+		s.start(m.Node, s.list)
+	}
+	return s
+}
+
+func (s *site) start(id sardine.NodeID, list []quorum.Member, more ...Option) *Node {
+	if s.disks[id] == nil {
+		s.disks[id] = disk.NewMemory(rand.New(rand.NewPCG(7, uint64(len(s.disks)))))
+	}
+	options := []Option{
+		WithID(id), WithSite("test"), WithMembers(list), WithDisk(s.disks[id]), WithClock(s.clock),
+		WithRandom(rand.New(rand.NewPCG(3, uint64(len(id)+int(id[1]))))), WithLink(port{net: s.net, from: id}),
+		WithWallTime(func() state.WallTime { return s.wall }),
+	}
+	n, err := New(append(options, more...)...)
+	require.NoError(s.t, err)
+	s.net.mu.Lock()
+	s.net.nodes[id] = n
+	s.net.mu.Unlock()
+	n.Start()
+	s.t.Cleanup(func() { _ = s.stop(n) })
+	return n
+}
+
+func (s *site) stop(n *Node) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return n.Stop(ctx)
+}
+
+// until advances the clock until f holds.
+func (s *site) until(f func() bool) {
+	s.t.Helper()
+	for start := time.Now(); !f(); {
+		require.Less(s.t, time.Since(start), patience)
+		s.clock.Advance(5)
+		time.Sleep(500 * time.Microsecond)
+	}
+}
+
+func (s *site) leader() *Node {
+	var found *Node
+	s.until(func() bool {
+		for id, n := range s.net.nodes {
+			if n.Leader().Leading && !s.net.cut[id] {
+				found = n
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func join(i int) state.Command {
+	return state.JoinEntry{Node: sardine.NodeID(fmt.Sprintf("e%d", i)), Incarnation: 1}
+}
+
+func (s *site) propose(n *Node, i int) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := n.Propose(ctx, join(i))
+	require.NoError(s.t, err)
+}
+
+func TestStateSurvivesRestartAndStampsNeverFall(t *testing.T) {
+	s := newSite(t, 1)
+	n := s.leader()
+	for i := range 20 {
+		s.propose(n, i)
+	}
+	require.NoError(t, s.stop(n))
+	s.wall = 5 // the VM's wall clock was set back
+	n = s.start("c1", s.list, WithSnapshotBytes(100))
+	s.until(func() bool { return n.Leader().Leading })
+	s.propose(n, 20)
+	s.until(func() bool { return n.Status().Core.Snapshot.Index > 20 })
+	require.NoError(t, s.stop(n))
+	n = s.start("c1", nil)
+	s.until(func() bool { return n.Leader().Leading })
+	s.propose(n, 0)
+	n.View(func(m *state.Machine) {
+		require.Len(t, m.Entries(), 21)
+		require.EqualValues(t, 1_000_000, m.At())
+	})
+	_, _, ok := n.News(3, 10)
+	require.False(t, ok, "compacted away")
+	after := n.Applied()
+	s.propose(n, 21)
+	news, through, ok := n.News(after, 10)
+	require.True(t, ok)
+	require.Len(t, news, 1)
+	require.Equal(t, through, n.Applied())
+}
+
+func TestErrorsTellWhatHappened(t *testing.T) {
+	s := newSite(t, 3)
+	l := s.leader()
+	s.propose(l, 1)
+	var other *Node
+	s.until(func() bool {
+		for _, n := range s.net.nodes {
+			if n != l && n.Leader().ID == l.ID() {
+				other = n
+			}
+		}
+		return other != nil
+	})
+	_, err := other.Propose(context.Background(), join(2))
+	require.Equal(t, codes.NotLeader, codes.Of(err))
+	require.ErrorContains(t, err, string(l.ID()))
+	_, _, err = l.Confirm(context.Background())
+	require.NoError(t, err)
+
+	s.net.mu.Lock()
+	s.net.cut[l.ID()] = true
+	s.net.mu.Unlock()
+	errs := make(chan error, 2)
+	go func() {
+		_, err := l.Propose(context.Background(), join(3))
+		errs <- err
+	}()
+	go func() {
+		_, _, err := l.Confirm(context.Background())
+		errs <- err
+	}()
+	var got []codes.Code
+	s.until(func() bool {
+		select {
+		case err := <-errs:
+			got = append(got, codes.Of(err))
+		default:
+		}
+		return len(got) == 2
+	})
+	require.ElementsMatch(t, []codes.Code{codes.OutcomeUnknown, codes.NotLeader}, got)
+	_, err = l.Propose(context.Background(), join(4))
+	require.Equal(t, codes.NoQuorum, codes.Of(err))
+	next := s.leader()
+	require.NotEqual(t, l.ID(), next.ID())
+	s.propose(next, 5)
+	s.net.mu.Lock()
+	s.net.cut[l.ID()] = false
+	s.net.mu.Unlock()
+	s.until(func() bool { return l.Applied() == next.Applied() })
+	l.View(func(m *state.Machine) {
+		_, kept := m.Entry("e3")
+		require.False(t, kept)
+	})
+}
+
+func TestFailedDiskEndsTheNode(t *testing.T) {
+	for _, c := range []struct {
+		code codes.Code
+		harm func(*disk.Memory)
+	}{
+		{codes.DiskFull, func(d *disk.Memory) { d.Fill(10) }},
+		{codes.SyncFailed, func(d *disk.Memory) { d.FailSyncs(0, 1) }},
+	} {
+		s := newSite(t, 1)
+		n := s.leader()
+		s.propose(n, 1)
+		c.harm(s.disks["c1"])
+		_, err := n.Propose(context.Background(), join(2))
+		require.Equal(t, codes.OutcomeUnknown, codes.Of(err))
+		<-n.Dying()
+		require.Equal(t, c.code, codes.Of(s.stop(n)))
+		s.disks["c1"].Crash()
+		s.disks["c1"].Fill(-1)
+		n = s.start("c1", nil)
+		s.until(func() bool { return n.Leader().Leading })
+		s.propose(n, 3)
+		n.View(func(m *state.Machine) {
+			_, kept := m.Entry("e1")
+			require.True(t, kept)
+		})
+	}
+}
+
+func TestLeaderHandsOverWhenItStops(t *testing.T) {
+	s := newSite(t, 3)
+	l := s.leader()
+	s.propose(l, 1)
+	s.until(func() bool {
+		for _, p := range l.Status().Core.Peers {
+			if p.Match < l.Applied() {
+				return false
+			}
+		}
+		return true
+	})
+	term := l.Leader().Term
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(t, l.Stop(ctx), "no time passes: the next leader is elected at once")
+	s.net.mu.Lock()
+	delete(s.net.nodes, l.ID())
+	s.net.mu.Unlock()
+	require.Equal(t, term+1, s.leader().Leader().Term)
+}
--- a/standin/gauge/quorum.go
+++ b/standin/gauge/quorum.go
@@ -22,6 +22,7 @@
 	Installs    int      `json:"installs"`
 	TailCuts    int      `json:"tail_cuts"`
 	Refused     int      `json:"damaged_refused"`
+	Wipes       int      `json:"folders_emptied"`
 	Changes     int      `json:"member_changes"`
 	FailoverP50 int64    `json:"failover_p50_ms"`
 	FailoverMax int64    `json:"failover_max_ms"`
@@ -78,6 +79,7 @@
 	q.Installs += r.Installs
 	q.TailCuts += r.TailCuts
 	q.Refused += r.Refused
+	q.Wipes += r.Wipes
 	q.Changes += r.Changes
 	if r.Violation != "" {
 		q.Violations++
--- a/standin/trial/closing.go
+++ b/standin/trial/closing.go
@@ -14,7 +14,7 @@
 	failoverMost = 2 * sardine.Second
 	apartFor     = 3 * sardine.Second
 	// quietFor is how long the load rests, so that all logs are equal.
-	quietFor = 1 * sardine.Second
+	quietFor sardine.Millis = 1600
 )
 
 // closing ends the faults and checks what must hold on a healthy site.
--- a/store/open.go
+++ b/store/open.go
@@ -176,7 +176,7 @@
 	}
 	s.number = f.number
 	if h := content.GetHard(); h != nil {
-		s.hard = quorum.HardState{Term: h.GetTerm(), Vote: sardine.NodeID(h.GetVote())}
+		s.hard = quorum.HardState{Term: h.GetTerm(), Vote: sardine.NodeID(h.GetVote()), Settled: h.GetSettled(), Folder: h.GetFolder()}
 	}
 	if r := content.GetReset_(); r != nil {
 		l.base = quorum.Position{Index: r.GetIndex(), Term: r.GetTerm()}
--- a/store/store.go
+++ b/store/store.go
@@ -231,5 +231,5 @@
 }
 
 func hardTo(h quorum.HardState) *wire.HardState {
-	return &wire.HardState{Term: h.Term, Vote: string(h.Vote)}
+	return &wire.HardState{Term: h.Term, Vote: string(h.Vote), Settled: h.Settled, Folder: h.Folder}
 }
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,171 @@
+package store
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/disk"
+	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// bench is one folder under script.
+type bench struct {
+	disk  *disk.Memory
+	store *Store
+	id    Identity
+	term  uint64
+}
+
+// TestScripts runs the scripts in testdata. Commands print the outcome and what
+// the log holds.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		b := &bench{disk: disk.NewMemory(rand.New(rand.NewPCG(1, 2))), id: Identity{Site: "accra", Node: "c1"}, term: 1}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return b.run(t, d) })
+	})
+}
+
+func (b *bench) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "open":
+		return b.open(t, d)
+	case "append":
+		var from, to uint64
+		d.ScanArgs(t, "from", &from)
+		d.ScanArgs(t, "to", &to)
+		d.MaybeScanArgs(t, "term", &b.term)
+		return verdict(b.store.Write(quorum.Write{Sequence: 1, Entries: entries(from, to, b.term), Hard: &quorum.HardState{Term: b.term}}))
+	case "snapshot", "install":
+		var index uint64
+		d.ScanArgs(t, "index", &index)
+		d.MaybeScanArgs(t, "term", &b.term)
+		snap := quorum.Snapshot{Position: quorum.Position{Index: index, Term: b.term}, Data: []byte(fmt.Sprint("state ", index)), Members: []quorum.Member{{Node: "c1"}}}
+		if d.Cmd == "install" {
+			return verdict(b.store.Write(quorum.Write{Sequence: 1, Install: &snap}))
+		}
+		return verdict(b.store.SaveSnapshot(snap))
+	case "compact":
+		var index uint64
+		d.ScanArgs(t, "index", &index)
+		return verdict(b.store.Compact(index))
+	case "files":
+		names, err := b.disk.List()
+		require.NoError(t, err)
+		return strings.Join(names, "\n")
+	default:
+		return b.harm(t, d)
+	}
+}
+
+// harm brings a fault about.
+func (b *bench) harm(t *testing.T, d *datadriven.TestData) string {
+	var name string
+	offset := 0
+	d.MaybeScanArgs(t, "name", &name)
+	d.MaybeScanArgs(t, "offset", &offset)
+	switch d.Cmd {
+	case "fill":
+		b.disk.Fill(int64(offset))
+	case "fail_sync":
+		b.disk.FailSyncs(offset, 1)
+	case "heal":
+		b.disk.Fill(-1)
+		b.disk.FailSyncs(0, 0)
+	case "crash":
+		b.disk.Crash()
+	case "flip":
+		if name == "" { // the last byte of the log
+			name, offset = b.lastByte(t)
+		}
+		require.True(t, b.disk.Flip(name, offset))
+	case "truncate":
+		require.NoError(t, b.disk.Truncate(name, int64(offset)))
+	case "remove":
+		require.NoError(t, b.disk.Remove(name))
+	case "extend":
+		f, err := b.disk.Append(name)
+		require.NoError(t, err)
+		_, err = f.Write(make([]byte, offset))
+		require.NoError(t, err)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return "ok"
+}
+
+func (b *bench) lastByte(t *testing.T) (name string, offset int) {
+	names, err := b.disk.List()
+	require.NoError(t, err)
+	for _, n := range names {
+		if isSegment(n) {
+			name = n
+		}
+	}
+	data, err := b.disk.ReadFile(name)
+	require.NoError(t, err)
+	return name, len(data) - 1
+}
+
+func (b *bench) open(t *testing.T, d *datadriven.TestData) string {
+	id := b.id
+	var node string
+	d.MaybeScanArgs(t, "site", &id.Site)
+	d.MaybeScanArgs(t, "node", &node)
+	if node != "" {
+		id.Node = sardine.NodeID(node)
+	}
+	s, loaded, err := Open(b.disk, id, WithSegmentBytes(300))
+	if err != nil {
+		return verdict(err)
+	}
+	b.store = s
+	g := loaded.Stored
+	return fmt.Sprintf("ok empty=%t cut=%d term=%d snapshot=%d base=%d entries=%s", loaded.Empty, loaded.CutBytes, g.Hard.Term, g.Snapshot.Index, g.Base.Index, spans(g.Entries))
+}
+
+// spans prints entries as ranges of one term.
+func spans(entries []quorum.Entry) string {
+	var parts []string
+	for i := 0; i < len(entries); {
+		j := i
+		for j+1 < len(entries) && entries[j+1].Term == entries[i].Term {
+			j++
+		}
+		parts = append(parts, fmt.Sprintf("%d-%d/%d", entries[i].Index, entries[j].Index, entries[i].Term))
+		i = j + 1
+	}
+	return strings.Join(parts, ",")
+}
+
+func entries(from, to, term uint64) []quorum.Entry {
+	var all []quorum.Entry
+	for i := from; i <= to; i++ {
+		all = append(all, quorum.Entry{Index: i, Term: term, Kind: quorum.KindCommand, Data: []byte("payload of a change")})
+	}
+	return all
+}
+
+func verdict(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return codes.Of(err).Name()
+}
+
+func TestUnknownFormatIsRefused(t *testing.T) {
+	d := disk.NewMemory(rand.New(rand.NewPCG(1, 2)))
+	payload, err := proto.Marshal(&wire.LogHeader{Format: formatVersion + 1, Site: "accra", Node: "c1"})
+	require.NoError(t, err)
+	require.NoError(t, writeWhole(d, identityName, appendFrame(nil, 0, payload)))
+	_, _, err = Open(d, Identity{Site: "accra", Node: "c1"})
+	require.Equal(t, codes.FormatVersion, codes.Of(err))
+}
--- a/wirequ/codec.go
+++ b/wirequ/codec.go
@@ -24,6 +24,8 @@
 		HintTerm: m.HintTerm,
 		Round:    m.Round,
 		Force:    m.Force,
+		Settled:  m.Settled,
+		Folder:   m.Folder,
 	}
 	if m.Kind == quorum.Install {
 		w.Snapshot = chunkTo(m.Chunk)
@@ -47,6 +49,8 @@
 		HintTerm: w.GetHintTerm(),
 		Round:    w.GetRound(),
 		Force:    w.GetForce(),
+		Settled:  w.GetSettled(),
+		Folder:   w.GetFolder(),
 		Chunk:    chunkOf(w.GetSnapshot()),
 	}
 }
