--- a/quorum/core.go
+++ b/quorum/core.go
@@ -280,9 +280,7 @@
 	}
 	s.Data = nil
 	c.snapshot = s
-	if s.Index > c.limits.KeepEntries {
-		c.log.compact(s.Index - c.limits.KeepEntries)
-	}
+	c.log.compact(c.log.keepFrom(s.Index, c.limits.KeepEntries, c.limits.KeepBytes))
 	c.trimLists(s.Index)
 }
 
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -65,6 +65,20 @@
 	l.entries = append(l.entries, entries...)
 }
 
+// keepFrom returns the index up to which entries may go, so that at most count of
+// them and bytes stay behind the snapshot at index.
+func (l *memory) keepFrom(index, count uint64, bytes int) uint64 {
+	for index > l.base.Index && count > 0 {
+		bytes -= l.entries[index-l.base.Index-1].size()
+		if bytes < 0 {
+			break
+		}
+		index--
+		count--
+	}
+	return index
+}
+
 // compact drops the entries up to index.
 func (l *memory) compact(index uint64) {
 	term, ok := l.term(index)
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -26,6 +26,7 @@
 	UncommittedBytes int    // proposals that wait for a quorum
 	ChunkBytes       int    // snapshot bytes in one message
 	KeepEntries      uint64 // entries kept behind a snapshot for slow followers
+	KeepBytes        int    // at most so many bytes of them
 	PromoteLag       uint64 // entries that a learner may lack when it is promoted
 }
 
@@ -37,6 +38,7 @@
 		UncommittedBytes: 8 << 20,
 		ChunkBytes:       256 << 10,
 		KeepEntries:      2000,
+		KeepBytes:        2 << 20,
 		PromoteLag:       200,
 	}
 }
--- a/repl/apply.go
+++ b/repl/apply.go
@@ -1,7 +1,9 @@
 package repl
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 
 	"sardineswitch.dev/sardine/codes"
@@ -92,16 +94,13 @@
 	if after < a.floor {
 		return nil, 0, false
 	}
-	for _, c := range a.recent {
-		if c.Index <= after {
-			continue
-		}
-		if len(news) == limit {
-			return news, news[limit-1].Index, true
-		}
-		news = append(news, c)
+	first, _ := slices.BinarySearchFunc(a.recent, after+1, func(c Applied, index uint64) int { return cmp.Compare(c.Index, index) })
+	rest := a.recent[first:]
+	if len(rest) > max(limit, 1) {
+		rest = rest[:max(limit, 1)]
+		return slices.Clone(rest), rest[len(rest)-1].Index, true
 	}
-	return news, max(a.index, after), true
+	return slices.Clone(rest), max(a.index, after), true
 }
 
 // applyDuty applies committed entries and answers their callers.
--- a/repl/node.go
+++ b/repl/node.go
@@ -208,7 +208,7 @@
 	n.applied.view(f)
 }
 
-// News returns the spread commands after an index, oldest first, at most limit,
+// News returns the spread commands after an index, oldest first, at most limit (1 at least),
 // and the index up to which they are complete. ok is false if some of them are
 // no longer kept: use SpreadSnapshot then.
 func (n *Node) News(after uint64, limit int) (news []Applied, through uint64, ok bool) {
--- a/standin/trial/member.go
+++ b/standin/trial/member.go
@@ -35,6 +35,7 @@
 		UncommittedBytes: openBytes,
 		ChunkBytes:       chunkBytes,
 		KeepEntries:      keepEntries,
+		KeepBytes:        openBytes,
 		PromoteLag:       promoteLag,
 	}
 }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -169,3 +169,43 @@
 	_, _, err = Open(d, Identity{Site: "accra", Node: "c1"})
 	require.Equal(t, codes.FormatVersion, codes.Of(err))
 }
+
+// sampleLog returns a folder with one segment of several frames.
+func sampleLog(t *testing.T) (d *disk.Memory, id Identity, name string, size int) {
+	d = disk.NewMemory(rand.New(rand.NewPCG(1, 2)))
+	id = Identity{Site: "accra", Node: "c1"}
+	s, _, err := Open(d, id)
+	require.NoError(t, err)
+	for i := range uint64(5) {
+		require.NoError(t, s.Write(quorum.Write{Sequence: i + 1, Entries: entries(3*i+1, 3*i+3, 1+i/2)}))
+	}
+	name = segmentName(1)
+	data, err := d.ReadFile(name)
+	require.NoError(t, err)
+	return d, id, name, len(data)
+}
+
+func TestEveryFlippedBitIsNoticed(t *testing.T) {
+	d, id, name, size := sampleLog(t)
+	for at := range size {
+		require.True(t, d.Flip(name, at))
+		_, _, err := Open(d, id)
+		require.Equal(t, codes.LogDamaged, codes.Of(err), "byte %d of %d", at, size)
+		require.True(t, d.Flip(name, at))
+	}
+}
+
+func TestEveryTornTailIsCut(t *testing.T) {
+	_, _, _, size := sampleLog(t)
+	last := 15
+	for at := size - 1; at >= 0; at-- {
+		d, id, name, _ := sampleLog(t)
+		require.NoError(t, d.Truncate(name, int64(at)))
+		_, loaded, err := Open(d, id)
+		require.NoError(t, err, "byte %d of %d", at, size)
+		require.LessOrEqual(t, len(loaded.Stored.Entries), last)
+		last = len(loaded.Stored.Entries)
+		require.Zero(t, last%3, "a frame counts whole or not at all")
+	}
+	require.Zero(t, last)
+}
