--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 
 # The packages whose goroutines share memory.
 race:
-	go test -race ./ring/... ./clock/...
+	go test -race ./ring/... ./clock/... ./repl/... ./peer/...
 
 # The generated code is committed; this needs buf, which CI does not build.
 generate:
--- a/repl/node.go
+++ b/repl/node.go
@@ -107,7 +107,8 @@
 		n.stamp = max(n.stamp, stampOf(e))
 	}
 	n.applied = newApplied(machine, stored.Snapshot, len(loaded.Snapshot.Data))
-	n.core = quorum.New(s.id, s.random, stored, s.clock.Now(), quorum.WithTiming(s.timing), quorum.WithLimits(s.limits))
+	n.core = quorum.New(s.id, s.random, stored, s.clock.Now(),
+		quorum.WithTiming(s.timing), quorum.WithLimits(s.limits), quorum.WithFolder(uint64(s.wallTime())))
 	return nil
 }
 
@@ -207,7 +208,7 @@
 	n.applied.view(f)
 }
 
-// News returns the spread commands after an index, oldest first, at most limit,
+// News returns the spread commands after an index, oldest first, at most limit (1 at least),
 // and the index up to which they are complete. ok is false if some of them are
 // no longer kept: use SpreadSnapshot then.
 func (n *Node) News(after uint64, limit int) (news []Applied, through uint64, ok bool) {
