--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -25,7 +25,9 @@
 	return []Measure{
 		quorumMeasure(),
 		logMeasure(),
+		settingsMeasure(),
 		configMeasure(),
+		scaleMeasure(),
 	}
 }
 
--- a/standin/spread/control.go
+++ b/standin/spread/control.go
@@ -89,6 +89,7 @@
 			return b, c.machine.Index(), err
 		}),
 		follow.WithServerDefect(c.w.options.Follow),
+		follow.WithServerTiming(c.w.timing()),
 	)
 	c.server.Restored(c.machine.Index())
 	c.leading, c.ready, c.leader = false, false, ""
--- a/standin/spread/entry.go
+++ b/standin/spread/entry.go
@@ -66,7 +66,7 @@
 	n.now = now
 	n.incarnation++
 	self := follow.NodeRef{Node: n.name, Incarnation: n.incarnation}
-	n.follower = follow.NewFollower(self, string(n.id), n.w.controlNames(), n.w.random(), follow.WithDefect(n.w.options.Follow))
+	n.follower = follow.NewFollower(self, string(n.id), n.w.controlNames(), n.w.random(), follow.WithDefect(n.w.options.Follow), follow.WithTiming(n.w.timing()))
 	n.view = view{teams: make(map[sardine.Team]served)}
 	n.calls = make(map[uint64]call)
 	n.polls = make(map[uint64]caller)
--- a/standin/spread/world.go
+++ b/standin/spread/world.go
@@ -28,6 +28,9 @@
 	Holding   sardine.Millis // length of the holding lease, 0 for the default
 	Follow    follow.Defect
 	Lease     lease.Defect
+	// PollHold and Serving are the hold time of polls and the serving lease, 0
+	// for the defaults.
+	PollHold, Serving sardine.Millis
 	// LoseChangeIDs leaves the change ids out of snapshots.
 	LoseChangeIDs bool
 	// Link returns the one-way time between two data centres, counted from 0.
@@ -162,12 +165,23 @@
 
 func (w *World) leaseOptions() []lease.Option {
 	options := []lease.Option{lease.WithDefect(w.options.Lease)}
+	if w.options.Serving > 0 {
+		options = append(options, lease.WithServing(w.options.Serving))
+	}
 	if w.options.Holding > 0 {
 		options = append(options, lease.WithHolding(w.options.Holding))
 	}
 	return options
 }
 
+func (w *World) timing() follow.Timing {
+	t := follow.DefaultTiming()
+	if w.options.PollHold > 0 {
+		t.Hold = w.options.PollHold
+	}
+	return t
+}
+
 func (w *World) controlNames() []string {
 	names := make([]string, len(w.controlIDs))
 	for i, id := range w.controlIDs {
