--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -33,7 +33,9 @@
 		limits(),
 		quorumMeasure(),
 		logMeasure(),
+		settingsMeasure(),
 		configMeasure(),
+		scaleMeasure(),
 	}
 }
 
