--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -316,6 +316,10 @@
 }
 
 // Follow implements wire.Control; sardctl does not call it.
+func (f *fake) Lend(context.Context, *wire.LendRequest) (*wire.LendReply, error) {
+	return &wire.LendReply{}, nil
+}
+
 func (f *fake) Follow(context.Context, *wire.FollowRequest) (*wire.FollowReply, error) {
 	return &wire.FollowReply{}, nil
 }
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -24,13 +24,10 @@
 func Table() []Measure {
 	return []Measure{
 		routing(),
-		groupsMeasure(),
 		admission(),
-		quorumMeasure(),
-		logMeasure(),
-		configMeasure(),
 		claims(),
 		limits(),
+		groupsMeasure(),
 		quorumMeasure(),
 		logMeasure(),
 		settingsMeasure(),
