Measure what an entry node adds to a streamed request

Cause: the cost of a request and of a token at one entry node was not known. Change: standin measure entry runs the same streamed load directly, through net/http's bare reverse proxy and through an entry node, with two answer lengths.

--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -33,6 +33,7 @@
 		settingsMeasure(),
 		configMeasure(),
 		scaleMeasure(),
+		entryMeasure(),
 	}
 }
 
--- a/standin/gauge/log.go
+++ b/standin/gauge/log.go
@@ -108,7 +108,7 @@
 
 // load runs callers against the leader for the given time, and on until the
 // wanted number of changes is reached.
-func (s *site) load(result *LogResult, l *logMember, o logOptions) {
+func (s *logSite) load(result *LogResult, l *logMember, o logOptions) {
 	times := hdrhistogram.New(1, highestCommit, 3)
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -162,7 +162,7 @@
 }
 
 // failover stops the leader without a handover and waits for the next change.
-func (s *site) failover(result *LogResult, l *logMember) error {
+func (s *logSite) failover(result *LogResult, l *logMember) error {
 	if len(s.members) < 3 {
 		return nil
 	}
@@ -185,7 +185,7 @@
 }
 
 // restart stops all members and reads one member's folder again.
-func (s *site) restart(result *LogResult) error {
+func (s *logSite) restart(result *LogResult) error {
 	m := s.members[0]
 	if err := m.stop(); err != nil {
 		return err
@@ -201,7 +201,7 @@
 }
 
 // noteBytes keeps the highest size of a member's folder.
-func (s *site) noteBytes(result *LogResult) {
+func (s *logSite) noteBytes(result *LogResult) {
 	var sum int64
 	files, _ := filepath.Glob(filepath.Join(s.members[0].folder, "*"))
 	for _, f := range files {
--- a/standin/gauge/logsite.go
+++ b/standin/gauge/logsite.go
@@ -31,8 +31,8 @@
 	stopped  bool
 }
 
-// site is a set of members in one process.
-type site struct {
+// logSite is a set of members in one process.
+type logSite struct {
 	members []*logMember
 	list    []quorum.Member
 	mu      sync.Mutex
@@ -54,8 +54,8 @@
 }
 
 // newSite starts the members.
-func newSite(folder string, count int) (*site, error) {
-	s := &site{}
+func newSite(folder string, count int) (*logSite, error) {
+	s := &logSite{}
 	for i := range count {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -143,13 +143,13 @@
 	return errors.Join(m.node.Stop(ctx), m.link.Close(), m.server.Close())
 }
 
-func (s *site) stop() {
+func (s *logSite) stop() {
 	for _, m := range s.members {
 		_ = m.stop()
 	}
 }
 
-func (s *site) leader() (*logMember, error) {
+func (s *logSite) leader() (*logMember, error) {
 	for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(time.Millisecond) {
 		for _, m := range s.members {
 			if m.node.Leader().Leading {
@@ -161,7 +161,7 @@
 }
 
 // idle measures the bytes and the processor time without load.
-func (s *site) idle(result *LogResult, l *logMember) {
+func (s *logSite) idle(result *LogResult, l *logMember) {
 	time.Sleep(time.Second)
 	before := make([]int64, len(s.members))
 	for i, m := range s.members {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -79,6 +79,7 @@
 	load     sardine.Millis // time to load one member's weights
 	token    sardine.Millis
 	fenced   bool
+	engine   []engine.Option // besides the site's own
 	logger   *slog.Logger
 	timing   entry.Timing
 	control  ctrl.Timing
@@ -118,6 +119,11 @@
 	return func(s *settings) { s.fenced = on }
 }
 
+// WithEngineOptions adds options to every engine.
+func WithEngineOptions(options ...engine.Option) Option {
+	return func(s *settings) { s.engine = options }
+}
+
 // WithLogger sets where the nodes write their events.
 func WithLogger(l *slog.Logger) Option {
 	return func(s *settings) { s.logger = l }
@@ -343,7 +349,7 @@
 }
 
 func (s *Site) startEngine(domain, vm int) error {
-	e := engine.New(
+	options := []engine.Option{
 		engine.WithVM(sardine.VMID(fmt.Sprintf("vm-%d-%d", domain+1, vm+1))),
 		engine.WithPlace(dataCentre(domain), sardine.FabricDomain(fmt.Sprintf("fabric-%d", domain+1))),
 		engine.WithBalancer(s.balancer.Address()),
@@ -352,7 +358,8 @@
 		engine.WithLoadable(Model),
 		engine.WithChecksEpoch(s.settings.fenced),
 		engine.WithSpeed(10, s.settings.token),
-	)
+	}
+	e := engine.New(append(options, s.settings.engine...)...)
 	s.engines = append(s.engines, e)
 	return e.Start()
 }
