--- a/peer/link.go
+++ b/peer/link.go
@@ -181,11 +181,11 @@
 
 // gather joins all batches that wait into one call.
 func (o *outlet) gather(first []quorum.Message) *wire.PeerBatch {
-	w := &wire.PeerBatch{Site: o.link.site, From: string(o.link.self), Address: o.link.address}
+	w := &wire.PeerBatch{Site: o.link.site, From: string(o.link.self)}
 	batch := first
 	for range ringBatches {
 		for _, m := range batch {
-			w.Messages = append(w.Messages, wirequ.MessageTo(m))
+			o.add(w, m)
 		}
 		select {
 		case batch = <-o.queue.Items():
@@ -196,6 +196,16 @@
 	return w
 }
 
+// add leaves out what the receiver knows: heartbeats go out all the time. Only a
+// leader's other messages can be the first that a new member receives.
+func (o *outlet) add(w *wire.PeerBatch, m quorum.Message) {
+	if m.Kind != quorum.Heartbeat && m.Kind != quorum.HeartbeatReply {
+		w.Address = o.link.address
+	}
+	m.From = ""
+	w.Messages = append(w.Messages, wirequ.MessageTo(m))
+}
+
 func (o *outlet) send(w *wire.PeerBatch) {
 	address := o.link.addressOf(o.to)
 	if address == "" {
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,10 +46,9 @@
 	}
 	batch := make([]quorum.Message, 0, len(w.GetMessages()))
 	for _, m := range w.GetMessages() {
-		if m.GetFrom() != w.GetFrom() {
-			return nil, twirp.InvalidArgumentError("from", "a message names another sender than its batch")
-		}
-		batch = append(batch, wirequ.MessageOf(m))
+		message := wirequ.MessageOf(m)
+		message.From = sardine.NodeID(w.GetFrom())
+		batch = append(batch, message)
 	}
 	s.receiver.Deliver(batch)
 	return &wire.PeerAck{}, nil
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -73,7 +73,11 @@
 func (c *Core) sendHeartbeat(n sardine.NodeID, p *progress) {
 	commit := min(p.match, c.commit)
 	p.sentCommit = commit
-	c.send(Message{Kind: Heartbeat, To: n, LogIndex: c.commit, Commit: commit, Round: c.reads.round})
+	m := Message{Kind: Heartbeat, To: n, Commit: commit, Round: c.reads.round}
+	if commit < c.commit {
+		m.LogIndex = c.commit
+	}
+	c.send(m)
 }
 
 func (c *Core) handleHeartbeat(m Message) {
@@ -82,7 +86,7 @@
 		return
 	}
 	c.commitTo(min(m.Commit, c.log.last().Index))
-	c.settle(m.Folder, m.LogIndex)
+	c.settle(m.Folder, max(m.LogIndex, m.Commit))
 	c.send(Message{Kind: HeartbeatReply, To: m.From, Round: m.Round})
 }
 
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -155,7 +155,7 @@
 	From     sardine.NodeID
 	To       sardine.NodeID
 	Term     uint64
-	LogIndex uint64 // before Entries; the candidate's last; the acknowledged one; of a heartbeat: the leader's commit
+	LogIndex uint64 // before Entries; the candidate's last; the acknowledged one; of a heartbeat: the leader's commit, if higher than Commit
 	LogTerm  uint64
 	Commit   uint64 // of a heartbeat: as far as the receiver surely holds it
 	Entries  []Entry
--- a/repl/node.go
+++ b/repl/node.go
@@ -108,7 +108,7 @@
 	}
 	n.applied = newApplied(machine, stored.Snapshot, len(loaded.Snapshot.Data))
 	n.core = quorum.New(s.id, s.random, stored, s.clock.Now(),
-		quorum.WithTiming(s.timing), quorum.WithLimits(s.limits), quorum.WithFolder(uint64(s.wallTime())))
+		quorum.WithTiming(s.timing), quorum.WithLimits(s.limits), quorum.WithFolder(uint64(s.wallTime()/1000)))
 	return nil
 }
 
--- a/standin/gauge/log.go
+++ b/standin/gauge/log.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	CommitMax     float64 `json:"commit_max_ms"`
 	SyncsLeader   uint64  `json:"syncs_leader"`
 	DiskBytes     int64   `json:"disk_bytes_highest"`
+	HeapMB        float64 `json:"heap_mb_per_member"`
 	RestartAfter  uint64  `json:"restart_after_changes"`
 	RestartMillis float64 `json:"restart_read_ms"`
 	IdleLeader    float64 `json:"idle_leader_bytes_per_second"`
@@ -144,6 +146,14 @@
 	result.CommitMax = float64(times.Max()) / 1000
 	result.SyncsLeader = l.node.Status().Syncs
 	result.RestartAfter = done.Load()
+	result.HeapMB = heapMB() / float64(len(s.members))
+}
+
+// heapMB returns the heap in use, in megabytes, with what awaits collection.
+func heapMB() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse) / (1 << 20)
 }
 
 // propose makes one change: an entry node that joins under a name of which there
