--- a/store/open.go
+++ b/store/open.go
@@ -133,7 +133,7 @@
 		}
 		l.loaded.CutBytes += len(data) - at
 		if at == 0 {
-			return s.disk.Remove(name)
+			return removeTorn(s.disk, name)
 		}
 		if err := cut(s.disk, name, int64(at)); err != nil {
 			return err
@@ -143,6 +143,15 @@
 	return nil
 }
 
+// removeTorn removes a segment without a whole frame, durably: if it came back
+// after a crash, the segment before it would no longer count as the last.
+func removeTorn(d sardine.Disk, name string) error {
+	if err := d.Remove(name); err != nil {
+		return err
+	}
+	return d.SyncFolder()
+}
+
 // cut removes a torn end durably, so that later frames do not follow it.
 func cut(d sardine.Disk, name string, size int64) error {
 	if err := d.Truncate(name, size); err != nil {
