--- a/drive/drive.go
+++ b/drive/drive.go
@@ -63,7 +63,7 @@
 	wake   uint64
 	start  sardine.Millis // own clock at the driver's zero
 	rate   float64
-	start0 func(now sardine.Millis)
+	begin  func(now sardine.Millis)
 	tick   func(now sardine.Millis)
 	next   func() sardine.Millis
 	crash  func()
@@ -128,7 +128,7 @@
 // Add starts an actor.
 func (d *Driver[M]) Add(id sardine.NodeID, a Actor[M]) {
 	n := &node{id: id, rate: 1 + d.faults.Drift*(2*d.random.Float64()-1), start: sardine.Millis(d.random.IntN(100_000))}
-	n.start0, n.tick, n.next, n.crash = a.Start, a.Tick, a.Wake, a.Crash
+	n.begin, n.tick, n.next, n.crash = a.Start, a.Tick, a.Wake, a.Crash
 	d.nodes = append(d.nodes, n)
 	d.actors[id] = a
 	d.Restart(id)
--- a/drive/fault.go
+++ b/drive/fault.go
@@ -21,7 +21,7 @@
 	}
 	n.up = true
 	n.paused = 0
-	n.start0(n.local(d.now))
+	n.begin(n.local(d.now))
 	d.arm(n)
 }
 
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -161,7 +161,6 @@
 	Entries  []Entry
 	Reject   bool
 	Hint     uint64 // of a refused append: highest index that may match; of InstallReply: the wanted offset
-	HintTerm uint64
 	Round    uint64 // heartbeat round, repeated in the reply
 	Force    bool   // vote asked for on behalf of the leader
 	Settled  bool   // the sender's HardState.Settled
--- a/repl/repl_test.go
+++ b/repl/repl_test.go
@@ -262,3 +262,32 @@
 	s.net.mu.Unlock()
 	require.Equal(t, term+1, s.leader().Leader().Term)
 }
+
+func TestLateMemberGetsTheSnapshotInChunks(t *testing.T) {
+	limits := quorum.DefaultLimits()
+	limits.KeepEntries = 3
+	limits.ChunkBytes = 64
+	s := &site{t: t, clock: clock.NewVirtual(0), wall: 1_000_000, disks: make(map[sardine.NodeID]*disk.Memory)}
+	s.net = &net{nodes: make(map[sardine.NodeID]*Node), cut: make(map[sardine.NodeID]bool)}
+	s.list = []quorum.Member{{Node: "c1", Address: "10.0.0.1:1"}}
+	l := s.start("c1", s.list, WithSnapshotBytes(500), WithLimits(limits))
+	s.until(func() bool { return l.Leader().Leading })
+	for i := range 50 {
+		s.propose(l, i)
+	}
+	s.until(func() bool { return l.Status().Core.First > 10 })
+	late := s.start("c2", nil, WithLimits(limits))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	m := quorum.Member{Node: "c2", Address: "10.0.0.2:1"}
+	require.NoError(t, l.ChangeMember(ctx, quorum.MemberChange{Kind: quorum.AddLearner, Member: m}))
+	s.until(func() bool { return late.Applied() == l.Applied() })
+	late.View(func(m *state.Machine) { require.Len(t, m.Entries(), 50) })
+	_, _, ok := late.News(1, 10)
+	require.False(t, ok)
+	s.until(func() bool { return l.Status().Core.Peers[0].Lag == 0 })
+	require.Eventually(t, func() bool {
+		return l.ChangeMember(ctx, quorum.MemberChange{Kind: quorum.Promote, Member: m}) == nil
+	}, patience, time.Millisecond)
+	require.False(t, l.Members()[1].Learner)
+}
--- a/wirequ/codec_test.go
+++ b/wirequ/codec_test.go
@@ -43,7 +43,7 @@
 			Kind: quorum.Kind(rapid.IntRange(1, int(quorum.ElectNow)).Draw(t, "kind")), From: "c1", To: "c2",
 			Term: number.Draw(t, "term"), LogIndex: number.Draw(t, "index"), LogTerm: number.Draw(t, "log term"),
 			Commit: number.Draw(t, "commit"), Reject: rapid.Bool().Draw(t, "reject"), Hint: number.Draw(t, "hint"),
-			HintTerm: number.Draw(t, "hint term"), Round: number.Draw(t, "round"), Force: rapid.Bool().Draw(t, "force"),
+			Round: number.Draw(t, "round"), Force: rapid.Bool().Draw(t, "force"),
 			Settled: rapid.Bool().Draw(t, "settled"), Folder: number.Draw(t, "folder"),
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "entries") {
