--- a/quorum/core.go
+++ b/quorum/core.go
@@ -49,6 +49,7 @@
 	now         sardine.Millis
 	role        Role
 	hard        HardState
+	written     HardState // as last handed out to be stored
 	leader      sardine.NodeID
 	leaderSince sardine.Millis
 	log         memory
@@ -124,6 +125,7 @@
 	}
 	c.durable = c.log.last().Index
 	c.hard.Term = max(c.hard.Term, c.log.last().Term)
+	c.written = c.hard
 	c.lists = []membership{{index: stored.Snapshot.Index, members: stored.Snapshot.Members}}
 	for _, e := range stored.Entries {
 		if e.Index > stored.Snapshot.Index {
--- a/quorum/output.go
+++ b/quorum/output.go
@@ -73,6 +73,7 @@
 	if c.role == Leader {
 		c.replicate()
 	}
+	c.check(c.handed <= c.commit && c.commit <= c.log.last().Index, "applied %d, committed %d, the log ends at %d", c.handed, c.commit, c.log.last().Index)
 	if c.commit > c.handed {
 		c.out.Committed = c.log.between(c.handed, c.commit)
 		c.handed = c.commit
@@ -108,8 +109,12 @@
 }
 
 func (c *Core) writeHard() {
+	old := c.written
+	c.check(c.hard.Term >= old.Term, "the term fell from %d to %d", old.Term, c.hard.Term)
+	c.check(c.hard.Term > old.Term || old.Vote == "" || c.hard.Vote == old.Vote, "a second vote in term %d, for %s after %s", old.Term, c.hard.Vote, old.Vote)
 	w := c.write()
 	hard := c.hard
+	c.written = hard
 	w.Hard = &hard
 	c.hardSequence = w.Sequence
 }
