--- a/quorum/types.go
+++ b/quorum/types.go
@@ -155,13 +155,12 @@
 	From     sardine.NodeID
 	To       sardine.NodeID
 	Term     uint64
-	LogIndex uint64 // before Entries; the candidate's last; the acknowledged one; of a heartbeat: the leader's commit
+	LogIndex uint64 // before Entries; the candidate's last; the acknowledged one; of a heartbeat: the leader's commit, if higher than Commit
 	LogTerm  uint64
 	Commit   uint64 // of a heartbeat: as far as the receiver surely holds it
 	Entries  []Entry
 	Reject   bool
 	Hint     uint64 // of a refused append: highest index that may match; of InstallReply: the wanted offset
-	HintTerm uint64
 	Round    uint64 // heartbeat round, repeated in the reply
 	Force    bool   // vote asked for on behalf of the leader
 	Settled  bool   // the sender's HardState.Settled
