Prove fleet and groups: lifecycle table, promises, checks that fail

docs/LIFECYCLE.md is made from plan.Lifecycle and compared by a test, and the table is compared with the state machine's moves. Random runs of homes and leader show that no live target is lost and no dead one stays.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,163 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/state"
+)
+
+func announcement(vm string, incarnation sardine.Incarnation) sardine.Announcement {
+	return sardine.Announcement{VM: sardine.VMID(vm), Incarnation: incarnation, Kind: sardine.KindEngine, Address: vm + ":80"}
+}
+
+func TestHomeReportsChangesUntilAcked(t *testing.T) {
+	h := NewHome("home", 1)
+	require.NoError(t, h.Announce(0, announcement("a", 1)))
+	first, news := h.Report(0)
+	require.True(t, news)
+	require.True(t, first.Full)
+	require.Len(t, first.Statuses, 1)
+	again, _ := h.Report(10)
+	require.Len(t, again.Statuses, 1)
+	h.Acked(Ack{Sequence: first.Sequence})
+	require.True(t, h.HasNews(20), "only the last report's answer counts")
+	h.Acked(Ack{Sequence: again.Sequence})
+	require.False(t, h.HasNews(20))
+	_, news = h.Report(1000)
+	require.False(t, news)
+}
+
+func TestHomeHoldsLoadBack(t *testing.T) {
+	h := NewHome("home", 1)
+	a := announcement("a", 1)
+	require.NoError(t, h.Announce(0, a))
+	r, _ := h.Report(0)
+	h.Acked(Ack{Sequence: r.Sequence})
+	a.Load.TokensPerSecond = 100
+	require.NoError(t, h.Announce(1000, a))
+	require.False(t, h.HasNews(1000))
+	require.True(t, h.HasNews(2000))
+	r, _ = h.Report(2000)
+	require.Equal(t, 100.0, r.Statuses[0].Load.TokensPerSecond)
+	h.Acked(Ack{Sequence: r.Sequence})
+	a.Load.TokensPerSecond = 110
+	require.NoError(t, h.Announce(5000, a))
+	require.False(t, h.HasNews(5000), "a small change is not news")
+}
+
+func TestHomeRefusesEarlierIncarnation(t *testing.T) {
+	h := NewHome("home", 1)
+	require.NoError(t, h.Announce(0, announcement("a", 2)))
+	require.True(t, codes.Is(h.Announce(1, announcement("a", 1)), codes.Superseded))
+	require.Empty(t, h.Tick(2999))
+	require.Equal(t, []Ref{{VM: "a", Incarnation: 2}}, h.Tick(3000))
+}
+
+func TestLeaderIgnoresOldNews(t *testing.T) {
+	l := NewLeader()
+	l.Lead(0, 1)
+	ready := announcement("a", 1)
+	ready.Holding.State = sardine.MemberReady
+	l.Take(1000, Report{Home: "one", Incarnation: 1, Sequence: 1, Full: true, Statuses: []Status{{Announcement: announcement("a", 1), Age: 100}}})
+	l.Take(1001, Report{Home: "two", Incarnation: 1, Sequence: 1, Full: true, Statuses: []Status{{Announcement: ready, Age: 900}}})
+	s, live := l.Live(1001, "a")
+	require.True(t, live)
+	require.NotEqual(t, sardine.MemberReady, s.Holding.State, "the older announcement must not win")
+	require.False(t, l.Take(1002, Report{Home: "two", Incarnation: 1, Sequence: 1}).WantFull)
+	require.True(t, l.Heard(1003, "three", 1).WantFull)
+}
+
+// nodes is a random run of targets, homes and a leader with its log.
+type nodes struct {
+	random  *rand.Rand
+	homes   []*Home
+	alive   []bool
+	died    []sardine.Millis
+	started []sardine.Incarnation
+	leader  *Leader
+	machine *state.Machine
+	index   uint64
+	ledAt   sardine.Millis
+}
+
+func (n *nodes) step(now sardine.Millis) {
+	for i, alive := range n.alive {
+		if alive && now%1000 == sardine.Millis(i*50%1000) {
+			h := n.homes[n.random.IntN(len(n.homes))]
+			_ = h.Announce(now, announcement(fmt.Sprint(i), n.started[i]))
+		}
+	}
+	for i, h := range n.homes {
+		h.Tick(now)
+		r, news := h.Report(now)
+		switch {
+		case n.random.Float64() < 0.1: // lost on the way
+		case !news:
+			h.Acked(n.leader.Heard(now, sardine.NodeID(fmt.Sprint("home", i)), 1))
+		default:
+			h.Acked(n.leader.Take(now, r))
+		}
+	}
+	for _, c := range n.leader.Tick(now, n.machine) {
+		n.index++
+		n.machine.Apply(n.index, 0, c)
+	}
+}
+
+func (n *nodes) fault(now sardine.Millis) {
+	i := n.random.IntN(len(n.alive))
+	switch n.random.IntN(40) {
+	case 0:
+		n.alive[i] = false
+		n.died[i] = now
+	case 1:
+		if !n.alive[i] {
+			n.alive[i] = true
+			n.started[i]++
+			n.died[i] = now
+		}
+	case 2:
+		if n.random.IntN(10) == 0 {
+			n.leader.Lead(now, uint64(now))
+			n.ledAt = now
+		}
+	}
+}
+
+// TestRandomFleet spreads every announcement over all homes, loses reports and
+// changes the leader: no live target is ever lost, and every dead one is
+// within its lease, a home's lease and the grace of an election.
+func TestRandomFleet(t *testing.T) {
+	const bound = 8 * sardine.Second
+	for seed := uint64(1); seed <= 8; seed++ {
+		n := &nodes{random: rand.New(rand.NewPCG(seed, 0)), leader: NewLeader(), machine: state.NewMachine()}
+		for i := range 20 {
+			n.homes = append(n.homes, NewHome(sardine.NodeID(fmt.Sprint("home", i%5)), 1))
+			n.alive = append(n.alive, true)
+			n.died = append(n.died, 0)
+			n.started = append(n.started, 1)
+		}
+		n.homes = n.homes[:5]
+		n.leader.Lead(0, 1)
+		for now := sardine.Millis(0); now < 200*sardine.Second; now += 50 {
+			if now%100 == 0 {
+				n.fault(now)
+			}
+			n.step(now)
+			for i, alive := range n.alive {
+				if now < max(n.died[i], n.ledAt)+bound {
+					continue
+				}
+				target, known := n.machine.Target(sardine.VMID(fmt.Sprint(i)))
+				require.Equal(t, alive, known, "seed %d target %d at %d", seed, i, now)
+				require.True(t, !known || target.Incarnation == n.started[i])
+			}
+		}
+	}
+}
--- a/plan/explain.go
+++ b/plan/explain.go
@@ -56,3 +56,22 @@
 	}
 	return lines
 }
+
+// VMStage is one VM and where it stands.
+type VMStage struct {
+	VM    sardine.VMID
+	Stage Stage
+}
+
+// Stages returns the stage of each engine VM, sorted by VM, as of the newest
+// round.
+func (p *Planner) Stages() []VMStage {
+	if p.last == nil {
+		return nil
+	}
+	var stages []VMStage
+	for _, vm := range p.last.sorted {
+		stages = append(stages, VMStage{VM: vm, Stage: p.last.stage(p.last.vms[vm])})
+	}
+	return stages
+}
--- /dev/null
+++ b/plan/lifecycle_test.go
@@ -0,0 +1,42 @@
+package plan
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/state"
+)
+
+const lifecyclePage = "../docs/LIFECYCLE.md"
+
+// TestLifecyclePage compares the page with the table. SARDINE_WRITE=1 writes it.
+func TestLifecyclePage(t *testing.T) {
+	if os.Getenv("SARDINE_WRITE") == "1" {
+		require.NoError(t, os.WriteFile(lifecyclePage, []byte(LifecycleText()), 0o644))
+	}
+	page, err := os.ReadFile(lifecyclePage)
+	require.NoError(t, err)
+	require.Equal(t, LifecycleText(), string(page))
+}
+
+// TestLifecycleMatchesMoves compares the table with the state machine: each
+// allowed move of a group is a transition of its members, and no other move is.
+func TestLifecycleMatchesMoves(t *testing.T) {
+	listed := make(map[[2]Stage]bool)
+	for _, row := range Lifecycle() {
+		listed[[2]Stage{row.From, row.To}] = true
+	}
+	states := []sardine.GroupState{sardine.GroupAssigned, sardine.GroupLoading, sardine.GroupServing, sardine.GroupDegraded}
+	for _, from := range states {
+		allowed := make(map[Stage]bool)
+		for _, to := range state.Moves(from) {
+			allowed[stageOfGroup(to)] = true
+		}
+		for to := StageLoading; to <= StageFenced; to++ {
+			require.Equal(t, allowed[to], listed[[2]Stage{stageOfGroup(from), to}], "%s to %s", from, to)
+		}
+	}
+}
--- a/standin/gauge/groups.go
+++ b/standin/gauge/groups.go
@@ -44,6 +44,7 @@
 	Rounds     int     `json:"rounds"`
 	MeanRound  float64 `json:"round_mean_ms"`
 	WorstRound float64 `json:"round_worst_ms"`
+	usage      fake.Usage
 }
 
 func groupsMeasure() Measure {
@@ -118,6 +119,7 @@
 		Rounds:     w.Rounds(),
 		MeanRound:  mean,
 		WorstRound: worst,
+		usage:      used,
 	}, nil
 }
 
--- a/standin/gauge/groupsite.go
+++ b/standin/gauge/groupsite.go
@@ -9,7 +9,12 @@
 	"sardineswitch.dev/sardine/standin/fake"
 )
 
-// objectives are the two users' weights, per group-second without service and
+// objectiveNames returns the names of the objectives.
+func objectiveNames() []string {
+	return []string{"adinkra", "dobra"}
+}
+
+// objectiveNamed returns the two users' weights, per group-second without service and
 // per accelerator-second powered and not serving.
 func objectiveNamed(name string) (o sardine.Objective, ok bool) {
 	switch name {
