--- a/standin/fake/leader.go
+++ b/standin/fake/leader.go
@@ -95,7 +95,7 @@
 			l.planner.Proposed(w.now, c, r)
 		}
 		l.news = true
-		w.meter.dirty = true
+		w.touch()
 	})
 }
 
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -206,15 +206,21 @@
 
 // wake makes the leader plan soon.
 func (w *World) wake() {
-	w.meter.dirty = true
+	w.touch()
 	if w.leader != nil {
 		w.leader.news = true
 	}
 }
 
+// touch has costs and promises looked at anew.
+func (w *World) touch() {
+	w.meter.dirty = true
+	w.checker.dirty = true
+}
+
 // changed tells the home nodes that an engine has news.
 func (w *World) changed(e *Engine) {
-	w.meter.dirty = true
+	w.touch()
 	w.reporter.changed(e)
 }
 
