Do not wait for the members of a group that has died

When a domain goes dark its members fall silent within a second of each other. A group that lost its first member could ask another of the same domain for members, and then waited for that group's dead VMs until they were given up after 30 minutes. The wait now ends when no member of the other group lives.

--- a/plan/form.go
+++ b/plan/form.go
@@ -209,7 +209,7 @@
 	waits := false
 	for victim, claimer := range r.p.claims {
 		g := r.byID[victim]
-		if claimer != k.Kind || g == nil {
+		if claimer != k.Kind || g == nil || g.accelerators() == 0 {
 			continue
 		}
 		if !waits {
--- a/plan/ways.go
+++ b/plan/ways.go
@@ -166,10 +166,11 @@
 	return count
 }
 
-// awaiting reports whether a group waits for a victim's members itself.
+// awaiting reports whether a group waits for a victim's members itself. It does
+// not wait for a victim that has died meanwhile.
 func (r *round) awaiting(g *groupView) bool {
-	for _, taker := range r.p.awaits {
-		if taker == g.ID {
+	for victim, taker := range r.p.awaits {
+		if v := r.byID[victim]; taker == g.ID && v != nil && v.accelerators() > 0 {
 			return true
 		}
 	}
--- a/standin/fake/promise_test.go
+++ b/standin/fake/promise_test.go
@@ -144,3 +144,65 @@
 	}
 	require.Equal(t, 21-3*5, free)
 }
+
+// TestTwoBrokenGroupsMakeOne: two groups of a domain lack a member each and
+// nothing is free. One gives its members to the other.
+func TestTwoBrokenGroupsMakeOne(t *testing.T) {
+	engines, teams := site(1, 8, half)
+	teams[0].Deployments = teams[0].Deployments[:1]
+	teams[0].Deployments[0].Groups = 2
+	w := NewWorld(1, engines, teams, WithHomes(2), WithBound(missingBound))
+	require.NoError(t, w.Run(200*sardine.Second))
+	requireAllServing(t, w)
+	for _, g := range w.truth.Groups() {
+		w.Crash(w.byVM[g.Members[1].VM])
+	}
+	require.NoError(t, w.Run(w.now+15*sardine.Second))
+	serving := 0
+	for _, g := range w.truth.Groups() {
+		t.Log(w.Planner().Explain(g.ID))
+		if g.State == sardine.GroupServing {
+			serving++
+		}
+	}
+	require.Equal(t, 1, serving)
+}
+
+// TestDarkDomainMovesValuableGroup: a domain goes dark while a less valuable
+// deployment fills the others. The valuable group is formed anew from these.
+func TestDarkDomainMovesValuableGroup(t *testing.T) {
+	engines, teams := site(3, 8, half)
+	w := NewWorld(1, engines, teams, WithHomes(3), WithBound(missingBound))
+	require.NoError(t, w.Run(250*sardine.Second))
+	requireAllServing(t, w)
+	w.darken("domain-1", 3600*sardine.Second)
+	require.NoError(t, w.Run(w.now+120*sardine.Second))
+	for _, g := range w.truth.Groups() {
+		t.Log(w.Planner().Explain(g.ID))
+	}
+	require.Equal(t, 3, countServing(w, "surtitles"))
+}
+
+// TestNoWaitForDeadVictim: the members of a domain go silent one after the other,
+// so a group may ask another of the same domain for members that die too. It
+// must not go on waiting for them.
+func TestNoWaitForDeadVictim(t *testing.T) {
+	engines, teams := site(3, 6, half)
+	w := NewWorld(1, engines, teams, WithHomes(3), WithBound(missingBound))
+	require.NoError(t, w.Run(250*sardine.Second))
+	w.darken("domain-1", 3600*sardine.Second)
+	require.NoError(t, w.Run(w.now+60*sardine.Second))
+	for _, g := range w.truth.Groups() {
+		require.NotContains(t, w.Planner().Explain(g.ID), "Waiting: it waits for the members of another group.")
+	}
+}
+
+func countServing(w *World, service sardine.ServiceName) int {
+	count := 0
+	for _, g := range w.truth.Groups() {
+		if g.Service == service && g.State == sardine.GroupServing {
+			count++
+		}
+	}
+	return count
+}
