Break a site of real nodes under load and check the promises from outside

Cause: the cores were proved in virtual time and the nodes by single failures; nothing broke real nodes together and twice. Change: standin measure chaos runs engines, entry and control nodes and services through a seeded order of faults under chats, bookings and settings changes.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -86,15 +86,17 @@
 	})
 }
 
-// Settings reads or changes settings. A call whose answer was lost is sent again
-// until ctx ends: reads change nothing, and a change is recognised by its id.
+// Settings reads or changes settings. A call whose answer was lost, or whose
+// change is not in force yet, is sent again until ctx ends: reads change nothing,
+// and a change is recognised by its id.
 func (c *Client) Settings(ctx context.Context, request *wire.SettingsRequest) (*wire.SettingsReply, error) {
 	for {
 		answer, err := atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
 			r, err := s.Settings(ctx, request)
 			return r, r.GetFault(), err
 		})
-		if !codes.Is(err, codes.OutcomeUnknown) || pause(ctx) != nil {
+		lost := codes.Is(err, codes.OutcomeUnknown) || codes.Is(err, codes.ChangeHeld)
+		if !lost || pause(ctx) != nil {
 			return answer, err
 		}
 	}
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -34,6 +34,7 @@
 		configMeasure(),
 		scaleMeasure(),
 		entryMeasure(),
+		chaosMeasure(),
 	}
 }
 
