Let every node serve again after faults; measure hold_changes

The runs now end with a check that, once faults stop, every entry node serves by the newest settings within 15 s. With the measurement of hold_changes it found two faults: a control node that had timed out stayed avoided for ever, so a node after a pause of 15 s never found the leader again; and a node that had not joined could be sent to a relay, where it never learnt who leads.

--- a/follow/absorb.go
+++ b/follow/absorb.go
@@ -17,6 +17,8 @@
 		}
 		outcome.Superseded = refusal.Code == codes.Superseded
 		outcome.Join = !outcome.Superseded
+		// It joins through the leader, so it must learn who that is.
+		f.route.relay = ""
 		f.route.notUntil = now + BackoffMost/2
 		return
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -199,7 +199,7 @@
 	f.sequence++
 	f.sentAt[f.sequence] = now
 	delete(f.sentAt, f.sequence-maxSent)
-	address, relay := f.route.next()
+	address, relay := f.route.next(now)
 	c := f.relay.gather(now, f.underWay(), f.reportable())
 	s := &sending{at: now, cover: c, main: main}
 	s.ask = Ask{Address: address, Relay: relay, Timeout: ProbeTimeout, Request: Request{
--- a/follow/route.go
+++ b/follow/route.go
@@ -20,7 +20,8 @@
 }
 
 // next returns the address to ask and whether it is a relay.
-func (t *route) next() (address string, relay bool) {
+func (t *route) next(now sardine.Millis) (address string, relay bool) {
+	t.unblock(now)
 	if t.relay != "" {
 		return t.relay, true
 	}
@@ -123,6 +124,7 @@
 
 // redirected notes the leader that a control node named.
 func (t *route) redirected(now sardine.Millis, address, leader string) {
+	t.unblock(now)
 	if _, silent := t.blocked[leader]; silent || leader == "" || leader == address {
 		t.refused(now, address, false)
 		return
--- a/standin/gauge/config.go
+++ b/standin/gauge/config.go
@@ -33,6 +33,7 @@
 	seed    uint64
 	changes int
 	fail    string
+	policy  string
 	pace    pace
 }
 
@@ -46,11 +47,11 @@
 	c.Flags().Int64Var(&p.serving, "serving", 0, "serving lease in ms, 0 for the default")
 }
 
-// Latency is the distribution of a time in milliseconds.
+// Latency is the distribution of a time in milliseconds, or of a count.
 type Latency struct {
-	P50 int64 `json:"p50_ms"`
-	P99 int64 `json:"p99_ms"`
-	Max int64 `json:"max_ms"`
+	P50 int64 `json:"p50"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
 }
 
 // ConfigResult is what the measurement prints.
@@ -62,6 +63,9 @@
 	Changes  int     `json:"changes"`
 	Accepted Latency `json:"submitted_to_accepted"`
 	InForce  Latency `json:"submitted_to_last_node"`
+	Led      Latency `json:"new_leader_to_accepted"`
+	Serving  Latency `json:"nodes_serving_10_s_after_the_failure"`
+	Policy   string  `json:"policy"`
 	BoundMs  int64   `json:"bound_ms"`
 	InBound  bool    `json:"in_bound"`
 	Breaches int     `json:"breaches"`
@@ -79,6 +83,7 @@
 			c.Flags().Uint64Var(&o.seed, "seed", 1, "seed of the run")
 			c.Flags().IntVar(&o.changes, "changes", 40, "changes to make")
 			c.Flags().StringVar(&o.fail, "fail", "none", "none, pause, cut or leader, before each change")
+			c.Flags().StringVar(&o.policy, "policy", "refuse_requests", "cut policy of the team")
 			o.pace.flags(c)
 			return func(out io.Writer) (any, error) { return measureConfig(out, o) }
 		},
@@ -124,9 +129,11 @@
 }
 
 func measureConfig(out io.Writer, o configOptions) (any, error) {
-	w := spread.New(spreadSite(o.nodes, o.seed, o.pace))
+	site := spreadSite(o.nodes, o.seed, o.pace)
+	site.Policy = o.policy
+	w := spread.New(site)
 	w.RunFor(warmUp)
-	r := ConfigResult{Nodes: o.nodes, Controls: len(spreadSite(o.nodes, o.seed, o.pace).Centres), Seed: o.seed, Fail: o.fail, BoundMs: 5000}
+	r := ConfigResult{Nodes: o.nodes, Controls: site.Controls, Policy: o.policy, Seed: o.seed, Fail: o.fail, BoundMs: 5000}
 	if o.nodes > smallSite {
 		r.BoundMs = 11_000
 	}
@@ -136,28 +143,33 @@
 		return nil, err
 	}
 	r.Costs = spent(mean, overhead)
-	accepted, inForce := newHistogram(), newHistogram()
+	accepted, inForce, led, serving := newHistogram(), newHistogram(), newHistogram(), newHistogram()
 	for range o.changes {
 		if err := fail(w, o.fail); err != nil {
 			return nil, err
 		}
+		sample := w.Sample(10 * sardine.Second)
 		trial, err := w.Change()
 		if err != nil {
 			return nil, err
 		}
 		_ = accepted.RecordValue(int64(trial.Accepted))
 		_ = inForce.RecordValue(int64(trial.InForce))
+		if trial.Led > 0 {
+			_ = led.RecordValue(int64(trial.Led))
+		}
 		r.Changes++
 		if o.fail != "none" {
 			w.RunFor(faultLength + 10*sardine.Second)
+			_ = serving.RecordValue(int64(*sample))
 		}
 		w.RunFor(2 * sardine.Second)
 	}
-	r.Accepted, r.InForce = latency(accepted), latency(inForce)
+	r.Accepted, r.InForce, r.Led, r.Serving = latency(accepted), latency(inForce), latency(led), latency(serving)
 	r.InBound = r.Accepted.Max <= r.BoundMs && r.InForce.Max <= r.BoundMs
 	r.Breaches = len(w.Breaches)
-	fmt.Fprintf(out, "%d changes at %d nodes, failure %s: accepted p50 %d ms, p99 %d ms, max %d ms; last live node p99 %d ms, max %d ms\n",
-		r.Changes, o.nodes, o.fail, r.Accepted.P50, r.Accepted.P99, r.Accepted.Max, r.InForce.P99, r.InForce.Max)
+	fmt.Fprintf(out, "%d changes at %d nodes, failure %s: accepted p50 %d ms, p99 %d ms, max %d ms; last live node p99 %d ms, max %d ms; new leader to accepted max %d ms; %d to %d nodes serve 10 s after the failure\n",
+		r.Changes, o.nodes, o.fail, r.Accepted.P50, r.Accepted.P99, r.Accepted.Max, r.InForce.P99, r.InForce.Max, r.Led.Max, serving.Min(), r.Serving.Max)
 	return r, nil
 }
 
--- a/standin/gauge/settings.go
+++ b/standin/gauge/settings.go
@@ -6,9 +6,13 @@
 
 	"github.com/spf13/cobra"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/standin/spread"
 )
 
+// settleTime is the time after the faults within which all nodes serve again.
+const settleTime = 15 * sardine.Second
+
 // SettingsResult sums up randomised runs of settings and spread.
 type SettingsResult struct {
 	Seeds      string   `json:"seeds"`
@@ -46,7 +50,10 @@
 	for seed := first; seed <= last; seed++ {
 		w := spread.New(spread.RandomOptions(seed))
 		w.Run(steps)
+		settled := w.Settle(settleTime)
 		switch {
+		case !settled && len(w.Breaches) == 0:
+			result.Failed = append(result.Failed, fmt.Sprintf("seed %d: entry nodes do not serve again after the faults", seed))
 		case len(w.Breaches) > 0:
 			result.Failed = append(result.Failed, fmt.Sprintf("seed %d: %s", seed, w.Breaches[0]))
 		case !w.Linearizable():
--- a/standin/spread/log.go
+++ b/standin/spread/log.go
@@ -218,7 +218,7 @@
 			c.reply(to, result{Code: codes.Of(r.Err), Version: current.Version, Change: current.ChangeID})
 			continue
 		}
-		c.held = append(c.held, heldChange{caller: to, team: command.Team, index: r.Index, version: r.Version, until: c.now})
+		c.hold(heldChange{caller: to, team: command.Team, index: r.Index, version: r.Version, until: c.now})
 	}
 }
 
@@ -284,7 +284,7 @@
 		return
 	}
 	if first, seen := c.machine.Change(change.Team, change.ChangeID); seen {
-		c.held = append(c.held, heldChange{caller: to, team: change.Team, index: first.Index, version: first.Version, until: c.now})
+		c.hold(heldChange{caller: to, team: change.Team, index: first.Index, version: first.Version, until: c.now})
 		return
 	}
 	if _, err := team.Parse(change.Team, change.Document); err != nil {
@@ -294,6 +294,13 @@
 	c.propose(to, command)
 }
 
+// hold keeps a change until it is in force; a resend takes the place of what the
+// same operator sent before.
+func (c *control) hold(h heldChange) {
+	c.held = slices.DeleteFunc(c.held, func(old heldChange) bool { return old.caller.node == h.caller.node })
+	c.held = append(c.held, h)
+}
+
 func (c *control) propose(to caller, command state.Command) {
 	index := c.w.board.append(c.term, c.stamp(), command)
 	if index == 0 {
--- a/standin/spread/operator.go
+++ b/standin/spread/operator.go
@@ -101,6 +101,9 @@
 		o.current.Read = false
 	}
 	policy := "refuse_requests"
+	if o.w.options.Policy != "" {
+		policy = o.w.options.Policy
+	}
 	if o.w.options.Hold && r.IntN(3) == 0 {
 		policy = "hold_changes"
 	}
--- a/standin/spread/spread_test.go
+++ b/standin/spread/spread_test.go
@@ -15,6 +15,8 @@
 	for seed := range uint64(200) {
 		w := New(RandomOptions(seed))
 		w.Run(4000)
+		settled := w.Settle(15_000)
+		require.True(t, settled, "seed %d", seed)
 		require.Empty(t, w.Breaches, "seed %d", seed)
 		require.True(t, w.Linearizable(), "seed %d", seed)
 		admitted += w.Admitted
@@ -44,6 +46,7 @@
 		o.Faults.Every = 400
 		w := New(o)
 		w.Run(30_000)
+		require.True(t, w.Settle(15_000), "seed %d", seed)
 		require.Empty(t, w.Breaches, "seed %d", seed)
 		require.True(t, w.Linearizable(), "seed %d", seed)
 	}
--- a/standin/spread/trial.go
+++ b/standin/spread/trial.go
@@ -20,6 +20,7 @@
 type Trial struct {
 	Accepted sardine.Millis // from its first submission to the answer
 	InForce  sardine.Millis // from its first submission to the last live node
+	Led      sardine.Millis // from the start of a new leader's term to the answer, 0 if none
 	Resends  int
 }
 
@@ -43,7 +44,11 @@
 			if !op.Accepted {
 				return Trial{}, fmt.Errorf("the change lost to version %d", op.Version)
 			}
-			return Trial{Accepted: op.Return - start, InForce: last - start, Resends: op.Resends}, nil
+			trial := Trial{Accepted: op.Return - start, InForce: last - start, Resends: op.Resends}
+			if w.ledAt >= start {
+				trial.Led = op.Return - w.ledAt
+			}
+			return trial, nil
 		}
 	}
 	return Trial{}, fmt.Errorf("not accepted within %d ms: %v", trialLimit, w.Breaches)
@@ -99,6 +104,21 @@
 	return lapsed
 }
 
+// Sample counts, after a time, the entry nodes that would admit a request of the
+// operator's team, into the returned number.
+func (w *World) Sample(after sardine.Millis) *int {
+	serving := new(int)
+	w.driver.At(after, func(sardine.Millis) {
+		for _, n := range w.nodes {
+			s := n.view.teams[w.teams[0]]
+			if n.view.lease.ServingTeam(w.driver.Local(n.id), s.policy) {
+				*serving++
+			}
+		}
+	})
+	return serving
+}
+
 // Populate registers the targets and puts them in groups of a size.
 func (w *World) Populate(size int) {
 	leader := w.control(w.Leader())
--- a/standin/spread/world.go
+++ b/standin/spread/world.go
@@ -5,15 +5,11 @@
 	"math/rand/v2"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/drive"
 	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/lease"
-	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/team"
-	"sardineswitch.dev/sardine/wire"
 )
 
 // Options sets up a world.
@@ -35,6 +31,8 @@
 	LoseChangeIDs bool
 	// Link returns the one-way time between two data centres, counted from 0.
 	Link func(from, to int) sardine.Millis
+	// Policy is the cut policy of the manual changes, empty for the default.
+	Policy string
 	// Manual keeps the operators idle until they are told to change something.
 	Manual bool
 	// Filler is the size in bytes that documents are filled up to.
@@ -60,7 +58,7 @@
 	traffic    map[sardine.NodeID]*Traffic
 	places     map[sardine.NodeID]int // data centre of each node, from 0
 	costs      map[sardine.NodeID]time.Duration
-	leads      int
+	ledAt      sardine.Millis // last start of a leader's term
 
 	// History is every operation of the operators.
 	History []*Operation
@@ -222,7 +220,7 @@
 }
 
 func (w *World) led() {
-	w.leads++
+	w.ledAt = w.driver.Now()
 }
 
 func (w *World) publishDelay() sardine.Millis {
@@ -255,85 +253,32 @@
 	return s.Cut
 }
 
-// restore returns the machine of a control node that starts again.
-func (w *World) restore(m *state.Machine) *state.Machine {
-	b, err := m.Snapshot()
-	if err == nil && w.options.LoseChangeIDs {
-		b, err = withoutChangeIDs(b)
-	}
-	if err == nil {
-		m, err = state.RestoreMachine(b)
-	}
-	if err != nil {
-		w.breach("a snapshot can't be restored: %v", err)
-	}
-	return m
-}
-
-func withoutChangeIDs(b []byte) ([]byte, error) {
-	var s wire.Snapshot
-	if err := proto.Unmarshal(b, &s); err != nil {
-		return nil, err
-	}
-	for _, t := range s.GetTeams() {
-		t.Changes = nil
-	}
-	return proto.Marshal(&s)
-}
-
-func (w *World) send(from, to sardine.NodeID, m Message) {
-	w.driver.Send(from, to, m)
-}
-
-func (w *World) sendRequest(from, to sardine.NodeID, number uint64, r follow.Request) {
-	b, err := proto.Marshal(follow.RequestToWire(r))
-	w.deliver(from, to, Message{Kind: kindFollow, Call: number, Body: b}, err)
-}
-
-func (w *World) sendReply(from, to sardine.NodeID, number uint64, r follow.Reply) {
-	b, err := proto.Marshal(follow.ReplyToWire(r))
-	w.deliver(from, to, Message{Kind: kindFollowed, Call: number, Body: b}, err)
-}
-
-func (w *World) deliver(from, to sardine.NodeID, m Message, err error) {
-	if err != nil {
-		w.breach("encode: %v", err)
-		return
-	}
-	w.count(from, len(m.Body))
-	w.count(to, len(m.Body))
-	w.send(from, to, m)
-}
-
-func (w *World) count(id sardine.NodeID, bytes int) {
-	t := w.traffic[id]
-	if t == nil {
-		t = &Traffic{}
-		w.traffic[id] = t
-	}
-	t.Messages++
-	t.Bytes += bytes
-}
-
-func (w *World) decodeRequest(b []byte) follow.Request {
-	var m wire.FollowRequest
-	if err := proto.Unmarshal(b, &m); err != nil {
-		w.breach("decode: %v", err)
+// Settle ends all faults and runs until every entry node serves by the newest
+// settings, for at most the given time. It reports whether they all do.
+func (w *World) Settle(limit sardine.Millis) bool {
+	w.driver.Calm()
+	end := w.driver.Now() + limit
+	for w.driver.Now() < end && len(w.Breaches) == 0 {
+		w.RunFor(sardine.Second)
+		if w.settled() {
+			return true
+		}
 	}
-	return follow.RequestFromWire(&m)
+	return false
 }
 
-func (w *World) decodeReply(b []byte) follow.Reply {
-	var m wire.FollowReply
-	err := proto.Unmarshal(b, &m)
-	if err != nil {
-		w.breach("decode: %v", err)
-	}
-	r, err := follow.ReplyFromWire(&m)
-	if err != nil {
-		w.breach("decode: %v", err)
+func (w *World) settled() bool {
+	for _, n := range w.nodes {
+		if !n.view.lease.Serving(w.driver.Local(n.id)) {
+			return false
+		}
+		for name, version := range w.maxima {
+			if n.view.teams[name].version < version {
+				return false
+			}
+		}
 	}
-	return r
+	return true
 }
 
 // Leader returns the control node that leads the newest term, or an empty name.
