Bound the documents that are kept of a team

50 revisions of 256 KB in ten teams would take 128 MB against the budget of 64 MB. Control nodes keep at most 1 MB of documents a team, the newest always; entry nodes keep the newest revision and no change ids, which they do not need to apply later entries alike.

--- a/follow/absorb.go
+++ b/follow/absorb.go
@@ -67,6 +67,9 @@
 			outcome.News = append(outcome.News, n)
 		}
 	}
+	if len(outcome.News) > 0 {
+		f.machine.Trim()
+	}
 	f.machine.Skip(r.Through)
 	f.relay.cache.reach(r.Through)
 	return outcome, nil
--- a/state/codec_test.go
+++ b/state/codec_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -170,6 +171,21 @@
 	current, _ := follower.Current("adinkra")
 	require.Equal(t, "two", current.Document)
 	require.EqualValues(t, 2, current.Version)
+	m.Trim()
+	require.Len(t, m.History("adinkra"), 1)
+	m.Apply(25, 7, resend)
+	require.EqualValues(t, 2, m.teams["adinkra"].version())
+}
+
+func TestDocumentsAreBounded(t *testing.T) {
+	m := NewMachine()
+	big := strings.Repeat("x", keptDocumentBytes/4)
+	for i := range uint64(20) {
+		m.Apply(i+1, 1, ChangeSettings{Team: "t", Base: sardine.Version(i), ChangeID: fmt.Sprint(i), Document: big})
+	}
+	require.Len(t, m.History("t"), 4)
+	m.Apply(30, 1, ChangeSettings{Team: "t", Base: 20, ChangeID: "c", Document: big + big + big + big + big})
+	require.Len(t, m.History("t"), 1)
 }
 
 func TestClaimsAreBounded(t *testing.T) {
--- a/state/machine.go
+++ b/state/machine.go
@@ -12,7 +12,10 @@
 // Limits of what the machine keeps.
 const (
 	keptRevisions = 50
-	keptChanges   = 2000
+	// keptDocumentBytes bounds the documents of a team's revisions; the newest
+	// is always kept.
+	keptDocumentBytes = 1 << 20
+	keptChanges       = 2000
 	// PoisonGroups is the number of failed groups after which a request is
 	// refused.
 	PoisonGroups = 2
@@ -221,7 +224,7 @@
 		Path:     c.Path,
 		Document: c.Document,
 	}
-	t.revisions = keepLast(append(t.revisions, next), keptRevisions)
+	t.revisions = keepBytes(keepLast(append(t.revisions, next), keptRevisions))
 	t.changes = keepLast(append(t.changes, ChangeResult{ChangeID: c.ChangeID, Version: next.Version, Index: m.index}), keptChanges)
 	m.teams[c.Team] = t
 	return Result{Version: next.Version}
@@ -234,6 +237,33 @@
 	return slices.Clone(items[len(items)-limit:])
 }
 
+// keepBytes drops the oldest revisions whose documents take too much room.
+func keepBytes(revisions []Revision) []Revision {
+	bytes, first := 0, len(revisions)-1
+	for i := len(revisions) - 1; i >= 0; i-- {
+		bytes += len(revisions[i].Document)
+		if bytes > keptDocumentBytes {
+			break
+		}
+		first = i
+	}
+	if first <= 0 {
+		return revisions
+	}
+	return slices.Clone(revisions[first:])
+}
+
+// Trim forgets what a follower of the log does not need: old revisions and
+// change ids. A resent change then loses its race, which changes nothing either.
+func (m *Machine) Trim() {
+	for _, t := range m.teams {
+		t.changes = nil
+		if n := len(t.revisions); n > 1 {
+			t.revisions = slices.Clone(t.revisions[n-1:])
+		}
+	}
+}
+
 func (t *team) version() sardine.Version {
 	if len(t.revisions) == 0 {
 		return 0
