--- a/follow/absorb.go
+++ b/follow/absorb.go
@@ -17,6 +17,8 @@
 		}
 		outcome.Superseded = refusal.Code == codes.Superseded
 		outcome.Join = !outcome.Superseded
+		// It joins through the leader, so it must learn who that is.
+		f.route.relay = ""
 		f.route.notUntil = now + BackoffMost/2
 		return
 	}
@@ -65,6 +67,9 @@
 			outcome.News = append(outcome.News, n)
 		}
 	}
+	if len(outcome.News) > 0 {
+		f.machine.Trim()
+	}
 	f.machine.Skip(r.Through)
 	f.relay.cache.reach(r.Through)
 	return outcome, nil
