--- a/route/popular.go
+++ b/route/popular.go
@@ -5,7 +5,10 @@
 )
 
 // popularWindow is the number of requests after which older ones count half.
-const popularWindow = 1024
+const popularWindow = 8192
+
+// popularFloor is the number of requests below which shares are taken as lower.
+const popularFloor = 256
 
 // doubt is how many standard deviations a count is lowered by.
 const doubt = 2
@@ -47,7 +50,7 @@
 // forget it between two requests.
 func (p *popular) places(anchor uint64, n int, spread float64, least int) int {
 	count := p.counts[anchor]
-	share := max(count-doubt*math.Sqrt(count), 0) / max(p.total, popularWindow/4)
+	share := max(count-doubt*math.Sqrt(count), 0) / max(p.total, popularFloor)
 	wanted := share * spread * float64(n)
 	if wanted <= float64(least) {
 		return min(least, n)
