--- a/route/mixed.go
+++ b/route/mixed.go
@@ -25,7 +25,7 @@
 // weighing is the best of the candidates weighed so far.
 type weighing struct {
 	choice Choice
-	time   float64
+	time   float64 // expected, with regard for others
 }
 
 // mixed weighs the expected time to first token of a few candidates: places of
@@ -83,9 +83,12 @@
 	}
 }
 
+// weigh keeps the better of best and t. A request's own prefill also delays
+// those that come after it and displaces what they would find cached, so it
+// counts more than a wait of the same length.
 func (r *Router) weigh(now sardine.Millis, s *service, q Request, best *weighing, t *target, rank int) {
 	c := r.choice(now, s, q, t, rank)
-	if time := t.expected(now, s, c.uncached); time < best.time {
+	if time := t.expected(now, s, c.uncached) + r.options.regard*s.work(c.uncached); time < best.time {
 		*best = weighing{choice: c, time: time}
 	}
 }
--- a/route/options.go
+++ b/route/options.go
@@ -47,6 +47,7 @@
 	places      int     // rendezvous places weighed by Mixed
 	spread      float64 // places of a prefix over its share of the requests
 	least       int     // places of a rare prefix
+	regard      float64 // weight of a request's own prefill for those after it
 	strict      bool    // Mixed weighs only places
 	hintLimit   int     // prefixes with hints
 	anchor      int     // blocks of the prefix that decide its rendezvous order
@@ -103,6 +104,12 @@
 	return func(o *options) { o.strict = true }
 }
 
+// WithRegard sets how much a request's own prefill counts for those that come
+// after it on the engine, relative to its time to first token.
+func WithRegard(weight float64) Option {
+	return func(o *options) { o.regard = weight }
+}
+
 // WithHints bounds the prefixes whose holders are remembered; 0 turns hints off.
 func WithHints(limit int) Option {
 	return func(o *options) { o.hintLimit = limit }
@@ -133,6 +140,7 @@
 		places:      2,
 		spread:      3,
 		least:       1,
+		regard:      0.5,
 		hintLimit:   32768,
 		anchor:      4,
 		concurrency: 64,
--- a/route/target.go
+++ b/route/target.go
@@ -101,6 +101,11 @@
 	return t.roundTrip + work*s.scale*t.slowness*t.lag
 }
 
+// work returns the milliseconds that the uncached tokens keep an engine busy.
+func (s *service) work(uncached float64) float64 {
+	return s.costs.PerToken * uncached * s.scale
+}
+
 // report takes a load report. The rate of tokens for each running request shows
 // a straggler to nodes that rarely dispatch to it.
 func (t *target) report(s *service, at sardine.Millis, l sardine.Load) {
--- a/standin/gauge/routerun.go
+++ b/standin/gauge/routerun.go
@@ -134,6 +134,7 @@
 		options := []route.Option{
 			route.WithDistance("", distance), route.WithHints(8192),
 			route.WithSamples(r.flags.samples, r.flags.places), route.WithSpread(r.flags.spread, r.flags.least),
+			route.WithRegard(r.flags.regard),
 		}
 		options = append(options, r.variant.options...)
 		router := route.New(rand.New(rand.NewPCG(r.flags.seed, uint64(100+i))), options...)
--- a/standin/gauge/routing.go
+++ b/standin/gauge/routing.go
@@ -43,6 +43,7 @@
 	places  int
 	spread  float64
 	least   int
+	regard  float64
 }
 
 func routing() Measure {
@@ -62,6 +63,7 @@
 			c.Flags().IntVar(&f.places, "places", 2, "rendezvous places that mixed weighs")
 			c.Flags().Float64Var(&f.spread, "spread", 3, "targets of a prefix over its share of the requests")
 			c.Flags().IntVar(&f.least, "least", 1, "targets of a rare prefix")
+			c.Flags().Float64Var(&f.regard, "regard", 0.5, "weight of a request's own prefill for those after it")
 			return func(out io.Writer) (any, error) { return measureRouting(out, f) }
 		},
 	}
