Replace a leader that is heard but does not hear within 2 s

Cause: a leader whose incoming links were cut kept its followers quiet until it stepped down, and they then waited for another timeout.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -230,9 +230,12 @@
 
 // NextTick returns the instant at which Tick must be called next.
 func (c *Core) NextTick() sardine.Millis {
-	if c.role == Leader {
+	if c.role == Leader && c.defects.LeaseForever {
 		return c.heartbeatAt
 	}
+	if c.role == Leader {
+		return min(c.heartbeatAt, c.contactEnds())
+	}
 	return c.electionAt
 }
 
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"slices"
+
 	sardine "sardineswitch.dev/sardine"
 )
 
@@ -81,6 +83,7 @@
 	free := c.hard.Vote == "" && c.leader == "" || c.hard.Vote == m.From || c.defects.ForgottenVote
 	if !free || !c.trusts(m) || !c.upToDate(m) {
 		c.send(Message{Kind: VoteReply, To: m.From, Reject: true})
+		c.standInstead(m)
 		return
 	}
 	if c.hard.Vote != m.From {
@@ -91,6 +94,14 @@
 	c.sendVote(Message{Kind: VoteReply, To: m.From})
 }
 
+// standInstead makes a member whose log is longer than the candidate's stand for
+// election soon: the candidate may not win, and there is no leader any more.
+func (c *Core) standInstead(m Message) {
+	if c.role == Follower && c.leader == "" && !c.upToDate(m) {
+		c.retryElection()
+	}
+}
+
 func (c *Core) countVote(m Message) {
 	if c.role == Candidate {
 		c.recordVote(m.From, !m.Reject)
@@ -217,10 +228,16 @@
 		return
 	}
 	c.setNow(now)
+	c.electOther(c.timing.ElectionMin)
+}
+
+// electOther asks the most advanced voter heard within the time to stand for
+// election at once.
+func (c *Core) electOther(within sardine.Millis) {
 	best := sardine.NodeID("")
 	for _, n := range c.otherVoters() {
 		p := c.peers[n]
-		if c.now-p.heardAt > c.timing.ElectionMin {
+		if c.now-p.heardAt > within {
 			continue
 		}
 		if best == "" || p.match > c.peers[best].match {
@@ -232,14 +249,21 @@
 	}
 }
 
+// deafMost is how long ago a member may have been heard to be asked to stand for
+// election when the leader steps down.
+const deafMost = 10 * sardine.Second
+
 // tickLeader sends heartbeats and steps down without quorum contact, so that a
 // cut-off leader stops answering as one.
 func (c *Core) tickLeader() {
-	if c.now < c.heartbeatAt {
+	if c.now >= c.contactEnds() && !c.defects.LeaseForever {
+		// The others may well hear this node though it does not hear them, and
+		// would wait for another timeout.
+		c.electOther(deafMost)
+		c.becomeFollower(c.hard.Term, "")
 		return
 	}
-	if !c.quorumHeard(c.timing.ElectionMax) && !c.defects.LeaseForever {
-		c.becomeFollower(c.hard.Term, "")
+	if c.now < c.heartbeatAt {
 		return
 	}
 	c.heartbeatAt = c.now + c.timing.Heartbeat
@@ -250,12 +274,22 @@
 	}
 }
 
-// quorumHeard reports whether a quorum of voters was heard within the time.
-func (c *Core) quorumHeard(within sardine.Millis) bool {
-	return c.quorum(func(n sardine.NodeID) bool {
-		p := c.peers[n]
-		return n == c.id || p != nil && c.now-p.heardAt <= within
-	})
+// contactEnds returns when the leader must step down unless it hears more
+// voters: the shortest election timeout after a quorum was last heard.
+func (c *Core) contactEnds() sardine.Millis {
+	heard := make([]sardine.Millis, 0, len(c.peers)+1)
+	for _, n := range c.voters() {
+		if n == c.id {
+			heard = append(heard, c.now)
+			continue
+		}
+		heard = append(heard, c.peers[n].heardAt)
+	}
+	if len(heard) == 0 {
+		return c.now
+	}
+	slices.Sort(heard)
+	return heard[(len(heard)-1)/2] + c.timing.ElectionMin
 }
 
 // retryElection sets the next attempt of a failed election. No leader is heard
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -10,8 +10,8 @@
 // Timing holds the intervals of elections.
 type Timing struct {
 	Heartbeat   sardine.Millis // between a leader's heartbeats
-	ElectionMin sardine.Millis // shortest silence before an election
-	ElectionMax sardine.Millis // longest silence before an election; a leader without quorum contact for so long steps down
+	ElectionMin sardine.Millis // shortest silence before an election; a leader without quorum contact for so long steps down
+	ElectionMax sardine.Millis // longest silence before an election
 }
 
 // DefaultTiming returns the intervals for links of up to 50 ms one way.
--- a/standin/trial/closing.go
+++ b/standin/trial/closing.go
@@ -136,14 +136,14 @@
 	}
 }
 
-// checkLostLeader cuts the leader off: it must step down, and another one must
+// checkLostLeader cuts the leader off, or makes it deaf: it must step down, and another one must
 // get a change applied in time.
 func (t *trial) checkLostLeader() {
 	l := t.leader()
 	if l == nil || t.book.violation != "" || !t.spare(l) {
 		return
 	}
-	t.driver.Isolate(l.id, apartFor)
+	t.loseLeader(l)
 	term, before := l.core.Term(), t.counter
 	took, ok := t.until(failoverMost, func() bool {
 		return t.counter > before && t.appliedAfter(term)
@@ -163,6 +163,17 @@
 	return 2*(t.voters()-1) > t.listed(l)
 }
 
+// loseLeader cuts the leader off, or makes it deaf while the others still hear it.
+func (t *trial) loseLeader(l *member) {
+	if t.options.Seed%4 != 0 {
+		t.driver.Isolate(l.id, apartFor)
+		return
+	}
+	for _, m := range t.members {
+		t.driver.Cut(m.id, l.id, apartFor)
+	}
+}
+
 func (t *trial) listed(l *member) int {
 	count := 0
 	for _, m := range l.core.Members() {
