--- a/peer/link.go
+++ b/peer/link.go
@@ -27,6 +27,14 @@
 	defaultTimeout sardine.Millis = 800
 )
 
+// A connection without any frame for silentMost, and no answer to a ping within
+// pingMost, is closed. After a cut of minutes TCP alone would wait about as long
+// again before it sends anew.
+const (
+	silentMost = 2 * sardine.Second
+	pingMost   = 1 * sardine.Second
+)
+
 // Link sends messages to the other members. It is safe for concurrent use.
 type Link struct {
 	site    string
@@ -95,7 +103,15 @@
 func NewTransport() *http.Transport {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{Protocols: protocols, DisableCompression: true}
+	return &http.Transport{
+		Protocols:          protocols,
+		DisableCompression: true,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  silentMost.Duration(),
+			PingTimeout:      pingMost.Duration(),
+			WriteByteTimeout: pingMost.Duration(),
+		},
+	}
 }
 
 // Protocols returns what an http.Server needs to serve NewTransport: HTTP/1.1 and
