--- a/quorum/core.go
+++ b/quorum/core.go
@@ -36,6 +36,10 @@
 	members []Member
 }
 
+func (l membership) holds(n sardine.NodeID) bool {
+	return slices.ContainsFunc(l.members, func(m Member) bool { return m.Node == n })
+}
+
 // Core is one member's consensus state. It is not safe for concurrent use.
 type Core struct {
 	id      sardine.NodeID
@@ -63,6 +67,7 @@
 	electionAt  sardine.Millis
 	heartbeatAt sardine.Millis
 	votes       map[sardine.NodeID]bool
+	removed     bool // a member that hears a leader does not list this node
 	yielded     bool // stood back from an election since a leader was heard
 	force       bool // this election is on behalf of the last leader
 	peers       map[sardine.NodeID]*progress
@@ -180,7 +185,7 @@
 func (c *Core) stepOlder(m Message) {
 	switch m.Kind {
 	case PreVote:
-		c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
+		c.refusePreVote(m)
 	case Vote:
 		c.send(Message{Kind: VoteReply, To: m.From, Reject: true})
 	case Append, Heartbeat, Install:
@@ -192,6 +197,8 @@
 	switch m.Kind {
 	case PreVote:
 		c.answerPreVote(m)
+	case PreVoteReply:
+		c.noteRefusal(m)
 	case Vote:
 		c.answerVote(m)
 	case VoteReply:
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -52,7 +52,23 @@
 		c.send(Message{Kind: PreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
-	c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
+	c.refusePreVote(m)
+}
+
+// refusePreVote also tells a sender that was removed while it was away: nobody
+// sends it the entry that says so.
+func (c *Core) refusePreVote(m Message) {
+	hint := uint64(0)
+	if c.hearsLeader() && c.openLists() == 0 && !c.lists[len(c.lists)-1].holds(m.From) {
+		hint = hintRemoved
+	}
+	c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true, Hint: hint})
+}
+
+func (c *Core) noteRefusal(m Message) {
+	if m.Reject && m.Hint == hintRemoved {
+		c.removed = true
+	}
 }
 
 // yieldTo stands back from an election that a better placed member began at the
@@ -212,6 +228,7 @@
 	c.heardAt = c.now
 	c.heard = true
 	c.yielded = false
+	c.removed = false
 }
 
 // handleElectNow takes over from a leader that leaves.
--- a/quorum/script_test.go
+++ b/quorum/script_test.go
@@ -135,7 +135,11 @@
 			}
 			names = append(names, name)
 		}
-		lines = append(lines, fmt.Sprintf("%s %s term=%d last=%d commit=%d members=%s", id, g.Role, g.Term, g.Last.Index, g.Commit, strings.Join(names, ",")))
+		line := fmt.Sprintf("%s %s term=%d last=%d commit=%d members=%s", id, g.Role, g.Term, g.Last.Index, g.Commit, strings.Join(names, ","))
+		if g.Removed {
+			line += " removed"
+		}
+		lines = append(lines, line)
 	}
 	lines = slices.Concat(lines, s.reads)
 	s.reads = nil
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -27,6 +27,7 @@
 	Commit      uint64
 	Durable     uint64
 	Snapshot    Position
+	Removed     bool   // another member that hears a leader does not list this node
 	FirstOfTerm uint64 // of a leader: its first entry
 	Members     []Member
 	Peers       []PeerStatus // of a leader, in the order of Members
@@ -47,6 +48,7 @@
 		Durable:     c.durable,
 		Snapshot:    c.snapshot.Position,
 		FirstOfTerm: c.firstOfTerm,
+		Removed:     c.removed,
 		Members:     slices.Clone(c.members()),
 	}
 	if c.role != Leader {
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -7,6 +7,9 @@
 // bootstrapIndex is the entry that every first member starts from.
 const bootstrapIndex = 1
 
+// hintRemoved in the refusal of a pre-vote means that the sender is no member.
+const hintRemoved = 1
+
 // Timing holds the intervals of elections.
 type Timing struct {
 	Heartbeat   sardine.Millis // between a leader's heartbeats
@@ -160,7 +163,7 @@
 	Commit   uint64 // of a heartbeat: as far as the receiver surely holds it
 	Entries  []Entry
 	Reject   bool
-	Hint     uint64 // of a refused append: highest index that may match; of InstallReply: the wanted offset
+	Hint     uint64 // of a refused append: highest index that may match; of InstallReply: the wanted offset; of a refused pre-vote: hintRemoved
 	Round    uint64 // heartbeat round, repeated in the reply
 	Force    bool   // vote asked for on behalf of the leader
 	Settled  bool   // the sender's HardState.Settled
