--- a/codes/table.go
+++ b/codes/table.go
@@ -53,6 +53,7 @@
 
 	KeyRefused   Code = 700
 	ScopeRefused Code = 701
+	KeysTried    Code = 702
 )
 
 var table = []Row{
@@ -106,4 +107,5 @@
 
 	{KeyRefused, "key_refused", 401, "the token is missing, unknown or expired", "use a valid token"},
 	{ScopeRefused, "scope_refused", 403, "the token does not cover this", "use a token of this team or an operator's"},
+	{KeysTried, "keys_tried", 429, "too many refused tokens came from this address", "use the right token; it counts at once"},
 }
--- a/conf/control.go
+++ b/conf/control.go
@@ -53,6 +53,7 @@
 		tls:             readTLS(t.Table("tls"), false),
 	}
 	c.operatorHash = readHash(t, "operator_hash")
+	requireHash(t, c.tls, c.operatorHash)
 	c.advertiseInternal = advertised(t, "advertise_internal", c.listenInternal)
 	if c.dataFolder == "" {
 		t.Refuse("data_folder", "a folder on a disk that outlives a restart")
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -26,6 +26,8 @@
 	limits            Limits
 	log               Log
 	tls               TLS
+	operatorHash      []byte
+	targetTokens      bool
 }
 
 // LoadEntry reads and checks the file of an entry node. Errors carry
@@ -59,6 +61,9 @@
 		log:            readLog(t.Table("log")),
 		tls:            readTLS(t.Table("tls"), true),
 	}
+	e.operatorHash = readHash(t, "operator_hash")
+	e.targetTokens = t.Bool("target_tokens", false)
+	requireHash(t, e.tls, e.operatorHash)
 	e.advertiseTargets = advertised(t, "advertise_targets", e.listenTargets)
 	e.advertiseInternal = advertised(t, "advertise_internal", e.listenInternal)
 	if err := d.Err(); err != nil {
@@ -114,6 +119,18 @@
 	return e.advertiseInternal
 }
 
+// OperatorHash returns the SHA-256 hash of the operator's first token, empty
+// without one. It is the same as in the control nodes' files.
+func (e *Entry) OperatorHash() []byte {
+	return e.operatorHash
+}
+
+// TargetTokens reports whether targets must show a token of the scope target when
+// they announce themselves.
+func (e *Entry) TargetTokens() bool {
+	return e.targetTokens
+}
+
 // Controls returns the control nodes to ask first.
 func (e *Entry) Controls() []Peer {
 	return append([]Peer(nil), e.controls...)
--- a/conf/shared.go
+++ b/conf/shared.go
@@ -55,6 +55,18 @@
 	callersKey         string
 }
 
+// NewTLS names the files of a node and of the certificate shown to callers, empty
+// for none.
+func NewTLS(certificate, key, authority, callersCertificate, callersKey string) TLS {
+	return TLS{
+		certificate:        certificate,
+		key:                key,
+		authority:          authority,
+		callersCertificate: callersCertificate,
+		callersKey:         callersKey,
+	}
+}
+
 // Enabled reports whether processes and operators speak TLS.
 func (t TLS) Enabled() bool {
 	return t.certificate != ""
@@ -179,6 +191,14 @@
 	return hash
 }
 
+// requireHash refuses certificates without an operator's token: whoever reaches
+// such a site would be an operator, which is not what certificates are meant for.
+func requireHash(t *tomlr.Table, s TLS, hash []byte) {
+	if s.Enabled() && len(hash) == 0 {
+		t.Refuse("operator_hash", "the text of keys/operator.hash, since [tls] names certificates")
+	}
+}
+
 func millis(t *tomlr.Table, key string, fallback, low, high sardine.Millis) sardine.Millis {
 	return sardine.Millis(t.Int(key, int64(fallback), int64(low), int64(high)))
 }
--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -13,6 +13,7 @@
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/disk"
+	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/logs"
 	"sardineswitch.dev/sardine/quorum"
 )
@@ -67,6 +68,10 @@
 	for _, p := range s.Members() {
 		members = append(members, quorum.Member{Node: p.Node(), Address: p.Address()})
 	}
+	set, err := keys.Open(s.TLS())
+	if err != nil {
+		return nil, err
+	}
 	return ctrl.New(
 		ctrl.WithID(s.Node(), s.Site(), s.DataCentre()),
 		ctrl.WithListen(s.ListenInternal(), s.ListenOperators()),
@@ -76,6 +81,7 @@
 		ctrl.WithLogger(logs.New(errs, s.Log(), s.Node())),
 		ctrl.WithTiming(timingOf(s.Timings())),
 		ctrl.WithOperatorHash(s.OperatorHash()),
+		ctrl.WithKeys(set),
 	)
 }
 
--- a/ctrl/members.go
+++ b/ctrl/members.go
@@ -28,7 +28,7 @@
 	if _, _, err := n.confirm(ctx); err != nil {
 		return err
 	}
-	if err := n.authorise(r.Token, ""); err != nil {
+	if err := n.authorise(ctx, r.Token, ""); err != nil {
 		return err
 	}
 	member := quorum.Member{Node: sardine.NodeID(r.Node), Address: r.Address}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -14,6 +14,7 @@
 	"sardineswitch.dev/sardine/clock"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/listen"
 	"sardineswitch.dev/sardine/logs"
 	"sardineswitch.dev/sardine/oper"
@@ -22,6 +23,7 @@
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/repl"
+	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/ring"
 	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/wire"
@@ -44,6 +46,8 @@
 	ownEngines      *order.Client // closed by the node, nil if engines was given
 	policy          plan.Policy
 	operatorHash    []byte
+	keys            *keys.Set
+	access          *oper.Access
 
 	log        *repl.Node
 	link       *peer.Link
@@ -77,6 +81,7 @@
 		parsed:  newParsedSettings(),
 		granted: newSignal(),
 		history: status.NewHistory(),
+		keys:    keys.Plain(),
 		wake:    make(chan struct{}, 1),
 		orders:  ring.New[plan.SendOrder](orderQueue, ring.Wait),
 	}
@@ -90,6 +95,7 @@
 		n.ownEngines = order.NewClient()
 		n.engines = n.ownEngines
 	}
+	n.access = oper.NewAccess(n.operatorHash, n.clock, n.logger)
 	n.life, n.endLife = context.WithCancel(context.Background())
 	n.handOver, n.endHandOver = context.WithCancel(context.Background())
 	if err := n.open(); err != nil {
@@ -101,13 +107,13 @@
 
 func (n *Node) open() error {
 	var err error
-	if n.internal, err = listen.New(n.listenInternal); err != nil {
+	if n.internal, err = listen.New(n.listenInternal, listen.WithTLS(n.keys.InternalServer())); err != nil {
 		return err
 	}
-	if n.operators, err = listen.New(n.listenOperators); err != nil {
+	if n.operators, err = listen.New(n.listenOperators, listen.WithTLS(n.keys.OperatorServer())); err != nil {
 		return err
 	}
-	n.link = peer.NewLink(n.site, n.id, n.internal.Address(), peer.WithLogger(n.logger))
+	n.link = peer.NewLink(n.site, n.id, n.internal.Address(), n.linkOptions()...)
 	n.log, err = repl.New(
 		repl.WithID(n.id),
 		repl.WithSite(n.site),
@@ -126,20 +132,39 @@
 	return nil
 }
 
+func (n *Node) linkOptions() []peer.Option {
+	options := []peer.Option{peer.WithLogger(n.logger)}
+	if client := n.keys.LinkClient(); client != nil {
+		options = append(options, peer.WithClient(client), peer.WithScheme("https"))
+	}
+	return options
+}
+
 // internalMux routes what other processes ask.
 func (n *Node) internalMux() http.Handler {
 	mux := goji.NewMux()
 	prefix, peers := peer.NewServer(n.site, n.log, n.link).Handler()
-	mux.Handle(pat.New(prefix+"*"), peers)
-	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), wire.NewControlServer(n))
+	mux.Handle(pat.New(prefix+"*"), n.keys.SiteOnly(peers, refuseStranger))
+	control := oper.WithSource(wire.NewControlServer(n))
+	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), n.keys.SiteOnly(control, refuseStranger))
 	n.addOperations(mux)
 	return mux
 }
 
-// operatorMux routes what sardctl asks.
+// refuseStranger answers a caller without a certificate of the site that counts.
+func refuseStranger(w http.ResponseWriter, _ *http.Request) {
+	err := codes.New(codes.KeyRefused, "this is for the site's own processes, which show a certificate of its CA")
+	reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
+}
+
+// operatorMux routes what sardctl asks. What entry nodes ask is not served here:
+// it needs no token.
 func (n *Node) operatorMux() http.Handler {
 	mux := goji.NewMux()
-	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), wire.NewControlServer(n))
+	control := oper.WithSource(wire.NewControlServer(n))
+	for _, method := range []string{"Settings", "Members"} {
+		mux.Handle(pat.New(wire.ControlPathPrefix+method), control)
+	}
 	operations := oper.Handler(backend{node: n})
 	for _, path := range []string{oper.LeavePath, oper.PoisonPath, oper.TokensPath} {
 		mux.Handle(pat.New(path), operations)
@@ -175,6 +200,7 @@
 	}
 	n.tomb.Go(n.watchLog)
 	n.tomb.Go(n.keepHistory)
+	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.logger) })
 	n.tomb.Go(n.close)
 	event.Log(n.logger, event.NodeStarted,
 		slog.String("internal", n.internal.Address()), slog.String("operators", n.operators.Address()))
@@ -204,10 +230,13 @@
 	return n.tomb.Dead()
 }
 
-// Stop hands a leadership over as long as ctx lasts, ends the duties and releases
+// Stop hands a leadership over as long as ctx lasts, not at all if it has ended, ends the duties and releases
 // every goroutine, socket and file. It returns the error that had ended the node
 // before, if any.
 func (n *Node) Stop(ctx context.Context) error {
+	if ctx.Err() != nil { // at once: AfterFunc would race with the hand-over
+		n.endHandOver()
+	}
 	stop := context.AfterFunc(ctx, n.endHandOver)
 	defer stop()
 	n.tomb.Kill(nil)
--- a/ctrl/oper.go
+++ b/ctrl/oper.go
@@ -14,8 +14,13 @@
 
 // Authorise checks that a token covers the team; an empty team asks for an
 // operator's token.
-func (b backend) Authorise(token string, t sardine.Team) error {
-	return b.node.authorise(token, t)
+func (b backend) Authorise(ctx context.Context, token string, t sardine.Team) error {
+	return b.node.authorise(ctx, token, t)
+}
+
+// Open reports whether the site has no token yet.
+func (b backend) Open() bool {
+	return b.node.access.Open(b.node.tokens())
 }
 
 // Propose returns once the command is committed and applied.
--- a/ctrl/ops.go
+++ b/ctrl/ops.go
@@ -8,6 +8,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/repl"
 	"sardineswitch.dev/sardine/reply"
@@ -19,9 +20,20 @@
 func (n *Node) addOperations(mux *goji.Mux) {
 	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
 	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
-	mux.HandleFunc(pat.Get(status.DumpPath), n.handleDump)
-	mux.HandleFunc(pat.Get(status.Path), n.handleStatus)
-	mux.HandleFunc(pat.Get("/sardine/v1/explain/group/:group"), n.handleExplain)
+	mux.HandleFunc(pat.Get(status.DumpPath), n.guarded(oper.NeedOperator(), n.handleDump))
+	mux.HandleFunc(pat.Get(status.Path), n.guarded(oper.NeedReader(), n.handleStatus))
+	mux.HandleFunc(pat.Get("/sardine/v1/explain/group/:group"), n.guarded(oper.NeedReader(), n.handleExplain))
+}
+
+// guarded passes requests on whose token is enough.
+func (n *Node) guarded(needed oper.Need, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), needed, n.tokens()); err != nil {
+			reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
+			return
+		}
+		next(w, r)
+	}
 }
 
 func (n *Node) handleHealth(w http.ResponseWriter, _ *http.Request) {
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -5,6 +5,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/fleet"
+	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/lease"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/quorum"
@@ -106,6 +107,11 @@
 	return func(n *Node) { n.policy = p }
 }
 
+// WithKeys sets the certificates. The default is plain HTTP.
+func WithKeys(s *keys.Set) Option {
+	return func(n *Node) { n.keys = s }
+}
+
 // WithOperatorHash sets the hash of the first operator's token. Without it and
 // without tokens in the log, everyone who reaches the operators' server is an
 // operator.
--- a/ctrl/settings.go
+++ b/ctrl/settings.go
@@ -27,13 +27,13 @@
 		return nil, err
 	}
 	if r.Operation == "teams" {
-		return n.listTeams(r)
+		return n.listTeams(ctx, r)
 	}
 	path, err := team.ParsePath(r.Path)
 	if err != nil {
 		return nil, codes.Wrap(codes.UnknownPath, err, "path "+r.Path)
 	}
-	if err := n.authorise(r.Token, path.Team()); err != nil {
+	if err := n.authorise(ctx, r.Token, path.Team()); err != nil {
 		return nil, err
 	}
 	switch r.Operation {
@@ -48,8 +48,8 @@
 	}
 }
 
-func (n *Node) listTeams(r *wire.SettingsRequest) (*wire.SettingsReply, error) {
-	if err := n.authorise(r.Token, ""); err != nil {
+func (n *Node) listTeams(ctx context.Context, r *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	if err := n.authorise(ctx, r.Token, ""); err != nil {
 		return nil, err
 	}
 	answer := &wire.SettingsReply{}
--- a/entry/announ.go
+++ b/entry/announ.go
@@ -8,6 +8,8 @@
 	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/keys"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/reply"
 )
 
@@ -21,6 +23,12 @@
 		n.refuseOperator(w, codes.New(codes.BadRequest, "announcement ended after %d bytes", len(body)))
 		return
 	}
+	if n.targetTokens {
+		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), oper.NeedScope(keys.TargetScope()), n.view().tokens); err != nil {
+			n.refuseOperator(w, err)
+			return
+		}
+	}
 	a, err := annc.Decode(body)
 	if err != nil {
 		n.refuseOperator(w, err)
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -97,7 +97,7 @@
 		err = lapsed // what the view says may be outdated
 	}
 	if err != nil {
-		return tenancy{}, serviceKey{}, 0, err
+		return tenancy{}, serviceKey{}, 0, n.refuseKey(q, err)
 	}
 	q.cut = v.cuts[t.team]
 	key := serviceKey{t.team, d.Name}
@@ -123,6 +123,14 @@
 	return t, key, ticket, err
 }
 
+// refuseKey counts a refusal that is due to a caller's token.
+func (n *Node) refuseKey(q *request, err error) error {
+	if codes.Is(err, codes.KeyRefused) {
+		return n.access.Refuse(q.source, err)
+	}
+	return err
+}
+
 // noTargetRetry is when a caller should come back after no target was there: a
 // group that lost a member needs about this long to be whole again.
 const noTargetRetry = 2 * sardine.Second
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -273,7 +273,7 @@
 	var answer *wire.FollowReply
 	var err error
 	if ask.Relay {
-		answer, err = wire.NewRelayProtobufClient("http://"+ask.Address, f.client).Follow(ctx, request)
+		answer, err = wire.NewRelayProtobufClient(f.node.internalScheme+"://"+ask.Address, f.client).Follow(ctx, request)
 	} else {
 		answer, err = f.node.control.Stub(ask.Address).Follow(ctx, request)
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -15,9 +15,11 @@
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/fleet"
+	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/limit"
 	"sardineswitch.dev/sardine/listen"
 	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 	"sardineswitch.dev/sardine/status"
@@ -41,11 +43,16 @@
 	limits            Limits
 	targetTransport   http.RoundTripper
 	ownTransport      *http.Transport // closed by the node, nil if one was given
+	keys              *keys.Set
+	operatorHash      []byte
+	targetTokens      bool
+	access            *oper.Access
 
 	public         *listen.Server
 	targets        *listen.Server // nil without an address of its own
 	internal       *listen.Server
 	internalClient *http.Client
+	internalScheme string
 	control        *ctlapi.Client
 	client         *serve.Client
 	gate           *gate
@@ -86,6 +93,7 @@
 		limits:  DefaultLimits(),
 		flights: newFlights(),
 		history: status.NewHistory(),
+		keys:    keys.Plain(),
 	}
 	for _, o := range options {
 		o(n)
@@ -93,6 +101,7 @@
 	if n.id == "" || n.incarnation == 0 || n.random == nil || len(n.controls) == 0 {
 		return nil, codes.New(codes.BadSettings, "an entry node needs a name, an incarnation, a random source and control nodes")
 	}
+	n.access = oper.NewAccess(n.operatorHash, n.clock, n.log)
 	n.random = newSharedRandom(n.random)
 	n.life, n.endLife = context.WithCancel(context.Background())
 	n.drained, n.endDrain = context.WithCancel(context.Background())
@@ -111,8 +120,8 @@
 	if n.meter, err = newInstruments(); err != nil {
 		return err
 	}
-	n.internalClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleInternal}}
-	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, "http"))
+	n.internalClient, n.internalScheme = n.keys.Client(maxIdleInternal)
+	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, n.internalScheme))
 	if n.targetTransport == nil {
 		n.ownTransport = newTargetTransport()
 		n.targetTransport = n.ownTransport
@@ -134,17 +143,18 @@
 		listen.WithTimeouts(n.timing.Read, n.timing.Idle),
 		listen.WithHeaderBytes(n.limits.HeaderBytes),
 		listen.WithConnections(n.limits.Connections),
+		listen.WithTLS(n.keys.CallerServer()),
 	)
 	if err != nil {
 		return err
 	}
-	if n.internal, err = listen.New(n.listenInternal); err != nil {
+	if n.internal, err = listen.New(n.listenInternal, listen.WithTLS(n.keys.InternalServer())); err != nil {
 		return err
 	}
 	n.advertiseInternal = orElse(n.advertiseInternal, n.internal.Address())
 	announced := n.public
 	if n.listenTargets != "" {
-		if n.targets, err = listen.New(n.listenTargets); err != nil {
+		if n.targets, err = listen.New(n.listenTargets, listen.WithTLS(n.keys.CallerServer())); err != nil {
 			return err
 		}
 		announced = n.targets
@@ -185,6 +195,7 @@
 	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
+	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.log) })
 	n.tomb.Go(n.close)
 	event.Log(n.log, event.NodeStarted, slog.String("public", n.public.Address()), slog.String("internal", n.internal.Address()))
 }
--- a/entry/ops.go
+++ b/entry/ops.go
@@ -11,6 +11,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/admit"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/status"
@@ -20,16 +21,32 @@
 // internalMux routes what other processes and operators ask.
 func (n *Node) internalMux() http.Handler {
 	mux := goji.NewMux()
-	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), wire.NewRelayServer(n.follower))
-	mux.HandleFunc(pat.Get(status.DumpPath), n.handleDump)
-	mux.HandleFunc(pat.Get(status.Path), n.handleStatus)
-	mux.HandleFunc(pat.Post("/sardine/v1/drain"), n.handleDrain)
+	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), n.keys.SiteOnly(wire.NewRelayServer(n.follower), n.refuseStranger))
+	mux.HandleFunc(pat.Get(status.DumpPath), n.guarded(oper.NeedOperator(), n.handleDump))
+	mux.HandleFunc(pat.Get(status.Path), n.guarded(oper.NeedReader(), n.handleStatus))
+	mux.HandleFunc(pat.Post("/sardine/v1/drain"), n.guarded(oper.NeedOperator(), n.handleDrain))
 	mux.Handle(pat.Get("/metrics"), n.meter.meter.Handler())
 	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
 	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
 	return mux
 }
 
+// refuseStranger answers a caller without a certificate of the site that counts.
+func (n *Node) refuseStranger(w http.ResponseWriter, _ *http.Request) {
+	n.refuseOperator(w, codes.New(codes.KeyRefused, "this is for the site's own processes, which show a certificate of its CA"))
+}
+
+// guarded passes requests on whose token is enough.
+func (n *Node) guarded(needed oper.Need, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), needed, n.view().tokens); err != nil {
+			n.refuseOperator(w, err)
+			return
+		}
+		next(w, r)
+	}
+}
+
 // handleHealth tells that the process is alive.
 func (n *Node) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	reply.JSON(w, http.StatusOK, struct {
@@ -80,8 +97,12 @@
 	}
 	v := n.view()
 	t, known := v.tenancies[q.workspace]
-	if !known || !tokenMatches(t.tenant.Key, q.token) {
-		n.refuse(w, id, codes.New(codes.UnknownWorkspace, "no workspace %q for this token", q.workspace))
+	if known && !tokenMatches(t.tenant.Key, q.token) {
+		n.refuse(w, id, n.refuseKey(q, codes.New(codes.KeyRefused, "the token does not belong to workspace %q", q.workspace)))
+		return
+	}
+	if !known {
+		n.refuse(w, id, codes.New(codes.UnknownWorkspace, "no workspace %q", q.workspace))
 		return
 	}
 	answer := modelsJSON{Object: "list", Data: []modelItem{}}
--- a/entry/options.go
+++ b/entry/options.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/keys"
 )
 
 // Timing holds the node's times in milliseconds.
@@ -121,6 +122,22 @@
 	return func(n *Node) { n.limits = l }
 }
 
+// WithKeys sets the certificates. The default is plain HTTP.
+func WithKeys(s *keys.Set) Option {
+	return func(n *Node) { n.keys = s }
+}
+
+// WithOperatorHash sets the hash of the first operator's token.
+func WithOperatorHash(hash []byte) Option {
+	return func(n *Node) { n.operatorHash = hash }
+}
+
+// WithTargetTokens sets whether targets must show a token of the scope target
+// when they announce themselves.
+func WithTargetTokens(on bool) Option {
+	return func(n *Node) { n.targetTokens = on }
+}
+
 // WithTargetTransport sets how targets are reached. The transport must neither
 // follow redirects nor use a proxy.
 func WithTargetTransport(t http.RoundTripper) Option {
--- a/entry/request.go
+++ b/entry/request.go
@@ -15,6 +15,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/guard"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/reply"
 )
 
@@ -30,6 +31,7 @@
 	id          sardine.RequestID
 	workspace   sardine.Workspace
 	token       string
+	source      string // IP number of the caller or of the balancer before it
 	service     sardine.ServiceName
 	method      string
 	path        string // at the target, with the query
@@ -72,6 +74,7 @@
 		method:    r.Method,
 		header:    r.Header,
 		body:      body,
+		source:    oper.SourceOf(r),
 		workspace: sardine.Workspace(r.Header.Get(reply.HeaderWorkspace)),
 		key:       r.Header.Get(reply.HeaderKey),
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -7,6 +7,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/team"
@@ -44,6 +45,7 @@
 	strikes     map[string][]sardine.GroupID // by fingerprint
 	cuts        map[sardine.Team]sardine.CutPolicy
 	members     map[sardine.GroupID][]sardine.VMID
+	tokens      oper.Tokens
 	nodes       int                   // entry nodes of the site
 	routed      []sardine.ServiceName // as the router knows the deployments
 }
@@ -55,6 +57,7 @@
 	v := emptyView()
 	v.index = m.Index()
 	v.nodes = len(m.Entries())
+	v.tokens = oper.TokensOf(m)
 	var failed []error
 	for _, name := range m.Teams() {
 		if err := v.addTeam(m, name); err != nil {
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -14,6 +14,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/entry"
+	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/logs"
 )
 
@@ -78,6 +79,10 @@
 	for _, p := range s.Controls() {
 		controls = append(controls, p.Address())
 	}
+	set, err := keys.Open(s.TLS())
+	if err != nil {
+		return nil, err
+	}
 	return entry.New(
 		entry.WithID(s.Node(), incarnation, s.DataCentre()),
 		entry.WithListen(s.Listen(), s.ListenInternal()),
@@ -88,6 +93,9 @@
 		entry.WithLogger(logs.New(errs, s.Log(), s.Node())),
 		entry.WithTiming(timingOf(s)),
 		entry.WithLimits(limitsOf(s.Limits())),
+		entry.WithKeys(set),
+		entry.WithOperatorHash(s.OperatorHash()),
+		entry.WithTargetTokens(s.TargetTokens()),
 	)
 }
 
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -51,7 +52,7 @@
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.TLS.PeerCertificates[0].Subject.CommonName)
 	}))
-	s.TLS = server.ServerConfig(true)
+	s.TLS = server.ServerConfig(tls.RequireAndVerifyClientCert)
 	s.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
 	s.StartTLS()
 	defer s.Close()
--- a/keys/set.go
+++ b/keys/set.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
+	"time"
 
 	"sardineswitch.dev/sardine/conf"
 )
@@ -32,22 +33,50 @@
 	return s, nil
 }
 
-// InternalServer returns settings for the server that other nodes call; they
-// need a certificate of the site. It is nil for plain HTTP.
+// Plain returns a set without certificates.
+func Plain() *Set {
+	return &Set{}
+}
+
+// Enabled reports whether nodes and operators speak TLS.
+func (s *Set) Enabled() bool {
+	return s.node != nil
+}
+
+// InternalServer returns settings for the server that other nodes and operators
+// call. A caller may come without a certificate, as operators do; one that it
+// shows must count. SiteOnly guards what is for nodes alone. It is nil for plain
+// HTTP.
 func (s *Set) InternalServer() *tls.Config {
-	return serverConfig(s.node, true)
+	return serverConfig(s.node, tls.VerifyClientCertIfGiven)
 }
 
 // OperatorServer returns settings for the server that sardctl calls; operators
 // show tokens, not certificates. It is nil for plain HTTP.
 func (s *Set) OperatorServer() *tls.Config {
-	return serverConfig(s.node, false)
+	return serverConfig(s.node, tls.NoClientCert)
 }
 
 // CallerServer returns settings for the server that callers and targets call. It
 // is nil for plain HTTP.
 func (s *Set) CallerServer() *tls.Config {
-	return serverConfig(s.callers, false)
+	return serverConfig(s.callers, tls.NoClientCert)
+}
+
+// SiteOnly passes requests on whose caller has shown a certificate of the site
+// that counts now, and calls refuse for others. Without certificates in the
+// settings it passes all.
+func (s *Set) SiteOnly(next http.Handler, refuse http.HandlerFunc) http.Handler {
+	if s.node == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 || !s.node.Trusts(r.TLS.PeerCertificates[0], time.Now()) {
+			refuse(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Client returns a client for calls to other nodes, and the scheme of their
@@ -58,8 +87,22 @@
 		transport, scheme = s.node.ClientTransport(), "https"
 	}
 	transport.MaxIdleConnsPerHost = idle
+	return staying(transport), scheme
+}
+
+// LinkClient returns a client over HTTP/2 for the messages between control nodes,
+// nil for plain HTTP.
+func (s *Set) LinkClient() *http.Client {
+	if s.node == nil {
+		return nil
+	}
+	return staying(s.node.LinkTransport())
+}
+
+// staying returns a client that follows no redirects.
+func staying(t *http.Transport) *http.Client {
 	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: stay}, scheme
+	return &http.Client{Transport: t, CheckRedirect: stay}
 }
 
 // Reload reads all files again and reports whether any had changed. A file that
@@ -78,9 +121,9 @@
 	return changed, errors.Join(failures...)
 }
 
-func serverConfig(b *Bundle, mutual bool) *tls.Config {
+func serverConfig(b *Bundle, asked tls.ClientAuthType) *tls.Config {
 	if b == nil {
 		return nil
 	}
-	return b.ServerConfig(mutual)
+	return b.ServerConfig(asked)
 }
--- a/keys/set_test.go
+++ b/keys/set_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,6 +23,7 @@
 listen = "127.0.0.1:0"
 listen_targets = "127.0.0.1:0"
 listen_internal = "127.0.0.1:0"
+operator_hash = "`+strings.Repeat("0a", 32)+`"
 controls = [{ node = "c", address = "127.0.0.1:1" }]
 [tls]
 `+table))
@@ -47,13 +51,15 @@
 	}{
 		"internal": {s.InternalServer(), true}, "operators": {s.OperatorServer(), false}, "callers": {s.CallerServer(), false},
 	} {
-		server := httptest.NewUnstartedServer(http.NotFoundHandler())
+		var handler http.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		if side.mutual {
+			handler = s.SiteOnly(handler, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) })
+		}
+		server := httptest.NewUnstartedServer(handler)
 		server.TLS = side.config
 		server.StartTLS()
-		_, err := client.Get(server.URL)
-		require.NoError(t, err, name)
-		_, err = stranger.Get(server.URL)
-		require.Equal(t, side.mutual, err != nil, "%s: %v", name, err)
+		require.Equal(t, http.StatusOK, status(t, client, server.URL), name)
+		require.Equal(t, side.mutual, status(t, stranger, server.URL) == http.StatusForbidden, name)
 		client.CloseIdleConnections()
 		stranger.CloseIdleConnections()
 		server.Close()
@@ -63,6 +69,33 @@
 	require.False(t, changed)
 }
 
+func status(t *testing.T, c *http.Client, url string) int {
+	answer, err := c.Get(url)
+	require.NoError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	return answer.StatusCode
+}
+
+// TestTrustEndsOnOpenConnections asks again about a certificate that counted
+// when its connection began.
+func TestTrustEndsOnOpenConnections(t *testing.T) {
+	old, fresh := authority(t), authority(t)
+	dir := t.TempDir()
+	b := folder(t, dir, old)
+	leaf, err := x509.ParseCertificate(b.pair[0].Certificate[0])
+	require.NoError(t, err)
+	require.True(t, b.Trusts(leaf, time.Now()))
+	require.False(t, b.Trusts(leaf, time.Now().Add(2*NodeValidity)), "expired")
+	foreign := folder(t, t.TempDir(), fresh)
+	stranger, err := x509.ParseCertificate(foreign.pair[0].Certificate[0])
+	require.NoError(t, err)
+	require.False(t, b.Trusts(stranger, time.Now()), "another authority")
+	folder(t, dir, fresh)
+	_, err = b.Reload()
+	require.NoError(t, err)
+	require.False(t, b.Trusts(leaf, time.Now()), "its authority was taken away")
+}
+
 func TestSetWithoutCertificatesIsPlain(t *testing.T) {
 	s, err := Open(tlsSettings(t, ""))
 	require.NoError(t, err)
--- a/keys/token.go
+++ b/keys/token.go
@@ -138,6 +138,11 @@
 	return string(s.kind) + ":" + s.name
 }
 
+// Reads reports whether a token of scope s may see how the site fares.
+func (s Scope) Reads() bool {
+	return s.kind == kindOperator || s.kind == kindTeam
+}
+
 // Covers reports whether a token of scope s may do what needs the other scope.
 func (s Scope) Covers(other Scope) bool {
 	return s.kind == kindOperator || s == other
--- a/oper/handle.go
+++ b/oper/handle.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	goji "goji.io"
 	"goji.io/pat"
@@ -35,22 +34,13 @@
 	mux.HandleFunc(pat.Get(TokensPath), h.guard(h.listTokens))
 	mux.HandleFunc(pat.Post(TokensPath), h.guard(h.putToken))
 	mux.HandleFunc(pat.Delete(TokensPath), h.guard(h.dropToken))
-	return mux
-}
-
-// Bearer returns the token of a request, empty without one.
-func Bearer(r *http.Request) string {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "bearer") {
-		return ""
-	}
-	return strings.TrimSpace(token)
+	return WithSource(mux)
 }
 
 // guard checks the token and sends the answer or the fault of a request.
 func (h handler) guard(serve func(r *http.Request) ([]byte, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		err := h.backend.Authorise(Bearer(r), "")
+		err := h.backend.Authorise(r.Context(), Bearer(r), "")
 		var body []byte
 		if err == nil {
 			body, err = serve(r)
@@ -123,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if t.Scope != operatorScope && h.open() {
+	if t.Scope != operatorScope && h.backend.Open() {
 		// The site takes anyone as long as it has no token. A first token that is
 		// not an operator's would shut everyone out for good.
 		return nil, codes.New(codes.ScopeRefused, "the site has no operator's token yet, make one before a token for %s", t.Scope)
@@ -142,13 +132,6 @@
 	return nil, h.backend.Propose(state.DropToken{Hash: hash})
 }
 
-// open reports whether the site takes anyone, since it has no token.
-func (h handler) open() bool {
-	tokens := 0
-	h.backend.View(func(m *state.Machine) { tokens = len(m.Tokens()) })
-	return tokens == 0 && h.backend.Authorise("", "") == nil
-}
-
 // lastOperator reports whether the replicated state holds no operator's token but
 // the one with the hash, and the caller has no other either. One whose token is
 // in the node's settings keeps that.
--- a/oper/oper.go
+++ b/oper/oper.go
@@ -4,6 +4,7 @@
 package oper
 
 import (
+	"context"
 	"encoding/hex"
 	"encoding/json"
 
@@ -29,7 +30,10 @@
 type Backend interface {
 	// Authorise returns codes.KeyRefused or codes.ScopeRefused unless the token
 	// covers the team; an empty team asks for an operator's token.
-	Authorise(token string, t sardine.Team) error
+	Authorise(ctx context.Context, token string, t sardine.Team) error
+	// Open reports whether the site has no token yet, so that everyone is an
+	// operator.
+	Open() bool
 	// Propose returns once the command is committed and applied;
 	// codes.NotLeader if this node does not lead.
 	Propose(c state.Command) error
--- a/oper/oper_test.go
+++ b/oper/oper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -24,13 +25,17 @@
 	open    bool // takes any token
 }
 
-func (n *node) Authorise(token string, _ sardine.Team) error {
+func (n *node) Authorise(_ context.Context, token string, _ sardine.Team) error {
 	if !n.open && token != "right" {
 		return codes.New(codes.KeyRefused, "the token is not known")
 	}
 	return nil
 }
 
+func (n *node) Open() bool {
+	return n.open && len(n.machine.Tokens()) == 0
+}
+
 func (n *node) Propose(c state.Command) error {
 	if !n.leads {
 		return codes.New(codes.NotLeader, "this control node does not lead")
--- a/repl/node.go
+++ b/repl/node.go
@@ -164,9 +164,10 @@
 	return err
 }
 
-// handOver waits until another member leads, ctx ends or nobody takes over.
+// handOver waits until another member leads, ctx ends or nobody takes over. With
+// an ended ctx nothing is handed over, as when the process is killed.
 func (n *Node) handOver(ctx context.Context) {
-	if !n.Leader().Leading || len(n.Members()) < 2 {
+	if ctx.Err() != nil || !n.Leader().Leading || len(n.Members()) < 2 {
 		return
 	}
 	n.submit(ctx, newRequest(askHandOver))
--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -167,7 +167,7 @@
 }
 
 // Authorise implements oper.Backend.
-func (f *fake) Authorise(token string, _ sardine.Team) error {
+func (f *fake) Authorise(_ context.Context, token string, _ sardine.Team) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.token != "" && token != f.token {
@@ -176,6 +176,13 @@
 	return nil
 }
 
+// Open implements oper.Backend.
+func (f *fake) Open() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.token == "" && len(f.machine.Tokens()) == 0
+}
+
 // Propose implements oper.Backend.
 func (f *fake) Propose(c state.Command) error {
 	f.mu.Lock()
@@ -206,7 +213,7 @@
 
 // Settings implements wire.Control.
 func (f *fake) Settings(_ context.Context, r *wire.SettingsRequest) (*wire.SettingsReply, error) {
-	if err := f.Authorise(r.Token, ""); err != nil {
+	if err := f.Authorise(context.Background(), r.Token, ""); err != nil {
 		return &wire.SettingsReply{Fault: fault(err)}, nil
 	}
 	f.mu.Lock()
--- a/sardctl/verbs/control.go
+++ b/sardctl/verbs/control.go
@@ -91,11 +91,11 @@
 			if err != nil && !neverSent(err) {
 				lost = again != repeatRead
 			}
-			if err == nil {
-				err = faultError(fault)
-			}
-			if last == nil || ctx.Err() == nil { // that the time is up tells less
-				last = err
+			switch {
+			case err == nil:
+				last = faultError(fault)
+			case last == nil:
+				last = err // that a node was silent tells less than what one said
 			}
 			if lost && again == repeatNever {
 				return reply, gaveUp(k.nodes, lost, last)
--- a/sardctl/verbs/node.go
+++ b/sardctl/verbs/node.go
@@ -3,16 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/status"
 )
@@ -21,20 +19,14 @@
 
 // client returns an HTTP client and the scheme to use.
 func (s *Session) client() (*http.Client, string, error) {
-	transport := &http.Transport{}
 	if s.authority == "" {
-		return &http.Client{Transport: transport}, "http", nil
+		return &http.Client{Transport: &http.Transport{}}, "http", nil
 	}
-	text, err := os.ReadFile(s.authority)
+	trust, err := keys.OpenBundle("", "", s.authority)
 	if err != nil {
 		return nil, "", usage(err, "--authority")
 	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(text) {
-		return nil, "", codes.New(codes.UsageError, "--authority %s holds no certificate", s.authority)
-	}
-	transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}
-	return &http.Client{Transport: transport}, "https", nil
+	return &http.Client{Transport: trust.ClientTransport()}, "https", nil
 }
 
 // ask sends one plain request to a node and returns the body of a 2xx answer.
--- /dev/null
+++ b/standin/site/keys_test.go
@@ -0,0 +1,286 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/keys"
+	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/state"
+	"sardineswitch.dev/sardine/status"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// page collects log lines of all nodes.
+type page struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (p *page) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.Write(b)
+}
+
+func (p *page) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.String()
+}
+
+// keyed is a site with keys and all it has written and answered.
+type keyed struct {
+	*Site
+	seen *page
+}
+
+func startKeyed(t *testing.T) *keyed {
+	seen := &page{}
+	logger := slog.New(slog.NewJSONHandler(seen, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	return &keyed{Site: startBare(t, WithKeys(t.TempDir()), WithNodes(3, 2), WithLogger(logger)), seen: seen}
+}
+
+// client returns a client that trusts the site and shows the certificate, if any.
+func (k *keyed) client(t *testing.T, own ...keys.Pair) *http.Client {
+	roots := x509.NewCertPool()
+	require.True(t, roots.AppendCertsFromPEM(k.Keys().Authority().Pair().Certificate()))
+	c := &tls.Config{RootCAs: roots}
+	for _, p := range own {
+		pair, err := tls.X509KeyPair(p.Certificate(), p.Key())
+		require.NoError(t, err)
+		// Shown whatever the server would take.
+		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }
+	}
+	transport := &http.Transport{TLSClientConfig: c}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// ask returns the status of an answer, 0 if the connection was refused.
+func (k *keyed) ask(t *testing.T, c *http.Client, method, address, path, token, body string) int {
+	r, err := http.NewRequest(method, address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if strings.HasPrefix(path, "/twirp/") {
+		r.Header.Set("Content-Type", "application/protobuf")
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	answer, err := c.Do(r)
+	if err != nil {
+		_, _ = k.seen.Write([]byte(err.Error()))
+		return 0
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, _ := io.ReadAll(answer.Body)
+	_, _ = k.seen.Write(text)
+	return answer.StatusCode
+}
+
+func issue(t *testing.T, a *keys.Authority, now time.Time) keys.Pair {
+	p, err := a.Issue("stranger", []net.IP{net.IPv4(127, 0, 0, 1)}, now)
+	require.NoError(t, err)
+	return p
+}
+
+// TestStrangersReachNoProcessService calls what is for the site's processes with
+// every wrong certificate, and with a right one.
+func TestStrangersReachNoProcessService(t *testing.T) {
+	k := startKeyed(t)
+	foreign, err := keys.NewAuthority("elsewhere", time.Now())
+	require.NoError(t, err)
+	control, entry := k.Controls()[0].Node(), k.Entries()[0].Node()
+	services := []struct{ address, path string }{
+		{control.InternalAddress(), wire.PeerPathPrefix + "Deliver"},
+		{control.InternalAddress(), wire.ControlPathPrefix + "Submit"},
+		{control.InternalAddress(), wire.ControlPathPrefix + "Follow"},
+		{entry.InternalAddress(), wire.RelayPathPrefix + "Follow"},
+	}
+	strangers := map[string]*http.Client{
+		"no certificate":       k.client(t),
+		"another authority":    k.client(t, issue(t, foreign, time.Now())),
+		"expired":              k.client(t, issue(t, k.Keys().Authority(), time.Now().Add(-2*keys.NodeValidity))),
+		"not valid yet":        k.client(t, issue(t, k.Keys().Authority(), time.Now().Add(keys.NodeValidity))),
+		"without TLS at all":   {},
+		"a self-made CA's own": k.client(t, foreign.Pair()),
+	}
+	friend := k.client(t, issue(t, k.Keys().Authority(), time.Now()))
+	for _, s := range services {
+		for name, c := range strangers {
+			scheme := "https://"
+			if name == "without TLS at all" {
+				scheme = "http://"
+			}
+			got := k.ask(t, c, http.MethodPost, scheme+s.address, s.path, k.Keys().Token(), "")
+			require.Contains(t, []int{0, http.StatusBadRequest, codes.KeyRefused.Status()}, got, "%s: %s", s.path, name)
+			require.True(t, got != http.StatusBadRequest || scheme == "http://", "%s: %s", s.path, name)
+		}
+		got := k.ask(t, friend, http.MethodPost, "https://"+s.address, s.path, "", "")
+		require.Contains(t, []int{http.StatusOK, http.StatusBadRequest}, got, s.path)
+	}
+	for _, method := range []string{"Submit", "Follow"} {
+		got := k.ask(t, friend, http.MethodPost, "https://"+control.OperatorAddress(), wire.ControlPathPrefix+method, k.Keys().Token(), "")
+		require.Equal(t, http.StatusNotFound, got, "%s at the operators' server", method)
+	}
+}
+
+// addToken makes a token at the leader and returns it.
+func (k *keyed) addToken(t *testing.T, scope string, expires state.WallTime) string {
+	secret, err := keys.MakeToken()
+	require.NoError(t, err)
+	text, err := oper.EncodeToken(state.Token{Hash: secret.Hash(), Scope: scope, Name: scope, Expires: expires})
+	require.NoError(t, err)
+	leader := "https://" + k.Controls()[k.Leader()].Node().OperatorAddress()
+	require.Equal(t, http.StatusOK, k.ask(t, k.client(t), http.MethodPost, leader, oper.TokensPath, k.Keys().Token(), string(text)))
+	return secret.Reveal()
+}
+
+// TestTokensOfEachKind asks each operators' path with every kind of token, and
+// greps all that was logged and answered for the tokens and keys afterwards.
+func TestTokensOfEachKind(t *testing.T) {
+	k := startKeyed(t)
+	c := k.client(t)
+	leader := "https://" + k.Controls()[k.Leader()].Node().OperatorAddress()
+	wrong, err := keys.MakeToken()
+	require.NoError(t, err)
+	refused := map[string]string{
+		"none":    "",
+		"wrong":   wrong.Reveal(),
+		"expired": k.addToken(t, "operator", 1),
+		"caller":  k.addToken(t, "caller:stage-left", 0),
+		"target":  k.addToken(t, "target", 0),
+		"revoked": k.addToken(t, "operator", 0),
+	}
+	hash := keys.NewSecret(refused["revoked"]).Hash()
+	drop := oper.TokensPath + "?hash=" + url.QueryEscape(hexOf(hash))
+	require.Equal(t, http.StatusOK, k.ask(t, c, http.MethodDelete, leader, drop, k.Keys().Token(), ""))
+	refused["team, for what is an operator's"] = k.addToken(t, "team:adinkra", 0)
+	second := k.addToken(t, "operator", 0)
+	require.Equal(t, codes.ScopeRefused, k.changeAs(t, k.addToken(t, "team:kente", 0)), "another team's token")
+	require.Equal(t, codes.OK, k.changeAs(t, refused["team, for what is an operator's"]))
+	entry := "https://" + k.Entries()[0].Node().InternalAddress()
+	_, err = Await(testLimit, "the entry node knows the newest token", func() bool {
+		return k.ask(t, c, http.MethodGet, entry, status.Path, second, "") == http.StatusOK
+	})
+	require.NoError(t, err)
+	paths := []struct{ method, address, path string }{
+		{http.MethodPost, entry, "/sardine/v1/drain"},
+		{http.MethodGet, entry, status.DumpPath},
+		{http.MethodGet, leader, status.DumpPath},
+		{http.MethodPost, leader, oper.LeavePath + "?vm=app-1"},
+		{http.MethodGet, leader, oper.TokensPath},
+	}
+	for _, p := range paths {
+		for name, token := range refused {
+			got := k.ask(t, c, p.method, p.address, p.path, token, "")
+			require.Contains(t, []int{codes.KeyRefused.Status(), codes.ScopeRefused.Status(), codes.KeysTried.Status()}, got, "%s: %s", p.path, name)
+		}
+		if p.method == http.MethodGet { // also from an address that has shown wrong ones
+			require.Equal(t, http.StatusOK, k.ask(t, c, p.method, p.address, p.path, second, ""), p.path)
+		}
+	}
+	require.Equal(t, codes.KeysTried.Status(), k.ask(t, c, http.MethodGet, leader, status.DumpPath, wrong.Reveal(), ""), "the address is throttled")
+	k.grep(t, append(values(refused), second, k.Keys().Token()))
+}
+
+func hexOf(b []byte) string {
+	const digits = "0123456789abcdef"
+	var text strings.Builder
+	for _, c := range b {
+		text.WriteByte(digits[c>>4])
+		text.WriteByte(digits[c&15])
+	}
+	return text.String()
+}
+
+func values(m map[string]string) []string {
+	var all []string
+	for _, v := range m {
+		all = append(all, v)
+	}
+	return all
+}
+
+// changeAs reads the team's settings with a token and returns the result.
+func (k *keyed) changeAs(t *testing.T, token string) codes.Code {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	_, err := k.Client().Settings(ctx, &wire.SettingsRequest{Operation: "get", Path: "/teams/" + string(Team), Token: token})
+	return codes.Of(err)
+}
+
+// grep searches what the nodes have logged, answered and can dump.
+func (k *keyed) grep(t *testing.T, secrets []string) {
+	for _, name := range []string{"ca.crt", "client.key", "entry-1.key", "control-1.key"} {
+		text, err := os.ReadFile(k.Keys().Path(name))
+		require.NoError(t, err)
+		if strings.HasSuffix(name, ".key") {
+			secrets = append(secrets, strings.Split(string(text), "\n")[1])
+		}
+	}
+	for _, c := range k.Controls() {
+		require.NoError(t, json.NewEncoder(k.seen).Encode(c.Node().Dump()))
+	}
+	for _, e := range k.Entries() {
+		require.NoError(t, json.NewEncoder(k.seen).Encode(e.Node().Dump()))
+	}
+	all := k.seen.String()
+	require.Contains(t, all, "key_refused")
+	require.Contains(t, all, k.Entries()[0].Node().InternalAddress(), "the search itself works")
+	for _, s := range secrets {
+		if s != "" {
+			require.False(t, strings.Contains(all, s), "a secret was printed")
+		}
+	}
+}
+
+// serial returns the number of the certificate that a server shows to new
+// connections.
+func serial(t *testing.T, address string) string {
+	conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.String()
+}
+
+// TestRotationWithoutRestart renews a node's certificate while it runs, and takes
+// the authority away from a process that is connected.
+func TestRotationWithoutRestart(t *testing.T) {
+	k := startKeyed(t)
+	node := k.Entries()[0].Node()
+	before := serial(t, node.InternalAddress())
+	require.NoError(t, k.Keys().Issue(node.ID(), time.Now()))
+	_, err := Await(testLimit, "the new certificate", func() bool { return serial(t, node.InternalAddress()) != before })
+	require.NoError(t, err)
+	require.Contains(t, k.seen.String(), "keys_reloaded")
+	require.True(t, node.Dump().Ready)
+
+	friend := k.client(t, issue(t, k.Keys().Authority(), time.Now()))
+	relay := wire.RelayPathPrefix + "Follow"
+	ask := func() int {
+		return k.ask(t, friend, http.MethodPost, "https://"+node.InternalAddress(), relay, "", "")
+	}
+	require.Equal(t, http.StatusOK, ask())
+	fresh, err := keys.NewAuthority("accra", time.Now())
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(k.Keys().Path("ca.crt"), fresh.Pair().Certificate(), 0o600))
+	_, err = Await(testLimit, "the open connection is refused", func() bool { return ask() == codes.KeyRefused.Status() })
+	require.NoError(t, err)
+}
--- a/standin/site/settings.go
+++ b/standin/site/settings.go
@@ -50,6 +50,7 @@
 		ChangeId:  changeID,
 		Document:  document,
 		Author:    "demo",
+		Token:     s.keys.Token(),
 	})
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -42,6 +42,7 @@
 	plains    []*plain.Plain
 	client    *ctlapi.Client
 	addresses []string // of the controls' internal servers
+	keys      *Keys    // nil for plain HTTP
 }
 
 // Control is one control node and what it needs to start again.
@@ -82,6 +83,7 @@
 	logger   *slog.Logger
 	timing   entry.Timing
 	control  ctrl.Timing
+	keys     string // folder, empty for plain HTTP
 }
 
 // Option sets a property of a Site.
@@ -133,6 +135,12 @@
 	return func(s *settings) { change(&s.control) }
 }
 
+// WithKeys lets the site's own processes and operators speak TLS, with an
+// authority, certificates and a first operator's token made in the folder.
+func WithKeys(folder string) Option {
+	return func(s *settings) { s.keys = folder }
+}
+
 // Names of what the site deploys.
 const (
 	Model   = sardine.ModelName("twi-surtitles")
@@ -167,10 +175,15 @@
 }
 
 func (s *Site) start() error {
+	if err := s.makeKeys(); err != nil {
+		return err
+	}
 	if err := s.startControls(); err != nil {
 		return err
 	}
-	s.client = ctlapi.New(s.addresses)
+	if err := s.openClient(); err != nil {
+		return err
+	}
 	for i := range s.settings.entries {
 		e := &Entry{id: sardine.NodeID(fmt.Sprintf("entry-%d", i+1))}
 		s.entries = append(s.entries, e)
@@ -231,6 +244,10 @@
 	for _, other := range s.controls {
 		members = append(members, quorum.Member{Node: other.id, Address: other.address})
 	}
+	set, err := s.keys.set(c.id)
+	if err != nil {
+		return err
+	}
 	node, err := ctrl.New(
 		ctrl.WithID(c.id, "accra", dataCentre(i)),
 		ctrl.WithListen(c.address, loopback),
@@ -239,6 +256,8 @@
 		ctrl.WithRandom(s.random(uint64(200+i))),
 		ctrl.WithLogger(s.settings.logger.With(slog.String("node", string(c.id)))),
 		ctrl.WithTiming(s.settings.control),
+		ctrl.WithKeys(set),
+		ctrl.WithOperatorHash(s.keys.hash()),
 	)
 	if err != nil {
 		return err
@@ -267,6 +286,10 @@
 func (s *Site) StartEntry(i int) error {
 	e := s.entries[i]
 	e.incarnation++
+	set, err := s.keys.set(e.id)
+	if err != nil {
+		return err
+	}
 	node, err := entry.New(
 		entry.WithID(e.id, e.incarnation, dataCentre(i)),
 		entry.WithListen(loopback, loopback),
@@ -274,6 +297,8 @@
 		entry.WithRandom(s.random(uint64(300+i)+1000*uint64(e.incarnation))),
 		entry.WithLogger(s.settings.logger.With(slog.String("node", string(e.id)))),
 		entry.WithTiming(s.settings.timing),
+		entry.WithKeys(set),
+		entry.WithOperatorHash(s.keys.hash()),
 	)
 	if err != nil {
 		return err
--- a/tomlr/table.go
+++ b/tomlr/table.go
@@ -134,6 +134,20 @@
 	return n
 }
 
+// Bool returns true or false, or the fallback without the key.
+func (t *Table) Bool(key string, fallback bool) bool {
+	v, ok := t.get(key)
+	if !ok {
+		return fallback
+	}
+	b, ok := v.(bool)
+	if !ok {
+		t.Refuse(key, "true or false")
+		return fallback
+	}
+	return b
+}
+
 // Float returns a number from low to high, or fallback without the key.
 func (t *Table) Float(key string, fallback, low, high float64) float64 {
 	value, present := t.get(key)
