--- a/standin/gauge/gauge_test.go
+++ b/standin/gauge/gauge_test.go
@@ -7,7 +7,7 @@
 
 // TestMixedBeatsEveryBaseline runs the routing measurement small.
 func TestMixedBeatsEveryBaseline(t *testing.T) {
-	f := &routingFlags{seed: 5, workers: 20, nodes: 9, seconds: 30, rate: 6.2, samples: 2, places: 2, spread: 3, least: 1}
+	f := &routingFlags{seed: 5, workers: 20, nodes: 9, seconds: 30, rate: 6.2, samples: 2, places: 2, spread: 3, least: 1, regard: 0.5}
 	result, err := measureRouting(io.Discard, f)
 	if err != nil {
 		t.Fatal(err)
--- a/standin/gauge/routing.go
+++ b/standin/gauge/routing.go
@@ -56,7 +56,7 @@
 			c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of arrivals, lengths and delays")
 			c.Flags().IntVar(&f.workers, "workers", 50, "engines that serve the model")
 			c.Flags().IntVar(&f.nodes, "nodes", 9, "entry nodes")
-			c.Flags().IntVar(&f.seconds, "seconds", 60, "seconds of virtual time, the first third is not counted")
+			c.Flags().IntVar(&f.seconds, "seconds", 180, "seconds of virtual time, the first third is not counted")
 			c.Flags().Float64Var(&f.rate, "rate", 6.2, "requests a second for each engine")
 			c.Flags().StringSliceVar(&f.only, "only", nil, "policies to run, all by default")
 			c.Flags().IntVar(&f.samples, "samples", 2, "random candidates that mixed weighs")
