Explain one request: a bounded trace at each entry node

Cause: that a cue was late could be seen, why could not.

Change: package trace keeps the last 4096 requests of an entry node; sardctl explain REQUEST-ID asks the node whose name stands in the id, with an operator's token. It keeps names from the settings only, nothing of the caller's own text.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -16,6 +15,7 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/trace"
 )
 
 // publicMux routes what callers, targets and the balancer ask.
@@ -59,7 +59,24 @@
 }
 
 func (n *Node) newRequestID() sardine.RequestID {
-	return sardine.RequestID(fmt.Sprintf("%s-%x-%x", n.id, uint64(n.incarnation), n.requests.Add(1)))
+	return trace.ID(n.id, n.incarnation, n.requests.Add(1))
+}
+
+// beginTrace gives a request its id and records its arrival.
+func (n *Node) beginTrace() *trace.Record {
+	number := n.requests.Add(1)
+	return n.traces.Begin(number, trace.ID(n.id, n.incarnation, number), n.clock.Now())
+}
+
+// refuseTraced answers a request that was not run and records why.
+func (n *Node) refuseTraced(w http.ResponseWriter, k *trace.Record, err error) {
+	n.endTrace(k, err, sardine.RanNo, 0)
+	n.refuse(w, k.ID(), err)
+}
+
+// endTrace records how a request ended; err is nil if it was answered.
+func (n *Node) endTrace(k *trace.Record, err error, ran sardine.Ran, tokens int) {
+	k.Ended(n.clock.Now(), trace.End{Code: codes.Of(err), Ran: ran, Tokens: tokens, Left: errors.Is(err, context.Canceled)})
 }
 
 // extendRead gives the caller the read timeout for its body.
@@ -100,6 +117,7 @@
 		return tenancy{}, serviceKey{}, 0, n.refuseKey(q, err)
 	}
 	q.cut = v.cuts[t.team]
+	q.trace.Named(t.tenant.Name, d.Name) // not the caller's own strings, which may be long
 	key := serviceKey{t.team, d.Name}
 	if len(v.candidates[key]) == 0 {
 		err := codes.New(codes.NoTarget, "no target serves %q now", d.Name)
@@ -119,6 +137,7 @@
 		offer.Deadline = q.arrived + q.deadline
 	}
 	ticket, err := n.gate.enter(ctx, offer)
+	q.trace.Waited(n.clock.Now() - q.arrived)
 	n.meter.admitted(err)
 	return t, key, ticket, err
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -53,20 +53,21 @@
 
 // handleModel answers chat and completion requests.
 func (n *Node) handleModel(w http.ResponseWriter, r *http.Request) {
-	id := n.newRequestID()
+	k := n.beginTrace()
+	id := k.ID()
 	n.extendRead(w)
 	q, err := readModel(r, n.limits.BodyBytes)
 	if err != nil {
-		n.refuse(w, id, err)
+		n.refuseTraced(w, k, err)
 		return
 	}
-	q.id = id
+	q.id, q.trace = id, k
 	q.arrived = n.clock.Now()
 	ctx, cancel := n.callerContext(r.Context())
 	defer cancel(nil)
 	t, key, ticket, err := n.enter(ctx, q)
 	if err != nil {
-		n.refuse(w, id, err)
+		n.refuseTraced(w, k, err)
 		return
 	}
 	run := &modelRun{node: n, request: q, tenancy: t, service: key, ticket: ticket, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
@@ -78,7 +79,9 @@
 	outcome = outcomeOf(ctx, err)
 	if err != nil {
 		run.fail(err)
+		return
 	}
+	n.endTrace(k, nil, sardine.RanYes, run.tokens)
 }
 
 func outcomeOf(ctx context.Context, err error) admit.Outcome {
@@ -177,6 +180,7 @@
 	}
 	m.last = choice.Candidate
 	m.attempts++
+	m.request.trace.Dispatched(m.node.clock.Now(), choice.Candidate.Ref)
 	return choice, nil
 }
 
@@ -293,6 +297,7 @@
 
 func (m *modelRun) noteFirst(resp *http.Response, choice *route.Choice, started sardine.Millis) {
 	m.deadline.Stop()
+	m.request.trace.First(m.node.clock.Now())
 	m.firstIn = max(m.node.clock.Now()-started, 1)
 	m.node.gate.firstToken(choice, cachedTokens(resp.Header))
 	m.node.gate.answered(m.ticket, m.firstIn)
@@ -339,6 +344,7 @@
 	}
 	event.Log(m.node.log, id, requestAttr(m.request.id), codeAttr(err), ranAttr(ran), slog.String("fingerprint", m.request.poison.String()))
 	m.node.meter.failed(err)
+	m.node.endTrace(m.request.trace, err, ran, m.tokens)
 	m.sink.fail(problemOf(err, m.request.id, ran))
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -23,6 +23,7 @@
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 	"sardineswitch.dev/sardine/status"
+	"sardineswitch.dev/sardine/trace"
 )
 
 // Node is one entry node. New, Start and Stop are called once each.
@@ -61,6 +62,7 @@
 	guards         *guards
 	follower       *follower
 	meter          *instruments
+	traces         *trace.Ring
 	history        *status.History // the follow duty's
 
 	homeMu   sync.Mutex
@@ -94,6 +96,7 @@
 		flights: newFlights(),
 		history: status.NewHistory(),
 		keys:    keys.Plain(),
+		traces:  trace.NewRing(),
 	}
 	for _, o := range options {
 		o(n)
@@ -175,6 +178,14 @@
 	return n.public.Address()
 }
 
+// TargetAddress returns the address for targets' announcements.
+func (n *Node) TargetAddress() string {
+	if n.targets == nil {
+		return n.public.Address()
+	}
+	return n.targets.Address()
+}
+
 // InternalAddress returns the address for other processes and operators.
 func (n *Node) InternalAddress() string {
 	return n.internal.Address()
--- a/entry/ops.go
+++ b/entry/ops.go
@@ -15,6 +15,7 @@
 	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/status"
+	"sardineswitch.dev/sardine/trace"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -24,6 +25,7 @@
 	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), n.keys.SiteOnly(wire.NewRelayServer(n.follower), n.refuseStranger))
 	mux.HandleFunc(pat.Get(status.DumpPath), n.guarded(oper.NeedOperator(), n.handleDump))
 	mux.HandleFunc(pat.Get(status.Path), n.guarded(oper.NeedReader(), n.handleStatus))
+	mux.HandleFunc(pat.Get(trace.Path+":id"), n.guarded(oper.NeedOperator(), n.handleExplain))
 	mux.HandleFunc(pat.Post("/sardine/v1/drain"), n.guarded(oper.NeedOperator(), n.handleDrain))
 	mux.Handle(pat.Get("/metrics"), n.meter.meter.Handler())
 	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
@@ -76,6 +78,22 @@
 	reply.JSON(w, http.StatusAccepted, readyJSON{Node: string(n.id), Reason: codes.Draining.Name()})
 }
 
+// handleExplain tells what the node did with one of its last requests.
+func (n *Node) handleExplain(w http.ResponseWriter, r *http.Request) {
+	id := sardine.RequestID(pat.Param(r, "id"))
+	node, incarnation, number, err := trace.ParseID(id)
+	if err != nil {
+		n.refuseOperator(w, err)
+		return
+	}
+	k := n.traces.Find(number)
+	if node != n.id || incarnation != n.incarnation || k == nil {
+		n.refuseOperator(w, codes.New(codes.UnknownMember, "request %q: %s knows its last %d requests since its start", id, n.id, trace.Capacity))
+		return
+	}
+	reply.JSON(w, http.StatusOK, k.Account(n.id, n.clock.Now()))
+}
+
 type modelsJSON struct {
 	Object string      `json:"object"`
 	Data   []modelItem `json:"data"`
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -54,20 +54,21 @@
 
 // handlePlain answers requests to plain services.
 func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
-	id := n.newRequestID()
+	k := n.beginTrace()
+	id := k.ID()
 	n.extendRead(w)
 	q, err := readPlain(r, n.limits.BodyBytes)
 	if err != nil {
-		n.refuse(w, id, err)
+		n.refuseTraced(w, k, err)
 		return
 	}
-	q.id = id
+	q.id, q.trace = id, k
 	q.arrived = n.clock.Now()
 	ctx, cancel := n.callerContext(r.Context())
 	defer cancel(nil)
 	_, key, ticket, err := n.enter(ctx, q)
 	if err != nil {
-		n.refuse(w, id, err)
+		n.refuseTraced(w, k, err)
 		return
 	}
 	run := &plainRun{node: n, request: q, service: key, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
@@ -84,7 +85,9 @@
 	outcome = outcomeOf(ctx, err)
 	if err != nil {
 		run.fail(err)
+		return
 	}
+	n.endTrace(k, nil, sardine.RanYes, 0)
 }
 
 // repeatable reports whether the method's calls may be sent twice. Reads always
@@ -225,6 +228,7 @@
 		return p.pick()
 	}
 	p.attempts++
+	p.request.trace.Dispatched(p.node.clock.Now(), choice.Candidate.Ref)
 	return choice, nil
 }
 
@@ -247,6 +251,7 @@
 	}
 	p.took = max(p.node.clock.Now()-started, 1)
 	p.node.gate.firstToken(choice, route.UnknownCached)
+	p.request.trace.First(p.node.clock.Now())
 	return answer, func() {
 		answer.response.Body.Close()
 		end(true)
@@ -299,7 +304,9 @@
 		return err
 	}
 	if _, err := io.Copy(extending{p.sink}, a.response.Body); err != nil {
-		event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(codes.Wrap(codes.StreamBroken, err, "answer broke off")), ranAttr(sardine.RanYes))
+		err = codes.Wrap(codes.StreamBroken, err, "answer broke off")
+		event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(err), ranAttr(sardine.RanYes))
+		p.node.endTrace(p.request.trace, err, sardine.RanYes, 0)
 		panic(http.ErrAbortHandler)
 	}
 	return nil
@@ -317,6 +324,7 @@
 
 // fail gives the caller its final answer.
 func (p *plainRun) fail(err error) {
+	p.node.endTrace(p.request.trace, err, p.ran, 0)
 	if p.sink.started { // the caller is gone
 		return
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -17,6 +17,7 @@
 	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/trace"
 )
 
 // Bounds of what a caller may ask for.
@@ -29,6 +30,7 @@
 // request is one caller's request, read whole and checked.
 type request struct {
 	id          sardine.RequestID
+	trace       *trace.Record
 	workspace   sardine.Workspace
 	token       string
 	source      string // IP number of the caller or of the balancer before it
--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -13,9 +13,12 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/team"
+	"sardineswitch.dev/sardine/trace"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -69,6 +72,21 @@
 	mux.HandleFunc("GET /sardine/v1/explain/group/{group}", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = fmt.Fprintf(w, `{"group":%q,"lines":["waits for a spare in rack-1"]}`, r.PathValue("group"))
 	})
+	mux.HandleFunc("GET "+trace.Path+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		id := sardine.RequestID(r.PathValue("id"))
+		if id != "osu-entry-1-1-2" {
+			reply.NewProblem(codes.New(codes.UnknownMember, "request %q: osu-entry-1 knows its last 4096 requests since its start", id)).Write(w)
+			return
+		}
+		k := trace.NewRing().Begin(2, id, 0)
+		k.Named("stage", "surtitle")
+		k.Waited(12)
+		k.Dispatched(12, route.Ref{Group: "g-1", Epoch: 9})
+		k.Dispatched(70, route.Ref{Group: "g-2", Epoch: 5})
+		k.First(95)
+		k.Ended(240, trace.End{Ran: sardine.RanYes, Tokens: 31})
+		reply.JSON(w, http.StatusOK, k.Account("osu-entry-1", 4*sardine.Second))
+	})
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.Handle("/sardine/v1/", oper.Handler(f))
 	f.server = httptest.NewServer(mux)
--- a/sardctl/verbs/explain.go
+++ b/sardctl/verbs/explain.go
@@ -20,29 +20,37 @@
 
 func explainVerb() Verb {
 	return Verb{
-		Use:     "explain group|target|code|event NAME",
+		Use:     "explain request|group|target|code|event NAME",
 		Section: SectionSite,
-		Short:   "Explain a group, a target, a refusal or a log event",
-		Long: `Explains the state of one group or target, or what a result code or a log event
-means and what to do. Codes and events are found by number or name and need no
+		Short:   "Explain a request, a group, a target, a refusal or a log event",
+		Long: `Explains what became of one request, the state of one group or target, or what a
+result code or a log event means and what to do. A request's id stands in the header
+X-Sardine-Request of its answer and in the logs, and may be given alone; its entry
+node knows the last 4096. Codes and events are found by number or name and need no
 node.`,
 		Examples: []string{
+			"sardctl explain osu-entry-1-19af2c11d05-1f3",
 			"sardctl explain group g-17",
 			"sardctl explain target vm-4",
 			"sardctl explain code no_lease",
 			"sardctl explain event 405",
 		},
-		Args: cobra.ExactArgs(2),
+		Args: cobra.RangeArgs(1, 2),
 		Complete: func(*Call) []string {
-			return []string{"group", "target", "code", "event"}
+			return []string{"request", "group", "target", "code", "event"}
 		},
 		Run: runExplain,
 	}
 }
 
 func runExplain(c *Call) error {
+	if len(c.args) == 1 {
+		return c.explainRequest(sardine.RequestID(c.args[0]))
+	}
 	name := c.args[1]
 	switch c.args[0] {
+	case "request":
+		return c.explainRequest(sardine.RequestID(name))
 	case "group":
 		return c.explainGroup(sardine.GroupID(name))
 	case "target":
@@ -52,7 +60,7 @@
 	case "event":
 		return c.explainEvent(name)
 	default:
-		return codes.New(codes.UsageError, "explain %q: expected group, target, code or event", c.args[0])
+		return codes.New(codes.UsageError, "explain %q: expected request, group, target, code or event", c.args[0])
 	}
 }
 
--- a/standin/site/keys_test.go
+++ b/standin/site/keys_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,7 +20,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/conf"
+	"sardineswitch.dev/sardine/entry"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/state"
@@ -100,10 +104,17 @@
 	return p
 }
 
-// TestStrangersReachNoProcessService calls what is for the site's processes with
-// every wrong certificate, and with a right one.
-func TestStrangersReachNoProcessService(t *testing.T) {
+// TestKeys walks one site, whose authority is taken away at the end.
+func TestKeys(t *testing.T) {
 	k := startKeyed(t)
+	t.Run("strangers", k.testStrangers)
+	t.Run("tokens", k.testTokens)
+	t.Run("rotation", k.testRotation)
+}
+
+// testStrangers calls what is for the site's processes with
+// every wrong certificate, and with a right one.
+func (k *keyed) testStrangers(t *testing.T) {
 	foreign, err := keys.NewAuthority("elsewhere", time.Now())
 	require.NoError(t, err)
 	control, entry := k.Controls()[0].Node(), k.Entries()[0].Node()
@@ -152,10 +163,9 @@
 	return secret.Reveal()
 }
 
-// TestTokensOfEachKind asks each operators' path with every kind of token, and
+// testTokens asks each operators' path with every kind of token, and
 // greps all that was logged and answered for the tokens and keys afterwards.
-func TestTokensOfEachKind(t *testing.T) {
-	k := startKeyed(t)
+func (k *keyed) testTokens(t *testing.T) {
 	c := k.client(t)
 	leader := "https://" + k.Controls()[k.Leader()].Node().OperatorAddress()
 	wrong, err := keys.MakeToken()
@@ -260,10 +270,9 @@
 	return conn.ConnectionState().PeerCertificates[0].SerialNumber.String()
 }
 
-// TestRotationWithoutRestart renews a node's certificate while it runs, and takes
+// testRotation renews a node's certificate while it runs, and takes
 // the authority away from a process that is connected.
-func TestRotationWithoutRestart(t *testing.T) {
-	k := startKeyed(t)
+func (k *keyed) testRotation(t *testing.T) {
 	node := k.Entries()[0].Node()
 	before := serial(t, node.InternalAddress())
 	require.NoError(t, k.Keys().Issue(node.ID(), time.Now()))
@@ -284,3 +293,31 @@
 	_, err = Await(testLimit, "the open connection is refused", func() bool { return ask() == codes.KeyRefused.Status() })
 	require.NoError(t, err)
 }
+
+// TestCallersAndTargetsOverTLS starts one entry node with a certificate for
+// callers, which wants a token of its targets.
+func TestCallersAndTargetsOverTLS(t *testing.T) {
+	k := &keyed{Site: &Site{settings: settings{keys: t.TempDir()}}, seen: &page{}}
+	require.NoError(t, k.makeKeys())
+	require.NoError(t, k.Keys().Issue("public", time.Now()))
+	set, err := keys.Open(conf.NewTLS("", "", "", k.Keys().Path("public.crt"), k.Keys().Path("public.key")))
+	require.NoError(t, err)
+	node, err := entry.New(
+		entry.WithID("osu-entry-1", 1, "osu"), entry.WithListen(loopback, loopback), entry.WithTargetListen(loopback),
+		entry.WithControls("127.0.0.1:1"), entry.WithRandom(rand.New(rand.NewPCG(1, 1))),
+		entry.WithKeys(set), entry.WithOperatorHash(k.Keys().hash()), entry.WithTargetTokens(true),
+	)
+	require.NoError(t, err)
+	node.Start()
+	defer func() { require.NoError(t, node.Stop()) }()
+	public, targets := node.PublicAddress(), node.TargetAddress()
+	c := k.client(t)
+	for _, address := range []string{public, targets} {
+		require.Equal(t, http.StatusOK, k.ask(t, c, http.MethodGet, "https://"+address, "/healthz", "", ""))
+		require.Equal(t, http.StatusBadRequest, k.ask(t, c, http.MethodGet, "http://"+address, "/healthz", "", ""), "plain HTTP")
+		require.Equal(t, codes.KeyRefused.Status(), k.ask(t, c, http.MethodPost, "https://"+address, annc.Path, "", "{}"))
+		require.Equal(t, codes.BadRequest.Status(), k.ask(t, c, http.MethodPost, "https://"+address, annc.Path, k.Keys().Token(), "{}"), "the token counts, the text does not")
+		_, err := (&http.Client{}).Get("https://" + address + "/healthz")
+		require.ErrorContains(t, err, "unknown authority")
+	}
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,89 @@
+package trace
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/route"
+)
+
+func TestRingKeepsTheLast(t *testing.T) {
+	r := NewRing()
+	for n := uint64(1); n <= Capacity+1; n++ {
+		r.Begin(n, ID("osu-entry-1", 7, n), sardine.Millis(n))
+	}
+	require.Nil(t, r.Find(1), "overwritten")
+	require.Nil(t, r.Find(Capacity+2), "not begun")
+	require.Equal(t, ID("osu-entry-1", 7, 2), r.Find(2).ID())
+}
+
+func TestAccount(t *testing.T) {
+	k := NewRing().Begin(3, ID("e", 1, 3), 100)
+	k.Named("stage", "surtitle")
+	k.Waited(5)
+	for i := range maxSteps + 2 {
+		k.Dispatched(sardine.Millis(110+i), route.Ref{Group: "g-1", Epoch: 4})
+	}
+	require.Equal(t, sardine.RanUnknown.String(), k.Account("e", 120).Ran, "it runs")
+	k.First(130)
+	k.First(140)
+	k.Ended(150, End{Code: codes.StreamBroken, Ran: sardine.RanYes, Tokens: 9, Left: true})
+	a := k.Account("e", 200)
+	require.Equal(t, StepRow{Target: "g-1@4", After: 10}, a.Dispatches[0])
+	require.Len(t, a.Dispatches, maxSteps)
+	require.Equal(t, 2, a.Unnamed)
+	require.Equal(t, []int64{100, 5, 30, 50}, []int64{a.Age, a.Waited, a.First, a.Took})
+	require.Equal(t, "stream_broken", a.CodeName)
+	require.True(t, a.CallerLeft)
+}
+
+func TestIDs(t *testing.T) {
+	node, incarnation, number, err := ParseID(ID("joao_pessoa-entry-1", 0x19af, 255))
+	require.NoError(t, err)
+	require.Equal(t, sardine.NodeID("joao_pessoa-entry-1"), node)
+	require.Equal(t, sardine.Incarnation(0x19af), incarnation)
+	require.Equal(t, uint64(255), number)
+	for _, bad := range []sardine.RequestID{"", "-", "e-1", "-1-2", "e-x-1", "e-1-", "e-1-x"} {
+		_, _, _, err := ParseID(bad)
+		require.True(t, codes.Is(err, codes.BadRequest), bad)
+	}
+}
+
+// TestOneAllocation holds a whole request's notes to its record.
+func TestOneAllocation(t *testing.T) {
+	r, n := NewRing(), uint64(0)
+	require.Equal(t, 1.0, testing.AllocsPerRun(100, func() {
+		n++
+		note(r, n)
+	}))
+}
+
+func note(r *Ring, n uint64) {
+	k := r.Begin(n, "e-1-1", 1)
+	k.Named("stage", "surtitle")
+	k.Waited(1)
+	k.Dispatched(2, route.Ref{Group: "g", Epoch: 1})
+	k.First(3)
+	k.Ended(4, End{Ran: sardine.RanYes, Tokens: 5})
+}
+
+func BenchmarkRequest(b *testing.B) {
+	r := NewRing()
+	b.ReportAllocs()
+	for i := range b.N {
+		note(r, uint64(i))
+	}
+}
+
+func BenchmarkRequestParallel(b *testing.B) {
+	r := NewRing()
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for n := uint64(0); p.Next(); n++ {
+			note(r, n)
+		}
+	})
+}
