--- a/entry/announ.go
+++ b/entry/announ.go
@@ -11,6 +11,7 @@
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/route"
 )
 
 // handleAnnounce takes a target's word about itself. The answer names this
@@ -58,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	if a.Kind == sardine.KindPlain || a.Holding.Rank == 0 {
+		n.gate.load(refOf(a), a.Load)
+	}
 	if !known {
 		event.Log(n.log, event.TargetSeen, vmAttr(a.VM))
 	}
@@ -70,6 +74,15 @@
 	return nil
 }
 
+// refOf returns the target that the router knows by the announcement's load. A
+// group's load is told by its rank 0.
+func refOf(a sardine.Announcement) route.Ref {
+	if a.Kind == sardine.KindEngine {
+		return route.Ref{Group: a.Holding.Group, Epoch: a.Holding.Epoch}
+	}
+	return route.Ref{VM: a.VM, Incarnation: a.Incarnation}
+}
+
 // tickHome drops targets whose lease has lapsed.
 func (n *Node) tickHome() {
 	now := n.clock.Now()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -226,7 +226,7 @@
 }
 
 func (f *follower) newView(m *state.Machine) *view {
-	v, failed := newView(m)
+	v, failed := newView(m, f.node.id)
 	for _, err := range failed {
 		event.Log(f.node.log, event.DutyFailed, codeAttr(err))
 	}
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -59,6 +59,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.router.SetPosition(v.position, max(v.nodes, 1))
 	g.router.Update(g.clock.Now(), all)
 	g.admission.SetWeights(weights)
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -149,6 +149,8 @@
 		Workspace:    m.request.workspace,
 		Priority:     m.request.priority,
 		PrefixHashes: m.request.prefixes,
+		Conversation: m.request.talk,
+		Later:        m.request.later,
 		PromptTokens: m.request.tokens,
 		Exclude:      slices.Concat(m.gone, m.tried),
 		Avoid:        p.avoid,
--- a/entry/request.go
+++ b/entry/request.go
@@ -48,6 +48,8 @@
 	tokens      int  // estimate of the prompt's tokens
 	maxTokens   int  // asked for, 0 if not said
 	prefixes    []uint64
+	talk        uint64            // hash of the conversation's beginning, 0 for none
+	later       bool              // the conversation has earlier answers
 	fingerprint []byte            // of the caller's request, for its idempotency key
 	poison      guard.Fingerprint // of what the target runs
 	cut         sardine.CutPolicy // of its team
@@ -188,6 +190,7 @@
 	}
 	q.tokens = len(prompt)/bytesPerWord + 1
 	q.prefixes = prefixHashes(q.service, prompt)
+	q.talk, q.later = conversationOf(m.Messages)
 	q.setFingerprint()
 	q.poison = guard.Of(q.service, q.method, q.path, q.body)
 	return q, nil
--- a/entry/view.go
+++ b/entry/view.go
@@ -47,16 +47,22 @@
 	members     map[sardine.GroupID][]sardine.VMID
 	tokens      oper.Tokens
 	nodes       int                   // entry nodes of the site
+	position    int                   // of this one among them, by name
 	routed      []sardine.ServiceName // as the router knows the deployments
 }
 
 // newView arranges the machine's state. Documents that can't be parsed are
 // reported and leave their team out; the leader validates documents before they
 // are accepted, so that only an older program can meet one.
-func newView(m *state.Machine) (*view, []error) {
+func newView(m *state.Machine, self sardine.NodeID) (*view, []error) {
 	v := emptyView()
 	v.index = m.Index()
-	v.nodes = len(m.Entries())
+	for i, e := range m.Entries() {
+		v.nodes++
+		if e.Node == self {
+			v.position = i
+		}
+	}
 	v.tokens = oper.TokensOf(m)
 	var failed []error
 	for _, name := range m.Teams() {
