Bring about one failure in the demo and judge what status tells

Cause: that status is right within 5 s through each failure was not checked.

The check found a fault: a lost VM vanished from the status as soon as the state had dropped it, so that no one was told which VM is down (member and domain failed: 'target vm-1-4 is "", it is lost'). The report's history now lists it for 12 hours or until it is back, unless it had said that it leaves.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,17 @@
 SOURCES  := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
 BIN      := $(CURDIR)/.bin
 
-.PHONY: check demo tools format-check lint vet build catalogues test race generate format pages operate
+.PHONY: check demo fail tools format-check lint vet build catalogues test race generate format pages operate
 
 check: tools format-check vet lint build catalogues test race
 
 demo:
 	go run ./sardctl demo
 
+# The status through each failure of the demo; about a minute.
+fail: build
+	@for f in member domain control entry poison; do $(BIN)/sardctl demo --fail $$f || exit 1; done
+
 tools:
 	cd tools && GOWORK=off go build -o $(BIN)/ mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
 
--- /dev/null
+++ b/sardctl/demo/failpoison.go
@@ -0,0 +1,68 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/standin/engine"
+	"sardineswitch.dev/sardine/status"
+)
+
+// failPoison sends a request that crashes the engines that run it, until it is
+// refused.
+func failPoison(ctx context.Context, s *stage) (trouble, error) {
+	c := newCaller()
+	for {
+		a, right, err := c.chat(ctx, s.site.Entries()[0].Node().PublicAddress(), engine.PoisonMarker, loadTokens)
+		if right || ctx.Err() != nil {
+			return trouble{}, codes.New(codes.Internal, "the poison request was answered or not refused: %v", err)
+		}
+		if a.status == codes.PoisonRequest.Status() {
+			break
+		}
+	}
+	var fingerprint string
+	return trouble{
+		about: "refused",
+		told: func(r status.Report) error {
+			for _, p := range r.Poisons {
+				if p.Condition.State == "refused" && !p.Condition.Good && len(p.Groups) > 0 {
+					fingerprint = p.Fingerprint
+					return tellsOnly(r, "request", fingerprint)
+				}
+			}
+			return wrong("%d requests are told as suspected, none as refused", len(r.Poisons))
+		},
+		mend: func(ctx context.Context) error {
+			if err := release(ctx, s, fingerprint); err != nil {
+				return err
+			}
+			return startAll(s.site.Engines())
+		},
+		over: func() bool { return whole(s) },
+	}, nil
+}
+
+// release lets a refused request run again, as sardctl poison release does.
+func release(ctx context.Context, s *stage, fingerprint string) error {
+	leader := s.site.Leader()
+	if leader < 0 {
+		return codes.New(codes.NoQuorum, "no control node leads")
+	}
+	address := s.site.Controls()[leader].Node().OperatorAddress()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+oper.PoisonPath+"?fingerprint="+fingerprint, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := newCaller().http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return codes.New(codes.Internal, "release of %s: %s", fingerprint, answer.Status)
+	}
+	return nil
+}
--- a/status/build.go
+++ b/status/build.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
+	"strings"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/state"
@@ -57,7 +59,8 @@
 // History remembers since when things are in their state. It is not safe for
 // concurrent use.
 type History struct {
-	known map[string]spell
+	known   map[string]spell
+	targets map[sardine.VMID]gone
 }
 
 type spell struct {
@@ -68,7 +71,7 @@
 
 // NewHistory returns a history that knows nothing.
 func NewHistory() *History {
-	return &History{known: map[string]spell{}}
+	return &History{known: map[string]spell{}, targets: map[sardine.VMID]gone{}}
 }
 
 // since returns when the thing came into the state, now if it was in another.
@@ -203,6 +206,12 @@
 		row.Condition = b.condition("target "+string(t.VM), name, adviseTarget(name))
 		all = append(all, row)
 	}
+	b.history.remember(all)
+	for _, row := range b.history.lost(all, b.in.At) {
+		row.Condition = b.condition("target "+string(row.VM), "lost", adviseTarget("lost"))
+		all = append(all, row)
+	}
+	slices.SortFunc(all, func(a, b Target) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return all
 }
 
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -146,3 +146,41 @@
 	g, _ = Build(m, in, NewHistory()).Group("spare.1")
 	require.False(t, g.Condition.Good)
 }
+
+// TestLostTargetIsListedAfterItsRemoval takes targets out of the state: one that
+// fell silent stays in the report until it is back, one that had said it leaves
+// does not.
+func TestLostTargetIsListedAfterItsRemoval(t *testing.T) {
+	m, in := site(t)
+	h := NewHistory()
+	Build(m, in, h)
+	apply := func(c state.Command) { require.NoError(t, m.Apply(m.Index()+1, 1000, c).Err) }
+	apply(state.TargetLeaving{VM: "app-1", Incarnation: 1})
+	in.At += 1000
+	Build(m, in, h)
+	apply(state.TargetDown{VM: "app-1", Incarnation: 1})
+	apply(state.TargetDown{VM: "vm-3", Incarnation: 1})
+	in.At += 1000
+	lostAt := in.At
+	for range 3 {
+		r := Build(m, in, h)
+		lost, listed := r.Target("vm-3")
+		require.True(t, listed)
+		require.Equal(t, "lost", lost.Condition.State)
+		require.Equal(t, lostAt, lost.Condition.Since)
+		_, listed = r.Target("app-1")
+		require.False(t, listed, "it had said that it leaves")
+		in.At += 1000
+	}
+	apply(state.TargetUp{Target: state.Target{VM: "vm-3", Incarnation: 2, Kind: sardine.KindEngine, Domain: "rack-1", Accelerators: 4}})
+	in.Seen[2] = Seen{VM: "vm-3", Incarnation: 2, Present: true}
+	r := Build(m, in, h)
+	back, _ := r.Target("vm-3")
+	require.Equal(t, "free", back.Condition.State)
+	apply(state.TargetDown{VM: "vm-3", Incarnation: 2})
+	Build(m, in, h)
+	in.At += state.WallTime(goneKept) + 1
+	r = Build(m, in, h)
+	_, listed := r.Target("vm-3")
+	require.False(t, listed, "forgotten after %d ms", goneKept)
+}
