Talk HTTP/2 between entry and control nodes

Cause: over HTTP/1.1 a relay spends 4,567 bytes/s at 350 nodes, over the budget of 3 KB/s. Change: the clients between nodes use HTTP/2, with and without TLS; a silent connection is tried after 2 s and given up a second later.

--- a/keys/set.go
+++ b/keys/set.go
@@ -79,17 +79,32 @@
 	})
 }
 
-// Client returns a client for calls to other nodes, and the scheme of their
-// addresses. It follows no redirects.
+// Times after which a silent HTTP/2 connection is tried, and then given up.
+const (
+	silentMost = 2 * time.Second
+	pingMost   = time.Second
+)
+
+// Client returns a client over HTTP/2 for calls to other nodes, and the scheme of
+// their addresses. It follows no redirects. HTTP/1.1 would spend three times the
+// bytes on the headers of each poll.
 func (s *Set) Client(idle int) (client *http.Client, scheme string) {
-	transport, scheme := &http.Transport{}, "http"
+	transport, scheme := plainTransport(), "http"
 	if s.node != nil {
-		transport, scheme = s.node.ClientTransport(), "https"
+		transport, scheme = s.node.LinkTransport(), "https"
 	}
 	transport.MaxIdleConnsPerHost = idle
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: silentMost, PingTimeout: pingMost, WriteByteTimeout: pingMost}
 	return staying(transport), scheme
 }
 
+// plainTransport speaks HTTP/2 without TLS.
+func plainTransport() *http.Transport {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{Protocols: protocols, DisableCompression: true}
+}
+
 // LinkClient returns a client over HTTP/2 for the messages between control nodes,
 // nil for plain HTTP.
 func (s *Set) LinkClient() *http.Client {
