--- a/entry/model.go
+++ b/entry/model.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -276,64 +275,6 @@
 	}
 }
 
-func (m *modelRun) passStream(resp *http.Response, choice *route.Choice, watch *watchdog, started sardine.Millis) error {
-	stream := serve.NewStream(resp.Body, m.request.id, m.tokens)
-	for {
-		e, err := stream.Next()
-		if err != nil {
-			return err
-		}
-		watch.heard()
-		if stream.Tokens() == m.tokens+1 && m.firstIn == 0 {
-			m.noteFirst(resp, choice, started)
-		}
-		if err := m.sink.event(e.Raw(), !stream.Buffered()); err != nil {
-			return codes.Wrap(codes.StreamBroken, err, "caller is gone")
-		}
-		m.tokens = stream.Tokens()
-		if e.Done() {
-			return nil
-		}
-	}
-}
-
-func (m *modelRun) noteFirst(resp *http.Response, choice *route.Choice, started sardine.Millis) {
-	m.deadline.Stop()
-	m.request.trace.First(m.node.clock.Now())
-	m.firstIn = max(m.node.clock.Now()-started, 1)
-	m.node.gate.firstToken(choice, cachedTokens(resp.Header))
-	m.node.gate.answered(m.ticket, m.firstIn)
-	m.node.meter.firstToken(m.node.clock.Now() - m.request.arrived)
-}
-
-func (m *modelRun) passWhole(resp *http.Response, choice *route.Choice, started sardine.Millis) error {
-	body, err := serve.ReadWhole(resp, maxAnswerBytes)
-	if err != nil {
-		return err
-	}
-	if err := serve.CheckWhole(body, m.request.id); err != nil {
-		return err
-	}
-	m.noteFirst(resp, choice, started)
-	header := http.Header{"Content-Type": {resp.Header.Get("Content-Type")}, "Content-Length": {strconv.Itoa(len(body))}}
-	return m.sink.whole(http.StatusOK, header, body)
-}
-
-// passRefusal handles an engine's answer that is neither tokens nor a refusal
-// to start: a fault of the request goes to the caller as it is, a fault of the
-// engine counts as a failed dispatch.
-func (m *modelRun) passRefusal(resp *http.Response) error {
-	body, err := serve.ReadWhole(resp, maxAnswerBytes)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode >= http.StatusInternalServerError || m.sink.started {
-		return codes.New(codes.TargetFailed, "engine answered %s", resp.Status)
-	}
-	header := http.Header{"Content-Type": {resp.Header.Get("Content-Type")}, "Content-Length": {strconv.Itoa(len(body))}}
-	return m.sink.whole(resp.StatusCode, header, body)
-}
-
 // fail gives the caller its final answer.
 func (m *modelRun) fail(err error) {
 	ran := m.ran
@@ -375,25 +316,3 @@
 	}
 	return err
 }
-
-// watchdog cancels a dispatch whose target stays silent for too long.
-type watchdog struct {
-	timer   *time.Timer
-	between time.Duration
-}
-
-func newWatchdog(cancel context.CancelCauseFunc, first, between sardine.Millis) *watchdog {
-	return &watchdog{
-		timer:   time.AfterFunc(first.Duration(), func() { cancel(errStalled) }),
-		between: between.Duration(),
-	}
-}
-
-// heard restarts the wait after a token.
-func (w *watchdog) heard() {
-	w.timer.Reset(w.between)
-}
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-}
