Serve metrics and one way of asking at every node

Cause: control nodes had no metrics and no test asked each node for what the platform and operators ask.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -58,6 +58,7 @@
 	orders     *ring.Ring[plan.SendOrder]
 	internal   *listen.Server
 	operators  *listen.Server
+	meter      *instruments
 	historyMu  sync.Mutex
 	history    *status.History
 
@@ -129,7 +130,8 @@
 		return err
 	}
 	n.leadership = newLeadership(n.timing, n.policy, n.log.SpreadSnapshot)
-	return nil
+	n.meter, err = newInstruments(n)
+	return err
 }
 
 func (n *Node) linkOptions() []peer.Option {
@@ -255,6 +257,9 @@
 			_ = s.Close() // the process ends, callers see a broken connection
 		}
 	}
+	if n.meter != nil {
+		_ = n.meter.meter.Close() // nothing reads them any more
+	}
 	if n.link != nil {
 		_ = n.link.Close() // nothing is lost that the log would not repeat
 	}
--- a/ctrl/ops.go
+++ b/ctrl/ops.go
@@ -20,6 +20,7 @@
 func (n *Node) addOperations(mux *goji.Mux) {
 	mux.HandleFunc(pat.Get("/healthz"), n.handleHealth)
 	mux.HandleFunc(pat.Get("/readyz"), n.handleReady)
+	mux.Handle(pat.Get("/metrics"), n.meter.meter.Handler())
 	mux.HandleFunc(pat.Get(status.DumpPath), n.guarded(oper.NeedOperator(), n.handleDump))
 	mux.HandleFunc(pat.Get(status.Path), n.guarded(oper.NeedReader(), n.handleStatus))
 	mux.HandleFunc(pat.Get("/sardine/v1/explain/group/:group"), n.guarded(oper.NeedReader(), n.handleExplain))
--- a/ctrl/settings.go
+++ b/ctrl/settings.go
@@ -105,6 +105,7 @@
 // changeSettings makes a change and waits until it is in force on every entry
 // node. A change id that was seen before gets its first answer.
 func (n *Node) changeSettings(ctx context.Context, path team.Path, r *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	arrived := n.clock.Now()
 	if r.ChangeId == "" {
 		return nil, codes.New(codes.BadRequest, "the change id is missing, it tells a resend from a new change")
 	}
@@ -121,6 +122,7 @@
 		return answer, err
 	}
 	answer.InForce = true
+	n.meter.accepted.Record(n.clock.Now() - arrived)
 	event.Log(n.logger, event.ChangeAccepted, pathAttr(path), versionAttr(result.Version))
 	return answer, nil
 }
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -16,7 +16,7 @@
 	first    *meter.Durations
 }
 
-func newInstruments() (*instruments, error) {
+func newInstruments(n *Node) (*instruments, error) {
 	m, err := meter.New()
 	if err != nil {
 		return nil, err
@@ -29,7 +29,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &instruments{meter: m, requests: requests, first: first}, nil
+	err = m.Gauge("sardine_in_flight", "dispatches under way", func() float64 { return float64(n.flights.count()) })
+	if err != nil {
+		return nil, err
+	}
+	err = m.Gauge("sardine_ready", "1 if the node takes callers' requests", func() float64 {
+		if n.mayAccept() != nil {
+			return 0
+		}
+		return 1
+	})
+	return &instruments{meter: m, requests: requests, first: first}, err
 }
 
 func (i *instruments) count(stage string, err error) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -120,7 +120,7 @@
 	if err = n.openServers(); err != nil {
 		return err
 	}
-	if n.meter, err = newInstruments(); err != nil {
+	if n.meter, err = newInstruments(n); err != nil {
 		return err
 	}
 	n.internalClient, n.internalScheme = n.keys.Client(maxIdleInternal)
