Give the planner the weight store's rate, the engines' own step times and the order's bound

Cause: the planner worked with built-in rates; a member's own step time, by which a straggler is found, was lost on the way to the leader; a restored machine said that nothing about its targets had changed; controld's default heartbeat and election were not the ones that the log's measurements chose.

--- a/annc/annc.go
+++ b/annc/annc.go
@@ -23,6 +23,7 @@
 	MaxAccelerators = 1024      // of one VM
 	maxCount        = 1_000_000 // running or queued requests
 	maxTokens       = 1e9       // tokens per second
+	maxStepMillis   = 600000    // of one token
 )
 
 // message is the JSON form of an announcement.
@@ -55,6 +56,25 @@
 	Running         int     `json:"running"`
 	Queued          int     `json:"queued"`
 	TokensPerSecond float64 `json:"tokens_per_second"`
+	StepMillis      float64 `json:"step_ms"`
+}
+
+func encodeLoad(l sardine.Load) load {
+	return load{
+		Running:         l.Running,
+		Queued:          l.Queued,
+		TokensPerSecond: finite(l.TokensPerSecond),
+		StepMillis:      finite(l.StepMillis),
+	}
+}
+
+func (l load) decode() sardine.Load {
+	return sardine.Load{
+		Running:         l.Running,
+		Queued:          l.Queued,
+		TokensPerSecond: l.TokensPerSecond,
+		StepMillis:      l.StepMillis,
+	}
 }
 
 // Encode returns the JSON form of a. A rate that is not a finite number is sent
@@ -73,7 +93,7 @@
 		ChecksEpoch:  a.ChecksEpoch,
 		Leaving:      a.Leaving,
 		Holding:      encodeHolding(a.Holding),
-		Load:         load{Running: a.Load.Running, Queued: a.Load.Queued, TokensPerSecond: finite(a.Load.TokensPerSecond)},
+		Load:         encodeLoad(a.Load),
 	}
 	for _, name := range a.Loadable {
 		m.Loadable = append(m.Loadable, string(name))
@@ -128,7 +148,7 @@
 			Model:   sardine.ModelName(m.Holding.Model),
 			Version: m.Holding.Version,
 		},
-		Load: sardine.Load{Running: m.Load.Running, Queued: m.Load.Queued, TokensPerSecond: m.Load.TokensPerSecond},
+		Load: m.Load.decode(),
 	}
 	a.Holding.State, _ = states(m.Holding.State)
 	for _, name := range m.Loadable {
--- a/annc/check.go
+++ b/annc/check.go
@@ -93,6 +93,9 @@
 	if m.Load.Queued < 0 || m.Load.Queued > maxCount {
 		return codes.New(codes.BadRequest, "announcement: load.queued: found %d, expected 0 to %d", m.Load.Queued, maxCount)
 	}
+	if m.Load.StepMillis < 0 || m.Load.StepMillis > maxStepMillis {
+		return codes.New(codes.BadRequest, "announcement: load.step_ms: found %g, expected 0 to %g", m.Load.StepMillis, float64(maxStepMillis))
+	}
 	if m.Load.TokensPerSecond < 0 || m.Load.TokensPerSecond > maxTokens {
 		return codes.New(codes.BadRequest, "announcement: load.tokens_per_second: found %g, expected 0 to %g", m.Load.TokensPerSecond, float64(maxTokens))
 	}
--- a/conf/control.go
+++ b/conf/control.go
@@ -5,6 +5,8 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/lease"
+	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/tomlr"
 )
 
@@ -19,6 +21,7 @@
 	advertiseInternal string
 	members           []Peer
 	timings           ControlTimings
+	weights           Weights
 	log               Log
 	tls               TLS
 	operatorHash      []byte
@@ -50,6 +53,7 @@
 		listenOperators: t.Address("listen_operators", true, true),
 		members:         readPeers(t, "members", 1, maxControls),
 		timings:         readControlTimings(t.Table("timings")),
+		weights:         readWeights(t.Table("weight_store")),
 		log:             readLog(t.Table("log")),
 		tls:             readTLS(t.Table("tls"), false),
 	}
@@ -112,6 +116,11 @@
 	return c.timings
 }
 
+// Weights returns what the weight store can do.
+func (c *Control) Weights() Weights {
+	return c.weights
+}
+
 // Log returns how the node logs.
 func (c *Control) Log() Log {
 	return c.log
@@ -139,13 +148,13 @@
 
 func readControlTimings(t *tomlr.Table) ControlTimings {
 	s := ControlTimings{
-		heartbeat: millis(t, "heartbeat_ms", 100, 5, 5*sardine.Second),
-		election:  millis(t, "election_ms", sardine.Second, 50, 60*sardine.Second),
+		heartbeat: millis(t, "heartbeat_ms", quorum.DefaultTiming().Heartbeat, 5, 5*sardine.Second),
+		election:  millis(t, "election_ms", quorum.DefaultTiming().ElectionMin, 50, 60*sardine.Second),
 		lease:     millis(t, "lease_ms", lease.Serving, 200, 60*sardine.Second),
 		drain:     millis(t, "drain_ms", 5*sardine.Second, 0, 600*sardine.Second),
 	}
-	if s.heartbeat*3 > s.election {
-		t.Refuse("heartbeat_ms", fmt.Sprintf("at most a third of election_ms, %d", s.election/3))
+	if s.heartbeat*2 > s.election {
+		t.Refuse("heartbeat_ms", fmt.Sprintf("at most half of election_ms, %d", s.election/2))
 	}
 	return s
 }
@@ -170,3 +179,29 @@
 func (t ControlTimings) Drain() sardine.Millis {
 	return t.drain
 }
+
+// Weights tells the rate of the weight store.
+type Weights struct {
+	loadsAtOnce int
+	load        sardine.Millis
+}
+
+// maxLoads bounds the loads that a weight store serves at its full rate.
+const maxLoads = 10000
+
+func readWeights(t *tomlr.Table) Weights {
+	return Weights{
+		loadsAtOnce: int(t.Int("loads_at_once", int64(plan.DefaultLimits().LoadsAtOnce), 1, maxLoads)),
+		load:        millis(t, "load_ms", plan.DefaultLimits().LoadTime, 10, 3600*sardine.Second),
+	}
+}
+
+// LoadsAtOnce returns how many VMs the store serves at its full rate.
+func (w Weights) LoadsAtOnce() int {
+	return w.loadsAtOnce
+}
+
+// Load returns how long one VM's load takes then.
+func (w Weights) Load() sardine.Millis {
+	return w.load
+}
--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/disk"
@@ -18,9 +19,9 @@
 	"sardineswitch.dev/sardine/quorum"
 )
 
-// electionSpread is the range of election timeouts relative to the shortest, so
-// that two members seldom stand at once.
-const electionSpread = 2
+// electionSpread is the longest election timeout relative to the shortest, so that
+// two members seldom stand at once.
+const electionSpread = 1.35
 
 // newRun returns the command that runs the node until a signal ends it.
 func newRun() *cobra.Command {
@@ -80,6 +81,7 @@
 		ctrl.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		ctrl.WithLogger(logs.New(errs, s.Log(), s.Node())),
 		ctrl.WithTiming(timingOf(s.Timings())),
+		ctrl.WithWeightStore(s.Weights().LoadsAtOnce(), s.Weights().Load()),
 		ctrl.WithOperatorHash(s.OperatorHash()),
 		ctrl.WithKeys(set),
 	)
@@ -90,6 +92,6 @@
 	t.Lease = s.Lease()
 	t.Quorum.Heartbeat = s.Heartbeat()
 	t.Quorum.ElectionMin = s.Election()
-	t.Quorum.ElectionMax = electionSpread * s.Election()
+	t.Quorum.ElectionMax = sardine.Millis(electionSpread * float64(s.Election()))
 	return t
 }
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -32,13 +32,13 @@
 	breach  error
 }
 
-func newLeadership(t Timing, policy plan.Policy, snapshot func() ([]byte, uint64, error)) *leadership {
+func newLeadership(t Timing, planner *plan.Planner, snapshot func() ([]byte, uint64, error)) *leadership {
 	ledger := lease.New(lease.WithServing(t.Lease), lease.WithHolding(t.Holding))
 	return &leadership{
 		ledger:  ledger,
 		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
 		fleet:   fleet.NewLeader(fleet.WithGrace(t.Grace)),
-		planner: plan.New(plan.WithPolicy(policy)),
+		planner: planner,
 	}
 }
 
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -45,6 +45,7 @@
 	engines         sardine.EngineClient
 	ownEngines      *order.Client // closed by the node, nil if engines was given
 	policy          plan.Policy
+	limits          plan.Limits
 	operatorHash    []byte
 	keys            *keys.Set
 	access          *oper.Access
@@ -79,6 +80,7 @@
 		logger:  logs.Discard(),
 		timing:  DefaultTiming(),
 		policy:  plan.NewCheapest(),
+		limits:  plan.DefaultLimits(),
 		parsed:  newParsedSettings(),
 		granted: newSignal(),
 		history: status.NewHistory(),
@@ -97,6 +99,7 @@
 		n.engines = n.ownEngines
 	}
 	n.access = oper.NewAccess(n.operatorHash, n.clock, n.logger)
+	n.limits.OrderTimeout = n.timing.Order
 	n.life, n.endLife = context.WithCancel(context.Background())
 	n.handOver, n.endHandOver = context.WithCancel(context.Background())
 	if err := n.open(); err != nil {
@@ -129,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	n.leadership = newLeadership(n.timing, n.policy, n.log.SpreadSnapshot)
+	n.leadership = newLeadership(n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
 	n.meter, err = newInstruments(n)
 	return err
 }
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -112,6 +112,15 @@
 	return func(n *Node) { n.keys = s }
 }
 
+// WithWeightStore tells how many VMs the weight store serves at its full rate, and
+// how long one VM's load takes then.
+func WithWeightStore(loadsAtOnce int, load sardine.Millis) Option {
+	return func(n *Node) {
+		n.limits.LoadsAtOnce = loadsAtOnce
+		n.limits.LoadTime = load
+	}
+}
+
 // WithOperatorHash sets the hash of the first operator's token. Without it and
 // without tokens in the log, everyone who reaches the operators' server is an
 // operator.
--- a/follow/report.go
+++ b/follow/report.go
@@ -54,6 +54,7 @@
 		Running:         uint32(s.Load.Running),
 		Queued:          uint32(s.Load.Queued),
 		TokensPerSecond: s.Load.TokensPerSecond,
+		StepMillis:      s.Load.StepMillis,
 	}
 }
 
@@ -72,6 +73,7 @@
 			Running:         int(w.GetRunning()),
 			Queued:          int(w.GetQueued()),
 			TokensPerSecond: w.GetTokensPerSecond(),
+			StepMillis:      w.GetStepMillis(),
 		},
 	}
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -214,7 +214,12 @@
 }
 
 func (e *Engine) load() sardine.Load {
-	return sardine.Load{Running: len(e.batch), Queued: e.queued, TokensPerSecond: e.rate}
+	return sardine.Load{
+		Running:         len(e.batch),
+		Queued:          e.queued,
+		TokensPerSecond: e.rate,
+		StepMillis:      float64(e.settings.tokenTime) * e.faults.slowness(),
+	}
 }
 
 func (e *Engine) detach() {
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -97,3 +97,10 @@
 	*count--
 	return true
 }
+
+// slowness returns the factor on generation times.
+func (f *Faults) slowness() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.slow
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -93,6 +93,7 @@
 	}
 	m := NewMachine()
 	m.index = w.GetIndex()
+	m.changed = m.index // what the fleet held before the restore is no longer known
 	m.at = WallTime(w.GetAt())
 	m.restoreSettings(&w)
 	m.restoreTargets(&w)
