Let sardctl call control nodes through ctlapi; name each header once

Cause: sardctl's walk and ctlapi.Client did the same thing apart, the headers of a dispatch stood in packages order, reply and annc, and both daemons had the same guard of operators' paths.

Request and Ran are reply's, Group, Epoch and Resume order's, Load annc's. oper.Access.Guard serves both daemons. The expected output of sardctl's cases is unchanged.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -19,6 +19,8 @@
 	http      *http.Client
 	scheme    string
 	addresses []string
+	knownOnly bool
+	brief     time.Duration
 
 	mu     sync.Mutex
 	leader string // the last address that answered as leader
@@ -37,6 +39,18 @@
 	}
 }
 
+// WithKnownOnly keeps to the given addresses. A refusal names the leader's
+// internal address, which operators do not use.
+func WithKnownOnly() Option {
+	return func(k *Client) { k.knownOnly = true }
+}
+
+// WithBrief bounds the wait for one node to answer a read. It is for clients that
+// must hear all nodes in a short time; the default is none.
+func WithBrief(d time.Duration) Option {
+	return func(k *Client) { k.brief = d }
+}
+
 // New returns a client of the control nodes at the addresses, host:port each.
 func New(addresses []string, options ...Option) *Client {
 	c := &Client{
@@ -72,7 +86,7 @@
 // command may still be committed; any other means that it was not proposed or
 // that the state refused it.
 func (c *Client) Submit(ctx context.Context, request *wire.SubmitRequest) (*wire.SubmitReply, error) {
-	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SubmitReply, *wire.Fault, error) {
+	return atLeader(ctx, c, repeatNever, func(ctx context.Context, s wire.Control) (*wire.SubmitReply, *wire.Fault, error) {
 		r, err := s.Submit(ctx, request)
 		return r, r.GetFault(), err
 	})
@@ -81,53 +95,29 @@
 // Settings reads or changes settings. A call whose answer was lost is sent again
 // until ctx ends: reads change nothing, and a change is recognised by its id.
 func (c *Client) Settings(ctx context.Context, request *wire.SettingsRequest) (*wire.SettingsReply, error) {
-	for {
-		answer, err := atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
-			r, err := s.Settings(ctx, request)
-			return r, r.GetFault(), err
-		})
-		if !codes.Is(err, codes.OutcomeUnknown) || pause(ctx) != nil {
-			return answer, err
-		}
+	again := repeatRead
+	if request.GetChangeId() != "" {
+		again = repeatChange
 	}
+	return atLeader(ctx, c, again, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
+		r, err := s.Settings(ctx, request)
+		return r, r.GetFault(), err
+	})
 }
 
-// Members lists or changes the control members. Errors are as of Submit.
+// Members lists or changes the control members. Errors are as of Submit; a list
+// is asked for again.
 func (c *Client) Members(ctx context.Context, request *wire.MembersRequest) (*wire.MembersReply, error) {
-	return atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.MembersReply, *wire.Fault, error) {
+	again := repeatNever
+	if request.GetOperation() == "list" {
+		again = repeatRead
+	}
+	return atLeader(ctx, c, again, func(ctx context.Context, s wire.Control) (*wire.MembersReply, *wire.Fault, error) {
 		r, err := s.Members(ctx, request)
 		return r, r.GetFault(), err
 	})
 }
 
-// atLeader walks the control nodes until the leader has answered or ctx ends. A
-// broken call may have reached a leader, so it ends the walk with
-// OutcomeUnknown; only a refusal or an unreachable node leads on to the next.
-func atLeader[R any](ctx context.Context, c *Client, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, error) {
-	var none R
-	for {
-		for _, address := range c.order() {
-			answer, fault, err := call(ctx, c.Stub(address))
-			if err != nil {
-				if surelyUnsent(err) {
-					continue
-				}
-				c.forget(address)
-				return none, codes.New(codes.OutcomeUnknown, "control node %s broke off: %v", address, err)
-			}
-			failed := ErrorOf(fault)
-			if !elsewhere(failed) {
-				c.remember(address)
-				return answer, failed
-			}
-			c.follow(failed)
-		}
-		if err := pause(ctx); err != nil {
-			return none, codes.New(codes.NoQuorum, "no control node leads: %v", err)
-		}
-	}
-}
-
 // elsewhere reports whether a refusal says that nothing was proposed and another
 // control node, or the same one soon, may do better.
 func elsewhere(err error) bool {
@@ -178,7 +168,7 @@
 // follow takes over the leader that a refusal names.
 func (c *Client) follow(refusal error) {
 	var elsewhere *NotLeaderError
-	if errors.As(refusal, &elsewhere) {
+	if !c.knownOnly && errors.As(refusal, &elsewhere) {
 		c.remember(elsewhere.Leader())
 	}
 }
--- a/ctlapi/unsent.go
+++ b/ctlapi/unsent.go
@@ -5,9 +5,13 @@
 	"net"
 )
 
-// surelyUnsent reports whether a call failed before anything was sent: the
+// SurelyUnsent reports whether a call failed before anything was sent: the
 // connection could not be made.
-func surelyUnsent(err error) bool {
+func SurelyUnsent(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	var dns *net.DNSError
+	return errors.As(err, &dns)
 }
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -23,7 +23,6 @@
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/repl"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/ring"
 	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/wire"
@@ -153,8 +152,7 @@
 
 // refuseStranger answers a caller without a certificate of the site that counts.
 func refuseStranger(w http.ResponseWriter, _ *http.Request) {
-	err := codes.New(codes.KeyRefused, "this is for the site's own processes, which show a certificate of its CA")
-	reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
+	refuse(w, codes.New(codes.KeyRefused, "this is for the site's own processes, which show a certificate of its CA"))
 }
 
 // operatorMux routes what sardctl asks. What entry nodes ask is not served here:
--- a/ctrl/ops.go
+++ b/ctrl/ops.go
@@ -27,13 +27,11 @@
 
 // guarded passes requests on whose token is enough.
 func (n *Node) guarded(needed oper.Need, next http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), needed, n.tokens()); err != nil {
-			reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
-			return
-		}
-		next(w, r)
-	}
+	return n.access.Guard(needed, n.tokens, refuse, next)
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
 }
 
 func (n *Node) handleHealth(w http.ResponseWriter, _ *http.Request) {
@@ -60,7 +58,7 @@
 // handleExplain tells where a group stands and why. Only the leader knows.
 func (n *Node) handleExplain(w http.ResponseWriter, r *http.Request) {
 	if !n.log.Leader().Leading {
-		reply.NewProblem(codes.New(codes.NotLeader, "ask the leader at %s", n.log.Leader().Address), reply.WithRan(sardine.RanNo)).Write(w)
+		refuse(w, codes.New(codes.NotLeader, "ask the leader at %s", n.log.Leader().Address))
 		return
 	}
 	id := sardine.GroupID(pat.Param(r, "group"))
--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -6,7 +6,6 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/status"
 )
@@ -15,7 +14,7 @@
 func (n *Node) handleStatus(w http.ResponseWriter, _ *http.Request) {
 	text, err := status.Encode(n.Report())
 	if err != nil {
-		reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
+		refuse(w, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -8,7 +8,6 @@
 	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/limit"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
 )
 
@@ -38,7 +37,7 @@
 
 // noteLoad takes over the load that a target put on its answer.
 func (n *Node) noteLoad(ref route.Ref, header http.Header) {
-	text := header.Get(reply.HeaderLoad)
+	text := header.Get(annc.HeaderLoad)
 	if text == "" {
 		return
 	}
--- a/entry/ops.go
+++ b/entry/ops.go
@@ -40,13 +40,7 @@
 
 // guarded passes requests on whose token is enough.
 func (n *Node) guarded(needed oper.Need, next http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), needed, n.view().tokens); err != nil {
-			n.refuseOperator(w, err)
-			return
-		}
-		next(w, r)
-	}
+	return n.access.Guard(needed, func() oper.Tokens { return n.view().tokens }, n.refuseOperator, next)
 }
 
 // handleHealth tells that the process is alive.
--- a/entry/status.go
+++ b/entry/status.go
@@ -4,9 +4,7 @@
 	"net/http"
 	"time"
 
-	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/status"
 )
@@ -30,7 +28,7 @@
 	}
 	text, err := status.Encode(report)
 	if err != nil {
-		reply.NewProblem(err, reply.WithRan(sardine.RanNo)).Write(w)
+		n.refuseOperator(w, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/oper/access.go
+++ b/oper/access.go
@@ -107,6 +107,18 @@
 	return refusal
 }
 
+// Guard passes requests on whose token is enough, and gives the refusal of others
+// to refuse. Tokens returns those that count now.
+func (a *Access) Guard(needed Need, tokens func() Tokens, refuse func(http.ResponseWriter, error), next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := a.Check(Bearer(r), SourceOf(r), needed, tokens()); err != nil {
+			refuse(w, err)
+			return
+		}
+		next(w, r)
+	}
+}
+
 // Bearer returns the token of a request, empty without one.
 func Bearer(r *http.Request) string {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/order/order.go
+++ b/order/order.go
@@ -17,11 +17,9 @@
 
 // Headers of a request dispatched to a target and of its answer.
 const (
-	HeaderRequest = "X-Sardine-Request"     // id of the dispatch, echoed in the answer
-	HeaderGroup   = "X-Sardine-Group"       // group that the request is meant for
-	HeaderEpoch   = "X-Sardine-Epoch"       // epoch of that group
-	HeaderResume  = "X-Sardine-Resume-From" // number of the first token wanted
-	HeaderRan     = "X-Sardine-Ran"         // "no" if the target did not start the request
+	HeaderGroup  = "X-Sardine-Group"       // group that the request is meant for
+	HeaderEpoch  = "X-Sardine-Epoch"       // epoch of that group
+	HeaderResume = "X-Sardine-Resume-From" // number of the first token wanted
 )
 
 // message is the JSON form of an order.
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -15,16 +15,12 @@
 
 // Headers of requests and answers.
 const (
-	HeaderRan        = "X-Sardine-Ran"         // no, yes or unknown
-	HeaderRequest    = "X-Sardine-Request"     // request id, on every answer
-	HeaderWorkspace  = "X-Sardine-Workspace"   // the caller's workspace
-	HeaderPriority   = "X-Sardine-Priority"    // live, normal or batch
-	HeaderDeadline   = "X-Sardine-Deadline-Ms" // milliseconds the caller waits for the first byte of the answer
-	HeaderEpoch      = "X-Sardine-Epoch"       // fencing number of a dispatch
-	HeaderGroup      = "X-Sardine-Group"       // group of a dispatch
-	HeaderResumeFrom = "X-Sardine-Resume-From" // first token wanted of a resumed stream
-	HeaderLoad       = "X-Sardine-Load"        // a target's load on its answers
-	HeaderKey        = "Idempotency-Key"
+	HeaderRan       = "X-Sardine-Ran"         // no, yes or unknown
+	HeaderRequest   = "X-Sardine-Request"     // request id, on every answer
+	HeaderWorkspace = "X-Sardine-Workspace"   // the caller's workspace
+	HeaderPriority  = "X-Sardine-Priority"    // live, normal or batch
+	HeaderDeadline  = "X-Sardine-Deadline-Ms" // milliseconds the caller waits for the first byte of the answer
+	HeaderKey       = "Idempotency-Key"
 )
 
 // ProblemType is the content type of a problem.
--- a/sardctl/verbs/node.go
+++ b/sardctl/verbs/node.go
@@ -3,13 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/status"
@@ -68,7 +67,7 @@
 
 // unanswered tells a node that was not reached from one whose answer was lost.
 func unanswered(node string, err error) error {
-	if neverSent(err) {
+	if ctlapi.SurelyUnsent(err) {
 		return codes.New(codes.NoQuorum, "node %s can't be reached: %v", node, err)
 	}
 	return codes.New(codes.OutcomeUnknown, "node %s gave no answer: %v", node, err)
@@ -176,13 +175,3 @@
 	r, err := status.Decode(body)
 	return told{report: r, err: codes.Wrap(codes.AnswerInvalid, err, "node "+node)}
 }
-
-// neverSent reports whether a call failed before its request was sent.
-func neverSent(err error) bool {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return true
-	}
-	var dns *net.DNSError
-	return errors.As(err, &dns)
-}
--- a/serve/call.go
+++ b/serve/call.go
@@ -10,7 +10,9 @@
 	"sync/atomic"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/order"
 	"sardineswitch.dev/sardine/reply"
 )
 
@@ -99,12 +101,12 @@
 	req.Header.Del(reply.HeaderKey)
 	req.Header.Set(reply.HeaderRequest, string(call.Request))
 	if call.Group != "" {
-		req.Header.Set(reply.HeaderGroup, string(call.Group))
-		req.Header.Set(reply.HeaderEpoch, strconv.FormatUint(uint64(call.Epoch), 10))
+		req.Header.Set(order.HeaderGroup, string(call.Group))
+		req.Header.Set(order.HeaderEpoch, strconv.FormatUint(uint64(call.Epoch), 10))
 		req.Header.Set(reply.HeaderPriority, call.Priority.String())
 	}
 	if call.ResumeFrom > 0 {
-		req.Header.Set(reply.HeaderResumeFrom, strconv.Itoa(call.ResumeFrom))
+		req.Header.Set(order.HeaderResume, strconv.Itoa(call.ResumeFrom))
 	}
 	return req, nil
 }
@@ -147,7 +149,7 @@
 // ownHeaders of callers' requests are meant for this system.
 var ownHeaders = []string{
 	"Authorization", "Content-Length", reply.HeaderWorkspace, reply.HeaderDeadline, reply.HeaderPriority,
-	reply.HeaderEpoch, reply.HeaderGroup, reply.HeaderRequest, reply.HeaderResumeFrom, reply.HeaderRan,
+	order.HeaderEpoch, order.HeaderGroup, reply.HeaderRequest, order.HeaderResume, reply.HeaderRan,
 }
 
 func copyHeader(to, from http.Header) {
@@ -170,6 +172,6 @@
 func PassedHeader(from http.Header) http.Header {
 	passed := make(http.Header, len(from))
 	copyHeader(passed, from)
-	passed.Del(reply.HeaderLoad)
+	passed.Del(annc.HeaderLoad)
 	return passed
 }
--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sardineswitch.dev/sardine/annc"
-	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/reply"
 )
 
 // answerer writes one answer, streamed or whole.
@@ -30,7 +30,7 @@
 		a.id = "other-" + j.id
 	}
 	w.Header().Set(annc.HeaderLoad, load)
-	w.Header().Set(order.HeaderRequest, a.id)
+	w.Header().Set(reply.HeaderRequest, a.id)
 	return a
 }
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -20,6 +20,7 @@
 	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/standin/weight"
 )
 
@@ -53,7 +54,7 @@
 func post(ctx context.Context, e *Engine, prompt string, stream bool, headers ...string) (*http.Response, error) {
 	text := fmt.Sprintf(body, stream, prompt)
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address()+ChatPath, strings.NewReader(text))
-	r.Header.Set(order.HeaderRequest, "r1")
+	r.Header.Set(reply.HeaderRequest, "r1")
 	for i := 0; i < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
@@ -72,7 +73,7 @@
 	require.NoError(t, err)
 	got, _ := io.ReadAll(answer.Body)
 	require.Contains(t, string(got), expected(t, "Twi"))
-	require.Equal(t, "r1", answer.Header.Get(order.HeaderRequest))
+	require.Equal(t, "r1", answer.Header.Get(reply.HeaderRequest))
 	_, err = annc.ParseLoad(answer.Header.Get(annc.HeaderLoad))
 	require.NoError(t, err)
 
@@ -98,7 +99,7 @@
 		answer, err := post(context.Background(), engines[c.engine], "Ga", true, c.header...)
 		require.NoError(t, err)
 		require.Equal(t, c.status, answer.StatusCode, name)
-		require.Equal(t, "no", answer.Header.Get(order.HeaderRan), name)
+		require.Equal(t, "no", answer.Header.Get(reply.HeaderRan), name)
 	}
 	require.True(t, codes.Is(send(engines[0], sardine.Order{Group: "h", Epoch: 4, Size: 1, Model: "surtitle"}), codes.EpochRefused))
 	engines[0].Leave()
@@ -148,7 +149,7 @@
 	e.Faults().AnswerWrongID(1)
 	answer, err = post(context.Background(), e, "wrong", false)
 	require.NoError(t, err)
-	require.NotEqual(t, "r1", answer.Header.Get(order.HeaderRequest))
+	require.NotEqual(t, "r1", answer.Header.Get(reply.HeaderRequest))
 
 	e.Faults().AnswerTwice(1)
 	answer, err = post(context.Background(), e, "twice", true)
--- a/standin/engine/handle.go
+++ b/standin/engine/handle.go
@@ -15,6 +15,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/reply"
 )
 
 const (
@@ -81,7 +82,7 @@
 	if err != nil {
 		return job{}, err
 	}
-	j := job{request: request, id: r.Header.Get(order.HeaderRequest)}
+	j := job{request: request, id: r.Header.Get(reply.HeaderRequest)}
 	if text := r.Header.Get(order.HeaderResume); text != "" {
 		j.from, err = strconv.Atoi(text)
 		if err != nil || j.from < 0 || j.from > request.MaxTokens {
@@ -192,7 +193,7 @@
 }
 
 func (e *Engine) refuse(w http.ResponseWriter, status int, reason string) {
-	w.Header().Set(order.HeaderRan, sardine.RanNo.String())
+	w.Header().Set(reply.HeaderRan, sardine.RanNo.String())
 	w.Header().Set(annc.HeaderLoad, e.loadText())
 	http.Error(w, reason, status)
 }
--- a/standin/load/send.go
+++ b/standin/load/send.go
@@ -14,7 +14,7 @@
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
-	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/standin/engine"
 	"sardineswitch.dev/sardine/standin/plain"
 )
@@ -128,7 +128,7 @@
 	}
 	ran := problem.Ran
 	if ran == "" {
-		ran = answer.Header.Get(order.HeaderRan)
+		ran = answer.Header.Get(reply.HeaderRan)
 	}
 	return outcome{verdict: verdictRefused, reason: reason, ran: ran}
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -15,7 +15,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/annc"
-	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/standin/callup"
 )
 
@@ -187,7 +187,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := Expect(r.Method, r.URL.Path, string(body))
-	w.Header().Set(order.HeaderRequest, r.Header.Get(order.HeaderRequest))
+	w.Header().Set(reply.HeaderRequest, r.Header.Get(reply.HeaderRequest))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 	if fault == FaultHalf {
@@ -204,7 +204,7 @@
 	defer p.mu.Unlock()
 	w.Header().Set(annc.HeaderLoad, annc.FormatLoad(sardine.Load{Running: p.active}))
 	if !p.running || p.leaving {
-		w.Header().Set(order.HeaderRan, sardine.RanNo.String())
+		w.Header().Set(reply.HeaderRan, sardine.RanNo.String())
 		return FaultNone, 0, false
 	}
 	p.active++
