Bound each call of one control node

Cause: a control node that is cut off in silence held a Submit, Lend or Settings call until the caller's whole time was over. Change: a call of one node lasts at most 3 s, of settings 1.5 s; settings are then sent again, commands end with an unknown outcome as before. The node that broke off is asked last, and idle connections are dropped, which may be dead as well. A change that waits longer than 1.5 s to be in force is now resent and may say that it is a repeat.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -11,17 +11,29 @@
 	"sardineswitch.dev/sardine/wire"
 )
 
-// roundPause is how long the client waits after no control node led.
-const roundPause = 100 * time.Millisecond
+const (
+	// roundPause is how long the client waits after no control node led.
+	roundPause = 100 * time.Millisecond
+	// attemptMost bounds one call of one node, so that a node which is cut off in
+	// silence does not use up the caller's time. It is longer than a leader takes
+	// to commit or give up, 2 s.
+	attemptMost = 3 * time.Second
+	// settingsMost is the same for settings, which are sent again: a change that
+	// waits longer to be in force is recognised by its id. It is longer than an
+	// election, so that the next attempt finds a new leader.
+	settingsMost = 1500 * time.Millisecond
+)
 
 // Client calls the leading control node. It is safe for concurrent use.
 type Client struct {
 	http      *http.Client
 	scheme    string
 	addresses []string
+	attempt   time.Duration // longest call of one node
 
 	mu     sync.Mutex
 	leader string // the last address that answered as leader
+	broken string // the last address that broke off a call, tried after the others
 	stubs  map[string]wire.Control
 }
 
@@ -43,6 +55,7 @@
 		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		scheme:    "http",
 		addresses: append([]string(nil), addresses...),
+		attempt:   attemptMost,
 		stubs:     make(map[string]wire.Control),
 	}
 	for _, o := range options {
@@ -92,6 +105,8 @@
 func (c *Client) Settings(ctx context.Context, request *wire.SettingsRequest) (*wire.SettingsReply, error) {
 	for {
 		answer, err := atLeader(ctx, c, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
+			ctx, cancel := context.WithTimeout(ctx, settingsMost)
+			defer cancel()
 			r, err := s.Settings(ctx, request)
 			return r, r.GetFault(), err
 		})
@@ -117,7 +132,7 @@
 	var none R
 	for {
 		for _, address := range c.order() {
-			answer, fault, err := call(ctx, c.Stub(address))
+			answer, fault, err := attempt(ctx, c, address, call)
 			if err != nil {
 				if surelyUnsent(err) {
 					continue
@@ -138,6 +153,13 @@
 	}
 }
 
+// attempt makes one call of one node within the bound.
+func attempt[R any](ctx context.Context, c *Client, address string, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, *wire.Fault, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.attempt)
+	defer cancel()
+	return call(ctx, c.Stub(address))
+}
+
 // elsewhere reports whether a refusal says that nothing was proposed and another
 // control node, or the same one soon, may do better.
 func elsewhere(err error) bool {
@@ -155,7 +177,8 @@
 	}
 }
 
-// order returns the addresses to try, the presumed leader first.
+// order returns the addresses to try, the presumed leader first and the one that
+// broke off last.
 func (c *Client) order() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -164,10 +187,13 @@
 		order = append(order, c.leader)
 	}
 	for _, address := range c.addresses {
-		if address != c.leader {
+		if address != c.leader && address != c.broken {
 			order = append(order, address)
 		}
 	}
+	if c.broken != "" && c.broken != c.leader {
+		order = append(order, c.broken)
+	}
 	return order
 }
 
@@ -175,14 +201,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = address
+	if c.broken == address {
+		c.broken = ""
+	}
 }
 
+// forget notes that a node broke off. Its idle connections may be as dead as the
+// one that broke, and each would cost another attempt.
 func (c *Client) forget(address string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.leader == address {
 		c.leader = ""
 	}
+	c.broken = address
+	c.mu.Unlock()
+	c.http.CloseIdleConnections()
 }
 
 // follow takes over the leader that a refusal names.
