Bound the making of a connection between nodes

Cause: a connection to a silent node was dialled until the call's own bound, which shows as an unknown outcome though nothing was sent. Change: dialling between nodes takes at most 1.5 s and then fails as an error of dialling, so that callers walk on to the next node.

--- a/keys/bundle.go
+++ b/keys/bundle.go
@@ -160,7 +160,7 @@
 			c := b.config()
 			c.ServerName = host
 			c.NextProtos = []string{protocol}
-			conn, err := (&tls.Dialer{Config: c}).DialContext(ctx, network, address)
+			conn, err := (&tls.Dialer{NetDialer: dialer(), Config: c}).DialContext(ctx, network, address)
 			if err != nil {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 			}
--- a/keys/set.go
+++ b/keys/set.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -82,7 +83,7 @@
 // Client returns a client for calls to other nodes, and the scheme of their
 // addresses. It follows no redirects.
 func (s *Set) Client(idle int) (client *http.Client, scheme string) {
-	transport, scheme := &http.Transport{}, "http"
+	transport, scheme := &http.Transport{DialContext: dialer().DialContext}, "http"
 	if s.node != nil {
 		transport, scheme = s.node.ClientTransport(), "https"
 	}
@@ -90,6 +91,14 @@
 	return staying(transport), scheme
 }
 
+// dialMost bounds the making of a connection. It is below every bound of a call,
+// so that a silent node shows as an error of dialling: nothing was sent.
+const dialMost = 1500 * time.Millisecond
+
+func dialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialMost}
+}
+
 // LinkClient returns a client over HTTP/2 for the messages between control nodes,
 // nil for plain HTTP.
 func (s *Set) LinkClient() *http.Client {
