Cut the network between the nodes of a site

Cause: no test on real nodes cut a node off in silence or in one direction. Change: ctrl and entry nodes take a dial function; package standin/cut gives each node of a site one that refuses or holds what goes from one node to another, in each direction for itself.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -42,6 +42,7 @@
 	random          sardine.Random
 	logger          *slog.Logger
 	timing          Timing
+	dial            sardine.Dial // nil for the ordinary one
 	engines         sardine.EngineClient
 	ownEngines      *order.Client // closed by the node, nil if engines was given
 	policy          plan.Policy
@@ -136,6 +137,10 @@
 	options := []peer.Option{peer.WithLogger(n.logger)}
 	if client := n.keys.LinkClient(); client != nil {
 		options = append(options, peer.WithClient(client), peer.WithScheme("https"))
+	} else if n.dial != nil {
+		transport := peer.NewTransport()
+		transport.DialContext = n.dial
+		options = append(options, peer.WithClient(&http.Client{Transport: transport}))
 	}
 	return options
 }
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -97,6 +97,12 @@
 	return func(n *Node) { n.timing = t }
 }
 
+// WithDial sets how other control nodes are connected to. It is for plain HTTP
+// only.
+func WithDial(d sardine.Dial) Option {
+	return func(n *Node) { n.dial = d }
+}
+
 // WithEngines sets how orders reach engines.
 func WithEngines(c sardine.EngineClient) Option {
 	return func(n *Node) { n.engines = c }
--- a/entry/node.go
+++ b/entry/node.go
@@ -42,6 +42,7 @@
 	log               *slog.Logger
 	timing            Timing
 	limits            Limits
+	dial              sardine.Dial // nil for the ordinary one
 	targetTransport   http.RoundTripper
 	ownTransport      *http.Transport // closed by the node, nil if one was given
 	keys              *keys.Set
@@ -124,6 +125,9 @@
 		return err
 	}
 	n.internalClient, n.internalScheme = n.keys.Client(maxIdleInternal)
+	if t, plain := n.internalClient.Transport.(*http.Transport); plain && n.dial != nil {
+		t.DialContext = n.dial
+	}
 	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, n.internalScheme))
 	if n.targetTransport == nil {
 		n.ownTransport = newTargetTransport()
--- a/entry/options.go
+++ b/entry/options.go
@@ -137,6 +137,12 @@
 	return func(n *Node) { n.targetTokens = on }
 }
 
+// WithDial sets how control nodes and other entry nodes are connected to. It is
+// for plain HTTP only.
+func WithDial(d sardine.Dial) Option {
+	return func(n *Node) { n.dial = d }
+}
+
 // WithTargetTransport sets how targets are reached. The transport must neither
 // follow redirects nor use a proxy.
 func WithTargetTransport(t http.RoundTripper) Option {
--- a/ports.go
+++ b/ports.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
 )
 
+// Dial connects to a node, as net.Dialer.DialContext does. Its errors must be
+// those of dialling, a *net.OpError with the operation "dial": nothing was sent.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Disk is one node's data folder. All names are relative to it.
 // Implementations: disk.Folder, disk.Memory.
 type Disk interface {
--- a/standin/site/keys.go
+++ b/standin/site/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -54,7 +55,11 @@
 	if err != nil {
 		return err
 	}
-	s.client = ctlapi.New(s.addresses, ctlapi.WithHTTP(set.Client(maxIdle)))
+	client, scheme := set.Client(maxIdle)
+	if t, plain := client.Transport.(*http.Transport); plain {
+		t.DialContext = s.network.Dial(string(clientName))
+	}
+	s.client = ctlapi.New(s.addresses, ctlapi.WithHTTP(client, scheme))
 	return nil
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -20,6 +20,7 @@
 	"sardineswitch.dev/sardine/logs"
 	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/standin/balnce"
+	"sardineswitch.dev/sardine/standin/cut"
 	"sardineswitch.dev/sardine/standin/engine"
 	"sardineswitch.dev/sardine/standin/plain"
 	"sardineswitch.dev/sardine/standin/weight"
@@ -41,6 +42,7 @@
 	engines   []*engine.Engine
 	plains    []*plain.Plain
 	client    *ctlapi.Client
+	network   *cut.Net
 	addresses []string // of the controls' internal servers
 	keys      *Keys    // nil for plain HTTP
 }
@@ -155,7 +157,7 @@
 
 // Start builds and starts a site. On an error everything is stopped again.
 func Start(options ...Option) (*Site, error) {
-	s := &Site{settings: settings{
+	s := &Site{network: cut.New(), settings: settings{
 		seed:     1,
 		controls: 3,
 		entries:  3,
@@ -211,8 +213,10 @@
 			return err
 		}
 		s.addresses = append(s.addresses, address)
+		id := sardine.NodeID(fmt.Sprintf("control-%d", i+1))
+		s.network.Name(address, string(id))
 		s.controls = append(s.controls, &Control{
-			id:      sardine.NodeID(fmt.Sprintf("control-%d", i+1)),
+			id:      id,
 			disk:    disk.NewMemory(s.random(uint64(100 + i))),
 			address: address,
 		})
@@ -264,6 +268,7 @@
 		ctrl.WithTiming(s.settings.control),
 		ctrl.WithKeys(set),
 		ctrl.WithOperatorHash(s.keys.hash()),
+		ctrl.WithDial(s.network.Dial(string(c.id))),
 	)
 	if err != nil {
 		return err
@@ -305,11 +310,13 @@
 		entry.WithTiming(s.settings.timing),
 		entry.WithKeys(set),
 		entry.WithOperatorHash(s.keys.hash()),
+		entry.WithDial(s.network.Dial(string(e.id))),
 	)
 	if err != nil {
 		return err
 	}
 	e.node = node
+	s.network.Name(node.InternalAddress(), string(e.id))
 	node.Start()
 	s.pointBalancer()
 	return nil
@@ -414,6 +421,12 @@
 	return s.client
 }
 
+// Network returns the network between the nodes and from the site's client. It
+// cuts nothing with WithKeys.
+func (s *Site) Network() *cut.Net {
+	return s.network
+}
+
 // Balancer returns the address that callers use.
 func (s *Site) Balancer() string {
 	return s.balancer.Address()
@@ -426,6 +439,7 @@
 
 // Stop ends everything that was started.
 func (s *Site) Stop() {
+	s.network.Heal()
 	for _, e := range s.engines {
 		e.Stop()
 	}
@@ -450,4 +464,5 @@
 	if s.client != nil {
 		s.client.Close()
 	}
+	s.network.Close()
 }
