--- a/ctlapi/walk.go
+++ b/ctlapi/walk.go
@@ -59,13 +59,14 @@
 	}
 }
 
-// callOne asks one node.
+// callOne asks one node, within the bound of an attempt.
 func callOne[R any](ctx context.Context, c *Client, again repeat, address string, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, *wire.Fault, error) {
+	most := c.attempt
 	if again == repeatRead && c.brief > 0 {
-		brief, cancel := context.WithTimeout(ctx, c.brief)
-		defer cancel()
-		ctx = brief
+		most = min(most, c.brief)
 	}
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
 	return call(ctx, c.Stub(address))
 }
 
--- a/keys/set.go
+++ b/keys/set.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -102,7 +103,15 @@
 func plainTransport() *http.Transport {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{Protocols: protocols, DisableCompression: true}
+	return &http.Transport{Protocols: protocols, DisableCompression: true, DialContext: dialer().DialContext}
+}
+
+// dialMost bounds the making of a connection. It is below every bound of a call,
+// so that a silent node shows as an error of dialling: nothing was sent.
+const dialMost = 1500 * time.Millisecond
+
+func dialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialMost}
 }
 
 // LinkClient returns a client over HTTP/2 for the messages between control nodes,
