Add standin report: pages of measures' results

Cause: the measures print one line of JSON each; nothing set them beside their bounds, drew them or compared two versions.

--- a/standin/gauge/groupcompare.go
+++ b/standin/gauge/groupcompare.go
@@ -8,8 +8,8 @@
 	"sardineswitch.dev/sardine/plan"
 )
 
-// groupsMean is the mean of one policy's runs of one schedule.
-type groupsMean struct {
+// GroupsMean is the mean of one policy's runs of one schedule.
+type GroupsMean struct {
 	Policy     string  `json:"policy"`
 	Objective  string  `json:"objective"`
 	Schedule   string  `json:"schedule"`
@@ -68,15 +68,15 @@
 	return rows, nil
 }
 
-func compareRows(f *groupsFlags) []groupsMean {
-	var rows []groupsMean
+func compareRows(f *groupsFlags) []GroupsMean {
+	var rows []GroupsMean
 	for _, objective := range objectiveNames() {
 		for _, s := range schedules() {
 			if f.only != "" && f.only != s.name {
 				continue
 			}
 			for _, p := range plan.Policies() {
-				rows = append(rows, groupsMean{Policy: p.Name(), Objective: objective, Schedule: s.name, Seeds: f.seeds})
+				rows = append(rows, GroupsMean{Policy: p.Name(), Objective: objective, Schedule: s.name, Seeds: f.seeds})
 			}
 		}
 	}
@@ -86,7 +86,7 @@
 // groupsSums adds up the runs of all rows.
 type groupsSums struct {
 	mu   sync.Mutex
-	rows []groupsMean
+	rows []GroupsMean
 	err  error
 }
 
@@ -103,7 +103,7 @@
 	}
 }
 
-func (s *groupsSums) add(i int, r groupsResult, err error) {
+func (s *groupsSums) add(i int, r GroupsResult, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil && s.err == nil {
@@ -120,7 +120,7 @@
 }
 
 // markBest marks the lowest weighted mean of each objective and schedule.
-func markBest(rows []groupsMean) {
+func markBest(rows []GroupsMean) {
 	type key struct{ objective, schedule string }
 	best := make(map[key]int)
 	for i, r := range rows {
@@ -134,7 +134,7 @@
 	}
 }
 
-func printGroups(out io.Writer, rows []groupsMean) {
+func printGroups(out io.Writer, rows []GroupsMean) {
 	fmt.Fprintf(out, "%-9s %-13s %-9s %12s %14s %14s %14s %12s %12s\n",
 		"objective", "schedule", "policy", "down_group_s", "stranded_acc_s", "incompl_acc_s", "weighted", "floor_spare", "floor_load")
 	for _, r := range rows {
--- a/standin/gauge/groups.go
+++ b/standin/gauge/groups.go
@@ -31,8 +31,8 @@
 	large     bool
 }
 
-// groupsResult is one run.
-type groupsResult struct {
+// GroupsResult is one run.
+type GroupsResult struct {
 	Policy     string  `json:"policy"`
 	Objective  string  `json:"objective"`
 	Schedule   string  `json:"schedule"`
@@ -79,39 +79,39 @@
 }
 
 // runGroups runs one schedule under one policy, at the letter's size if large.
-func runGroups(policy, objective, name string, seed uint64, large bool) (groupsResult, error) {
+func runGroups(policy, objective, name string, seed uint64, large bool) (GroupsResult, error) {
 	p, ok := plan.PolicyNamed(policy)
 	if !ok {
-		return groupsResult{}, fmt.Errorf("unknown policy %q", policy)
+		return GroupsResult{}, fmt.Errorf("unknown policy %q", policy)
 	}
 	o, ok := objectiveNamed(objective)
 	if !ok {
-		return groupsResult{}, fmt.Errorf("unknown objective %q", objective)
+		return GroupsResult{}, fmt.Errorf("unknown objective %q", objective)
 	}
 	s, ok := scheduleNamed(name)
 	if !ok {
-		return groupsResult{}, fmt.Errorf("unknown schedule %q", name)
+		return GroupsResult{}, fmt.Errorf("unknown schedule %q", name)
 	}
 	s.large = s.large || large
 	site, err := siteFor(s, seed, o)
 	if err != nil {
-		return groupsResult{}, err
+		return GroupsResult{}, err
 	}
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	w := site.world(seed, p)
 	x := &faults{w: w, random: rand.New(rand.NewPCG(seed, 2)), length: s.length}
 	if err := w.Run(site.warmUp); err != nil {
-		return groupsResult{}, err
+		return GroupsResult{}, err
 	}
 	before := w.Usage()
 	s.plan(x)
 	if err := w.Run(site.warmUp + s.length); err != nil {
-		return groupsResult{}, err
+		return GroupsResult{}, err
 	}
 	used := w.Usage().Minus(before)
 	mean, worst := w.RoundTimes()
-	return groupsResult{
+	return GroupsResult{
 		Policy:     policy,
 		Objective:  objective,
 		Schedule:   name,
--- /dev/null
+++ b/standin/report/doc.go
@@ -0,0 +1,3 @@
+// Package report turns the results of the measures into pages: tables, plots,
+// figures against their bounds, and a comparison of two versions.
+package report
--- a/standin/start/load.go
+++ b/standin/start/load.go
@@ -42,7 +42,7 @@
 			if spread {
 				options = append(options, load.WithNewConnections())
 			}
-			return report(c, load.New(options...).Run(ctx))
+			return printSummary(c, load.New(options...).Run(ctx))
 		},
 	}
 	f := c.Flags()
@@ -61,7 +61,7 @@
 	return c
 }
 
-func report(c *cobra.Command, r *load.Result) error {
+func printSummary(c *cobra.Command, r *load.Result) error {
 	r.Print(c.OutOrStdout())
 	line, err := json.Marshal(r.Summary())
 	if err != nil {
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -47,6 +47,7 @@
 	newPlain,
 	newWeights,
 	newLoad,
+	newReport,
 }
 
 // untilSignal returns a context that ends with SIGINT or SIGTERM.
