--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES  := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
 BIN      := $(CURDIR)/.bin
 
-.PHONY: check demo tools format-check lint vet build catalogues test race generate format pages operate
+.PHONY: check demo tools format-check lint vet build catalogues test race generate format pages operate measures
 
 check: tools format-check vet lint build catalogues test race
 
@@ -45,6 +45,12 @@
 operate: build
 	.ci/operate
 
+# Runs every measure and rewrites the tables of docs/MEASURES.md. LENGTH=short
+# only tries that it works.
+LENGTH := full
+measures: build
+	.ci/measures $(LENGTH)
+
 # The packages whose goroutines share memory.
 race:
 	go test -race ./ring/... ./clock/... ./repl/... ./peer/...
--- a/standin/report/groups.go
+++ b/standin/report/groups.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return Section{}, err
 	}
-	s := Section{Title: fmt.Sprintf("Groups, all policies, %d seeds each", rows[0].Seeds)}
+	s := Section{Title: fmt.Sprintf("Groups, %s, all policies, %d seeds each", schedulesOf(rows), rows[0].Seeds)}
 	t := Table{
 		Title: "Means by schedule and policy",
 		Head:  []string{"objective", "schedule", "policy", "downtime, group-s", "stranded, accelerator-s", "weighted", "best"},
@@ -50,6 +50,16 @@
 	return s, nil
 }
 
+// schedulesOf returns the name of the only schedule, or that there are several.
+func schedulesOf(rows []gauge.GroupsMean) string {
+	for _, r := range rows {
+		if r.Schedule != rows[0].Schedule {
+			return "several schedules"
+		}
+	}
+	return rows[0].Schedule
+}
+
 // order returns the pairs of objective and schedule as they come.
 func order(rows []gauge.GroupsMean) [][2]string {
 	var pairs [][2]string
