--- a/standin/gauge/groupfault.go
+++ b/standin/gauge/groupfault.go
@@ -11,7 +11,7 @@
 type schedule struct {
 	name   string
 	length sardine.Millis // after the warm-up
-	large  bool           // at the letter's size
+	large  bool           // at the target size
 	plan   func(x *faults)
 }
 
--- a/standin/gauge/groups.go
+++ b/standin/gauge/groups.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// runGroups runs one schedule under one policy, at the letter's size if large.
+// runGroups runs one schedule under one policy, at the target size if large.
 func runGroups(policy, objective, name string, seed uint64, large bool) (GroupsResult, error) {
 	p, ok := plan.PolicyNamed(policy)
 	if !ok {
--- a/standin/gauge/groupsite.go
+++ b/standin/gauge/groupsite.go
@@ -72,7 +72,7 @@
 	return s
 }
 
-// largeSite has the letter's 840 workers and 3,300 accelerators in 12 domains,
+// largeSite has the target size's 840 workers and 3,300 accelerators in 12 domains,
 // with groups of 32, 8 and 4 VMs.
 func largeSite(o sardine.Objective) groupSite {
 	s := groupSite{atOnce: 16, loadTime: 40 * sardine.Second, warmUp: 3600 * sardine.Second}
--- a/standin/gauge/scale.go
+++ b/standin/gauge/scale.go
@@ -20,7 +20,7 @@
 	// timestamps. The packets of a call are counted as its writes and one
 	// acknowledgement.
 	packetBytes = 52
-	// The letter's budget for control at one node.
+	// The budget of control for one node.
 	budgetBytes   = 3000.0 // per second
 	budgetPercent = 2.6    // of a processor core
 	budgetMemory  = 64 << 20
