Share the programs' command line in package launch

Cause: controld/start, entryd/start and standin/start held the same root command and Main, two of them the same version command.

Change: launch.Program and launch.NewVersion take their place.

--- a/controld/start/start.go
+++ b/controld/start/start.go
@@ -2,42 +2,27 @@
 package start
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"sardineswitch.dev/sardine/launch"
 )
 
 // Main runs the program with its arguments and returns the exit code.
 func Main(args []string, out, errs io.Writer) int {
-	root := newRoot()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errs)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintf(errs, "controld: %v\n", err)
-		return 1
-	}
-	return 0
+	return program().Main(args, out, errs)
 }
 
-func newRoot() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "controld",
-		Short:         "Control node of sardineswitch: keeps the replicated state and forms groups",
-		Example:       "  controld check /etc/sardine/controld.toml\n  controld run /etc/sardine/controld.toml",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-	}
-	for _, build := range commands {
-		root.AddCommand(build())
+func program() launch.Program {
+	return launch.Program{
+		Name:    "controld",
+		Short:   "Control node of sardineswitch: keeps the replicated state and forms groups",
+		Example: "  controld check /etc/sardine/controld.toml\n  controld run /etc/sardine/controld.toml",
+		Commands: []func() *cobra.Command{
+			newRun,
+			newCheck,
+			func() *cobra.Command { return launch.NewVersion("controld") },
+		},
 	}
-	return root
-}
-
-// commands is the lookup table of the program's commands, one file each.
-var commands = []func() *cobra.Command{
-	newRun,
-	newCheck,
-	newVersion,
 }
--- a/entryd/start/start.go
+++ b/entryd/start/start.go
@@ -2,42 +2,27 @@
 package start
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"sardineswitch.dev/sardine/launch"
 )
 
 // Main runs the program with its arguments and returns the exit code.
 func Main(args []string, out, errs io.Writer) int {
-	root := newRoot()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errs)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintf(errs, "entryd: %v\n", err)
-		return 1
-	}
-	return 0
+	return program().Main(args, out, errs)
 }
 
-func newRoot() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "entryd",
-		Short:         "Entry node of sardineswitch: takes callers' requests and targets' announcements",
-		Example:       "  entryd check /etc/sardine/entryd.toml\n  entryd run /etc/sardine/entryd.toml",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-	}
-	for _, build := range commands {
-		root.AddCommand(build())
+func program() launch.Program {
+	return launch.Program{
+		Name:    "entryd",
+		Short:   "Entry node of sardineswitch: takes callers' requests and targets' announcements",
+		Example: "  entryd check /etc/sardine/entryd.toml\n  entryd run /etc/sardine/entryd.toml",
+		Commands: []func() *cobra.Command{
+			newRun,
+			newCheck,
+			func() *cobra.Command { return launch.NewVersion("entryd") },
+		},
 	}
-	return root
-}
-
-// commands is the lookup table of the program's commands, one file each.
-var commands = []func() *cobra.Command{
-	newRun,
-	newCheck,
-	newVersion,
 }
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -11,43 +10,28 @@
 
 	"github.com/spf13/cobra"
 
+	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/standin/gauge"
 )
 
 // Main runs the program with its arguments and returns the exit code.
 func Main(args []string, out, errs io.Writer) int {
-	root := newRoot()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errs)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintf(errs, "standin: %v\n", err)
-		return 1
-	}
-	return 0
+	return program().Main(args, out, errs)
 }
 
-func newRoot() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "standin",
-		Short:         "Stand-ins and measurements for sardineswitch",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-	}
-	for _, build := range commands {
-		root.AddCommand(build())
+func program() launch.Program {
+	return launch.Program{
+		Name:  "standin",
+		Short: "Stand-ins and measurements for sardineswitch",
+		Commands: []func() *cobra.Command{
+			newMeasure,
+			newEngine,
+			newPlain,
+			newWeights,
+			newLoad,
+			newReport,
+		},
 	}
-	return root
-}
-
-// commands is the lookup table of the program's commands, one file each.
-var commands = []func() *cobra.Command{
-	newMeasure,
-	newEngine,
-	newPlain,
-	newWeights,
-	newLoad,
-	newReport,
 }
 
 // untilSignal returns a context that ends with SIGINT or SIGTERM.
--- a/standin/start/start_test.go
+++ b/standin/start/start_test.go
@@ -10,14 +10,14 @@
 
 // TestExamplesParse checks that each command has an example whose flags exist.
 func TestExamplesParse(t *testing.T) {
-	for _, c := range newRoot().Commands() {
+	for _, c := range program().Root().Commands() {
 		if c.Name() == "measure" || c.Name() == "help" || c.Name() == "completion" {
 			continue
 		}
 		require.NotEmpty(t, c.Example, c.Name())
 		for line := range strings.Lines(c.Example) {
 			words := strings.Fields(line)
-			found, rest, err := newRoot().Find(words[1:])
+			found, rest, err := program().Root().Find(words[1:])
 			require.NoError(t, err, line)
 			require.NoError(t, found.ParseFlags(rest), line)
 			require.NoError(t, found.ValidateArgs(found.Flags().Args()), line)
