--- a/standin/report/plot.go
+++ b/standin/report/plot.go
@@ -8,8 +8,8 @@
 
 // Sizes of a plot in pixels.
 const (
-	plotWidth  = 640
-	plotLeft   = 190
+	plotWidth  = 720
+	plotLeft   = 240
 	plotRight  = 90
 	barHeight  = 16
 	barGap     = 6
