--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES  := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
 BIN      := $(CURDIR)/.bin
 
-.PHONY: check demo fail tools format-check lint vet build catalogues test race generate format pages operate
+.PHONY: check demo fail tools format-check lint vet build catalogues test race generate format pages operate measures
 
 check: tools format-check vet lint build catalogues test race
 
@@ -49,9 +49,15 @@
 operate: build
 	.ci/operate
 
+# Runs every measure and rewrites the tables of docs/MEASURES.md. LENGTH=short
+# only tries that it works.
+LENGTH := full
+measures: build
+	.ci/measures $(LENGTH)
+
 # The packages whose goroutines share memory.
 race:
-	go test -race ./ring/... ./clock/... ./repl/... ./peer/...
+	go test -race ./ring/... ./clock/... ./repl/... ./peer/... ./ctlapi/... ./standin/site/...
 
 # The generated code is committed; this needs buf, which CI does not build.
 generate:
