Ask a home that was silent for long for all its targets

Cause: an entry node that was cut off for longer than the target lease lost its targets at the leader, which forgets what nobody vouches for. When the same incarnation came back under the same leader, the leader still held it for fully reported and the node repeated nothing that was acknowledged, so that live targets stayed unknown until the next full report, after up to 300 s. Change: a home that was silent for a lease is asked for a full report. The new test fails without the change.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -161,3 +161,26 @@
 		}
 	}
 }
+
+// TestHomeBackFromCutTellsAll cuts a home off for longer than the lease, so that
+// the leader forgets its targets, and lets the same incarnation come back.
+func TestHomeBackFromCutTellsAll(t *testing.T) {
+	l := NewLeader(WithGrace(0))
+	m := state.NewMachine()
+	l.Lead(0, 1)
+	h := NewHome("entry-1", 1)
+	require.NoError(t, h.Announce(0, announcement("vm-1", 1)))
+	r, _ := h.Report(0)
+	h.Acked(l.Take(0, r))
+	back := 2 * DefaultLease
+	l.Tick(back, m)
+	_, live := l.Live(back, "vm-1")
+	require.False(t, live)
+	require.NoError(t, h.Announce(back, announcement("vm-1", 1)))
+	h.Acked(l.Heard(back, "entry-1", 1))
+	r, news := h.Report(back)
+	require.True(t, news && r.Full, "the home repeats what was forgotten")
+	require.False(t, l.Take(back, r).WantFull)
+	_, live = l.Live(back, "vm-1")
+	require.True(t, live)
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -106,7 +106,7 @@
 	if !current {
 		return Ack{}
 	}
-	h.heard = max(h.heard, now)
+	l.hear(now, h)
 	return Ack{WantFull: !h.full}
 }
 
@@ -117,7 +117,7 @@
 	if !current {
 		return Ack{Sequence: r.Sequence}
 	}
-	h.heard = max(h.heard, now)
+	l.hear(now, h)
 	if r.Sequence <= h.sequence {
 		return Ack{Sequence: r.Sequence, WantFull: !h.full}
 	}
@@ -137,6 +137,16 @@
 	return Ack{Sequence: r.Sequence, WantFull: !h.full}
 }
 
+// hear notes that a home is heard of. One that was silent for a lease must tell
+// all again: what it vouched for may be forgotten, and it repeats nothing that
+// was acknowledged.
+func (l *Leader) hear(now sardine.Millis, h *homeView) {
+	if h.heard+l.lease <= now {
+		h.full = false
+	}
+	h.heard = max(h.heard, now)
+}
+
 // home returns the view of a home; current is false if a later incarnation of
 // it is known.
 func (l *Leader) home(node sardine.NodeID, incarnation sardine.Incarnation) (h *homeView, current bool) {
