Cut nodes off in chaos runs

Cause: chaos runs broke processes, not the network between them. Change: one more sequence cuts an entry or a control node off from all others, in silence or not, in both directions or one, for 0.5 to 8 s. The result counts how often a serving entry node turned unready and for how long.

--- a/standin/chaos/chaos.go
+++ b/standin/chaos/chaos.go
@@ -49,8 +49,10 @@
 	Chats      Counts         `json:"chats"`
 	Bookings   Counts         `json:"bookings"`
 	Changes    int            `json:"changes_accepted"`
-	Looks      int            `json:"looks"`     // of the watchers at entry nodes
-	MendedMS   int64          `json:"mended_ms"` // from the last fault until all groups serve
+	Looks      int            `json:"looks"`              // of the watchers at entry nodes
+	Unready    int            `json:"unready"`            // times that a serving entry node lost its lease and got it again
+	LongestMS  int64          `json:"longest_unready_ms"` // of these
+	MendedMS   int64          `json:"mended_ms"`          // from the last fault until all groups serve
 	Violations []string       `json:"violations"`
 }
 
--- a/standin/chaos/faults.go
+++ b/standin/chaos/faults.go
@@ -40,6 +40,10 @@
 		{"service breaks off", serviceBreaksOff},
 		{"service leaves", serviceLeaves},
 	},
+	{
+		{"entry cut", entryCut},
+		{"control cut", controlCut},
+	},
 }
 
 // faults runs the sequences of faults beside each other until the time is over.
--- a/standin/chaos/watch.go
+++ b/standin/chaos/watch.go
@@ -21,6 +21,7 @@
 // watch looks at the entry nodes until ctx ends.
 func (r *run) watch(ctx context.Context) {
 	seen := make(map[string]uint64) // highest version by node and incarnation
+	gaps := newGaps()
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		accepted := r.accepted
@@ -28,7 +29,9 @@
 		members := r.members()
 		for _, e := range r.site.Entries() {
 			if node := e.Node(); node != nil {
-				r.look(node.Dump(), accepted, members, seen)
+				d := node.Dump()
+				r.look(d, accepted, members, seen)
+				r.noteGap(gaps.look(d.Node+"/"+uintText(d.Incarnation), d.Ready, time.Now()))
 			}
 		}
 		time.Sleep(watchPause)
