Count the weight store's loads once its handler has ended

Cause: the reader had all bytes before the store had counted the load, so the test failed in one run of the whole check. Change: the test closes the server, which waits for the handler, before it counts.

--- a/standin/weight/weight_test.go
+++ b/standin/weight/weight_test.go
@@ -12,8 +12,8 @@
 	s := New(WithSize(300_000), WithModel("big", 600_000))
 	require.NoError(t, s.Load(context.Background(), "small", "1"))
 	server := httptest.NewServer(s)
-	defer server.Close()
 	require.NoError(t, NewRemote(server.Listener.Addr().String()).Load(context.Background(), "big", "1"))
+	server.Close() // waits for the handler, which counts after its last write
 	require.EqualValues(t, 2, s.Loads())
 	require.EqualValues(t, 900_000, s.Delivered())
 	ctx, cancel := context.WithCancel(context.Background())
