--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -23,6 +23,8 @@
 	return launch.Program{
 		Name:  "standin",
 		Short: "Stand-ins and measurements for sardineswitch",
+		Example: "  standin load --address 127.0.0.1:8080 --service surtitles --workspace stage-left\n" +
+			"  standin measure chaos --seed 1 --for 30s",
 		Commands: []func() *cobra.Command{
 			newMeasure,
 			newEngine,
@@ -30,6 +32,7 @@
 			newWeights,
 			newLoad,
 			newReport,
+			func() *cobra.Command { return launch.NewVersion("standin") },
 		},
 	}
 }
@@ -47,6 +50,7 @@
 	parent := &cobra.Command{
 		Use:   "measure",
 		Short: "Run a measurement; the last line of its output is JSON",
+		Example: "  standin measure routing --seed 1",
 	}
 	for _, row := range gauge.Table() {
 		parent.AddCommand(row.Command())
