--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -48,8 +48,8 @@
 
 func newMeasure() *cobra.Command {
 	parent := &cobra.Command{
-		Use:   "measure",
-		Short: "Run a measurement; the last line of its output is JSON",
+		Use:     "measure",
+		Short:   "Run a measurement; the last line of its output is JSON",
 		Example: "  standin measure routing --seed 1",
 	}
 	for _, row := range gauge.Table() {
