Begin both kinds of callers' requests in one place

Cause: the handlers of models and of plain services read, admitted and refused by the same twenty lines.

--- a/entry/model.go
+++ b/entry/model.go
@@ -52,35 +52,23 @@
 
 // handleModel answers chat and completion requests.
 func (n *Node) handleModel(w http.ResponseWriter, r *http.Request) {
-	k := n.beginTrace()
-	id := k.ID()
-	n.extendRead(w)
-	q, err := readModel(r, n.limits.BodyBytes)
-	if err != nil {
-		n.refuseTraced(w, k, err)
-		return
-	}
-	q.id, q.trace = id, k
-	q.arrived = n.clock.Now()
-	ctx, cancel := n.callerContext(r.Context())
-	defer cancel(nil)
-	t, key, ticket, err := n.enter(ctx, q)
-	if err != nil {
-		n.refuseTraced(w, k, err)
+	b, admitted := n.begin(w, r, readModel)
+	if !admitted {
 		return
 	}
-	run := &modelRun{node: n, request: q, tenancy: t, service: key, ticket: ticket, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
-	run.deadline = n.startDeadline(q, cancel)
+	defer b.cancel(nil)
+	run := &modelRun{node: n, request: b.request, tenancy: b.tenancy, service: b.service, ticket: b.ticket, sink: b.sink, ran: sardine.RanNo}
+	run.deadline = n.startDeadline(b.request, b.cancel)
 	defer run.deadline.Stop()
 	outcome := admit.Abandoned
-	defer func() { n.leave(ticket, run.firstIn, outcome) }()
-	err = run.serve(ctx)
-	outcome = outcomeOf(ctx, err)
+	defer func() { n.leave(b.ticket, run.firstIn, outcome) }()
+	err := run.serve(b.ctx)
+	outcome = outcomeOf(b.ctx, err)
 	if err != nil {
 		run.fail(err)
 		return
 	}
-	n.endTrace(k, nil, sardine.RanYes, run.tokens)
+	n.endTrace(b.request.trace, nil, sardine.RanYes, run.tokens)
 }
 
 func outcomeOf(ctx context.Context, err error) admit.Outcome {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -54,40 +54,24 @@
 
 // handlePlain answers requests to plain services.
 func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
-	k := n.beginTrace()
-	id := k.ID()
-	n.extendRead(w)
-	q, err := readPlain(r, n.limits.BodyBytes)
-	if err != nil {
-		n.refuseTraced(w, k, err)
-		return
-	}
-	q.id, q.trace = id, k
-	q.arrived = n.clock.Now()
-	ctx, cancel := n.callerContext(r.Context())
-	defer cancel(nil)
-	_, key, ticket, err := n.enter(ctx, q)
-	if err != nil {
-		n.refuseTraced(w, k, err)
+	b, admitted := n.begin(w, r, readPlain)
+	if !admitted {
 		return
 	}
-	run := &plainRun{node: n, request: q, service: key, sink: newSink(w, id, n.timing.Write), ran: sardine.RanNo}
-	run.repeatable = repeatable(n.view().deployments[key], q.method)
-	timer := n.startDeadline(q, cancel)
+	defer b.cancel(nil)
+	run := &plainRun{node: n, request: b.request, service: b.service, sink: b.sink, ran: sardine.RanNo}
+	run.repeatable = repeatable(n.view().deployments[b.service], b.request.method)
+	timer := n.startDeadline(b.request, b.cancel)
 	defer timer.Stop()
 	outcome := admit.Abandoned
-	defer func() { n.leave(ticket, run.took, outcome) }()
-	if q.key != "" && !run.repeatable {
-		err = run.serveClaimed(ctx)
-	} else {
-		err = run.serveOnce(ctx)
-	}
-	outcome = outcomeOf(ctx, err)
+	defer func() { n.leave(b.ticket, run.took, outcome) }()
+	err := run.serve(b.ctx)
+	outcome = outcomeOf(b.ctx, err)
 	if err != nil {
 		run.fail(err)
 		return
 	}
-	n.endTrace(k, nil, sardine.RanYes, 0)
+	n.endTrace(b.request.trace, nil, sardine.RanYes, 0)
 }
 
 // repeatable reports whether the method's calls may be sent twice. Reads always
@@ -114,6 +98,14 @@
 	took       sardine.Millis // of the last dispatch
 }
 
+// serve answers the caller. Only what may not run twice and has a key is claimed.
+func (p *plainRun) serve(ctx context.Context) error {
+	if p.request.key != "" && !p.repeatable {
+		return p.serveClaimed(ctx)
+	}
+	return p.serveOnce(ctx)
+}
+
 // serveOnce gets an answer and passes it on.
 func (p *plainRun) serveOnce(ctx context.Context) error {
 	answer, end, err := p.fetch(ctx)
