Take the site's control ports from below those of connections

Cause: one run of the site's tests failed with an address in use: a control node's port, found free at first, was given to a connection of another test before the node took it. Change: ports from 20000 to 31999, which the system does not give to connections, drawn without the seed, since sites with one seed run beside each other.

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -146,13 +146,25 @@
 	return nil
 }
 
+// Ports of control nodes, which must keep theirs over a restart. The system gives
+// connections higher ones, so that none takes a port while its node is stopped.
+const (
+	lowestPort = 20000
+	ports      = 12000
+	portTries  = 100
+)
+
+// freeAddress returns an address that nobody listens on. The port is drawn without
+// the seed: sites with one seed may run beside each other.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", codes.Wrap(codes.Internal, err, "no free port")
+	for range portTries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", codes.New(codes.Internal, "no free port from %d on after %d tries", lowestPort, portTries)
 }
 
 func (s *Site) random(stream uint64) *rand.Rand {
