--- /dev/null
+++ b/call.go
@@ -0,0 +1,85 @@
+package sardine
+
+import (
+	"context"
+	"net/http"
+)
+
+// Call is what the system reads of one caller's request. Body and other headers
+// pass through unread.
+type Call struct {
+	ID           RequestID
+	Host         string // without a port
+	Path         string // without the query
+	Key          string // of the caller's workspace, empty without one
+	Patience     Millis // how long the caller waits, 0 if not said
+	Model        ModelName
+	PromptTokens int
+	AnswerTokens int    // at most
+	LastEvent    string // the caller goes on after this event, empty for a new stream
+}
+
+// Dispatch is what the system tells a target about a request that it passes on.
+type Dispatch struct {
+	Target    VMID
+	Workspace Workspace
+	Patience  Millis
+	LastEvent string // go on after this event, empty to start
+	Rank      int    // 0 is the most urgent, negative leaves it out
+}
+
+// Reply is what the system reads of the head of a target's answer.
+type Reply struct {
+	Request RequestID // that it answers, empty if not said
+	Ran     Ran       // RanNo if the target says so, RanUnknown otherwise
+	Running int       // requests in the batch
+	Queued  int
+	Slots   int
+	Loaded  bool // Running, Queued and Slots are set
+}
+
+// CallerPort translates callers' requests.
+type CallerPort interface {
+	// Call reads a request's head. Errors carry codes.BadRequest.
+	Call(r *http.Request) (Call, error)
+	// Refuse writes an answer of the system's own.
+	Refuse(w http.ResponseWriter, err error, retryAfter Millis)
+	// ReadyPath is where the platform's balancer asks whether to send callers.
+	ReadyPath() string
+}
+
+// TargetPort translates what passes between an entry node and targets.
+type TargetPort interface {
+	// Prepare sets the system's headers of a dispatch.
+	Prepare(h http.Header, d Dispatch)
+	// Reply reads the head of an answer.
+	Reply(status int, h http.Header) Reply
+}
+
+// ControlPort translates what operators and targets ask of control nodes.
+type ControlPort interface {
+	// Handler serves the requests by desk.
+	Handler(desk ControlDesk) http.Handler
+	LayoutCodec
+}
+
+// LayoutCodec reads operators' documents.
+type LayoutCodec interface {
+	// ParseLayout reads and checks a document. Errors carry codes.BadSettings.
+	ParseLayout(document []byte) (Layout, error)
+}
+
+// ControlDesk is what a control node does for operators and targets.
+type ControlDesk interface {
+	// PutLayout returns once the document, or one with a higher number, is
+	// durable on a quorum.
+	PutLayout(ctx context.Context, document []byte) error
+	// Layout returns the newest document, proved by a quorum; nil before the
+	// first.
+	Layout(ctx context.Context) ([]byte, error)
+	// Announce takes a target's word about itself and returns the address to
+	// announce to from now on. A target that leaves gets no new work.
+	Announce(ctx context.Context, a Announcement) (address string, err error)
+	// Leave notes that a target is about to end.
+	Leave(ctx context.Context, vm VMID, i Incarnation) error
+}
--- a/codes/table.go
+++ b/codes/table.go
@@ -30,6 +30,7 @@
 	StreamBroken  Code = 302
 	EpochRefused  Code = 303
 	AnswerInvalid Code = 304
+	TargetFull    Code = 305
 
 	NotLeader     Code = 400
 	NoQuorum      Code = 401
@@ -84,6 +85,7 @@
 	{StreamBroken, "stream_broken", 502, "the answer broke off and could not be resumed", "send again if the request is idempotent"},
 	{EpochRefused, "epoch_refused", 409, "the engine holds a higher epoch", "nothing, the order is outdated"},
 	{AnswerInvalid, "answer_invalid", 502, "the target's answer was cut or not for this request", "send again if the request is idempotent"},
+	{TargetFull, "target_full", 503, "the target takes no more requests now", "send again after Retry-After"},
 
 	{NotLeader, "not_leader", 421, "this control node does not lead", "ask the leader named in the answer"},
 	{NoQuorum, "no_quorum", 503, "no majority of control nodes answers", "see docs/operate/lost-quorum.md"},
--- a/conf/control.go
+++ b/conf/control.go
@@ -19,7 +19,11 @@
 	listenInternal    string
 	listenOperators   string
 	advertiseInternal string
+	listenControl     string
+	speaks            string
 	members           []Peer
+	discovery         Discovery
+	memory            int64
 	timings           ControlTimings
 	weights           Weights
 	log               Log
@@ -51,12 +55,21 @@
 		dataFolder:      t.Text("data_folder", ""),
 		listenInternal:  t.Address("listen_internal", true, true),
 		listenOperators: t.Address("listen_operators", true, true),
-		members:         readPeers(t, "members", 1, maxControls),
+		listenControl:   t.Address("listen_control", false, true),
+		speaks:          t.Choice("interface", InterfaceOwn, InterfaceOwn, InterfacePlatform),
+		discovery:       readDiscovery(t.Table("discovery")),
+		memory:          readMemory(t),
 		timings:         readControlTimings(t.Table("timings")),
 		weights:         readWeights(t.Table("weight_store")),
 		log:             readLog(t.Table("log")),
 		tls:             readTLS(t.Table("tls"), false),
 	}
+	if !c.discovery.Enabled() {
+		c.members = readPeers(t, "members", 1, maxControls)
+	}
+	if c.speaks == InterfacePlatform && c.listenControl == "" {
+		t.Refuse("listen_control", "the address for operators and targets, which the interface platform needs")
+	}
 	c.operatorHash = readHash(t, "operator_hash")
 	requireHash(t, c.tls, c.operatorHash)
 	c.advertiseInternal = advertised(t, "advertise_internal", c.listenInternal)
@@ -111,6 +124,28 @@
 	return append([]Peer(nil), c.members...)
 }
 
+// Memory returns the machine's memory for the process in bytes, 0 if not told.
+func (c *Control) Memory() int64 {
+	return c.memory
+}
+
+// ListenControl returns host:port for operators and targets of the interface
+// platform, empty for none.
+func (c *Control) ListenControl() string {
+	return c.listenControl
+}
+
+// Interface returns what the node speaks to operators and targets.
+func (c *Control) Interface() string {
+	return c.speaks
+}
+
+// Discovery returns how the node finds the other control nodes, instead of
+// Members.
+func (c *Control) Discovery() Discovery {
+	return c.discovery
+}
+
 // Timings returns the node's periods.
 func (c *Control) Timings() ControlTimings {
 	return c.timings
@@ -144,6 +179,7 @@
 	election  sardine.Millis
 	lease     sardine.Millis
 	drain     sardine.Millis
+	announce  sardine.Millis
 }
 
 func readControlTimings(t *tomlr.Table) ControlTimings {
@@ -152,6 +188,7 @@
 		election:  millis(t, "election_ms", quorum.DefaultTiming().ElectionMin, 50, 60*sardine.Second),
 		lease:     millis(t, "lease_ms", lease.Serving, 200, 60*sardine.Second),
 		drain:     millis(t, "drain_ms", 5*sardine.Second, 0, 600*sardine.Second),
+		announce:  millis(t, "announce_ms", sardine.Second, 50, 60*sardine.Second),
 	}
 	if s.heartbeat*2 > s.election {
 		t.Refuse("heartbeat_ms", fmt.Sprintf("at most half of election_ms, %d", s.election/2))
@@ -175,6 +212,11 @@
 	return t.lease
 }
 
+// Announce returns the interval at which targets announce themselves.
+func (t ControlTimings) Announce() sardine.Millis {
+	return t.announce
+}
+
 // Drain returns how long a shutdown waits to hand over leadership.
 func (t ControlTimings) Drain() sardine.Millis {
 	return t.drain
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -23,7 +23,12 @@
 	listenInternal    string
 	advertiseTargets  string
 	advertiseInternal string
+	listenReady       string
+	speaks            string
 	controls          []Peer
+	discovery         Discovery
+	repeats           Repeats
+	memory            int64
 	timings           EntryTimings
 	limits            Limits
 	log               Log
@@ -55,14 +60,24 @@
 		dataCentre:     sardine.DataCentre(t.Name("data_centre")),
 		dataFolder:     t.Text("data_folder", ""),
 		listen:         t.Address("listen", true, true),
-		listenTargets:  t.Address("listen_targets", true, true),
 		listenInternal: t.Address("listen_internal", true, true),
-		controls:       readPeers(t, "controls", 1, maxControls),
+		listenReady:    t.Address("listen_ready", false, true),
+		speaks:         t.Choice("interface", InterfaceOwn, InterfaceOwn, InterfacePlatform),
+		discovery:      readDiscovery(t.Table("discovery")),
+		repeats:        readRepeats(t.Table("repeats")),
+		memory:         readMemory(t),
 		timings:        readEntryTimings(t.Table("timings")),
 		limits:         readLimits(t.Table("limits")),
 		log:            readLog(t.Table("log")),
 		tls:            readTLS(t.Table("tls"), true),
 	}
+	e.listenTargets = t.Address("listen_targets", e.speaks == InterfaceOwn, true)
+	if !e.discovery.Enabled() {
+		e.controls = readPeers(t, "controls", 1, maxControls)
+	}
+	if e.speaks == InterfacePlatform && e.listenReady == "" {
+		t.Refuse("listen_ready", "the address for the balancer, which the interface platform needs")
+	}
 	e.operatorHash = readHash(t, "operator_hash")
 	e.targetTokens = t.Bool("target_tokens", false)
 	requireHash(t, e.tls, e.operatorHash)
@@ -135,9 +150,33 @@
 
 // Controls returns the control nodes to ask first.
 func (e *Entry) Controls() []Peer {
+	if e.discovery.Enabled() {
+		return e.discovery.Seeds()
+	}
 	return append([]Peer(nil), e.controls...)
 }
 
+// Repeats returns the bound on requests that are sent again.
+func (e *Entry) Repeats() Repeats {
+	return e.repeats
+}
+
+// Memory returns the machine's memory for the process in bytes, 0 if not told.
+func (e *Entry) Memory() int64 {
+	return e.memory
+}
+
+// ListenReady returns host:port where the balancer asks whether the node takes
+// callers, empty where it asks the address for callers.
+func (e *Entry) ListenReady() string {
+	return e.listenReady
+}
+
+// Interface returns what the node speaks to callers and targets.
+func (e *Entry) Interface() string {
+	return e.speaks
+}
+
 // Timings returns the node's periods.
 func (e *Entry) Timings() EntryTimings {
 	return e.timings
--- a/conf/limits.go
+++ b/conf/limits.go
@@ -59,6 +59,41 @@
 	return l.requests
 }
 
+// Repeats bounds how often requests are sent again, over all entry nodes.
+type Repeats struct {
+	ratio  float64
+	slack  float64
+	window sardine.Millis
+}
+
+func readRepeats(t *tomlr.Table) Repeats {
+	return Repeats{
+		ratio:  t.Float("ratio", 0.1, 0, 10),
+		slack:  t.Float("slack", 10, 0, 1e6),
+		window: sardine.Millis(t.Int("window_s", 10, 1, 600)) * sardine.Second,
+	}
+}
+
+// Ratio returns the repeats for each first request.
+func (r Repeats) Ratio() float64 {
+	return r.ratio
+}
+
+// Slack returns the repeats of all nodes beyond the ratio.
+func (r Repeats) Slack() float64 {
+	return r.slack
+}
+
+// Window returns the span in which repeats are counted.
+func (r Repeats) Window() sardine.Millis {
+	return r.window
+}
+
+// readMemory reads the machine's memory for the process.
+func readMemory(t *tomlr.Table) int64 {
+	return t.Int("memory_mb", 0, 0, 1<<20) << 20
+}
+
 func span(low, high int) string {
 	return fmt.Sprintf("%d to %d", low, high)
 }
--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -15,7 +15,9 @@
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/disk"
 	"sardineswitch.dev/sardine/keys"
+	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/platform"
 	"sardineswitch.dev/sardine/quorum"
 )
 
@@ -23,30 +25,36 @@
 // two members seldom stand at once.
 const electionSpread = 1.35
 
+// missedBeats is how many announcements of a target in a row may be lost or late
+// before it counts as lost.
+const missedBeats = 3
+
 // newRun returns the command that runs the node until a signal ends it.
 func newRun() *cobra.Command {
 	return &cobra.Command{
-		Use:   "run FILE",
+		Use:   "run [FILE]",
 		Short: "Run the control node with a settings file",
 		Long: "Run the control node with a settings file.\n\n" +
-			"SIGTERM and SIGINT end it: a leading node hands its leadership over first.",
+			"SIGTERM and SIGINT end it: a leading node hands its leadership over first.\n" +
+			"Without FILE the platform names the settings.",
 		Example: "  controld run /etc/sardine/controld.toml",
-		Args:    cobra.ExactArgs(1),
+		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			settings, err := conf.LoadControl(args[0])
+			settings, err := conf.LoadControl(launch.SettingsFile(args, platform.SettingsFile()))
 			if err != nil {
 				return err
 			}
-			return run(settings, c.ErrOrStderr())
+			return run(settings, c.OutOrStdout())
 		},
 	}
 }
 
-func run(settings *conf.Control, errs io.Writer) error {
+func run(settings *conf.Control, out io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	node, err := newNode(settings, errs)
+	launch.BoundMemory(settings.Memory())
+	node, err := newNode(settings, out)
 	if err != nil {
 		return err
 	}
@@ -60,7 +68,7 @@
 	return node.Stop(ctx)
 }
 
-func newNode(s *conf.Control, errs io.Writer) (*ctrl.Node, error) {
+func newNode(s *conf.Control, out io.Writer) (*ctrl.Node, error) {
 	folder, err := disk.NewFolder(s.DataFolder())
 	if err != nil {
 		return nil, err
@@ -73,25 +81,61 @@
 	if err != nil {
 		return nil, err
 	}
-	return ctrl.New(
+	options := []ctrl.Option{
 		ctrl.WithID(s.Node(), s.Site(), s.DataCentre()),
 		ctrl.WithListen(s.ListenInternal(), s.ListenOperators()),
 		ctrl.WithMembers(members...),
 		ctrl.WithDisk(folder),
 		ctrl.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		ctrl.WithLogger(logs.New(errs, s.Log(), s.Node())),
-		ctrl.WithTiming(timingOf(s.Timings())),
+		ctrl.WithLogger(logs.New(out, s.Log(), s.Node())),
+		ctrl.WithTiming(timingOf(s)),
 		ctrl.WithWeightStore(s.Weights().LoadsAtOnce(), s.Weights().Load()),
 		ctrl.WithOperatorHash(s.OperatorHash()),
 		ctrl.WithKeys(set),
-	)
+	}
+	options = append(options, discoveryOf(s)...)
+	return ctrl.New(append(options, portOf(s)...)...)
+}
+
+// discoveryOf returns how the node finds the others without a list of them. The
+// seeds are the first members of a new site.
+func discoveryOf(s *conf.Control) []ctrl.Option {
+	if !s.Discovery().Enabled() {
+		return nil
+	}
+	var addresses []string
+	var first []quorum.Member
+	for _, p := range s.Discovery().Seeds() {
+		addresses = append(addresses, p.Address())
+		first = append(first, quorum.Member{Node: p.Node(), Address: p.Address()})
+	}
+	options := []ctrl.Option{ctrl.WithSeeds(addresses...)}
+	if s.Discovery().Found() {
+		options = append(options, ctrl.WithMembers(first...))
+	}
+	return options
+}
+
+// portOf returns what operators and targets speak if that is not the product's
+// own interface.
+func portOf(s *conf.Control) []ctrl.Option {
+	if s.Interface() != conf.InterfacePlatform {
+		return nil
+	}
+	return []ctrl.Option{
+		ctrl.WithPort(platform.NewControl(), s.ListenControl()),
+		ctrl.WithEngines(platform.NewOrders()),
+	}
 }
 
-func timingOf(s conf.ControlTimings) ctrl.Timing {
+func timingOf(s *conf.Control) ctrl.Timing {
 	t := ctrl.DefaultTiming()
-	t.Lease = s.Lease()
-	t.Quorum.Heartbeat = s.Heartbeat()
-	t.Quorum.ElectionMin = s.Election()
-	t.Quorum.ElectionMax = sardine.Millis(electionSpread * float64(s.Election()))
+	t.Lease = s.Timings().Lease()
+	t.Quorum.Heartbeat = s.Timings().Heartbeat()
+	t.Quorum.ElectionMin = s.Timings().Election()
+	t.Quorum.ElectionMax = sardine.Millis(electionSpread * float64(s.Timings().Election()))
+	if s.Interface() == conf.InterfacePlatform {
+		t.Target = missedBeats * s.Timings().Announce()
+	}
 	return t
 }
--- a/ctrl/attrs.go
+++ b/ctrl/attrs.go
@@ -6,6 +6,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/team"
 )
@@ -30,6 +31,15 @@
 	return slog.String("entry", string(id))
 }
 
+func memberAttr(id sardine.NodeID) slog.Attr {
+	return slog.String("member", string(id))
+}
+
+func changeAttr(k quorum.ChangeKind) slog.Attr {
+	names := [...]string{"none", "add_learner", "promote", "remove"}
+	return slog.String("change", names[k])
+}
+
 func pathAttr(p team.Path) slog.Attr {
 	return slog.String("path", p.String())
 }
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -110,6 +110,8 @@
 		Leaving:      t.Target.Leaving,
 		Holding:      t.Holding,
 		Load:         t.Load,
+		Staged:       t.Staged,
+		Serial:       t.Serial,
 	}
 }
 
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -20,9 +20,13 @@
 // leadership holds the soft state of the node while it leads. Follow requests
 // and the leader duty take turns at it.
 type leadership struct {
+	self    sardine.NodeID
+	target  sardine.Millis // lease of a target in home
+	grace   sardine.Millis
 	mu      sync.Mutex
-	term    uint64 // 0 while the node does not lead
-	seen    uint64 // index up to which the ledger knows the log
+	home    *fleet.Home // targets that announce themselves to control nodes
+	term    uint64      // 0 while the node does not lead
+	seen    uint64      // index up to which the ledger knows the log
 	ledger  *lease.Ledger
 	fleet   *fleet.Leader
 	planner *plan.Planner
@@ -32,9 +36,13 @@
 	breach  error
 }
 
-func newLeadership(t Timing, planner *plan.Planner, snapshot func() ([]byte, uint64, error)) *leadership {
+func newLeadership(self sardine.NodeID, t Timing, planner *plan.Planner, snapshot func() ([]byte, uint64, error)) *leadership {
 	ledger := lease.New(lease.WithServing(t.Lease), lease.WithHolding(t.Holding))
 	return &leadership{
+		self:    self,
+		target:  t.Target,
+		grace:   t.Grace,
+		home:    newHome(self, t.Target),
 		ledger:  ledger,
 		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
 		fleet:   fleet.NewLeader(fleet.WithGrace(t.Grace)),
@@ -42,6 +50,10 @@
 	}
 }
 
+// freshGrace divides the grace of a site that knows no target yet: nothing that
+// an earlier leader did can be undone, so forming groups need not wait as long.
+const freshGrace = 3
+
 // begin starts a term from the state, which holds all entries of earlier terms.
 func (l *leadership) begin(now sardine.Millis, term uint64, m *state.Machine, cut cutPolicy) {
 	l.mu.Lock()
@@ -54,7 +66,11 @@
 			l.ledger.Changed(name, r.Index, cut(name, r))
 		}
 	}
+	l.home = newHome(l.self, l.target)
 	l.fleet.Lead(now, term)
+	if len(m.Targets()) == 0 {
+		l.fleet.Settle(now + l.grace/freshGrace)
+	}
 	l.planner.Lead(now, term, m)
 	l.polls.server.Lead(term)
 	l.lender = limit.NewLender(now, term)
@@ -124,6 +140,7 @@
 		return work{}, nil
 	}
 	l.configureLimits(settings)
+	l.tickHome(now)
 	targets := append(l.fleet.Tick(now, m), l.forget(now)...)
 	out, err := l.planner.Round(now, m, l.fleet.At(now), settings)
 	if err != nil {
@@ -193,7 +210,7 @@
 	}
 	var todo work
 	var err error
-	settings := n.allSettings()
+	settings := append(n.allSettings(), n.layoutSettings()...)
 	n.log.View(func(m *state.Machine) {
 		todo, err = n.leadership.round(n.clock.Now(), m, settings)
 	})
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -13,6 +13,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/clock"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/listen"
@@ -48,6 +49,10 @@
 	limits          plan.Limits
 	operatorHash    []byte
 	keys            *keys.Set
+	port            sardine.ControlPort // nil: operators and targets use the product's own interface
+	listenControl   string
+	seeds           []string // addresses of control nodes to ask for membership
+	discovers       bool
 	access          *oper.Access
 
 	log        *repl.Node
@@ -59,6 +64,9 @@
 	orders     *ring.Ring[plan.SendOrder]
 	internal   *listen.Server
 	operators  *listen.Server
+	control    *listen.Server // nil without a port
+	others     *ctlapi.Client // the other control nodes
+	layouts    *layoutView
 	meter      *instruments
 	historyMu  sync.Mutex
 	history    *status.History
@@ -84,6 +92,7 @@
 		parsed:  newParsedSettings(),
 		granted: newSignal(),
 		history: status.NewHistory(),
+		layouts: &layoutView{},
 		keys:    keys.Plain(),
 		wake:    make(chan struct{}, 1),
 		orders:  ring.New[plan.SendOrder](orderQueue, ring.Wait),
@@ -117,6 +126,11 @@
 	if n.operators, err = listen.New(n.listenOperators, listen.WithTLS(n.keys.OperatorServer())); err != nil {
 		return err
 	}
+	if n.port != nil {
+		if n.control, err = listen.New(n.listenControl); err != nil {
+			return err
+		}
+	}
 	n.link = peer.NewLink(n.site, n.id, n.internal.Address(), n.linkOptions()...)
 	n.log, err = repl.New(
 		repl.WithID(n.id),
@@ -132,7 +146,9 @@
 	if err != nil {
 		return err
 	}
-	n.leadership = newLeadership(n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
+	client, scheme := n.keys.Client(maxIdleOthers)
+	n.others = ctlapi.New(nil, ctlapi.WithHTTP(client, scheme))
+	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
 	n.meter, err = newInstruments(n)
 	return err
 }
@@ -206,6 +222,12 @@
 	for range orderSenders {
 		n.tomb.Go(n.sendOrders)
 	}
+	if n.port != nil {
+		n.tomb.Go(func() error { return n.control.Serve(n.port.Handler(desk{node: n})) })
+	}
+	if n.discovers {
+		n.tomb.Go(n.tendMembers)
+	}
 	n.tomb.Go(n.watchLog)
 	n.tomb.Go(n.keepHistory)
 	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.logger) })
@@ -258,7 +280,7 @@
 func (n *Node) release() {
 	n.endLife()
 	n.endHandOver()
-	for _, s := range []*listen.Server{n.internal, n.operators} {
+	for _, s := range []*listen.Server{n.internal, n.operators, n.control} {
 		if s != nil {
 			_ = s.Close() // the process ends, callers see a broken connection
 		}
@@ -266,6 +288,9 @@
 	if n.meter != nil {
 		_ = n.meter.meter.Close() // nothing reads them any more
 	}
+	if n.others != nil {
+		n.others.Close()
+	}
 	if n.link != nil {
 		_ = n.link.Close() // nothing is lost that the log would not repeat
 	}
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -21,6 +21,7 @@
 	Order   sardine.Millis // longest wait for an engine to take an order
 	Accept  sardine.Millis // longest wait until a change is in force
 	Grace   sardine.Millis // after an election, until a silent target counts as lost
+	Target  sardine.Millis // lease of a target that announces itself to control nodes
 }
 
 // DefaultTiming returns the times for a site of any size.
@@ -34,6 +35,7 @@
 		Order:   2 * sardine.Second,
 		Accept:  11 * sardine.Second,
 		Grace:   fleet.DefaultGrace,
+		Target:  fleet.DefaultLease,
 	}
 }
 
@@ -43,6 +45,8 @@
 	orderSenders = 32
 	orderQueue   = 1024
 	newsBatch    = 512 // commands in one follow reply
+	// maxIdleOthers bounds the idle connections to one other control node.
+	maxIdleOthers = 4
 )
 
 // Option sets a property of a Node.
@@ -72,6 +76,24 @@
 	return func(n *Node) { n.members = members }
 }
 
+// WithPort sets the interface that operators and targets use at the address,
+// besides the product's own.
+func WithPort(p sardine.ControlPort, address string) Option {
+	return func(n *Node) {
+		n.port = p
+		n.listenControl = address
+	}
+}
+
+// WithSeeds makes the node ask the control nodes at the addresses for its
+// membership, and the leader keep the list of members up by itself.
+func WithSeeds(addresses ...string) Option {
+	return func(n *Node) {
+		n.seeds = addresses
+		n.discovers = true
+	}
+}
+
 // WithDisk sets the data folder.
 func WithDisk(d sardine.Disk) Option {
 	return func(n *Node) { n.disk = d }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync"
 
@@ -10,6 +11,7 @@
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/fleet"
 	"sardineswitch.dev/sardine/follow"
+	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/ring"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/wire"
@@ -87,6 +89,7 @@
 	serving  bool
 	joining  bool
 	joined   chan error
+	lookup   *paths.Table // of the newest layout
 	running  sync.WaitGroup
 
 	mu     sync.Mutex
@@ -222,17 +225,37 @@
 		f.node.gate.update(v)
 		f.node.flights.lose(v)
 		f.node.configureLimits(v)
+		f.node.configureRouted(v)
 	}
 }
 
 func (f *follower) newView(m *state.Machine) *view {
-	v, failed := newView(m, f.node.id)
+	v, failed := newView(m, f.node.id, f.table(m))
 	for _, err := range failed {
 		event.Log(f.node.log, event.DutyFailed, codeAttr(err))
 	}
 	return v
 }
 
+// table returns the lookup table of the layout in force, nil without one.
+func (f *follower) table(m *state.Machine) *paths.Table {
+	current := m.Layout()
+	if f.node.layouts == nil || current.Number == 0 {
+		return nil
+	}
+	if f.lookup != nil && f.lookup.Layout().Number == current.Number {
+		return f.lookup
+	}
+	layout, err := f.node.layouts.ParseLayout(current.Document)
+	if err != nil { // checked before it was accepted, so only an older program meets one
+		event.Log(f.node.log, event.DutyFailed, codeAttr(err))
+		return f.lookup
+	}
+	f.lookup = paths.New(layout)
+	event.Log(f.node.log, event.LayoutInForce, slog.Uint64("number", layout.Number), slog.Int("routes", len(layout.Routes)))
+	return f.lookup
+}
+
 // noteLease logs when the node begins or ceases to serve.
 func (f *follower) noteLease(now sardine.Millis) {
 	serving := f.core.Lease().Serving(now)
--- a/entry/home.go
+++ b/entry/home.go
@@ -85,6 +85,8 @@
 			Target:  state.TargetOf(s.Announcement),
 			Holding: s.Holding,
 			Load:    s.Load,
+			Staged:  s.Staged,
+			Serial:  s.Serial,
 		})
 	}
 	for _, ref := range r.Lost {
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,8 @@
 	"sardineswitch.dev/sardine/listen"
 	"sardineswitch.dev/sardine/logs"
 	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/pool"
+	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 	"sardineswitch.dev/sardine/status"
@@ -44,6 +46,13 @@
 	limits            Limits
 	dial              sardine.Dial // nil for the ordinary one
 	targetTransport   http.RoundTripper
+	callers           sardine.CallerPort // nil: callers use the product's own interface
+	targetPort        sardine.TargetPort
+	layouts           sardine.LayoutCodec
+	listenReady       string
+	repeatRatio       float64
+	repeatSlack       float64
+	repeatWindow      sardine.Millis
 	ownTransport      *http.Transport // closed by the node, nil if one was given
 	keys              *keys.Set
 	operatorHash      []byte
@@ -57,6 +66,10 @@
 	internalScheme string
 	control        *ctlapi.Client
 	client         *serve.Client
+	ready          *listen.Server // nil without an address of its own
+	pool           *pool.Pool     // nil without ports
+	proxy          *proxy.Client
+	repeats        *repeats
 	gate           *gate
 	flights        *flights
 	claims         *claims
@@ -135,6 +148,11 @@
 	}
 	n.client = serve.NewClient(n.targetTransport)
 	n.gate = newGate(n.clock, n.random, route.New(n.random))
+	if n.callers != nil {
+		n.pool = pool.New(n.clock)
+		n.proxy = proxy.NewClient(n.pool, n.targetPort)
+		n.repeats = newRepeats(n.repeatRatio, n.repeatSlack, n.repeatWindow)
+	}
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
 	n.limiter = limit.NewLimiter(n.id, n.random)
 	n.claims = newClaims(n)
@@ -155,6 +173,11 @@
 	if err != nil {
 		return err
 	}
+	if n.listenReady != "" {
+		if n.ready, err = listen.New(n.listenReady); err != nil {
+			return err
+		}
+	}
 	if n.internal, err = listen.New(n.listenInternal, listen.WithTLS(n.keys.InternalServer())); err != nil {
 		return err
 	}
@@ -203,7 +226,10 @@
 // Start starts the duties.
 func (n *Node) Start() {
 	n.published.Store(&published{view: emptyView()})
-	n.tomb.Go(func() error { return n.public.Serve(n.publicMux()) })
+	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
+	if n.ready != nil {
+		n.tomb.Go(func() error { return n.ready.Serve(n.readyMux()) })
+	}
 	n.tomb.Go(func() error { return n.internal.Serve(n.internalMux()) })
 	if n.targets != nil {
 		n.tomb.Go(func() error { return n.targets.Serve(n.targetMux()) })
@@ -238,6 +264,9 @@
 		n.gate.tick(n.view().routed)
 		n.claims.tick()
 		n.guards.tick()
+		if n.pool != nil {
+			n.pool.Tick()
+		}
 	}
 }
 
@@ -246,6 +275,14 @@
 	return n.published.Load().view
 }
 
+// callersMux serves callers through the port, or by the product's own interface.
+func (n *Node) callersMux() http.Handler {
+	if n.callers != nil {
+		return n.routedMux()
+	}
+	return n.publicMux()
+}
+
 // mayServe refuses to dispatch without a lease or after a broken invariant. The
 // clock is read after the lease was loaded, so that a pause in between is seen.
 func (n *Node) mayServe() error {
--- a/entry/options.go
+++ b/entry/options.go
@@ -121,6 +121,31 @@
 	return func(n *Node) { n.limits = l }
 }
 
+// WithPorts sets what callers and targets speak, instead of the product's own
+// interface, and how operators' layouts are read.
+func WithPorts(callers sardine.CallerPort, targets sardine.TargetPort, layouts sardine.LayoutCodec) Option {
+	return func(n *Node) {
+		n.callers = callers
+		n.targetPort = targets
+		n.layouts = layouts
+	}
+}
+
+// WithReadyListen sets an address of its own for the balancer's question.
+func WithReadyListen(address string) Option {
+	return func(n *Node) { n.listenReady = address }
+}
+
+// WithRepeats bounds how often requests are sent again, over all entry nodes: a
+// share of the first requests and a slack, in any span of the window.
+func WithRepeats(ratio, slack float64, window sardine.Millis) Option {
+	return func(n *Node) {
+		n.repeatRatio = ratio
+		n.repeatSlack = slack
+		n.repeatWindow = window
+	}
+}
+
 // WithKeys sets the certificates. The default is plain HTTP.
 func WithKeys(s *keys.Set) Option {
 	return func(n *Node) { n.keys = s }
--- /dev/null
+++ b/entry/repeat.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"sync"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/retry"
+)
+
+// repeats lets the request handlers take turns at the bound on repeats.
+type repeats struct {
+	mu     sync.Mutex
+	window *retry.Window
+}
+
+func newRepeats(ratio, slack float64, window sardine.Millis) *repeats {
+	return &repeats{window: retry.NewWindow(ratio, slack, window)}
+}
+
+func (r *repeats) first(now sardine.Millis, s sardine.ServiceName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window.First(now, s)
+}
+
+func (r *repeats) take(now sardine.Millis, s sardine.ServiceName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window.Take(now, s)
+}
+
+func (r *repeats) setNodes(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window.SetNodes(n)
+}
+
+// configureRouted takes over what a new view says about routed requests.
+func (n *Node) configureRouted(v *view) {
+	if n.callers == nil {
+		return
+	}
+	n.repeats.setNodes(v.nodes)
+	if v.table == nil {
+		return
+	}
+	for key, all := range v.candidates {
+		s := v.table.Service(plan.ServiceOf(key.service))
+		if s == nil || s.Connections == 0 {
+			continue
+		}
+		for _, c := range all {
+			n.pool.SetLimit(c.Address, max(s.Connections/max(v.nodes, 1), 1))
+		}
+	}
+}
--- /dev/null
+++ b/entry/routed.go
@@ -0,0 +1,310 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/paths"
+	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/pool"
+	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/route"
+)
+
+// routed is one caller's request that a layout's route sends to a service.
+type routed struct {
+	node     *Node
+	call     sardine.Call
+	route    *sardine.Route
+	name     sardine.ServiceName // of the layout's service
+	service  serviceKey          // of the deployment
+	tenant   *sardine.KeyTenant  // nil without a key
+	request  pool.Request
+	arrived  sardine.Millis
+	deadline sardine.Millis // the caller or the route waits no longer
+	w        http.ResponseWriter
+
+	attempts int
+	ran      sardine.Ran // over all attempts
+	unsent   int         // attempts of which nothing left this node
+	tried    []route.Ref
+	began    bool   // the caller has the answer's head
+	last     string // id of the last event that was passed on
+}
+
+// routedMux serves callers by the layout's routes.
+func (n *Node) routedMux() http.Handler {
+	return http.HandlerFunc(n.handleRouted)
+}
+
+// readyMux answers the balancer on an address of its own.
+func (n *Node) readyMux() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != n.callers.ReadyPath() {
+			http.NotFound(w, r)
+			return
+		}
+		if n.draining.Load() || n.view().table == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (n *Node) handleRouted(w http.ResponseWriter, r *http.Request) {
+	q := &routed{node: n, w: w, arrived: n.clock.Now(), ran: sardine.RanNo}
+	if n.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := q.read(r); err != nil {
+		q.refuse(err)
+		return
+	}
+	ctx, cancel := n.callerContext(r.Context())
+	defer cancel(nil)
+	n.repeats.first(q.arrived, q.name)
+	q.serve(ctx)
+}
+
+// read finds the route and the workspace, and reads the body.
+func (q *routed) read(r *http.Request) error {
+	n := q.node
+	var err error
+	if q.call, err = n.callers.Call(r); err != nil {
+		return err
+	}
+	table := n.view().table
+	if table == nil {
+		return codes.New(codes.NoLease, "this entry node knows no layout yet")
+	}
+	if q.route, err = table.Route(q.call.Host, q.call.Path); err != nil {
+		return err
+	}
+	if q.tenant, err = table.Tenant(q.route, q.call.Key); err != nil {
+		return err
+	}
+	q.deadline = q.arrived + q.route.Timeout
+	if q.call.Patience > 0 {
+		q.deadline = min(q.deadline, q.arrived+q.call.Patience)
+	}
+	if err := q.findService(table); err != nil {
+		return err
+	}
+	n.extendRead(q.w)
+	body, err := readBody(r, table.Layout().Limits.BodyBytes)
+	if err != nil {
+		return err
+	}
+	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
+	return nil
+}
+
+// findService picks a part of the route's split, and the model's deployment if
+// the service has engines.
+func (q *routed) findService(table *paths.Table) error {
+	name := paths.Split(q.route, q.node.random.Float64())
+	service := table.Service(name)
+	if service == nil {
+		return codes.New(codes.NoTarget, "service %q is not in the layout", name)
+	}
+	q.name = name
+	q.service = serviceKey{plan.LayoutTeam, name}
+	if service.Engine != nil {
+		q.service.service = plan.DeploymentName(name, q.call.Model)
+	}
+	return nil
+}
+
+// serve sends the request to targets until one has answered it in full, or
+// nothing more may be tried.
+func (q *routed) serve(ctx context.Context) {
+	for {
+		err := q.attempt(ctx)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			q.abandon(ctx)
+			return
+		}
+		if !q.mayRepeat(err) {
+			q.fail(err)
+			return
+		}
+	}
+}
+
+// mayRepeat reports whether another target may try: the request has not run, or
+// may run twice, and neither its attempts nor the retry budget are used up.
+func (q *routed) mayRepeat(err error) bool {
+	n := q.node
+	if codes.Is(err, codes.DeadlineTight) || n.clock.Now() >= q.deadline {
+		return false
+	}
+	if q.ran != sardine.RanNo && !q.route.Repeatable() {
+		return false
+	}
+	if codes.Is(err, codes.NoTarget) { // nothing was sent
+		return q.unsent > 0 && q.unsent < unsentMost
+	}
+	if q.attempts >= max(q.route.Attempts, 1) {
+		return false
+	}
+	return n.repeats.take(n.clock.Now(), q.name)
+}
+
+// unsentMost bounds the targets that are tried in vain before anything is sent.
+const unsentMost = 4
+
+// attempt sends the request to one target and passes its answer on.
+func (q *routed) attempt(ctx context.Context) error {
+	n := q.node
+	choice, err := q.pick()
+	if err != nil {
+		return err
+	}
+	q.tried = append(q.tried, choice.Candidate.Ref)
+	ctx, cancel, end := n.flights.begin(ctx, choice.Candidate)
+	defer cancel(nil)
+	defer end()
+	done := route.End{}
+	defer func() { n.gate.finish(choice, done) }()
+	answer, failed := n.proxy.Open(ctx, q.exchange(choice))
+	if failed != nil {
+		if codes.Is(failed, codes.NoTarget) {
+			q.unsent++
+		} else {
+			q.attempts++
+		}
+		q.ran = combine(q.ran, failed.Ran())
+		done.Abort = failed.Ran() == sardine.RanNo
+		q.logAttempt(choice, failed)
+		return q.causeOf(ctx, failed)
+	}
+	q.attempts++
+	q.ran = sardine.RanYes
+	n.gate.firstToken(choice, route.UnknownCached)
+	if answer.Reply.Loaded {
+		n.gate.load(choice.Candidate.Ref, sardine.Load{Running: answer.Reply.Running, Queued: answer.Reply.Queued})
+	}
+	whole, err := q.pass(answer)
+	answer.Close(whole)
+	done.OK = whole
+	if err != nil {
+		q.logAttempt(choice, err)
+		return q.causeOf(ctx, err)
+	}
+	return nil
+}
+
+// causeOf prefers why the attempt was cut off over what that looked like.
+func (q *routed) causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if q.node.clock.Now() >= q.deadline {
+		return errDeadline
+	}
+	return err
+}
+
+func (q *routed) pick() (*route.Choice, error) {
+	n := q.node
+	choice, err := n.gate.pick(route.Request{
+		Service:      q.service.routed(),
+		Exclude:      q.tried,
+		PromptTokens: q.call.PromptTokens,
+	})
+	if err != nil {
+		q.unsent = unsentMost // there is no other
+		return nil, err
+	}
+	if !n.view().current(choice.Candidate) {
+		n.gate.finish(choice, route.End{Abort: true})
+		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+	}
+	return choice, nil
+}
+
+func (q *routed) exchange(choice *route.Choice) proxy.Exchange {
+	c := choice.Candidate
+	last := q.call.LastEvent
+	if q.last != "" {
+		last = q.last
+	}
+	d := sardine.Dispatch{
+		Target:    c.Head,
+		Patience:  q.deadline - q.node.clock.Now(),
+		LastEvent: last,
+		Rank:      -1,
+	}
+	if q.tenant != nil {
+		d.Workspace = q.tenant.Name
+	}
+	return proxy.Exchange{ID: q.call.ID, Address: c.Address, Request: q.request, Dispatch: d, Until: q.deadline}
+}
+
+// abandon ends a request whose caller has left or whose time is over.
+func (q *routed) abandon(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), errDrained) {
+		q.fail(errDrained)
+		return
+	}
+	panic(http.ErrAbortHandler) // nobody reads an answer any more
+}
+
+// fail gives the request up. What may have run gets an answer that promises
+// nothing; a head that is out can only be followed by the connection's end.
+func (q *routed) fail(err error) {
+	event.Log(q.node.log, event.RequestFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran), slog.Int("attempts", q.attempts))
+	q.node.meter.failed(err)
+	if q.began {
+		panic(http.ErrAbortHandler)
+	}
+	if q.ran == sardine.RanNo {
+		if status := codes.Of(err).Status(); status >= http.StatusInternalServerError {
+			err = codes.Wrap(codes.NoTarget, err, "the request was not run")
+		}
+	} else if codes.Of(err).Status() == http.StatusServiceUnavailable {
+		err = codes.Wrap(codes.TargetFailed, err, "the request may have run")
+	}
+	q.answer(err)
+}
+
+// refuse answers a request that no target got.
+func (q *routed) refuse(err error) {
+	event.Log(q.node.log, event.RequestRefused, requestAttr(q.call.ID), codeAttr(err))
+	q.node.meter.refused(err)
+	if closesConnection(err) {
+		q.w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	q.answer(err)
+}
+
+func (q *routed) answer(err error) {
+	after := sardine.Millis(0)
+	if codes.Of(err).Status() == http.StatusServiceUnavailable {
+		after = q.node.comeBack()
+	}
+	q.node.callers.Refuse(q.w, err, after)
+}
+
+// returnAfter is when callers of a request that was not run should come back:
+// about the time until a group that lost a member is replaced in the routes.
+const returnAfter = 400 * sardine.Millis(1)
+
+// comeBack spreads the return of refused callers.
+func (n *Node) comeBack() sardine.Millis {
+	return returnAfter/2 + sardine.Millis(n.random.IntN(int(returnAfter)))
+}
+
+func (q *routed) logAttempt(choice *route.Choice, err error) {
+	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran),
+		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
+		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
+}
--- /dev/null
+++ b/entry/rpass.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/serve"
+)
+
+// heldBytes bounds an answer that is read whole before the caller gets any of
+// it, so that one that breaks off can be had again.
+const heldBytes = 64 << 10
+
+// streamSilence is the longest pause between two events before the stream goes
+// on elsewhere: far over the time of one pass of an engine, and below the two
+// seconds after which callers give up.
+const streamSilence = 900 * sardine.Millis(1)
+
+// pass passes an answer on. whole tells that its body was read to the end.
+func (q *routed) pass(a *proxy.Answer) (whole bool, err error) {
+	resp := a.Response
+	if resp.StatusCode == http.StatusOK && q.route.Kind == sardine.RouteStream && isEventStream(resp) {
+		return q.passStream(a)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() && !q.began && q.mayRepeat(errTargetError) {
+		return false, errTargetError
+	}
+	if q.began {
+		return false, codes.New(codes.StreamBroken, "target answered %s to the rest of a stream", resp.Status)
+	}
+	if resp.ContentLength >= 0 && resp.ContentLength <= heldBytes {
+		return q.passHeld(a)
+	}
+	return q.passThrough(a)
+}
+
+// errTargetError is a target's own failure of a request that may run twice.
+var errTargetError = codes.New(codes.TargetFailed, "the target answered with an error of its own")
+
+// passHeld reads a short answer whole before it is passed on.
+func (q *routed) passHeld(a *proxy.Answer) (bool, error) {
+	body := make([]byte, a.Response.ContentLength)
+	if _, err := io.ReadFull(a.Response.Body, body); err != nil {
+		return false, codes.Wrap(codes.StreamBroken, err, "the answer broke off")
+	}
+	q.head(a.Response)
+	_, _ = q.w.Write(body) // a caller that has left needs no answer
+	return true, nil
+}
+
+// head passes the answer's status and header on.
+func (q *routed) head(resp *http.Response) {
+	h := q.w.Header()
+	for name, values := range serve.EndToEnd(resp.Header) {
+		h[name] = values
+	}
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	if _, typed := h["Content-Type"]; !typed {
+		h["Content-Type"] = nil // or net/http would guess one
+	}
+	q.w.WriteHeader(resp.StatusCode)
+	q.began = true
+}
+
+// passThrough passes a long answer on as it comes.
+func (q *routed) passThrough(a *proxy.Answer) (bool, error) {
+	q.head(a.Response)
+	if _, err := io.Copy(q.w, a.Response.Body); err != nil {
+		return false, codes.Wrap(codes.StreamBroken, err, "the answer broke off")
+	}
+	return true, nil
+}
+
+// passStream passes events on one by one. The head waits for the first event:
+// until then another target can answer instead.
+func (q *routed) passStream(a *proxy.Answer) (bool, error) {
+	events := proxy.NewEvents(a.Response.Body)
+	control := http.NewResponseController(q.w)
+	for {
+		a.Expire(q.eventBy())
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !q.began {
+				q.head(a.Response)
+			}
+			return true, nil
+		}
+		if err != nil {
+			return false, codes.Wrap(codes.StreamBroken, err, "the stream broke off")
+		}
+		if e.ID != "" && q.passed(e.ID) {
+			continue
+		}
+		if !q.began {
+			q.head(a.Response)
+		}
+		if _, err := q.w.Write(e.Raw); err != nil {
+			return false, codes.Wrap(codes.StreamBroken, err, "the caller is gone")
+		}
+		if e.ID != "" {
+			q.last = e.ID
+		}
+		if events.Buffered() {
+			continue
+		}
+		if err := control.Flush(); err != nil {
+			return false, codes.Wrap(codes.StreamBroken, err, "the caller is gone")
+		}
+	}
+}
+
+// eventBy returns when the next event must be there.
+func (q *routed) eventBy() sardine.Millis {
+	if !q.began || !q.route.Resumable {
+		return q.deadline
+	}
+	return min(q.deadline, q.node.clock.Now()+streamSilence)
+}
+
+// passed reports whether the caller has the event already: a target may repeat
+// those from where the stream goes on.
+func (q *routed) passed(id string) bool {
+	if q.last == "" {
+		return false
+	}
+	next, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(q.last, 10, 64)
+	return err == nil && lastErr == nil && next <= last
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -8,6 +8,8 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/paths"
+	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/team"
@@ -49,12 +51,13 @@
 	nodes       int                   // entry nodes of the site
 	position    int                   // of this one among them, by name
 	routed      []sardine.ServiceName // as the router knows the deployments
+	table       *paths.Table          // nil without a layout
 }
 
 // newView arranges the machine's state. Documents that can't be parsed are
 // reported and leave their team out; the leader validates documents before they
 // are accepted, so that only an older program can meet one.
-func newView(m *state.Machine, self sardine.NodeID) (*view, []error) {
+func newView(m *state.Machine, self sardine.NodeID, table *paths.Table) (*view, []error) {
 	v := emptyView()
 	v.index = m.Index()
 	for i, e := range m.Entries() {
@@ -70,6 +73,7 @@
 			failed = append(failed, err)
 		}
 	}
+	v.addTable(table)
 	v.addGroups(m)
 	v.addPlain(m)
 	for _, p := range m.Poisons() {
@@ -116,6 +120,27 @@
 	return nil
 }
 
+// addTable adds a layout's services to the deployments. Those with engines have
+// one deployment for each model.
+func (v *view) addTable(table *paths.Table) {
+	v.table = table
+	if table == nil {
+		return
+	}
+	l := table.Layout()
+	all := plan.SettingsOf(l).Deployments
+	for _, s := range l.Services {
+		if s.Engine == nil {
+			all = append(all, sardine.Deployment{Name: s.Name, Kind: sardine.KindPlain})
+		}
+	}
+	for _, d := range all {
+		key := serviceKey{plan.LayoutTeam, d.Name}
+		v.deployments[key] = d
+		v.routed = append(v.routed, key.routed())
+	}
+}
+
 func (v *view) addGroups(m *state.Machine) {
 	for _, g := range m.Groups() {
 		if g.State != sardine.GroupServing || len(g.Members) == 0 {
@@ -137,6 +162,7 @@
 			Model:      g.Model,
 			Version:    g.Version,
 			Address:    g.Members[0].Address,
+			Head:       g.Members[0].VM,
 			DataCentre: head.DataCentre,
 		})
 		v.serving[g.ID] = g.Epoch
@@ -172,6 +198,7 @@
 				Service:    key.routed(),
 				Kind:       sardine.KindPlain,
 				Address:    t.Address,
+				Head:       t.VM,
 				DataCentre: t.DataCentre,
 			})
 		}
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -15,34 +15,37 @@
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/entry"
 	"sardineswitch.dev/sardine/keys"
+	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/platform"
 )
 
 // newRun returns the command that runs the node until a signal ends it.
 func newRun() *cobra.Command {
 	return &cobra.Command{
-		Use:   "run FILE",
+		Use:   "run [FILE]",
 		Short: "Run the entry node with a settings file",
 		Long: "Run the entry node with a settings file.\n\n" +
 			"SIGTERM and SIGINT drain it: it turns unready, finishes what is in flight and ends.\n" +
-			"A second signal ends it at once.",
+			"A second signal ends it at once. Without FILE the platform names the settings.",
 		Example: "  entryd run /etc/sardine/entryd.toml",
-		Args:    cobra.ExactArgs(1),
+		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			settings, err := conf.LoadEntry(args[0])
+			settings, err := conf.LoadEntry(launch.SettingsFile(args, platform.SettingsFile()))
 			if err != nil {
 				return err
 			}
-			return run(c.Context(), settings, c.ErrOrStderr())
+			return run(c.Context(), settings, c.OutOrStdout())
 		},
 	}
 }
 
-func run(ctx context.Context, settings *conf.Entry, errs io.Writer) error {
+func run(ctx context.Context, settings *conf.Entry, out io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	node, err := newNode(settings, errs)
+	launch.BoundMemory(settings.Memory())
+	node, err := newNode(settings, out)
 	if err != nil {
 		return err
 	}
@@ -73,7 +76,7 @@
 // newNode builds the node from its settings. The incarnation is the time of the
 // start: it rises over restarts without a disk, as long as the machine's clock
 // does not go back over one.
-func newNode(s *conf.Entry, errs io.Writer) (*entry.Node, error) {
+func newNode(s *conf.Entry, out io.Writer) (*entry.Node, error) {
 	incarnation := sardine.Incarnation(time.Now().UnixMilli())
 	var controls []string
 	for _, p := range s.Controls() {
@@ -83,20 +86,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return entry.New(
+	options := []entry.Option{
 		entry.WithID(s.Node(), incarnation, s.DataCentre()),
 		entry.WithListen(s.Listen(), s.ListenInternal()),
 		entry.WithTargetListen(s.ListenTargets()),
 		entry.WithAdvertise(s.AdvertiseTargets(), s.AdvertiseInternal()),
 		entry.WithControls(controls...),
 		entry.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		entry.WithLogger(logs.New(errs, s.Log(), s.Node())),
+		entry.WithLogger(logs.New(out, s.Log(), s.Node())),
 		entry.WithTiming(timingOf(s)),
 		entry.WithLimits(limitsOf(s.Limits())),
 		entry.WithKeys(set),
 		entry.WithOperatorHash(s.OperatorHash()),
 		entry.WithTargetTokens(s.TargetTokens()),
-	)
+	}
+	return entry.New(append(options, portsOf(s)...)...)
+}
+
+// portsOf returns what the node speaks if that is not the product's own
+// interface.
+func portsOf(s *conf.Entry) []entry.Option {
+	if s.Interface() != conf.InterfacePlatform {
+		return nil
+	}
+	return []entry.Option{
+		entry.WithPorts(platform.NewCallers(), platform.NewTargets(), platform.NewLayouts()),
+		entry.WithReadyListen(s.ListenReady()),
+		entry.WithRepeats(s.Repeats().Ratio(), s.Repeats().Slack(), s.Repeats().Window()),
+	}
 }
 
 func timingOf(s *conf.Entry) entry.Timing {
--- a/event/table.go
+++ b/event/table.go
@@ -19,12 +19,14 @@
 	SnapshotTaken   ID = 203
 	SnapshotInstall ID = 204
 	PeerUnreachable ID = 205
+	MembersChanged  ID = 206
 	ChangeAccepted  ID = 300
 	ChangeRefused   ID = 301
 	EntryJoined     ID = 302
 	EntryLeft       ID = 303
 	LeaseLapsed     ID = 304
 	LeaseGained     ID = 305
+	LayoutInForce   ID = 306
 	TargetSeen      ID = 400
 	TargetLost      ID = 401
 	TargetLeaving   ID = 402
@@ -37,6 +39,7 @@
 	RequestFailed   ID = 501
 	StreamResumed   ID = 502
 	RequestPoison   ID = 503
+	AttemptFailed   ID = 504
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -56,12 +59,14 @@
 	{SnapshotTaken, "snapshot_taken", slog.LevelInfo, "the state was written to a snapshot", "nothing"},
 	{SnapshotInstall, "snapshot_install", slog.LevelInfo, "a snapshot of the leader replaced the state", "nothing"},
 	{PeerUnreachable, "peer_unreachable", slog.LevelWarn, "a control node does not answer", "check that VM and the network to it"},
+	{MembersChanged, "members_changed", slog.LevelInfo, "the list of control members has changed", "nothing"},
 	{ChangeAccepted, "change_accepted", slog.LevelInfo, "a settings change is in force on every entry node", "nothing"},
 	{ChangeRefused, "change_refused", slog.LevelInfo, "a settings change was refused", "see the error attribute"},
 	{EntryJoined, "entry_joined", slog.LevelInfo, "an entry node joined", "nothing"},
 	{EntryLeft, "entry_left", slog.LevelInfo, "an entry node left", "nothing"},
 	{LeaseLapsed, "lease_lapsed", slog.LevelWarn, "the serving lease ran out, new requests are refused", "check the network to the control nodes"},
 	{LeaseGained, "lease_gained", slog.LevelInfo, "the node holds a serving lease", "nothing"},
+	{LayoutInForce, "layout_in_force", slog.LevelInfo, "an entry node serves by a new layout", "nothing"},
 	{TargetSeen, "target_seen", slog.LevelInfo, "a target announced itself", "nothing"},
 	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
 	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
@@ -74,6 +79,7 @@
 	{RequestFailed, "request_failed", slog.LevelWarn, "a request failed after it was dispatched", "see the code attribute"},
 	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
 	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
+	{AttemptFailed, "attempt_failed", slog.LevelInfo, "a target did not answer a request in full", "see the code and target attributes"},
 	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
 	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
 }
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -85,18 +85,24 @@
 		e = &homeEntry{news: true}
 		h.targets[a.VM] = e
 		delete(h.lost, a.VM)
-	} else if a.Incarnation < e.latest.Incarnation {
+	} else if a.Incarnation < e.latest.Incarnation || overtaken(e.latest, a) {
 		return codes.New(codes.Superseded, "target %s has announced incarnation %d, this is %d", a.VM, e.latest.Incarnation, a.Incarnation)
 	} else if !sameFacts(e.latest, a) {
 		e.news = true
 		e.sent = false
 	}
 	a.Loadable = slices.Clone(a.Loadable)
+	a.Staged = slices.Clone(a.Staged)
 	e.latest = a
 	e.heard = now
 	return nil
 }
 
+// overtaken reports whether a later announcement of the same start is known.
+func overtaken(latest, a sardine.Announcement) bool {
+	return a.Incarnation == latest.Incarnation && a.Serial != 0 && a.Serial < latest.Serial
+}
+
 // Tick drops the targets whose lease has lapsed and returns them.
 func (h *Home) Tick(now sardine.Millis) []Ref {
 	var lapsed []Ref
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -99,6 +99,12 @@
 	l.from = now + l.grace
 }
 
+// Settle makes targets that were not heard of count as lost from an instant on,
+// instead of after the grace.
+func (l *Leader) Settle(at sardine.Millis) {
+	l.from = at
+}
+
 // Heard notes a request without a report. It keeps alive what the home vouches
 // for. The answer asks an unknown home for a full report.
 func (l *Leader) Heard(now sardine.Millis, home sardine.NodeID, incarnation sardine.Incarnation) Ack {
--- a/fleet/same.go
+++ b/fleet/same.go
@@ -22,7 +22,8 @@
 		a.ChecksEpoch == b.ChecksEpoch &&
 		a.Leaving == b.Leaving &&
 		a.Holding == b.Holding &&
-		slices.Equal(a.Loadable, b.Loadable)
+		slices.Equal(a.Loadable, b.Loadable) &&
+		slices.Equal(a.Staged, b.Staged)
 }
 
 // sameLoad reports whether two loads are too close to be worth a report: no
--- a/follow/report.go
+++ b/follow/report.go
@@ -16,7 +16,7 @@
 		Urgent:      r.Urgent,
 	}
 	for _, s := range r.Targets {
-		w.Targets = append(w.Targets, statusToWire(s))
+		w.Targets = append(w.Targets, StatusToWire(s))
 	}
 	for _, ref := range r.Lost {
 		w.Lost = append(w.Lost, &wire.TargetRef{Vm: string(ref.VM), Incarnation: uint64(ref.Incarnation)})
@@ -34,7 +34,7 @@
 		Urgent:      w.GetUrgent(),
 	}
 	for _, s := range w.GetTargets() {
-		r.Targets = append(r.Targets, statusFromWire(s))
+		r.Targets = append(r.Targets, StatusFromWire(s))
 	}
 	for _, ref := range w.GetLost() {
 		r.Lost = append(r.Lost, TargetRef{VM: sardine.VMID(ref.GetVm()), Incarnation: sardine.Incarnation(ref.GetIncarnation())})
@@ -42,7 +42,8 @@
 	return r
 }
 
-func statusToWire(s TargetStatus) *wire.TargetStatus {
+// StatusToWire maps a target's status to its message.
+func StatusToWire(s TargetStatus) *wire.TargetStatus {
 	return &wire.TargetStatus{
 		Target:          state.TargetToWire(s.Target),
 		Group:           string(s.Holding.Group),
@@ -55,10 +56,29 @@
 		Queued:          uint32(s.Load.Queued),
 		TokensPerSecond: s.Load.TokensPerSecond,
 		StepMillis:      s.Load.StepMillis,
+		Staged:          namesToWire(s.Staged),
+		Serial:          s.Serial,
 	}
 }
 
-func statusFromWire(w *wire.TargetStatus) TargetStatus {
+func namesToWire(models []sardine.ModelName) []string {
+	var names []string
+	for _, m := range models {
+		names = append(names, string(m))
+	}
+	return names
+}
+
+func namesFromWire(names []string) []sardine.ModelName {
+	var models []sardine.ModelName
+	for _, name := range names {
+		models = append(models, sardine.ModelName(name))
+	}
+	return models
+}
+
+// StatusFromWire is the inverse of StatusToWire.
+func StatusFromWire(w *wire.TargetStatus) TargetStatus {
 	return TargetStatus{
 		Target: state.TargetFromWire(w.GetTarget()),
 		Holding: sardine.Holding{
@@ -75,5 +95,7 @@
 			TokensPerSecond: w.GetTokensPerSecond(),
 			StepMillis:      w.GetStepMillis(),
 		},
+		Staged: namesFromWire(w.GetStaged()),
+		Serial: w.GetSerial(),
 	}
 }
--- a/follow/types.go
+++ b/follow/types.go
@@ -79,6 +79,8 @@
 	Target  state.Target
 	Holding sardine.Holding
 	Load    sardine.Load
+	Staged  []sardine.ModelName
+	Serial  uint64 // of the announcement
 }
 
 // TargetRef is one start of one target VM.
--- a/group.go
+++ b/group.go
@@ -52,5 +52,17 @@
 	Size    int // members in the group
 	Model   ModelName
 	Version string
-	Release bool // drop the group instead of joining it
+	Release bool   // drop the group instead of joining it
+	Open    bool   // take the group's requests, rank 0 only, once it is ready
+	Members []VMID // of the group, by rank
+	VM      VMID   // that the order is for
+	Stage   bool   // bring the model's weights to the host, whatever else it does
+}
+
+// Same reports whether two orders ask for the same. The members of a group
+// follow from its epoch.
+func (o Order) Same(other Order) bool {
+	return o.Group == other.Group && o.Epoch == other.Epoch && o.Rank == other.Rank && o.Size == other.Size &&
+		o.Model == other.Model && o.Version == other.Version &&
+		o.Release == other.Release && o.Open == other.Open && o.Stage == other.Stage
 }
--- /dev/null
+++ b/layout.go
@@ -0,0 +1,108 @@
+package sardine
+
+// Layout is the whole settings of a site whose operators replace them as one
+// numbered document: routes, services, tenants and the bounds on callers. The
+// highest number is in force.
+type Layout struct {
+	Number   uint64
+	Routes   []Route
+	Services []Service
+	Tenants  []KeyTenant
+	Limits   CallerLimits
+}
+
+// RouteKind tells what may be repeated of a route's requests.
+type RouteKind uint8
+
+// The kinds of route.
+const (
+	RouteUnsafe RouteKind = iota // runs at most once
+	RouteSafe                    // may run more than once
+	RouteStream                  // answers with a series of numbered events
+)
+
+// String returns the name used in logs.
+func (k RouteKind) String() string {
+	names := [...]string{"unsafe", "safe", "stream"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return "unknown"
+}
+
+// Route sends the requests of one host and path prefix to services.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string // begins and ends with a slash
+	Kind      RouteKind
+	Timeout   Millis // longest time that a caller is kept waiting
+	Objective Millis // to the first byte or event
+	Gap       Millis // longest pause between two events, 0 for other kinds
+	Rank      int    // 0 is the most urgent
+	Split     []Share
+	Attempts  int  // targets that one request may be sent to
+	Public    bool // takes callers without a key
+	Resumable bool // a stream may go on at another target
+}
+
+// Repeatable reports whether a request of the route may run twice.
+func (r Route) Repeatable() bool {
+	return r.Kind == RouteSafe || r.Kind == RouteStream && r.Resumable
+}
+
+// Share is one part of a weighted split.
+type Share struct {
+	Service ServiceName
+	Weight  int
+}
+
+// Service is a set of targets that routes name.
+type Service struct {
+	Name        ServiceName
+	Connections int         // that one target accepts from all callers
+	Engine      *EngineSpec // nil for a plain service
+}
+
+// EngineSpec describes the engines of a service. Times are those of a group at
+// pace 1.
+type EngineSpec struct {
+	Slots            int     // requests in one batch of a group
+	CacheTokens      int     // KV cache of a group, in tokens
+	Stride           int     // token steps in one pass, which is one event
+	StepMillis       float64 // one token step
+	StepPerRequest   float64 // ms more for each request in the batch
+	StepPerContext   float64 // ms more for 1,000 tokens of context
+	PrefillPerSecond float64 // prompt tokens
+	PromptTokens     int     // mean of a request
+	AnswerTokens     int     // mean of a request
+	LoadsPerSecond   float64 // loads that may begin at the weight store
+	LoadsAtOnce      int     // loads that the weight store serves at its full rate
+	HostKeeps        int     // models staged on one host
+	Models           []ModelSpec
+}
+
+// ModelSpec is one model that the engines of a service serve.
+type ModelSpec struct {
+	Name  ModelName
+	Size  int     // VMs in a group
+	Share float64 // of the service's work
+	Pace  float64 // factor on all times of a group
+	Load  Millis  // from the weight store
+	Warm  Millis  // from the host
+}
+
+// KeyTenant is a workspace that callers name by a key.
+type KeyTenant struct {
+	Name Workspace
+	Keys []string
+	Rank int // goes before the route's, 0 is the most urgent
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout Millis
+	IdleTimeout   Millis
+}
--- /dev/null
+++ b/plan/demand.go
@@ -0,0 +1,136 @@
+package plan
+
+import (
+	"strings"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// LayoutTeam is the team under which a layout's deployments are planned.
+const LayoutTeam sardine.Team = "layout"
+
+// SettingsOf returns the deployments that a layout's engines call for: one for
+// each model, with groups as its share of the work asks.
+func SettingsOf(l sardine.Layout) sardine.TeamSettings {
+	t := sardine.TeamSettings{Team: LayoutTeam, Version: sardine.Version(l.Number)}
+	for _, s := range l.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			t.Deployments = append(t.Deployments, sardine.Deployment{
+				Name:      DeploymentName(s.Name, m.Name),
+				Kind:      sardine.KindEngine,
+				Model:     m.Name,
+				GroupSize: m.Size,
+				Opens:     true,
+				Demand:    max(m.Share*m.Pace, leastDemand),
+			})
+		}
+	}
+	return t
+}
+
+// DeploymentName names the deployment of one model of a layout's service.
+func DeploymentName(s sardine.ServiceName, m sardine.ModelName) sardine.ServiceName {
+	return sardine.ServiceName(string(s) + "/" + string(m))
+}
+
+// ServiceOf returns the layout's service of a deployment.
+func ServiceOf(deployment sardine.ServiceName) sardine.ServiceName {
+	service, _, _ := strings.Cut(string(deployment), "/")
+	return sardine.ServiceName(service)
+}
+
+// leastDemand keeps a model whose share is not known from getting no group.
+const leastDemand = 1e-3
+
+// Store tells what the weight store can do.
+type Store struct {
+	AtOnce    int            // loads that it serves at its full rate
+	PerSecond float64        // loads that may begin, 0 for any number
+	Load      sardine.Millis // one load at the full rate
+}
+
+// StoreOf returns the weight store of a service's engines.
+func StoreOf(e sardine.EngineSpec) Store {
+	s := Store{AtOnce: max(e.LoadsAtOnce, 1), PerSecond: e.LoadsPerSecond}
+	for _, m := range e.Models {
+		s.Load = max(s.Load, m.Load)
+	}
+	return s
+}
+
+// SetStore tells the planner what the weight store can do from now on.
+func (p *Planner) SetStore(s Store) {
+	p.limits.LoadsAtOnce = s.AtOnce
+	if s.Load > 0 {
+		p.limits.LoadTime = s.Load
+	}
+	p.starts.perSecond = s.PerSecond
+}
+
+// coverage returns how far a deployment's groups meet its demand, relative to
+// other deployments.
+func (k *kindView) coverage() float64 {
+	return float64(len(k.groups)) / k.deployment.Demand
+}
+
+// byDemand reports whether the deployment takes as many groups as its demand
+// asks and the VMs allow.
+func (k *kindView) byDemand() bool {
+	return k.deployment.Demand > 0
+}
+
+// formByDemand forms groups until no domain has room for another, each time of
+// the deployment whose demand is met least. A deployment without room leaves
+// what is left of a domain to the others.
+func (r *round) formByDemand() {
+	full := make(map[*kindView]bool)
+	for {
+		var next *kindView
+		for _, k := range r.kinds {
+			if !k.byDemand() || full[k] {
+				continue
+			}
+			if next == nil || k.coverage() < next.coverage() {
+				next = k
+			}
+		}
+		if next == nil {
+			return
+		}
+		if !r.formGroup(next) {
+			full[next] = true
+		}
+	}
+}
+
+// startWindow is the time over which begun loads are counted. The store counts
+// over a window of some seconds and allows a little more.
+const startWindow = 5 * sardine.Second
+
+// starts counts the loads that were begun lately.
+type starts struct {
+	perSecond float64
+	begun     []sardine.Millis
+}
+
+// room returns how many loads may begin now.
+func (s *starts) room(now sardine.Millis) int {
+	if s.perSecond <= 0 {
+		return 1 << 20
+	}
+	kept := s.begun[:0]
+	for _, at := range s.begun {
+		if at+startWindow > now {
+			kept = append(kept, at)
+		}
+	}
+	s.begun = kept
+	return int(s.perSecond*seconds(startWindow)) - len(kept)
+}
+
+func (s *starts) add(now sardine.Millis) {
+	s.begun = append(s.begun, now)
+}
--- a/plan/form.go
+++ b/plan/form.go
@@ -14,7 +14,11 @@
 	if !r.live.Settled() {
 		return // more VMs may be about to be heard of
 	}
+	r.formByDemand()
 	for _, k := range r.kinds {
+		if k.byDemand() {
+			continue
+		}
 		for k.missing() > 0 && r.formGroup(k) {
 			continue
 		}
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -62,6 +62,7 @@
 // orderMembers sends a group's orders to the members that do not hold it, and
 // returns the room that is left at the weight store.
 func (r *round) orderMembers(g *groupView, room int) int {
+	r.orderOpen(g)
 	for _, m := range g.members {
 		if m.condition != memberElsewhere || !r.mayOrder(m.vm) {
 			continue
@@ -70,12 +71,13 @@
 			continue
 		}
 		cold := !m.vm.warm(g.Model, g.Version)
-		if cold && room <= 0 {
+		if cold && (room <= 0 || r.p.starts.room(r.now) <= 0) {
 			r.wait(g, "the weight store is busy")
 			return 0
 		}
 		if cold {
 			room--
+			r.p.starts.add(r.now)
 		}
 		r.send(m.vm, sardine.Order{
 			Group:   g.ID,
@@ -84,11 +86,35 @@
 			Size:    len(g.members),
 			Model:   g.Model,
 			Version: g.Version,
+			Members: vmsOf(g.Group),
 		})
 	}
 	return room
 }
 
+func vmsOf(g sardine.Group) []sardine.VMID {
+	vms := make([]sardine.VMID, 0, len(g.Members))
+	for _, m := range g.Members {
+		vms = append(vms, m.VM)
+	}
+	return vms
+}
+
+// orderOpen tells the rank 0 of a group whose members are all ready to take
+// requests. A group that already serves is told again if its rank 0 closed.
+func (r *round) orderOpen(g *groupView) {
+	if g.spare || !g.opens() || g.open() || !g.ready() {
+		return
+	}
+	head := g.members[0]
+	n := head.vm.note
+	told := n.confirmed && n.order.Open && n.incarnation == head.Incarnation && n.order.Group == g.ID && n.order.Epoch == g.Epoch
+	if !r.mayOrder(head.vm) || told && n.confirmedAt+r.p.limits.Settle > r.now {
+		return
+	}
+	r.send(head.vm, sardine.Order{Group: g.ID, Epoch: g.Epoch, Size: len(g.members), Model: g.Model, Version: g.Version, Open: true})
+}
+
 func (r *round) mayOrder(v *vmView) bool {
 	return v.alive && !v.note.underWay && v.note.retryAt <= r.now
 }
@@ -127,6 +153,7 @@
 }
 
 func (r *round) send(v *vmView, o sardine.Order) {
+	o.VM = v.target.VM
 	v.note.sent(r.now, v.target.Incarnation, o)
 	r.out.Orders = append(r.out.Orders, SendOrder{
 		VM:          v.target.VM,
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -29,6 +29,7 @@
 	claims  map[sardine.GroupID]Kind            // victim to the deployment that waits for it
 	history history
 	last    *round // the newest round, for Explain
+	starts  starts
 	logged  logged
 }
 
@@ -136,7 +137,7 @@
 // took the order.
 func (p *Planner) OrderDone(now sardine.Millis, s SendOrder, err error) {
 	n := p.vms[s.VM]
-	if n == nil || !n.underWay || n.order != s.Order || n.incarnation != s.Incarnation {
+	if n == nil || !n.underWay || !n.order.Same(s.Order) || n.incarnation != s.Incarnation {
 		return
 	}
 	n.underWay = false
--- a/plan/settle.go
+++ b/plan/settle.go
@@ -144,7 +144,7 @@
 	early := r.p.defect == DefectServeEarly && g.holds()
 	switch {
 	case g.note.drain != notDraining:
-	case early, g.ready():
+	case early, g.ready() && g.open():
 		r.move(g, sardine.GroupServing, "every member is ready")
 	case g.State == sardine.GroupDegraded:
 	case len(g.missing()) > 0:
--- a/plan/view.go
+++ b/plan/view.go
@@ -51,11 +51,11 @@
 func (v *vmView) warm(model sardine.ModelName, version string) bool {
 	h := v.status.Holding
 	held := h.State == sardine.MemberReady || h.State == sardine.MemberIdle
-	return v.alive && held && h.Model == model && h.Version == version
+	return v.alive && (held && h.Model == model && h.Version == version || slices.Contains(v.status.Staged, model))
 }
 
 func (v *vmView) canLoad(model sardine.ModelName) bool {
-	return slices.Contains(v.target.Loadable, model)
+	return len(v.target.Loadable) == 0 || slices.Contains(v.target.Loadable, model)
 }
 
 // memberView is one member of a group in a round.
@@ -76,6 +76,7 @@
 	slow    bool // a member may be a straggler
 }
 
+// ready reports whether every member is, whether or not the group is open.
 func (g *groupView) ready() bool {
 	for _, m := range g.members {
 		if m.condition != memberReady {
@@ -85,6 +86,20 @@
 	return true
 }
 
+// opens reports whether the group's rank 0 must take an order to open.
+func (g *groupView) opens() bool {
+	return g.kind != nil && g.kind.deployment.Opens
+}
+
+// open reports whether the group takes requests as far as its engines say.
+func (g *groupView) open() bool {
+	if !g.opens() {
+		return true
+	}
+	head := g.members[0].vm
+	return head.alive && head.status.Holding.State == sardine.MemberOpen
+}
+
 // missing returns the members the group can't go on with.
 func (g *groupView) missing() []memberView {
 	var all []memberView
@@ -141,7 +156,12 @@
 	return k.objective.DowntimeWeight * k.value()
 }
 
+// missing returns how many groups the deployment lacks. One by demand can always
+// use another.
 func (k *kindView) missing() int {
+	if k.byDemand() {
+		return 1
+	}
 	return k.deployment.Groups - len(k.groups)
 }
 
--- a/plan/viewgroup.go
+++ b/plan/viewgroup.go
@@ -113,7 +113,7 @@
 		return memberElsewhere
 	}
 	switch h.State {
-	case sardine.MemberReady:
+	case sardine.MemberReady, sardine.MemberOpen:
 		return memberReady
 	case sardine.MemberFailed:
 		return memberFailed
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,85 @@
+package retry
+
+import (
+	sardine "sardineswitch.dev/sardine"
+)
+
+// bucket is the step of a Window.
+const bucket = sardine.Second
+
+// Window bounds the repeats of each service within a sliding window: a share of
+// its first requests, and a slack. All entry nodes share the bound, so each keeps
+// to its own requests and its part of the slack.
+type Window struct {
+	ratio    float64
+	length   int     // of the window, in buckets
+	slack    float64 // of all nodes
+	nodes    int
+	services map[sardine.ServiceName]*counts
+}
+
+// counts holds first requests and repeats by bucket.
+type counts struct {
+	at      int64 // bucket of the newest
+	firsts  []int
+	repeats []int
+}
+
+// NewWindow returns a bound of ratio repeats for each first request and a slack
+// of all nodes, in any span of the length.
+func NewWindow(ratio, slack float64, length sardine.Millis) *Window {
+	return &Window{
+		ratio:    ratio,
+		slack:    slack,
+		length:   int(max(length/bucket, 1)),
+		nodes:    1,
+		services: make(map[sardine.ServiceName]*counts),
+	}
+}
+
+// SetNodes tells how many entry nodes share the bound.
+func (w *Window) SetNodes(n int) {
+	w.nodes = max(n, 1)
+}
+
+// First notes a caller's request.
+func (w *Window) First(now sardine.Millis, s sardine.ServiceName) {
+	c := w.counts(now, s)
+	c.firsts[len(c.firsts)-1]++
+}
+
+// Take reports whether a request may be repeated now, and counts it if so.
+func (w *Window) Take(now sardine.Millis, s sardine.ServiceName) bool {
+	c := w.counts(now, s)
+	firsts := sum(c.firsts[1:]) // the oldest bucket may lie outside of the window
+	if float64(sum(c.repeats)) >= w.ratio*float64(firsts)+w.slack/float64(w.nodes) {
+		return false
+	}
+	c.repeats[len(c.repeats)-1]++
+	return true
+}
+
+// counts moves a service's buckets on. They cover one bucket more than the
+// window, so that repeats count for as long as any window may hold them.
+func (w *Window) counts(now sardine.Millis, s sardine.ServiceName) *counts {
+	at := int64(now / bucket)
+	c := w.services[s]
+	if c == nil {
+		c = &counts{at: at, firsts: make([]int, w.length+1), repeats: make([]int, w.length+1)}
+		w.services[s] = c
+	}
+	for range min(at-c.at, int64(w.length)+1) {
+		c.firsts = append(c.firsts[1:], 0)
+		c.repeats = append(c.repeats[1:], 0)
+	}
+	c.at = max(c.at, at)
+	return c
+}
+
+func sum(numbers []int) int {
+	total := 0
+	for _, n := range numbers {
+		total += n
+	}
+	return total
+}
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -43,6 +43,7 @@
 	Model      sardine.ModelName // engines only
 	Version    string            // engines only
 	Address    string            // host:port, of rank 0 for a group
+	Head       sardine.VMID      // that serves at Address
 	DataCentre sardine.DataCentre
 	Leaving    bool           // gets no new work
 	LeaseUntil sardine.Millis // gets no new work from then on, 0 is no end
--- a/serve/call.go
+++ b/serve/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	sardine "sardineswitch.dev/sardine"
@@ -51,6 +52,11 @@
 	return f.ran
 }
 
+// NewFailure returns a failure with its cause.
+func NewFailure(ran sardine.Ran, cause error) *Failure {
+	return &Failure{ran: ran, cause: cause}
+}
+
 func failure(ran sardine.Ran, code codes.Code, format string, args ...any) *Failure {
 	return &Failure{ran: ran, cause: codes.New(code, format, args...)}
 }
@@ -152,16 +158,31 @@
 	order.HeaderEpoch, order.HeaderGroup, reply.HeaderRequest, order.HeaderResume, reply.HeaderRan,
 }
 
-func copyHeader(to, from http.Header) {
+// EndToEnd returns a copy of a header without the fields that concern one
+// connection and the length, which whoever writes the message sets.
+func EndToEnd(from http.Header) http.Header {
+	to := make(http.Header, len(from))
+	copyEndToEnd(to, from)
+	to.Del("Content-Length")
+	return to
+}
+
+func copyEndToEnd(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
 	}
-	for _, name := range from.Values("Connection") {
-		to.Del(name)
+	for _, named := range from.Values("Connection") {
+		for _, name := range strings.Split(named, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopHeaders {
 		to.Del(name)
 	}
+}
+
+func copyHeader(to, from http.Header) {
+	copyEndToEnd(to, from)
 	for _, name := range ownHeaders {
 		to.Del(name)
 	}
--- a/settings.go
+++ b/settings.go
@@ -32,6 +32,8 @@
 	Spares       int       // loaded spares kept in the domain, engines only
 	Value        float64   // worth of one group relative to others, 1 by default
 	Idempotent   []string  // plain services: methods that may be repeated
+	Opens        bool      // a group serves only after its rank 0 took an order to open, engines only
+	Demand       float64   // work for its groups relative to others', in groups; above 0 it stands for Groups, engines only
 }
 
 // Tenant is one workspace and its share of the team's capacity.
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -42,7 +42,7 @@
 		return codes.New(codes.EpochRefused, "the engine took epoch %d, the order carries %d", e.epoch, o.Epoch)
 	}
 	e.epoch = max(e.epoch, o.Epoch)
-	if o == e.order && e.holding.State != sardine.MemberFailed {
+	if o.Same(e.order) && e.holding.State != sardine.MemberFailed {
 		return nil
 	}
 	if o.Release {
@@ -94,7 +94,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ctx.Err() != nil || e.order != o {
+	if ctx.Err() != nil || !e.order.Same(o) {
 		return
 	}
 	e.holding.State = state
--- a/state/codecset.go
+++ b/state/codecset.go
@@ -22,6 +22,8 @@
 			Author:   c.Author,
 			Path:     c.Path,
 		}}
+	case PutLayout:
+		w.Body = &wire.Command_PutLayout{PutLayout: layoutToWire(c)}
 	case PutToken:
 		w.Body = &wire.Command_PutToken{PutToken: tokenToWire(c.Token)}
 	case DropToken:
@@ -50,6 +52,8 @@
 			Author:   b.ChangeSettings.GetAuthor(),
 			Path:     b.ChangeSettings.GetPath(),
 		}
+	case *wire.Command_PutLayout:
+		return layoutFromWire(b.PutLayout)
 	case *wire.Command_PutToken:
 		return PutToken{Token: tokenFromWire(b.PutToken)}
 	case *wire.Command_DropToken:
--- a/state/machine.go
+++ b/state/machine.go
@@ -72,6 +72,7 @@
 	poisons    map[string]Poison
 	strikes    *aging[string]
 	tokens     map[string]Token
+	layout     PutLayout
 }
 
 // NewMachine returns an empty machine.
@@ -139,6 +140,8 @@
 		return m.leaveEntry(c)
 	case ChangeSettings:
 		return m.changeSettings(c)
+	case PutLayout:
+		return m.putLayout(c)
 	case TargetUp:
 		return m.targetUp(c)
 	case TargetDown:
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -54,6 +54,9 @@
 
 func (m *Machine) spreadPart(revisions func(sardine.Team) []Revision) *wire.Snapshot {
 	w := &wire.Snapshot{Format: snapshotFormat, Index: m.index, At: int64(m.at)}
+	if m.layout.Number > 0 {
+		w.Layout = layoutToWire(m.layout)
+	}
 	for _, e := range m.Entries() {
 		w.Entries = append(w.Entries, entryToWire(e))
 	}
@@ -95,6 +98,7 @@
 	m.index = w.GetIndex()
 	m.changed = m.index // what the fleet held before the restore is no longer known
 	m.at = WallTime(w.GetAt())
+	m.layout = layoutFromWire(w.GetLayout())
 	m.restoreSettings(&w)
 	m.restoreTargets(&w)
 	m.restoreRequests(&w)
--- a/vm.go
+++ b/vm.go
@@ -30,11 +30,12 @@
 	MemberLoading                    // loads weights for the order it holds
 	MemberReady                      // is ready to serve under the order it holds
 	MemberFailed                     // could not carry out the order it holds
+	MemberOpen                       // is ready and takes its group's requests, rank 0 only
 )
 
 // String returns the name used in announcements and dumps.
 func (s MemberState) String() string {
-	names := [...]string{"idle", "loading", "ready", "failed"}
+	names := [...]string{"idle", "loading", "ready", "failed", "open"}
 	if int(s) < len(names) {
 		return names[s]
 	}
@@ -71,9 +72,11 @@
 	Domain       FabricDomain
 	Accelerators int
 	Service      ServiceName // plain services only
-	Loadable     []ModelName // models the engine can load
+	Loadable     []ModelName // models the engine can load, all if it names none
 	ChecksEpoch  bool        // the engine refuses orders and requests with an old epoch
 	Leaving      bool        // no new work, please
 	Holding      Holding
 	Load         Load
+	Staged       []ModelName // models whose weights are on the engine's host
+	Serial       uint64      // rises with each announcement of the incarnation, 0 if it is not counted
 }
