Load without bound until callers' requests begin, and log why the planner decides

Cause: loads before the first request are cheap, but six at a time left 5 of 13 groups unloaded at its arrival.

--- a/ctrl/attrs.go
+++ b/ctrl/attrs.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strings"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -31,6 +32,19 @@
 	return slog.String("entry", string(id))
 }
 
+func membersAttr(g sardine.Group) slog.Attr {
+	names := make([]string, 0, len(g.Members))
+	for _, m := range g.Members {
+		names = append(names, string(m.VM))
+	}
+	return slog.String("members", strings.Join(names, ","))
+}
+
+// whyAttr tells why the planner decided on the group.
+func (n *Node) whyAttr(id sardine.GroupID) slog.Attr {
+	return slog.String("why", n.leadership.why(id))
+}
+
 func memberAttr(id sardine.NodeID) slog.Attr {
 	return slog.String("member", string(id))
 }
@@ -61,7 +75,7 @@
 	case state.TargetLeaving:
 		event.Log(n.logger, event.TargetLeaving, vmAttr(c.VM))
 	case state.AssignGroup:
-		event.Log(n.logger, event.GroupAssigned, groupAttr(c.Group.ID), epochAttr(r.Epoch))
+		event.Log(n.logger, event.GroupAssigned, groupAttr(c.Group.ID), epochAttr(r.Epoch), membersAttr(c.Group), n.whyAttr(c.Group.ID))
 	case state.MoveGroup:
 		n.logMove(c)
 	case state.JoinEntry:
@@ -78,6 +92,6 @@
 		sardine.GroupReleased: event.GroupReleased,
 	}
 	if id, listed := ids[c.State]; listed {
-		event.Log(n.logger, id, groupAttr(c.Group), epochAttr(c.Epoch))
+		event.Log(n.logger, id, groupAttr(c.Group), epochAttr(c.Epoch), n.whyAttr(c.Group))
 	}
 }
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -22,7 +22,6 @@
 type leadership struct {
 	self    sardine.NodeID
 	target  sardine.Millis // lease of a target in home
-	grace   sardine.Millis
 	mu      sync.Mutex
 	home    *fleet.Home // targets that announce themselves to control nodes
 	term    uint64      // 0 while the node does not lead
@@ -41,7 +40,6 @@
 	return &leadership{
 		self:    self,
 		target:  t.Target,
-		grace:   t.Grace,
 		home:    newHome(self, t.Target),
 		ledger:  ledger,
 		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
@@ -50,9 +48,9 @@
 	}
 }
 
-// freshGrace divides the grace of a site that knows no target yet: nothing that
-// an earlier leader did can be undone, so forming groups need not wait as long.
-const freshGrace = 3
+// freshGrace stands for the grace of a site that knows no target yet: there is
+// nothing that an earlier leader did, so that forming groups need not wait.
+const freshGrace = 100 * sardine.Millis(1)
 
 // begin starts a term from the state, which holds all entries of earlier terms.
 func (l *leadership) begin(now sardine.Millis, term uint64, m *state.Machine, cut cutPolicy) {
@@ -69,7 +67,7 @@
 	l.home = newHome(l.self, l.target)
 	l.fleet.Lead(now, term)
 	if len(m.Targets()) == 0 {
-		l.fleet.Settle(now + l.grace/freshGrace)
+		l.fleet.Settle(now + freshGrace)
 	}
 	l.planner.Lead(now, term, m)
 	l.polls.server.Lead(term)
@@ -171,6 +169,12 @@
 	return commands
 }
 
+func (l *leadership) why(id sardine.GroupID) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.planner.Why(id)
+}
+
 func (l *leadership) proposed(now sardine.Millis, c state.Command, r state.Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -53,7 +53,7 @@
 // made by the leader itself.
 func ofEntryNode(c state.Command) bool {
 	switch c.(type) {
-	case state.ClaimKey, state.FinishClaim, state.DropClaim, state.Strike, state.ReleasePoison, state.JoinEntry, state.LeaveEntry:
+	case state.ClaimKey, state.FinishClaim, state.DropClaim, state.Strike, state.ReleasePoison, state.JoinEntry, state.LeaveEntry, state.OpenTraffic:
 		return true
 	default:
 		return false
--- a/entry/node.go
+++ b/entry/node.go
@@ -70,6 +70,7 @@
 	pool           *pool.Pool     // nil without ports
 	proxy          *proxy.Client
 	repeats        *repeats
+	opening        atomic.Bool // a command that opens the traffic is under way
 	gate           *gate
 	flights        *flights
 	claims         *claims
--- a/entry/view.go
+++ b/entry/view.go
@@ -52,6 +52,7 @@
 	position    int                   // of this one among them, by name
 	routed      []sardine.ServiceName // as the router knows the deployments
 	table       *paths.Table          // nil without a layout
+	trafficOpen bool                  // callers' requests have begun
 }
 
 // newView arranges the machine's state. Documents that can't be parsed are
@@ -73,6 +74,7 @@
 			failed = append(failed, err)
 		}
 	}
+	v.trafficOpen = m.TrafficOpen()
 	v.addTable(table)
 	v.addGroups(m)
 	v.addPlain(m)
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	sardine "sardineswitch.dev/sardine"
@@ -100,12 +102,48 @@
 		if next == nil {
 			return
 		}
-		if !r.formGroup(next) {
-			full[next] = true
+		if r.formGroup(next) {
+			continue
+		}
+		if r.p.newestAt+joinPause > r.now {
+			return // VMs still arrive: what is left of a domain may soon do for it
 		}
+		full[next] = true
 	}
 }
 
+// joinPause is how long no VM may have appeared until leftovers go to a
+// deployment that is not the one in greatest need: a little more than the time
+// between two announcements.
+const joinPause = 1500 * sardine.Millis(1)
+
+// byUrgency orders groups for the weight store: those that lack a part of their
+// members first, since a load brings back most with them, then in the order in
+// which they were formed.
+func (r *round) byUrgency() []*groupView {
+	sorted := slices.Clone(r.groups)
+	slices.SortStableFunc(sorted, func(a, b *groupView) int {
+		if a.kind == nil || b.kind == nil || !a.kind.byDemand() || !b.kind.byDemand() {
+			return cmp.Compare(b.value(), a.value())
+		}
+		if c := cmp.Compare(a.coldShare(), b.coldShare()); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Epoch, b.Epoch)
+	})
+	return sorted
+}
+
+// coldShare returns 1 if all members must load and 0 if some need not.
+func (g *groupView) coldShare() int {
+	for _, m := range g.members {
+		if m.vm.warm(g.Model, g.Version) {
+			return 0
+		}
+	}
+	return 1
+}
+
 // startWindow is the time over which begun loads are counted. The store counts
 // over a window of some seconds and allows a little more.
 const startWindow = 5 * sardine.Second
@@ -131,6 +169,13 @@
 	return int(s.perSecond*seconds(startWindow)) - len(kept)
 }
 
+// noteLoad counts a load that begins now, unless nobody is delayed by it.
+func (r *round) noteLoad() {
+	if r.p.logged.trafficOpen {
+		r.p.starts.add(r.now)
+	}
+}
+
 func (s *starts) add(now sardine.Millis) {
 	s.begun = append(s.begun, now)
 }
--- a/plan/drain.go
+++ b/plan/drain.go
@@ -40,7 +40,7 @@
 func (g *groupView) served() bool {
 	for _, m := range g.members {
 		h := m.vm.status.Holding
-		if !m.vm.alive || h.Group != g.ID || h.Epoch != g.Epoch || h.State != sardine.MemberReady {
+		if !m.vm.alive || h.Group != g.ID || h.Epoch != g.Epoch || !h.State.Ready() {
 			return false
 		}
 	}
--- a/plan/logged.go
+++ b/plan/logged.go
@@ -15,11 +15,14 @@
 	vms    map[sardine.VMID]*vmView
 	sorted []sardine.VMID // of vms
 	groups []sardine.Group
+	// trafficOpen tells that callers' requests have begun.
+	trafficOpen bool
 }
 
 // renew reads the machine if its targets or groups changed.
 func (l *logged) renew(now sardine.Millis, m *state.Machine, p *Planner) {
 	if l.read && l.index == m.FleetIndex() {
+		l.trafficOpen = m.TrafficOpen()
 		return
 	}
 	*l = logged{
@@ -27,6 +30,8 @@
 		read:   true,
 		vms:    make(map[sardine.VMID]*vmView),
 		groups: m.Groups(),
+
+		trafficOpen: m.TrafficOpen(),
 	}
 	for _, o := range m.Owners() {
 		v := l.view(o.VM, p)
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -10,8 +10,8 @@
 // sendOrders sends the orders that members, dropped members and strays lack.
 // Loads wait for the weight store, the most valuable groups first.
 func (r *round) sendOrders() {
-	room := max(r.p.limits.LoadsAtOnce, 1) - r.loadsUnderWay()
-	for _, g := range r.groups {
+	room := r.loadRoom()
+	for _, g := range r.byUrgency() {
 		if g.busy || g.State == sardine.GroupFenced || g.note.drain != notDraining {
 			continue
 		}
@@ -28,6 +28,16 @@
 	r.out.Wake = r.now + idleWake
 }
 
+// loadRoom returns how many loads may begin now. Before callers' requests begin
+// nobody is delayed, however many there are.
+func (r *round) loadRoom() int {
+	if !r.p.logged.trafficOpen && r.p.starts.perSecond > 0 {
+		return len(r.vms)
+	}
+	room := max(r.p.limits.LoadsAtOnce, 1) - r.loadsUnderWay()
+	return min(room, r.p.starts.room(r.now))
+}
+
 // active reports whether something is under way that a round must follow.
 func (r *round) active() bool {
 	if len(r.p.pending) > 0 || len(r.out.Orders) > 0 || len(r.wants) > 0 {
@@ -71,13 +81,13 @@
 			continue
 		}
 		cold := !m.vm.warm(g.Model, g.Version)
-		if cold && (room <= 0 || r.p.starts.room(r.now) <= 0) {
+		if cold && room <= 0 {
 			r.wait(g, "the weight store is busy")
 			return 0
 		}
 		if cold {
 			room--
-			r.p.starts.add(r.now)
+			r.noteLoad()
 		}
 		r.send(m.vm, sardine.Order{
 			Group:   g.ID,
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -30,7 +30,9 @@
 	history history
 	last    *round // the newest round, for Explain
 	starts  starts
-	logged  logged
+	// newestAt is when a VM was last heard of for the first time.
+	newestAt sardine.Millis
+	logged   logged
 }
 
 // New returns a planner that does not lead yet.
@@ -132,6 +134,19 @@
 	}
 }
 
+// Why returns the reason of the last decision on a group, empty if there is none.
+func (p *Planner) Why(id sardine.GroupID) string {
+	n := p.groups[id]
+	switch {
+	case n == nil:
+		return ""
+	case n.why == "":
+		return n.placed
+	default:
+		return n.why
+	}
+}
+
 // OrderDone takes the end of an order that Round returned. codes.EpochRefused
 // is the engine's own refusal; any other error leaves open whether the engine
 // took the order.
--- a/plan/settle.go
+++ b/plan/settle.go
@@ -67,6 +67,9 @@
 	} else if n.incarnation != 0 && n.incarnation < v.target.Incarnation && !n.leaving {
 		n.fail(r.now, r.p.limits)
 	}
+	if n.incarnation == 0 {
+		r.p.newestAt = r.now
+	}
 	if n.incarnation != v.target.Incarnation {
 		r.renew(n, v)
 	}
--- a/plan/view.go
+++ b/plan/view.go
@@ -50,7 +50,7 @@
 // warm reports whether the VM has a model's version in memory.
 func (v *vmView) warm(model sardine.ModelName, version string) bool {
 	h := v.status.Holding
-	held := h.State == sardine.MemberReady || h.State == sardine.MemberIdle
+	held := h.State.Ready() || h.State == sardine.MemberIdle
 	return v.alive && (held && h.Model == model && h.Version == version || slices.Contains(v.status.Staged, model))
 }
 
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -142,9 +142,19 @@
 		c.writeHard()
 	}
 	c.resetElection()
+	if c.fresh() {
+		c.electionAt = now + sardine.Millis(random.IntN(int(c.timing.ElectionMin/2)))
+	}
 	return c
 }
 
+// fresh reports whether the node has never taken part in a term: there is no
+// leader yet that an early election could disturb.
+func (c *Core) fresh() bool {
+	last := c.log.last()
+	return c.hard.Vote == "" && c.hard.Term == last.Term && last.Index <= bootstrapIndex && c.mayLead()
+}
+
 // Step takes a message of another member.
 func (c *Core) Step(now sardine.Millis, m Message) {
 	if c.err != nil || m.To != c.id {
--- a/state/codec_test.go
+++ b/state/codec_test.go
@@ -49,12 +49,16 @@
 		ReleasePoison{Fingerprint: mark},
 		PutToken{Token: Token{Hash: mark, Scope: "operator", Name: "ama", Expires: 99}},
 		DropToken{Hash: mark},
+		PutLayout{Number: 7, Document: []byte(`{"version":7}`)},
+		OpenTraffic{},
 	}
 }
 
 func TestCommandsSurviveTheCodec(t *testing.T) {
 	for _, c := range allCommands() {
-		requireNoZero(t, reflect.ValueOf(c), fmt.Sprintf("%T", c))
+		if v := reflect.ValueOf(c); v.NumField() > 0 {
+			requireNoZero(t, v, fmt.Sprintf("%T", c))
+		}
 		b, err := EncodeCommand(1234, c)
 		require.NoError(t, err)
 		at, back, err := DecodeCommand(b)
--- a/state/codecset.go
+++ b/state/codecset.go
@@ -24,6 +24,8 @@
 		}}
 	case PutLayout:
 		w.Body = &wire.Command_PutLayout{PutLayout: layoutToWire(c)}
+	case OpenTraffic:
+		w.Body = &wire.Command_OpenTraffic{OpenTraffic: &wire.OpenTraffic{}}
 	case PutToken:
 		w.Body = &wire.Command_PutToken{PutToken: tokenToWire(c.Token)}
 	case DropToken:
@@ -54,6 +56,8 @@
 		}
 	case *wire.Command_PutLayout:
 		return layoutFromWire(b.PutLayout)
+	case *wire.Command_OpenTraffic:
+		return OpenTraffic{}
 	case *wire.Command_PutToken:
 		return PutToken{Token: tokenFromWire(b.PutToken)}
 	case *wire.Command_DropToken:
--- a/state/machine.go
+++ b/state/machine.go
@@ -73,6 +73,8 @@
 	strikes    *aging[string]
 	tokens     map[string]Token
 	layout     PutLayout
+	// trafficOpen is set once callers' requests have begun.
+	trafficOpen bool
 }
 
 // NewMachine returns an empty machine.
@@ -142,6 +144,9 @@
 		return m.changeSettings(c)
 	case PutLayout:
 		return m.putLayout(c)
+	case OpenTraffic:
+		m.trafficOpen = true
+		return Result{}
 	case TargetUp:
 		return m.targetUp(c)
 	case TargetDown:
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -54,6 +54,7 @@
 
 func (m *Machine) spreadPart(revisions func(sardine.Team) []Revision) *wire.Snapshot {
 	w := &wire.Snapshot{Format: snapshotFormat, Index: m.index, At: int64(m.at)}
+	w.TrafficOpen = m.trafficOpen
 	if m.layout.Number > 0 {
 		w.Layout = layoutToWire(m.layout)
 	}
@@ -99,6 +100,7 @@
 	m.changed = m.index // what the fleet held before the restore is no longer known
 	m.at = WallTime(w.GetAt())
 	m.layout = layoutFromWire(w.GetLayout())
+	m.trafficOpen = w.GetTrafficOpen()
 	m.restoreSettings(&w)
 	m.restoreTargets(&w)
 	m.restoreRequests(&w)
--- a/vm.go
+++ b/vm.go
@@ -42,6 +42,11 @@
 	return "unknown"
 }
 
+// Ready reports whether the member can do its part for its group.
+func (s MemberState) Ready() bool {
+	return s == MemberReady || s == MemberOpen
+}
+
 // Holding is the order that an engine currently carries out.
 type Holding struct {
 	Group   GroupID
