--- a/entry/flight.go
+++ b/entry/flight.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// stall cancels the dispatches to a target that stands still.
+func (f *flights) stall(ref route.Ref) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, flying := range f.all {
+		if flying.candidate.Ref == ref {
+			flying.cancel(errStalled)
+		}
+	}
+}
+
 // count returns the number of dispatches in flight.
 func (f *flights) count() int {
 	f.mu.Lock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -70,6 +70,7 @@
 	pool           *pool.Pool     // nil without ports
 	proxy          *proxy.Client
 	repeats        *repeats
+	vitals         *vitals
 	opening        atomic.Bool // a command that opens the traffic is under way
 	gate           *gate
 	flights        *flights
@@ -152,6 +153,7 @@
 	if n.callers != nil {
 		n.pool = pool.New(n.clock)
 		n.proxy = proxy.NewClient(n.pool, n.targetPort)
+		n.vitals = newVitals(n.clock)
 		n.repeats = newRepeats(n.repeatRatio, n.repeatSlack, n.repeatWindow)
 	}
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
@@ -267,6 +269,7 @@
 		n.guards.tick()
 		if n.pool != nil {
 			n.pool.Tick()
+			n.tickVitals()
 		}
 	}
 }
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -15,6 +15,7 @@
 	"sardineswitch.dev/sardine/pool"
 	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/vital"
 )
 
 // routed is one caller's request that a layout's route sends to a service.
@@ -34,8 +35,9 @@
 	ran      sardine.Ran // over all attempts
 	unsent   int         // attempts of which nothing left this node
 	tried    []route.Ref
-	began    bool   // the caller has the answer's head
-	last     string // id of the last event that was passed on
+	began    bool          // the caller has the answer's head
+	last     string        // id of the last event that was passed on
+	flight   *vital.Flight // of the attempt
 }
 
 // routedMux serves callers by the layout's routes.
@@ -170,8 +172,7 @@
 		return err
 	}
 	q.tried = append(q.tried, choice.Candidate.Ref)
-	ctx, cancel, end := n.flights.begin(ctx, choice.Candidate)
-	defer cancel(nil)
+	ctx, end := q.takeOff(ctx, choice)
 	defer end()
 	done := route.End{}
 	defer func() { n.gate.finish(choice, done) }()
@@ -179,6 +180,7 @@
 	if failed != nil {
 		if codes.Is(failed, codes.NoTarget) {
 			q.unsent++
+			n.vitals.unreachable(choice.Candidate.Ref)
 		} else {
 			q.attempts++
 		}
@@ -189,6 +191,7 @@
 	}
 	q.attempts++
 	q.ran = sardine.RanYes
+	n.vitals.progress(q.flight, false)
 	n.gate.firstToken(choice, route.UnknownCached)
 	if answer.Reply.Loaded {
 		n.gate.load(choice.Candidate.Ref, sardine.Load{Running: answer.Reply.Running, Queued: answer.Reply.Queued})
@@ -203,6 +206,22 @@
 	return nil
 }
 
+// takeOff registers the dispatch, so that it can be broken off if its target
+// stands still. One that may not run twice waits for its answer all the same.
+func (q *routed) takeOff(ctx context.Context, choice *route.Choice) (context.Context, func()) {
+	n := q.node
+	q.flight = n.vitals.begin(choice.Candidate.Ref)
+	if !q.route.Repeatable() {
+		return ctx, func() { n.vitals.end(q.flight) }
+	}
+	ctx, cancel, end := n.flights.begin(ctx, choice.Candidate)
+	return ctx, func() {
+		cancel(nil)
+		end()
+		n.vitals.end(q.flight)
+	}
+}
+
 // causeOf prefers why the attempt was cut off over what that looked like.
 func (q *routed) causeOf(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
@@ -216,11 +235,13 @@
 
 func (q *routed) pick() (*route.Choice, error) {
 	n := q.node
-	choice, err := n.gate.pick(route.Request{
-		Service:      q.service.routed(),
-		Exclude:      q.tried,
-		PromptTokens: q.call.PromptTokens,
-	})
+	wanted := route.Request{Service: q.service.routed(), PromptTokens: q.call.PromptTokens}
+	wanted.Exclude = append(n.vitals.suspects(), q.tried...)
+	choice, err := n.gate.pick(wanted)
+	if err != nil && len(wanted.Exclude) > len(q.tried) { // better a suspect than none
+		wanted.Exclude = q.tried
+		choice, err = n.gate.pick(wanted)
+	}
 	if err != nil {
 		q.unsent = unsentMost // there is no other
 		return nil, err
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -95,6 +95,7 @@
 		if err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the stream broke off")
 		}
+		q.node.vitals.progress(q.flight, true)
 		if e.ID != "" && q.passed(e.ID) {
 			continue
 		}
--- /dev/null
+++ b/entry/vitals.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"log/slog"
+	"sync"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/vital"
+)
+
+// vitals lets the request handlers take turns at the tracker of targets' life.
+type vitals struct {
+	clock sardine.Clock
+
+	mu      sync.Mutex
+	tracker *vital.Tracker
+}
+
+func newVitals(clock sardine.Clock) *vitals {
+	return &vitals{clock: clock, tracker: vital.New(vital.DefaultLimits())}
+}
+
+func (v *vitals) begin(ref route.Ref) *vital.Flight {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Begin(v.clock.Now(), ref)
+}
+
+func (v *vitals) progress(f *vital.Flight, stream bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.Progress(v.clock.Now(), f, stream)
+}
+
+func (v *vitals) end(f *vital.Flight) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.End(f)
+}
+
+func (v *vitals) unreachable(ref route.Ref) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.Unreachable(v.clock.Now(), ref)
+}
+
+func (v *vitals) suspects() []route.Ref {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Suspects(v.clock.Now())
+}
+
+func (v *vitals) stalled() []route.Ref {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Stalled(v.clock.Now())
+}
+
+// tickVitals breaks off what waits for targets that stand still, so that it goes
+// on elsewhere.
+func (n *Node) tickVitals() {
+	for _, ref := range n.vitals.stalled() {
+		event.Log(n.log, event.TargetStalled, slog.String("target", ref.String()))
+		n.flights.stall(ref)
+	}
+}
--- a/event/table.go
+++ b/event/table.go
@@ -35,6 +35,7 @@
 	GroupDegraded   ID = 405
 	GroupReleased   ID = 406
 	OrderFailed     ID = 407
+	TargetStalled   ID = 408
 	RequestRefused  ID = 500
 	RequestFailed   ID = 501
 	StreamResumed   ID = 502
@@ -75,6 +76,7 @@
 	{GroupDegraded, "group_degraded", slog.LevelWarn, "a group lost a member and stopped serving", "see sardctl explain group"},
 	{GroupReleased, "group_released", slog.LevelInfo, "a group was dissolved and its members are free", "nothing"},
 	{OrderFailed, "order_failed", slog.LevelWarn, "an engine did not take an order", "check that VM"},
+	{TargetStalled, "target_stalled", slog.LevelWarn, "a target with requests in flight has gone silent, they go on elsewhere", "nothing if its group is repaired soon"},
 	{RequestRefused, "request_refused", slog.LevelDebug, "a request was refused before it ran", "see the code attribute"},
 	{RequestFailed, "request_failed", slog.LevelWarn, "a request failed after it was dispatched", "see the code attribute"},
 	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -19,8 +19,8 @@
 // Defaults of a Pool.
 const (
 	// defaultDial bounds the making of a connection: a reachable target of the
-	// site accepts within some milliseconds, a lost opening packet costs a second.
-	defaultDial = 1200 * sardine.Millis(1)
+	// site accepts within some milliseconds.
+	defaultDial = 400 * sardine.Millis(1)
 	// defaultSilence is after which time unacknowledged bytes break a connection,
 	// for a target that is cut off in silence.
 	defaultSilence = 5 * sardine.Second
