--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -29,6 +29,10 @@
 // before it counts as lost.
 const missedBeats = 3
 
+// overdueBeats is the age of a target's announcement, in intervals, from which a
+// standstill of its group counts against it: a little over one.
+const overdueBeats = 1.25
+
 // newRun returns the command that runs the node until a signal ends it.
 func newRun() *cobra.Command {
 	return &cobra.Command{
@@ -136,6 +140,7 @@
 	t.Quorum.ElectionMax = sardine.Millis(electionSpread * float64(s.Timings().Election()))
 	if s.Interface() == conf.InterfacePlatform {
 		t.Target = missedBeats * s.Timings().Announce()
+		t.Overdue = sardine.Millis(overdueBeats * float64(s.Timings().Announce()))
 	}
 	return t
 }
--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -147,6 +147,34 @@
 	})
 }
 
+// Witness tells what an entry node sees of targets. It is sent anew soon, so
+// that only the presumed leader is asked, or the next node without one.
+func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) error {
+	address := c.order()[0]
+	answer, err := c.Stub(address).Witness(ctx, request)
+	if err != nil {
+		c.forget(address)
+		return err
+	}
+	failed := ErrorOf(answer.GetFault())
+	if failed == nil {
+		c.remember(address)
+		return nil
+	}
+	c.forgetLeader(address)
+	c.follow(failed)
+	return failed
+}
+
+// forgetLeader notes that a node says it does not lead.
+func (c *Client) forgetLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
 // elsewhere reports whether a refusal says that nothing was proposed and another
 // control node, or the same one soon, may do better.
 func elsewhere(err error) bool {
--- a/ctrl/desk.go
+++ b/ctrl/desk.go
@@ -230,6 +230,7 @@
 	}
 	news = l.home.HasNews(now)
 	l.report(now)
+	l.fleet.Beat(now, a.VM, a.Incarnation)
 	return listed && before.Leaving && before.Incarnation == a.Incarnation, news, nil
 }
 
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -43,7 +43,7 @@
 		home:    newHome(self, t.Target),
 		ledger:  ledger,
 		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
-		fleet:   fleet.NewLeader(fleet.WithGrace(t.Grace)),
+		fleet:   fleet.NewLeader(fleet.WithGrace(t.Grace), fleet.WithOverdue(t.Overdue)),
 		planner: planner,
 	}
 }
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -22,6 +22,7 @@
 	Accept  sardine.Millis // longest wait until a change is in force
 	Grace   sardine.Millis // after an election, until a silent target counts as lost
 	Target  sardine.Millis // lease of a target that announces itself to control nodes
+	Overdue sardine.Millis // age of an announcement from which entry nodes' word counts against its target, 0 for never
 }
 
 // DefaultTiming returns the times for a site of any size.
--- /dev/null
+++ b/ctrl/witness.go
@@ -0,0 +1,58 @@
+package ctrl
+
+import (
+	"context"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/fleet"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Witness takes what an entry node sees of targets through its requests.
+func (n *Node) Witness(_ context.Context, r *wire.WitnessRequest) (*wire.WitnessReply, error) {
+	stalled, err := n.leadership.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
+	if err != nil {
+		return &wire.WitnessReply{Fault: ctlapi.FaultOf(n.redirect(err))}, nil
+	}
+	if stalled {
+		n.wakeLeader()
+	}
+	return &wire.WitnessReply{}, nil
+}
+
+func signsOf(all []*wire.Sign) []fleet.Sign {
+	signs := make([]fleet.Sign, 0, len(all))
+	for _, w := range all {
+		s := fleet.Sign{
+			Group:       sardine.GroupID(w.GetGroup()),
+			Epoch:       sardine.Epoch(w.GetEpoch()),
+			VM:          sardine.VMID(w.GetVm()),
+			Incarnation: sardine.Incarnation(w.GetIncarnation()),
+			Flights:     int(w.GetFlights()),
+			Alive:       -1,
+			Stalled:     w.GetStalled(),
+		}
+		if w.GetAlive() {
+			s.Alive = sardine.Millis(w.GetAliveMillis())
+		}
+		signs = append(signs, s)
+	}
+	return signs
+}
+
+// witness hands an entry node's signs to the fleet and reports whether one of
+// them tells of a standstill.
+func (l *leadership) witness(now sardine.Millis, node sardine.NodeID, signs []fleet.Sign) (stalled bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 {
+		return false, codes.New(codes.NotLeader, "this control node does not lead")
+	}
+	l.fleet.Witness(now, node, signs)
+	for _, s := range signs {
+		stalled = stalled || s.Stalled
+	}
+	return stalled, nil
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -71,7 +71,8 @@
 	proxy          *proxy.Client
 	repeats        *repeats
 	vitals         *vitals
-	opening        atomic.Bool // a command that opens the traffic is under way
+	stalls         chan struct{} // wakes the witness duty
+	opening        atomic.Bool   // a command that opens the traffic is under way
 	gate           *gate
 	flights        *flights
 	claims         *claims
@@ -154,6 +155,7 @@
 		n.pool = pool.New(n.clock)
 		n.proxy = proxy.NewClient(n.pool, n.targetPort)
 		n.vitals = newVitals(n.clock)
+		n.stalls = make(chan struct{}, 1)
 		n.repeats = newRepeats(n.repeatRatio, n.repeatSlack, n.repeatWindow)
 	}
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
@@ -230,6 +232,9 @@
 func (n *Node) Start() {
 	n.published.Store(&published{view: emptyView()})
 	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
+	if n.callers != nil {
+		n.tomb.Go(n.witness)
+	}
 	if n.ready != nil {
 		n.tomb.Go(func() error { return n.ready.Serve(n.readyMux()) })
 	}
--- a/entry/vitals.go
+++ b/entry/vitals.go
@@ -58,11 +58,25 @@
 	return v.tracker.Stalled(v.clock.Now())
 }
 
+func (v *vitals) signs() []vital.Sign {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Signs(v.clock.Now())
+}
+
 // tickVitals breaks off what waits for targets that stand still, so that it goes
 // on elsewhere.
 func (n *Node) tickVitals() {
-	for _, ref := range n.vitals.stalled() {
+	all := n.vitals.stalled()
+	for _, ref := range all {
 		event.Log(n.log, event.TargetStalled, slog.String("target", ref.String()))
 		n.flights.stall(ref)
 	}
+	if len(all) == 0 {
+		return
+	}
+	select {
+	case n.stalls <- struct{}{}: // the leader is told at once
+	default:
+	}
 }
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -30,6 +30,12 @@
 	return func(l *Leader) { l.grace = d }
 }
 
+// WithOverdue sets the age of an announcement from which the standstill of its
+// target's group counts against the target.
+func WithOverdue(d sardine.Millis) LeaderOption {
+	return func(l *Leader) { l.overdue = d }
+}
+
 type homeView struct {
 	incarnation sardine.Incarnation
 	sequence    uint64
@@ -39,7 +45,8 @@
 
 type targetView struct {
 	latest  sardine.Announcement
-	at      sardine.Millis // when its home heard it
+	at      sardine.Millis // when its home heard what it reported last
+	beatAt  sardine.Millis // when it was heard at this node itself, 0 for never
 	vouched map[sardine.NodeID]bool
 	synced  bool   // the log had the same facts
 	index   uint64 // at this fleet index of the log
@@ -70,6 +77,11 @@
 	sorted   []sardine.VMID // of targets, nil when it must be made anew
 	logged   []state.Target // the log's targets
 	loggedAt uint64         // fleet index of the machine that logged is from
+
+	overdue   sardine.Millis // age of an announcement from which a standstill counts against its target, 0 for never
+	witnesses map[witnessKey]*witnessed
+	memberOf  map[sardine.VMID]witnessKey // groups that serve
+	groupsAt  uint64                      // fleet index of the machine that memberOf is from
 }
 
 // NewLeader returns a view that knows no home.
@@ -89,6 +101,8 @@
 	l.sorted = nil
 	l.logged = nil
 	l.loggedAt = 0
+	l.witnesses = make(map[witnessKey]*witnessed)
+	l.memberOf = nil
 }
 
 // Lead forgets all earlier reports: this node leads from now on in a new term,
@@ -99,6 +113,14 @@
 	l.from = now + l.grace
 }
 
+// Beat notes that this node itself has heard a target's announcement, whether or
+// not that was news.
+func (l *Leader) Beat(now sardine.Millis, vm sardine.VMID, i sardine.Incarnation) {
+	if t := l.targets[vm]; t != nil && t.latest.Incarnation == i {
+		t.beatAt = now
+	}
+}
+
 // Settle makes targets that were not heard of count as lost from an instant on,
 // instead of after the grace.
 func (l *Leader) Settle(at sardine.Millis) {
@@ -204,7 +226,16 @@
 	return Status{Announcement: t.latest, Age: now - t.at}, true
 }
 
+// vouchedFor reports whether a target counts as alive.
 func (l *Leader) vouchedFor(now sardine.Millis, t *targetView) bool {
+	if l.announced(now, t) {
+		return !l.disproved(now, t)
+	}
+	return l.proved(now, t)
+}
+
+// announced reports whether a home vouches for the target.
+func (l *Leader) announced(now sardine.Millis, t *targetView) bool {
 	for node := range t.vouched {
 		if h := l.homes[node]; h != nil && h.heard+l.lease > now {
 			return true
@@ -222,6 +253,7 @@
 // Tick returns the commands that bring the log's targets in line with the
 // fleet. It forgets targets that nobody has vouched for.
 func (l *Leader) Tick(now sardine.Millis, m *state.Machine) []state.Command {
+	l.viewGroups(m)
 	commands := l.lostTargets(now, m)
 	for _, vm := range l.sortedTargets() {
 		t := l.targets[vm]
@@ -334,6 +366,11 @@
 	return v.leader.Live(v.now, vm)
 }
 
+// Flights returns how many requests entry nodes have in flight at a group.
+func (v View) Flights(g sardine.GroupID, e sardine.Epoch) (count int, known bool) {
+	return v.leader.Flights(g, e)
+}
+
 // Settled reports whether the grace after the election is over.
 func (v View) Settled() bool {
 	return v.leader.Settled(v.now)
