--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -78,6 +78,7 @@
 	logged   []state.Target // the log's targets
 	loggedAt uint64         // fleet index of the machine that logged is from
 
+	leadAt    sardine.Millis
 	overdue   sardine.Millis // age of an announcement from which a standstill counts against its target, 0 for never
 	witnesses map[witnessKey]*witnessed
 	memberOf  map[sardine.VMID]witnessKey // groups that serve
@@ -111,6 +112,7 @@
 	l.clear()
 	l.term = term
 	l.from = now + l.grace
+	l.leadAt = now
 }
 
 // Beat notes that this node itself has heard a target's announcement, whether or
@@ -229,7 +231,7 @@
 // vouchedFor reports whether a target counts as alive.
 func (l *Leader) vouchedFor(now sardine.Millis, t *targetView) bool {
 	if l.announced(now, t) {
-		return !l.disproved(now, t)
+		return !l.disproved(now, t.latest.Kind, Ref{VM: t.latest.VM, Incarnation: t.latest.Incarnation})
 	}
 	return l.proved(now, t)
 }
@@ -286,11 +288,11 @@
 }
 
 func (l *Leader) lostTargets(now sardine.Millis, m *state.Machine) []state.Command {
-	if !l.Settled(now) {
-		return nil
-	}
 	var commands []state.Command
 	for _, known := range l.loggedTargets(m) {
+		if !l.Settled(now) && !l.disproved(now, known.Kind, Ref{VM: known.VM, Incarnation: known.Incarnation}) {
+			continue
+		}
 		t := l.targets[known.VM]
 		if t != nil && t.latest.Incarnation >= known.Incarnation && l.vouchedFor(now, t) {
 			continue
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -98,12 +98,11 @@
 
 // witnessOf returns what entry nodes have seen of a target, or of the group that
 // it serves in; nil for nothing.
-func (l *Leader) witnessOf(t *targetView) *witnessed {
-	a := &t.latest
-	if a.Kind == sardine.KindPlain {
-		return l.witnesses[witnessKey{vm: a.VM, incarnation: a.Incarnation}]
+func (l *Leader) witnessOf(kind sardine.TargetKind, r Ref) *witnessed {
+	if kind == sardine.KindPlain {
+		return l.witnesses[witnessKey{vm: r.VM, incarnation: r.Incarnation}]
 	}
-	key, serves := l.memberOf[a.VM]
+	key, serves := l.memberOf[r.VM]
 	if !serves {
 		return nil
 	}
@@ -113,16 +112,20 @@
 // proved reports whether a silent target is alive all the same: a group goes on
 // only with all its members, so that answers of its head speak for each of them.
 func (l *Leader) proved(now sardine.Millis, t *targetView) bool {
-	w := l.witnessOf(t)
+	w := l.witnessOf(t.latest.Kind, Ref{VM: t.latest.VM, Incarnation: t.latest.Incarnation})
 	return w != nil && w.aliveAt > 0 && w.aliveAt+witnessFor > now && w.aliveAt > w.stalledAt
 }
 
 // disproved reports whether a target is lost though its announcement still
 // counts: its group stands still and it is late with the next one.
-func (l *Leader) disproved(now sardine.Millis, t *targetView) bool {
-	if l.overdue <= 0 || t.beatAt == 0 || now-t.beatAt < l.overdue {
+func (l *Leader) disproved(now sardine.Millis, kind sardine.TargetKind, r Ref) bool {
+	beatAt := l.leadAt // a leader that is new has heard nobody before
+	if t := l.targets[r.VM]; t != nil {
+		beatAt = max(beatAt, t.beatAt)
+	}
+	if l.overdue <= 0 || now-beatAt < l.overdue {
 		return false
 	}
-	w := l.witnessOf(t)
+	w := l.witnessOf(kind, r)
 	return w != nil && w.stalledAt > 0 && w.stalledAt+stallFor > now && w.stalledAt > w.aliveAt
 }
--- a/plan/drain.go
+++ b/plan/drain.go
@@ -32,8 +32,24 @@
 	if g.note.drainAt+drainSettle > r.now {
 		return false
 	}
+	return r.inFlight(g) == 0
+}
+
+// flightCounter is a Fleet that knows the requests in flight at a group.
+type flightCounter interface {
+	Flights(g sardine.GroupID, e sardine.Epoch) (count int, known bool)
+}
+
+// inFlight returns the requests in flight at a group, as entry nodes or its rank 0
+// say.
+func (r *round) inFlight(g *groupView) int {
+	if counter, ok := r.live.(flightCounter); ok {
+		if n, known := counter.Flights(g.ID, g.Epoch); known {
+			return n
+		}
+	}
 	load := g.members[0].vm.status.Load
-	return load.Running+load.Queued == 0
+	return load.Running + load.Queued
 }
 
 // served reports whether the group's engines can still finish requests.
--- a/plan/form.go
+++ b/plan/form.go
@@ -90,6 +90,9 @@
 		if len(all) < size {
 			continue
 		}
+		if k.byDemand() && !r.cheap() && len(warmOnly(all)) < size {
+			continue // its VMs are staged first
+		}
 		score := r.fit(k, all)
 		if best == nil || score > bestScore {
 			best, bestScore, domain = all[:size], score, d
--- a/plan/notes.go
+++ b/plan/notes.go
@@ -26,7 +26,9 @@
 	goneSince   sardine.Millis // 0 while alive
 	failures    []sardine.Millis
 	barredUntil sardine.Millis
-	slowSince   sardine.Millis // 0 while not slow
+	slowSince   sardine.Millis    // 0 while not slow
+	staging     sardine.ModelName // that it was told to bring to its host, empty for none
+	stagingAt   sardine.Millis
 }
 
 // sent notes that an order left.
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -19,6 +19,7 @@
 			room = r.orderMembers(g, room)
 		}
 	}
+	r.sendStaging(room)
 	for _, vm := range r.sorted {
 		r.orderRelease(r.vms[vm])
 	}
@@ -31,7 +32,7 @@
 // loadRoom returns how many loads may begin now. Before callers' requests begin
 // nobody is delayed, however many there are.
 func (r *round) loadRoom() int {
-	if !r.p.logged.trafficOpen && r.p.starts.perSecond > 0 {
+	if r.cheap() {
 		return len(r.vms)
 	}
 	room := max(r.p.limits.LoadsAtOnce, 1) - r.loadsUnderWay()
@@ -56,7 +57,7 @@
 
 // loadsUnderWay counts the members that load or were told to.
 func (r *round) loadsUnderWay() int {
-	count := 0
+	count := r.stagingUnderWay()
 	for _, g := range r.groups {
 		for _, m := range g.members {
 			told := m.vm.note.underWay || m.vm.note.joined(m.Incarnation, g.ID, g.Epoch)
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -91,6 +91,7 @@
 	r.swapMembers()
 	r.rollGroups()
 	r.formGroups()
+	r.planStaging()
 	r.sendOrders()
 	p.last = r
 	if err := r.verify(); err != nil {
@@ -152,6 +153,12 @@
 // took the order.
 func (p *Planner) OrderDone(now sardine.Millis, s SendOrder, err error) {
 	n := p.vms[s.VM]
+	if n != nil && s.Order.Stage {
+		if err != nil && n.incarnation == s.Incarnation {
+			n.staging = "" // planned anew
+		}
+		return
+	}
 	if n == nil || !n.underWay || !n.order.Same(s.Order) || n.incarnation != s.Incarnation {
 		return
 	}
--- a/plan/repair.go
+++ b/plan/repair.go
@@ -17,6 +17,8 @@
 			continue
 		}
 		switch {
+		case len(g.missing()) > 0 && g.kind.byDemand():
+			r.repairByDemand(g)
 		case len(g.missing()) > 0:
 			r.repairGroup(g)
 		case g.note.newEpoch:
--- a/plan/settle.go
+++ b/plan/settle.go
@@ -89,6 +89,7 @@
 	n.tries = 0
 	n.retryAt = 0
 	n.slowSince = 0
+	n.staging = ""
 }
 
 // settleGroups moves each group to the state its members are in.
--- /dev/null
+++ b/plan/stage.go
@@ -0,0 +1,191 @@
+package plan
+
+import (
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// stagingLife is how many load times a staging may take until it counts as lost:
+// the store slows down when many load at once.
+const stagingLife = 4
+
+// cheap reports whether loads delay nobody, since callers' requests have not
+// begun.
+func (r *round) cheap() bool {
+	return !r.p.logged.trafficOpen && r.p.starts.perSecond > 0
+}
+
+// repairByDemand fills the places of a group's missing members by warm VMs of its
+// domain, or ends the group: its other members are then warm VMs for those that
+// can be whole at once.
+func (r *round) repairByDemand(g *groupView) {
+	missing := g.missing()
+	picks := r.freeIn(g.Domain, g.Model, g.Version)
+	if !r.cheap() {
+		picks = warmOnly(picks)
+	}
+	if len(picks) >= len(missing) {
+		r.refill(g, missing, picks[:len(missing)], missing[0].reason()+", a warm VM takes its place")
+		return
+	}
+	r.dissolve(g, missing[0].reason()+" and no warm VM of the domain is free")
+	r.dropKindGroup(g)
+}
+
+func (m memberView) reason() string {
+	return "member " + string(m.VM) + " is " + m.condition.String()
+}
+
+// stagePlan is one VM and the model that its host should hold.
+type stagePlan struct {
+	vm    *vmView
+	model sardine.ModelName
+}
+
+// planStaging decides which models the free VMs should hold: a spare for each
+// deployment with groups in the domain, then what makes another group whole.
+func (r *round) planStaging() {
+	r.staging = r.staging[:0]
+	for _, d := range r.domains() {
+		r.stageDomain(d)
+	}
+}
+
+func (r *round) stageDomain(d sardine.FabricDomain) {
+	free := r.freeVMs(d)
+	for _, k := range r.kindsIn(d) {
+		free = r.stageFor(k, free, 1)
+	}
+	for len(free) > 0 {
+		k := r.nextKind(d, len(free))
+		if k == nil {
+			return
+		}
+		before := len(free)
+		free = r.stageFor(k, free, k.deployment.GroupSize)
+		if len(free) == before {
+			return
+		}
+	}
+}
+
+// freeVMs returns the VMs of a domain that no group takes in this round.
+func (r *round) freeVMs(d sardine.FabricDomain) []*vmView {
+	var free []*vmView
+	for _, v := range r.free[d] {
+		if !r.taken[v.target.VM] && !v.target.Leaving {
+			free = append(free, v)
+		}
+	}
+	return free
+}
+
+// kindsIn returns the deployments by demand with groups in a domain, the one with
+// the larger groups first: it loses most with a member.
+func (r *round) kindsIn(d sardine.FabricDomain) []*kindView {
+	var kinds []*kindView
+	for _, k := range r.kinds {
+		if k.byDemand() && slices.ContainsFunc(k.groups, func(g *groupView) bool { return g.Domain == d }) {
+			kinds = append(kinds, k)
+		}
+	}
+	slices.SortStableFunc(kinds, func(a, b *kindView) int { return b.deployment.GroupSize - a.deployment.GroupSize })
+	return kinds
+}
+
+// nextKind returns the deployment that should get the next group of a domain with
+// a number of free VMs: the one whose demand is met least of those that fit, or
+// of all if none does.
+func (r *round) nextKind(d sardine.FabricDomain, free int) *kindView {
+	var fits, any *kindView
+	for _, k := range r.kinds {
+		if !k.byDemand() {
+			continue
+		}
+		if any == nil || k.coverage() < any.coverage() {
+			any = k
+		}
+		if k.deployment.GroupSize <= free && (fits == nil || k.coverage() < fits.coverage()) {
+			fits = k
+		}
+	}
+	if fits != nil {
+		return fits
+	}
+	if in := r.kindsIn(d); len(in) > 0 {
+		return in[0]
+	}
+	return any
+}
+
+// stageFor takes up to count VMs for a deployment, those that hold its model
+// first, plans the staging of the others, and returns the rest.
+func (r *round) stageFor(k *kindView, free []*vmView, count int) []*vmView {
+	model := k.deployment.Model
+	slices.SortStableFunc(free, func(a, b *vmView) int { return b.closeness(model) - a.closeness(model) })
+	count = min(count, len(free))
+	for _, v := range free[:count] {
+		if v.canLoad(model) && !v.warm(model, k.deployment.ModelVersion) && v.note.staging != model {
+			r.staging = append(r.staging, stagePlan{vm: v, model: model})
+		}
+	}
+	return free[count:]
+}
+
+// closeness tells how near a VM is to holding a model: 3 holds it, 2 is told to,
+// 1 holds nothing that another deployment could use.
+func (v *vmView) closeness(model sardine.ModelName) int {
+	switch {
+	case slices.Contains(v.status.Staged, model):
+		return 3
+	case v.note.staging == model:
+		return 2
+	case len(v.status.Staged) == 0 && v.note.staging == "":
+		return 1
+	default:
+		return 0
+	}
+}
+
+// stagingUnderWay counts the hosts that load for no group, and gives up those
+// that take too long.
+func (r *round) stagingUnderWay() int {
+	count := 0
+	for _, vm := range r.sorted {
+		v := r.vms[vm]
+		n := v.note
+		if n.staging == "" {
+			continue
+		}
+		late := n.stagingAt+stagingLife*r.p.limits.LoadTime <= r.now
+		if !v.alive || late || slices.Contains(v.status.Staged, n.staging) {
+			n.staging = ""
+			continue
+		}
+		count++
+	}
+	return count
+}
+
+// sendStaging sends the planned orders as far as the weight store has room.
+func (r *round) sendStaging(room int) {
+	for _, s := range r.staging {
+		if room <= 0 {
+			return
+		}
+		if s.vm.note.staging != "" || !r.mayOrder(s.vm) || r.taken[s.vm.target.VM] {
+			continue
+		}
+		room--
+		r.noteLoad()
+		s.vm.note.staging = s.model
+		s.vm.note.stagingAt = r.now
+		r.out.Orders = append(r.out.Orders, SendOrder{
+			VM:          s.vm.target.VM,
+			Incarnation: s.vm.target.Incarnation,
+			Address:     s.vm.target.Address,
+			Order:       sardine.Order{VM: s.vm.target.VM, Model: s.model, Stage: true},
+		})
+	}
+}
--- a/plan/view.go
+++ b/plan/view.go
@@ -181,6 +181,7 @@
 	spares   map[sardine.FabricDomain][]*groupView
 	reserved map[sardine.FabricDomain]reserve
 	wants    map[stockKey]int // further spares that a swap needs
+	staging  []stagePlan
 	loading  int
 	known    []sardine.FabricDomain
 	// failureRate is per VM and second, 0 until it is asked for
