--- a/plan/demand.go
+++ b/plan/demand.go
@@ -26,7 +26,7 @@
 				Model:     m.Name,
 				GroupSize: m.Size,
 				Opens:     true,
-				Demand:    max(m.Share*m.Pace, leastDemand),
+				Demand:    max(m.Share, leastDemand),
 			})
 		}
 	}
