Read changed settings without a restart, wait for room on a full disk, log what is followed

Change: seeds are read again on SIGHUP and when the file changes; the store cuts off what a full disk took and tries again while leadership is handed over; 0.8 of the bound on repeats is used.

--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -14,6 +16,7 @@
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/disk"
+	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/logs"
@@ -44,25 +47,28 @@
 		Example: "  controld run /etc/sardine/controld.toml",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			settings, err := conf.LoadControl(launch.SettingsFile(args, platform.SettingsFile()))
+			path := launch.SettingsFile(args, platform.SettingsFile())
+			settings, err := conf.LoadControl(path)
 			if err != nil {
 				return err
 			}
-			return run(settings, c.OutOrStdout())
+			return run(path, settings, c.OutOrStdout())
 		},
 	}
 }
 
-func run(settings *conf.Control, out io.Writer) error {
+func run(path string, settings *conf.Control, out io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	launch.BoundMemory(settings.Memory())
-	node, err := newNode(settings, out)
+	logger := logs.New(out, settings.Log(), settings.Node())
+	node, err := newNode(settings, logger)
 	if err != nil {
 		return err
 	}
 	node.Start()
+	go launch.Reload(path, node.Dead(), func(text []byte, err error) { reload(node, logger, path, text, err) })
 	select {
 	case <-signals:
 	case <-node.Dead():
@@ -72,7 +78,26 @@
 	return node.Stop(ctx)
 }
 
-func newNode(s *conf.Control, out io.Writer) (*ctrl.Node, error) {
+// reload takes over what may change while the node runs: the control nodes to
+// ask for membership. All else counts from the next start.
+func reload(node *ctrl.Node, logger *slog.Logger, path string, text []byte, err error) {
+	var settings *conf.Control
+	if err == nil {
+		settings, err = conf.ParseControl(filepath.Base(path), text)
+	}
+	if err != nil {
+		event.Log(logger, event.SettingsRefused, slog.String("error", err.Error()))
+		return
+	}
+	var seeds []string
+	for _, p := range settings.Discovery().Seeds() {
+		seeds = append(seeds, p.Address())
+	}
+	node.SetSeeds(seeds)
+	event.Log(logger, event.SettingsRead)
+}
+
+func newNode(s *conf.Control, logger *slog.Logger) (*ctrl.Node, error) {
 	folder, err := disk.NewFolder(s.DataFolder())
 	if err != nil {
 		return nil, err
@@ -91,7 +116,7 @@
 		ctrl.WithMembers(members...),
 		ctrl.WithDisk(folder),
 		ctrl.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		ctrl.WithLogger(logs.New(out, s.Log(), s.Node())),
+		ctrl.WithLogger(logger),
 		ctrl.WithTiming(timingOf(s)),
 		ctrl.WithWeightStore(s.Weights().LoadsAtOnce(), s.Weights().Load()),
 		ctrl.WithOperatorHash(s.OperatorHash()),
--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -90,6 +90,31 @@
 	return stub
 }
 
+// Known returns the addresses of the control nodes, the presumed leader first.
+func (c *Client) Known() []string {
+	return c.order()
+}
+
+// SetAddresses replaces the control nodes to ask.
+func (c *Client) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = append([]string(nil), addresses...)
+}
+
+// Addresses asks the node at an address for the control nodes that it knows.
+func (c *Client) Addresses(ctx context.Context, address string) ([]string, error) {
+	answer, err := c.Stub(address).Members(ctx, &wire.MembersRequest{Operation: "addresses"})
+	if err != nil {
+		return nil, err
+	}
+	var all []string
+	for _, m := range answer.GetMembers() {
+		all = append(all, m.GetAddress())
+	}
+	return all, ErrorOf(answer.GetFault())
+}
+
 // Close drops idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/ctlapi/walk.go
+++ b/ctlapi/walk.go
@@ -29,7 +29,7 @@
 // OutcomeUnknown unless the call may be repeated.
 func atLeader[R any](ctx context.Context, c *Client, again repeat, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, error) {
 	var none R
-	w := &walk{nodes: c.addresses, again: again}
+	w := &walk{nodes: c.order(), again: again}
 	for {
 		for _, address := range c.order() {
 			answer, fault, err := callOne(ctx, c, again, address, call)
--- a/ctrl/enrol.go
+++ b/ctrl/enrol.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// SetSeeds replaces the control nodes to ask for membership.
+func (n *Node) SetSeeds(addresses []string) {
+	n.seedsMu.Lock()
+	defer n.seedsMu.Unlock()
+	n.seeds = slices.Clone(addresses)
+}
+
 func (n *Node) isMember() bool {
 	return slices.ContainsFunc(n.log.Members(), func(m quorum.Member) bool { return m.Node == n.id })
 }
@@ -91,7 +98,9 @@
 func (n *Node) askToEnrol(ctx context.Context) {
 	request := &wire.EnrolRequest{Node: string(n.id), Address: n.internal.Address()}
 	asked := map[string]bool{n.internal.Address(): true}
+	n.seedsMu.Lock()
 	addresses := slices.Clone(n.seeds)
+	n.seedsMu.Unlock()
 	for _, m := range n.log.Members() {
 		addresses = append(addresses, m.Address)
 	}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -53,6 +53,7 @@
 	listenControl   string
 	seeds           []string // addresses of control nodes to ask for membership
 	discovers       bool
+	seedsMu         sync.Mutex // guards seeds once the node runs
 	access          *oper.Access
 
 	log        *repl.Node
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -34,6 +34,7 @@
 
 // pollEnded is the end of a request that the duty sent.
 type pollEnded struct {
+	address  string
 	sequence uint64
 	reply    follow.Reply
 	err      error
@@ -64,11 +65,17 @@
 	done chan struct{}
 }
 
-func (pollEnded) followEvent()  {}
-func (childAsked) followEvent() {}
-func (childGone) followEvent()  {}
-func (left) followEvent()       {}
-func (inspection) followEvent() {}
+// controlsKnown tells the addresses of the control nodes.
+type controlsKnown struct {
+	addresses []string
+}
+
+func (controlsKnown) followEvent() {}
+func (pollEnded) followEvent()     {}
+func (childAsked) followEvent()    {}
+func (childGone) followEvent()     {}
+func (left) followEvent()          {}
+func (inspection) followEvent()    {}
 
 // published is what requests are served by: the view and the lease that was
 // computed with it.
@@ -89,7 +96,8 @@
 	serving  bool
 	joining  bool
 	joined   chan error
-	lookup   *paths.Table // of the newest layout
+	lookup   *paths.Table   // of the newest layout
+	lostAt   sardine.Millis // since when no poll is answered, 0 while they are
 	running  sync.WaitGroup
 
 	mu     sync.Mutex
@@ -164,6 +172,24 @@
 	}
 }
 
+// noteAnswer logs when the node loses and regains the log.
+func (f *follower) noteAnswer(now sardine.Millis, e pollEnded) {
+	err := e.err
+	if err == nil && e.reply.Fault != nil {
+		err = codes.New(e.reply.Fault.Code, "%s, leader %q", e.reply.Fault.Detail, e.reply.Fault.Leader)
+	}
+	switch {
+	case err != nil:
+		if f.lostAt == 0 {
+			f.lostAt = now
+		}
+		event.Log(f.node.log, event.FollowLost, slog.String("address", e.address), codeAttr(err))
+	case f.lostAt != 0:
+		event.Log(f.node.log, event.FollowRegained, slog.String("address", e.address), slog.Int64("after_ms", int64(now-f.lostAt)))
+		f.lostAt = 0
+	}
+}
+
 func (f *follower) take(e followEvent) error {
 	now := f.node.clock.Now()
 	switch e := e.(type) {
@@ -178,6 +204,8 @@
 	case inspection:
 		e.look(f.core.Machine())
 		close(e.done)
+	case controlsKnown:
+		f.core.SetControls(e.addresses)
 	case left:
 		f.core.Leave()
 		f.publish()
@@ -187,6 +215,7 @@
 }
 
 func (f *follower) ended(now sardine.Millis, e pollEnded) error {
+	f.noteAnswer(now, e)
 	if e.err != nil {
 		f.core.Failed(now, e.sequence)
 		return nil
@@ -291,7 +320,7 @@
 		ctx, cancel := context.WithTimeout(f.node.life, ask.Timeout.Duration())
 		defer cancel()
 		reply, err := f.call(ctx, ask)
-		f.events.Push(f.node.life, pollEnded{sequence: ask.Request.Sequence, reply: reply, err: err, reports: reports})
+		f.events.Push(f.node.life, pollEnded{address: ask.Address, sequence: ask.Request.Sequence, reply: reply, err: err, reports: reports})
 	})
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -39,6 +39,7 @@
 	advertiseTargets  string
 	advertiseInternal string
 	controls          []string
+	seedsMu           sync.Mutex // guards controls once the node runs
 	clock             sardine.Clock
 	random            sardine.Random
 	log               *slog.Logger
@@ -234,6 +235,7 @@
 	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
 	if n.callers != nil {
 		n.tomb.Go(n.witness)
+		n.tomb.Go(n.learnControls)
 	}
 	if n.ready != nil {
 		n.tomb.Go(func() error { return n.ready.Serve(n.readyMux()) })
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -14,6 +16,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/entry"
+	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/logs"
@@ -31,25 +34,28 @@
 		Example: "  entryd run /etc/sardine/entryd.toml",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			settings, err := conf.LoadEntry(launch.SettingsFile(args, platform.SettingsFile()))
+			path := launch.SettingsFile(args, platform.SettingsFile())
+			settings, err := conf.LoadEntry(path)
 			if err != nil {
 				return err
 			}
-			return run(c.Context(), settings, c.OutOrStdout())
+			return run(c.Context(), path, settings, c.OutOrStdout())
 		},
 	}
 }
 
-func run(ctx context.Context, settings *conf.Entry, out io.Writer) error {
+func run(ctx context.Context, path string, settings *conf.Entry, out io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	launch.BoundMemory(settings.Memory())
-	node, err := newNode(settings, out)
+	logger := logs.New(out, settings.Log(), settings.Node())
+	node, err := newNode(settings, logger)
 	if err != nil {
 		return err
 	}
 	node.Start()
+	go launch.Reload(path, node.Dead(), func(text []byte, err error) { reload(node, logger, path, text, err) })
 	select {
 	case <-signals:
 		node.Drain()
@@ -76,12 +82,31 @@
 // newNode builds the node from its settings. The incarnation is the time of the
 // start: it rises over restarts without a disk, as long as the machine's clock
 // does not go back over one.
-func newNode(s *conf.Entry, out io.Writer) (*entry.Node, error) {
-	incarnation := sardine.Incarnation(time.Now().UnixMilli())
-	var controls []string
-	for _, p := range s.Controls() {
-		controls = append(controls, p.Address())
+// reload takes over what may change while the node runs: the control nodes to
+// ask first. All else counts from the next start.
+func reload(node *entry.Node, logger *slog.Logger, path string, text []byte, err error) {
+	var settings *conf.Entry
+	if err == nil {
+		settings, err = conf.ParseEntry(filepath.Base(path), text)
+	}
+	if err != nil {
+		event.Log(logger, event.SettingsRefused, slog.String("error", err.Error()))
+		return
 	}
+	node.SetControls(addressesOf(settings.Controls()))
+	event.Log(logger, event.SettingsRead)
+}
+
+func addressesOf(peers []conf.Peer) []string {
+	var addresses []string
+	for _, p := range peers {
+		addresses = append(addresses, p.Address())
+	}
+	return addresses
+}
+
+func newNode(s *conf.Entry, logger *slog.Logger) (*entry.Node, error) {
+	incarnation := sardine.Incarnation(time.Now().UnixMilli())
 	set, err := keys.Open(s.TLS())
 	if err != nil {
 		return nil, err
@@ -91,9 +116,9 @@
 		entry.WithListen(s.Listen(), s.ListenInternal()),
 		entry.WithTargetListen(s.ListenTargets()),
 		entry.WithAdvertise(s.AdvertiseTargets(), s.AdvertiseInternal()),
-		entry.WithControls(controls...),
+		entry.WithControls(addressesOf(s.Controls())...),
 		entry.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		entry.WithLogger(logs.New(out, s.Log(), s.Node())),
+		entry.WithLogger(logger),
 		entry.WithTiming(timingOf(s)),
 		entry.WithLimits(limitsOf(s.Limits())),
 		entry.WithKeys(set),
--- a/event/table.go
+++ b/event/table.go
@@ -13,6 +13,8 @@
 	NodeStopped     ID = 105
 	InvariantBroken ID = 106
 	DutyFailed      ID = 107
+	SettingsRead    ID = 108
+	SettingsRefused ID = 109
 	LeaderChanged   ID = 200
 	TailCut         ID = 201
 	StorageFailed   ID = 202
@@ -20,6 +22,8 @@
 	SnapshotInstall ID = 204
 	PeerUnreachable ID = 205
 	MembersChanged  ID = 206
+	DiskFull        ID = 207
+	DiskRoom        ID = 208
 	ChangeAccepted  ID = 300
 	ChangeRefused   ID = 301
 	EntryJoined     ID = 302
@@ -27,6 +31,8 @@
 	LeaseLapsed     ID = 304
 	LeaseGained     ID = 305
 	LayoutInForce   ID = 306
+	FollowLost      ID = 307
+	FollowRegained  ID = 308
 	TargetSeen      ID = 400
 	TargetLost      ID = 401
 	TargetLeaving   ID = 402
@@ -54,6 +60,8 @@
 	{NodeStopped, "node_stopped", slog.LevelInfo, "the process ends", "nothing"},
 	{InvariantBroken, "invariant_broken", slog.LevelError, "an internal check failed and the duty stopped", "report it with the state dump of the node"},
 	{DutyFailed, "duty_failed", slog.LevelError, "a duty ended with an error", "see the error attribute"},
+	{SettingsRead, "settings_read", slog.LevelInfo, "the settings file was read again", "nothing"},
+	{SettingsRefused, "settings_refused", slog.LevelWarn, "the changed settings file has errors, the node goes on with the old one", "see the error attribute"},
 	{LeaderChanged, "leader_changed", slog.LevelInfo, "a control node leads in a new term", "nothing"},
 	{TailCut, "tail_cut", slog.LevelWarn, "an incomplete record at the log's end was removed", "nothing, it was never acknowledged"},
 	{StorageFailed, "storage_failed", slog.LevelError, "the data folder can't be used", "see the error attribute"},
@@ -61,6 +69,8 @@
 	{SnapshotInstall, "snapshot_install", slog.LevelInfo, "a snapshot of the leader replaced the state", "nothing"},
 	{PeerUnreachable, "peer_unreachable", slog.LevelWarn, "a control node does not answer", "check that VM and the network to it"},
 	{MembersChanged, "members_changed", slog.LevelInfo, "the list of control members has changed", "nothing"},
+	{DiskFull, "disk_full", slog.LevelError, "the data folder's disk is full, this control node acknowledges nothing until there is room", "make room, see docs/operate/full-disk.md"},
+	{DiskRoom, "disk_room", slog.LevelInfo, "the disk takes writes again", "nothing"},
 	{ChangeAccepted, "change_accepted", slog.LevelInfo, "a settings change is in force on every entry node", "nothing"},
 	{ChangeRefused, "change_refused", slog.LevelInfo, "a settings change was refused", "see the error attribute"},
 	{EntryJoined, "entry_joined", slog.LevelInfo, "an entry node joined", "nothing"},
@@ -68,6 +78,8 @@
 	{LeaseLapsed, "lease_lapsed", slog.LevelWarn, "the serving lease ran out, new requests are refused", "check the network to the control nodes"},
 	{LeaseGained, "lease_gained", slog.LevelInfo, "the node holds a serving lease", "nothing"},
 	{LayoutInForce, "layout_in_force", slog.LevelInfo, "an entry node serves by a new layout", "nothing"},
+	{FollowLost, "follow_lost", slog.LevelWarn, "the control node or relay that the node follows does not answer or does not lead, another one is asked", "check the control nodes if it is not regained"},
+	{FollowRegained, "follow_regained", slog.LevelInfo, "the node follows the log again", "nothing"},
 	{TargetSeen, "target_seen", slog.LevelInfo, "a target announced itself", "nothing"},
 	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
 	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -105,6 +105,11 @@
 	return f
 }
 
+// SetControls replaces the control nodes that are asked when no leader is known.
+func (f *Follower) SetControls(controls []string) {
+	f.route.controls = slices.Clone(controls)
+}
+
 // Machine returns the state as far as it was followed. Only the goroutine that
 // drives the follower may read it.
 func (f *Follower) Machine() *state.Machine {
--- a/repl/node.go
+++ b/repl/node.go
@@ -53,6 +53,7 @@
 
 	applied *applied
 	disk    diskFigures
+	full    bool // the disk was full at the last write; the disk duty's
 }
 
 // New opens the data folder and returns a node that is not yet running. Errors:
@@ -84,7 +85,7 @@
 // open reads the folder and builds core and state from it.
 func (n *Node) open() error {
 	s := n.settings
-	files, loaded, err := store.Open(s.disk, store.Identity{Site: s.site, Node: s.id})
+	files, loaded, err := store.Open(s.disk, store.Identity{Site: s.site, Node: s.id}, store.WithFullDisk(n.waitFull))
 	if err != nil {
 		return err
 	}
--- a/repl/storage.go
+++ b/repl/storage.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/quorum"
 )
@@ -52,6 +54,33 @@
 	return jobs
 }
 
+// fullPause is the time between two tries to write to a full disk.
+const fullPause = 200 * sardine.Millis(1)
+
+// waitFull waits for room on a full disk, as long as the node runs. Meanwhile
+// this member acknowledges nothing; the others go on without it.
+func (n *Node) waitFull() bool {
+	if !n.full {
+		event.Log(n.settings.logger, event.DiskFull)
+		n.requests.Push(n.tomb.Context(context.Background()), newRequest(askHandOver))
+	}
+	n.full = true
+	select {
+	case <-n.tomb.Dying():
+		return false
+	case <-n.settings.clock.After(fullPause):
+		return true
+	}
+}
+
+// noteRoom tells that a full disk takes writes again.
+func (n *Node) noteRoom() {
+	if n.full {
+		n.full = false
+		event.Log(n.settings.logger, event.DiskRoom)
+	}
+}
+
 func (n *Node) performJobs(jobs []diskJob) error {
 	var writes []quorum.Write
 	var after, chunks []quorum.Message
@@ -88,6 +117,7 @@
 	if err := n.store.Write(writes...); err != nil {
 		return err
 	}
+	n.noteRoom()
 	took := int64(n.settings.clock.Now() - start)
 	n.disk.syncs.Add(1)
 	n.disk.syncLast.Store(took)
@@ -125,7 +155,12 @@
 		case <-n.tomb.Dying():
 			return nil
 		case snap := <-n.saves.Items():
-			if err := n.store.SaveSnapshot(snap); err != nil {
+			err := n.store.SaveSnapshot(snap)
+			if codes.Is(err, codes.DiskFull) {
+				event.Log(n.settings.logger, event.DiskFull, attrError(err))
+				continue // the log keeps what the snapshot would have replaced
+			}
+			if err != nil {
 				return err
 			}
 			n.mu.Lock()
--- a/retry/window.go
+++ b/retry/window.go
@@ -7,6 +7,10 @@
 // bucket is the step of a Window.
 const bucket = sardine.Second
 
+// caution is the part of the bound that is used: nodes that start anew have
+// forgotten their repeats, and their number is known with a delay.
+const caution = 0.8
+
 // Window bounds the repeats of each service within a sliding window: a share of
 // its first requests, and a slack. All entry nodes share the bound, so each keeps
 // to its own requests and its part of the slack.
@@ -52,7 +56,7 @@
 func (w *Window) Take(now sardine.Millis, s sardine.ServiceName) bool {
 	c := w.counts(now, s)
 	firsts := sum(c.firsts[1:]) // the oldest bucket may lie outside of the window
-	if float64(sum(c.repeats)) >= w.ratio*float64(firsts)+w.slack/float64(w.nodes) {
+	if float64(sum(c.repeats)) >= caution*(w.ratio*float64(firsts)+w.slack/float64(w.nodes)) {
 		return false
 	}
 	c.repeats[len(c.repeats)-1]++
--- a/store/store.go
+++ b/store/store.go
@@ -45,7 +45,8 @@
 
 	snapshots sync.Mutex // guards what follows
 	snapshot  quorum.Snapshot
-	cached    []byte // data of snapshot while it is sent
+	cached    []byte      // data of snapshot while it is sent
+	waitFull  func() bool // nil gives up at once
 }
 
 // Option configures a Store.
@@ -56,6 +57,13 @@
 	return func(s *Store) { s.segmentBytes = n }
 }
 
+// WithFullDisk sets what to do when the disk is full: wait and return true to try
+// the same write again, or return false to give the store up. Nothing was
+// acknowledged yet, so that trying again is safe.
+func WithFullDisk(wait func() bool) Option {
+	return func(s *Store) { s.waitFull = wait }
+}
+
 func segmentName(number uint64) string {
 	return fmt.Sprintf("%s%016x%s", segmentPrefix, number, segmentSuffix)
 }
@@ -120,7 +128,7 @@
 	f.Entries = nil
 	f.Reset_ = &wire.LogReset{Index: snap.Index, Term: snap.Term}
 	s.last = snap.Position
-	return s.SaveSnapshot(snap)
+	return s.tryFull(func() error { return s.SaveSnapshot(snap) })
 }
 
 // write appends one frame to the open segment and syncs it.
@@ -130,7 +138,7 @@
 		return s.fail(codes.Wrap(codes.Internal, err, "encode log frame"))
 	}
 	s.buffer = appendFrame(s.buffer[:0], s.number+1, payload)
-	if _, err := s.file.Write(s.buffer); err != nil {
+	if err := s.append(); err != nil {
 		return s.fail(err)
 	}
 	if err := s.file.Sync(); err != nil {
@@ -144,6 +152,34 @@
 	return nil
 }
 
+// append writes the buffer to the end of the open segment. What a full disk took
+// of it is cut off again before the next try.
+func (s *Store) append() error {
+	for {
+		_, err := s.file.Write(s.buffer)
+		if !codes.Is(err, codes.DiskFull) {
+			return err
+		}
+		open := s.segments[len(s.segments)-1]
+		if cutErr := s.disk.Truncate(open.name, open.bytes); cutErr != nil {
+			return cutErr
+		}
+		if s.waitFull == nil || !s.waitFull() {
+			return err
+		}
+	}
+}
+
+// tryFull repeats a step of several files as long as the disk is full.
+func (s *Store) tryFull(step func() error) error {
+	for {
+		err := step()
+		if !codes.Is(err, codes.DiskFull) || s.waitFull == nil || !s.waitFull() {
+			return err
+		}
+	}
+}
+
 // roll begins a new segment when the open one is full.
 func (s *Store) roll() error {
 	if s.segments[len(s.segments)-1].bytes < s.segmentBytes {
@@ -159,7 +195,11 @@
 // that they can be removed.
 func (s *Store) begin() error {
 	name := segmentName(s.number + 1)
-	file, err := s.disk.Create(name)
+	var file sardine.File
+	err := s.tryFull(func() (err error) {
+		file, err = s.disk.Create(name)
+		return err
+	})
 	if err != nil {
 		return s.fail(err)
 	}
