--- a/entry/follow.go
+++ b/entry/follow.go
@@ -97,6 +97,7 @@
 	joining  bool
 	joined   chan error
 	lookup   *paths.Table   // of the newest layout
+	saidAt   sardine.Millis // last line about a loss
 	lostAt   sardine.Millis // since when no poll is answered, 0 while they are
 	running  sync.WaitGroup
 
@@ -182,7 +183,10 @@
 	case err != nil:
 		if f.lostAt == 0 {
 			f.lostAt = now
+		} else if now < f.saidAt+sardine.Second {
+			return
 		}
+		f.saidAt = now
 		event.Log(f.node.log, event.FollowLost, slog.String("address", e.address), codeAttr(err))
 	case f.lostAt != 0:
 		event.Log(f.node.log, event.FollowRegained, slog.String("address", e.address), slog.Int64("after_ms", int64(now-f.lostAt)))
--- a/follow/rules.go
+++ b/follow/rules.go
@@ -34,8 +34,10 @@
 	// cut off.
 	RelayRest = 1 * sardine.Second
 	// ControlRest is how long a follower avoids a control node that did not
-	// answer, if there are others.
-	ControlRest = 3 * sardine.Second
+	// answer, if there are others. It is well below the time in which a change
+	// must be in force, so that a node which was cut off from the leader alone
+	// finds it again in time.
+	ControlRest = 700 * sardine.Millis(1)
 	// ElectionPause bounds the pause after a control node that knows no leader.
 	ElectionPause = sardine.Millis(100)
 	// BackoffFirst bounds the pause after the first failed poll. Each pause is
