Choose engines by own requests and a share of the others', and rank requests there

Change: a node's own requests count fully, the others' as those of one more node; entry nodes learn each other's requests by the witness; requests that can't begin in time wait behind those that can, and beyond 1.5 batches are refused.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -174,21 +174,21 @@
 
 // Witness tells what an entry node sees of targets. It is sent anew soon, so
 // that only the presumed leader is asked, or the next node without one.
-func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) error {
+func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) ([]*wire.Crowd, error) {
 	address := c.order()[0]
 	answer, err := c.Stub(address).Witness(ctx, request)
 	if err != nil {
 		c.forget(address)
-		return err
+		return nil, err
 	}
 	failed := ErrorOf(answer.GetFault())
 	if failed == nil {
 		c.remember(address)
-		return nil
+		return answer.GetCrowds(), nil
 	}
 	c.forgetLeader(address)
 	c.follow(failed)
-	return failed
+	return nil, failed
 }
 
 // forgetLeader notes that a node says it does not lead.
--- a/ctrl/witness.go
+++ b/ctrl/witness.go
@@ -12,14 +12,14 @@
 
 // Witness takes what an entry node sees of targets through its requests.
 func (n *Node) Witness(_ context.Context, r *wire.WitnessRequest) (*wire.WitnessReply, error) {
-	stalled, err := n.leadership.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
+	stalled, crowds, err := n.leadership.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
 	if err != nil {
 		return &wire.WitnessReply{Fault: ctlapi.FaultOf(n.redirect(err))}, nil
 	}
 	if stalled {
 		n.wakeLeader()
 	}
-	return &wire.WitnessReply{}, nil
+	return &wire.WitnessReply{Crowds: crowdsToWire(crowds)}, nil
 }
 
 func signsOf(all []*wire.Sign) []fleet.Sign {
@@ -42,17 +42,31 @@
 	return signs
 }
 
+func crowdsToWire(all []fleet.Crowd) []*wire.Crowd {
+	crowds := make([]*wire.Crowd, 0, len(all))
+	for _, c := range all {
+		crowds = append(crowds, &wire.Crowd{
+			Group:       string(c.Group),
+			Epoch:       uint64(c.Epoch),
+			Vm:          string(c.VM),
+			Incarnation: uint64(c.Incarnation),
+			Flights:     uint32(c.Flights),
+		})
+	}
+	return crowds
+}
+
 // witness hands an entry node's signs to the fleet and reports whether one of
-// them tells of a standstill.
-func (l *leadership) witness(now sardine.Millis, node sardine.NodeID, signs []fleet.Sign) (stalled bool, err error) {
+// them tells of a standstill, and what all nodes have in flight.
+func (l *leadership) witness(now sardine.Millis, node sardine.NodeID, signs []fleet.Sign) (stalled bool, crowds []fleet.Crowd, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term == 0 {
-		return false, codes.New(codes.NotLeader, "this control node does not lead")
+		return false, nil, codes.New(codes.NotLeader, "this control node does not lead")
 	}
 	l.fleet.Witness(now, node, signs)
 	for _, s := range signs {
 		stalled = stalled || s.Stalled
 	}
-	return stalled, nil
+	return stalled, l.fleet.Crowds(), nil
 }
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -9,6 +9,7 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/retry"
 	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/wire"
 )
 
 // refusal is an error that says when the caller may come back.
@@ -188,6 +189,22 @@
 	g.router.Load(g.clock.Now(), ref, l)
 }
 
+// crowds takes how many requests all entry nodes have in flight at targets.
+func (g *gate) crowds(all []*wire.Crowd) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for _, c := range all {
+		ref := route.Ref{
+			Group:       sardine.GroupID(c.GetGroup()),
+			Epoch:       sardine.Epoch(c.GetEpoch()),
+			VM:          sardine.VMID(c.GetVm()),
+			Incarnation: sardine.Incarnation(c.GetIncarnation()),
+		}
+		g.router.Load(now, ref, sardine.Load{Running: int(c.GetFlights())})
+	}
+}
+
 // mayRetry decides whether a failed dispatch may be sent again.
 func (g *gate) mayRetry(w sardine.Workspace, ran sardine.Ran, idempotent bool, attempts int) retry.Decision {
 	g.mu.Lock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -151,7 +151,7 @@
 		n.targetTransport = n.ownTransport
 	}
 	n.client = serve.NewClient(n.targetTransport)
-	n.gate = newGate(n.clock, n.random, route.New(n.random))
+	n.gate = newGate(n.clock, n.random, route.New(n.random, n.routeOptions()...))
 	if n.callers != nil {
 		n.pool = pool.New(n.clock)
 		n.proxy = proxy.NewClient(n.pool, n.targetPort)
@@ -199,6 +199,15 @@
 	return nil
 }
 
+// routeOptions returns how targets are chosen. Behind the ports engines keep no
+// prompt after its request, so that their load alone counts.
+func (n *Node) routeOptions() []route.Option {
+	if n.callers == nil {
+		return nil
+	}
+	return []route.Option{route.WithPolicy(route.Batch), route.WithHints(0)}
+}
+
 func orElse(value, other string) string {
 	if value == "" {
 		return other
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -38,6 +38,7 @@
 	began    bool          // the caller has the answer's head
 	last     string        // id of the last event that was passed on
 	flight   *vital.Flight // of the attempt
+	rank     int           // of the attempt at its engine, negative for none
 }
 
 // routedMux serves callers by the layout's routes.
@@ -250,9 +251,50 @@
 		n.gate.finish(choice, route.End{Abort: true})
 		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
 	}
+	if !q.placeIn(choice.Requests) {
+		n.gate.finish(choice, route.End{Abort: true})
+		return nil, codes.New(codes.QueueFull, "the least loaded target has %.0f requests already", choice.Requests)
+	}
 	return choice, nil
 }
 
+// Ranks of requests at an engine, which takes lower ones first.
+const (
+	rankPrompt  = 3 // can still begin in time
+	rankResumed = 5 // goes on after a break
+	rankLate    = 7 // begins late anyhow: served when nothing else waits
+)
+
+// Parts of an engine's batch that may wait before it.
+const (
+	// promptShare is how many may wait so that the last of them still begins
+	// within usual objectives: a batch turns over in about a second.
+	promptShare = 0.2
+	// waitingShare is how many may wait at all. Engines take a little more.
+	waitingShare = 1.5
+)
+
+// placeIn ranks the request by the requests at its target, and reports whether it
+// may go there at all.
+func (q *routed) placeIn(requests float64) bool {
+	q.rank = -1
+	service := q.node.view().table.Service(q.name)
+	if service == nil || service.Engine == nil || service.Engine.Slots == 0 {
+		return true
+	}
+	slots := float64(service.Engine.Slots)
+	late := q.node.clock.Now()-q.arrived > q.route.Objective
+	switch {
+	case q.last != "":
+		q.rank = rankResumed
+	case late || requests >= slots*(1+promptShare):
+		q.rank = rankLate
+	default:
+		q.rank = rankPrompt
+	}
+	return requests < slots*(1+waitingShare)
+}
+
 func (q *routed) exchange(choice *route.Choice) proxy.Exchange {
 	c := choice.Candidate
 	last := q.call.LastEvent
@@ -263,7 +305,7 @@
 		Target:    c.Head,
 		Patience:  q.deadline - q.node.clock.Now(),
 		LastEvent: last,
-		Rank:      -1,
+		Rank:      q.rank,
 	}
 	if q.tenant != nil {
 		d.Workspace = q.tenant.Name
--- a/entry/witness.go
+++ b/entry/witness.go
@@ -42,7 +42,11 @@
 	for _, s := range signs {
 		request.Signs = append(request.Signs, signToWire(s))
 	}
-	_ = n.control.Witness(ctx, request) // the next report says it all anew
+	crowds, err := n.control.Witness(ctx, request)
+	if err != nil {
+		return // the next report says it all anew
+	}
+	n.gate.crowds(crowds)
 }
 
 func signToWire(s vital.Sign) *wire.Sign {
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -79,6 +79,30 @@
 	return count, true
 }
 
+// Crowd is how many requests entry nodes have in flight at a group or a plain
+// target.
+type Crowd struct {
+	Group       sardine.GroupID
+	Epoch       sardine.Epoch
+	VM          sardine.VMID
+	Incarnation sardine.Incarnation
+	Flights     int
+}
+
+// Crowds returns what entry nodes have in flight, as far as they have told
+// lately.
+func (l *Leader) Crowds() []Crowd {
+	crowds := make([]Crowd, 0, len(l.witnesses))
+	for key, w := range l.witnesses {
+		c := Crowd{Group: key.group, Epoch: key.epoch, VM: key.vm, Incarnation: key.incarnation}
+		for _, n := range w.flights {
+			c.Flights += n
+		}
+		crowds = append(crowds, c)
+	}
+	return crowds
+}
+
 // viewGroups notes to which group's epoch each VM belongs, as the log says.
 func (l *Leader) viewGroups(m *state.Machine) {
 	if l.groupsAt == m.FleetIndex() && l.memberOf != nil {
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -70,6 +70,7 @@
 type Choice struct {
 	Candidate Candidate
 	Expected  sardine.Millis // expected time to first token
+	Requests  float64        // estimated requests at the target, without this one
 	Hinted    bool           // a cache hint decided
 
 	target   *target
--- a/route/options.go
+++ b/route/options.go
@@ -19,11 +19,12 @@
 	TwoChoices                      // the less loaded of two random candidates
 	Rendezvous                      // hash of the prefix, with bounded load
 	Hints                           // the hinted holder of the longest prefix, else the least loaded
+	Batch                           // the least loaded for its speed, for engines that keep no prompt
 )
 
 // String returns the policy's name in settings and measurements.
 func (p Policy) String() string {
-	names := [...]string{"none", "mixed", "random", "least_in_flight", "two_choices", "rendezvous", "hints"}
+	names := [...]string{"none", "mixed", "random", "least_in_flight", "two_choices", "rendezvous", "hints", "batch"}
 	if int(p) < len(names) {
 		return names[p]
 	}
