--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -62,7 +62,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	launch.BoundMemory(settings.Memory())
-	logger := logs.New(out, settings.Log(), settings.Node())
+	lines := logs.NewAsync(out)
+	defer lines.Close()
+	logger := logs.New(lines, settings.Log(), settings.Node())
 	node, err := newNode(settings, logger)
 	if err != nil {
 		return err
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
@@ -130,6 +132,7 @@
 	for {
 		err := q.attempt(ctx)
 		if err == nil {
+			q.served()
 			return
 		}
 		if ctx.Err() != nil {
@@ -143,6 +146,20 @@
 	}
 }
 
+// servedShare is the number of served requests of which one is logged. All lines
+// of one request are kept or none, on every node, since its id decides.
+const servedShare = 64
+
+// served logs one of many requests that were answered in full.
+func (q *routed) served() {
+	if xxhash.Sum64String(string(q.call.ID))%servedShare != 0 {
+		return
+	}
+	event.Log(q.node.log, event.RequestServed, requestAttr(q.call.ID), slog.String("route", q.route.Name),
+		slog.String("target", q.tried[len(q.tried)-1].String()), slog.Int("attempts", q.attempts),
+		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Uint64("layout", q.node.view().table.Layout().Number))
+}
+
 // mayRepeat reports whether another target may try: the request has not run, or
 // may run twice, and neither its attempts nor the retry budget are used up.
 func (q *routed) mayRepeat(err error) bool {
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -49,7 +49,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	launch.BoundMemory(settings.Memory())
-	logger := logs.New(out, settings.Log(), settings.Node())
+	lines := logs.NewAsync(out)
+	defer lines.Close()
+	logger := logs.New(lines, settings.Log(), settings.Node())
 	node, err := newNode(settings, logger)
 	if err != nil {
 		return err
--- a/event/table.go
+++ b/event/table.go
@@ -47,6 +47,7 @@
 	StreamResumed   ID = 502
 	RequestPoison   ID = 503
 	AttemptFailed   ID = 504
+	RequestServed   ID = 505
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -89,11 +90,12 @@
 	{GroupReleased, "group_released", slog.LevelInfo, "a group was dissolved and its members are free", "nothing"},
 	{OrderFailed, "order_failed", slog.LevelWarn, "an engine did not take an order", "check that VM"},
 	{TargetStalled, "target_stalled", slog.LevelWarn, "a target with requests in flight has gone silent, they go on elsewhere", "nothing if its group is repaired soon"},
-	{RequestRefused, "request_refused", slog.LevelDebug, "a request was refused before it ran", "see the code attribute"},
+	{RequestRefused, "request_refused", slog.LevelInfo, "a request was refused before it ran", "see the code attribute"},
 	{RequestFailed, "request_failed", slog.LevelWarn, "a request failed after it was dispatched", "see the code attribute"},
 	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
 	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
 	{AttemptFailed, "attempt_failed", slog.LevelInfo, "a target did not answer a request in full", "see the code and target attributes"},
+	{RequestServed, "request_served", slog.LevelInfo, "a request was answered in full; one of many is logged, chosen by its id", "nothing"},
 	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
 	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
 }
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,63 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// TestBurstOfFailuresStaysWithinTheBound lets every request fail on several nodes
+// and counts repeats in every span of the window.
+func TestBurstOfFailuresStaysWithinTheBound(t *testing.T) {
+	const nodes, ratio, slack, seconds, perSecond = 9, 0.2, 136.0, 60, 160
+	windows := make([]*Window, nodes)
+	for i := range windows {
+		windows[i] = NewWindow(ratio, slack, 10*sardine.Second)
+		windows[i].SetNodes(nodes)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	var firsts, repeats []sardine.Millis
+	for ms := range seconds * 1000 {
+		if random.IntN(1000) >= perSecond {
+			continue
+		}
+		now := sardine.Millis(ms)
+		w := windows[random.IntN(nodes)]
+		w.First(now, "s")
+		firsts = append(firsts, now)
+		for range 3 {
+			if w.Take(now, "s") {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	for from := sardine.Millis(0); from < seconds*1000; from += 250 {
+		allowed := ratio*float64(between(firsts, from, from+10*sardine.Second)) + slack
+		require.LessOrEqual(t, float64(between(repeats, from, from+10*sardine.Second)), allowed, "from %d", from)
+	}
+	require.Greater(t, len(repeats), seconds*perSecond/10, "most of the bound is used")
+}
+
+func between(all []sardine.Millis, from, to sardine.Millis) int {
+	count := 0
+	for _, at := range all {
+		if at >= from && at < to {
+			count++
+		}
+	}
+	return count
+}
+
+func TestServicesHaveBoundsOfTheirOwn(t *testing.T) {
+	w := NewWindow(0, 5, 10*sardine.Second)
+	for range 4 {
+		require.True(t, w.Take(0, "a"))
+	}
+	require.False(t, w.Take(0, "a"))
+	require.True(t, w.Take(0, "b"))
+	require.False(t, w.Take(10*sardine.Second, "a"), "the window may still hold them")
+	require.True(t, w.Take(11*sardine.Second, "a"))
+}
--- a/vital/vital.go
+++ b/vital/vital.go
@@ -147,6 +147,7 @@
 			suspects = append(suspects, ref)
 		}
 	}
+	slices.SortFunc(suspects, compareRefs)
 	return suspects
 }
 
--- /dev/null
+++ b/vital/vital_test.go
@@ -0,0 +1,55 @@
+package vital
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/route"
+)
+
+// TestTracker plays scripts: begin, progress, end and unreachable act on flights
+// by name, and each look prints who stalls and who is suspected.
+func TestTracker(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		tracker := New(DefaultLimits())
+		flights := map[string]*Flight{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var at int
+			d.ScanArgs(t, "at", &at)
+			now := sardine.Millis(at)
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				f := strings.Fields(line)
+				switch f[0] {
+				case "begin":
+					flights[f[1]] = tracker.Begin(now, refOf(f[2]))
+				case "progress":
+					tracker.Progress(now, flights[f[1]], len(f) > 2)
+				case "end":
+					tracker.End(flights[f[1]])
+				case "unreachable":
+					tracker.Unreachable(now, refOf(f[1]))
+				case "look":
+					fmt.Fprintf(&out, "stalled %v, suspects %v\n", tracker.Stalled(now), tracker.Suspects(now))
+				case "signs":
+					for _, s := range tracker.Signs(now) {
+						fmt.Fprintf(&out, "%s: %d flights, alive %d, stalled %v\n", s.Ref, s.Flights, s.Alive, s.Stalled)
+					}
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+// refOf reads a group's name, or a plain target's with a leading "vm".
+func refOf(name string) route.Ref {
+	if strings.HasPrefix(name, "vm") {
+		return route.Ref{VM: sardine.VMID(name), Incarnation: 1}
+	}
+	return route.Ref{Group: sardine.GroupID(name), Epoch: 1}
+}
