Plan by demand in the model of the engines, and stage nothing before the fleet is known

Cause: found by the new tests: before the grace after an election ended, every free VM was told to stage the same model. Change: nothing is staged until the fleet has settled; planning stays awake until then. Tests name the patterns: losses in twos with empty ones in return, a domain dark, a spare of the domain, leader changes.

--- a/plan/orders.go
+++ b/plan/orders.go
@@ -41,6 +41,9 @@
 
 // active reports whether something is under way that a round must follow.
 func (r *round) active() bool {
+	if !r.live.Settled() || r.p.newestAt+joinPause > r.now {
+		return true // what is heard, or not heard, until then counts
+	}
 	if len(r.p.pending) > 0 || len(r.out.Orders) > 0 || len(r.wants) > 0 {
 		return true
 	}
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -47,6 +47,9 @@
 // deployment with groups in the domain, then what makes another group whole.
 func (r *round) planStaging() {
 	r.staging = r.staging[:0]
+	if !r.live.Settled() || r.cheap() && r.p.newestAt+joinPause > r.now {
+		return // more VMs may be about to be heard of, and to form groups with these
+	}
 	for _, d := range r.domains() {
 		r.stageDomain(d)
 	}
--- /dev/null
+++ b/standin/fake/demand_test.go
@@ -0,0 +1,180 @@
+package fake
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/plan"
+)
+
+// Sizes of the demand tests: those of one of today's sites.
+const (
+	demandDomains = 6
+	demandEach    = 9
+	demandFrom    = 200 * sardine.Second // callers' requests begin
+)
+
+var demandStock = plan.Store{AtOnce: 6, PerSecond: 4.5, Load: 16 * sardine.Second}
+
+// demandSite returns empty engines and deployments by demand.
+func demandSite() ([]*Engine, []sardine.TeamSettings) {
+	var engines []*Engine
+	for d := range demandDomains {
+		for i := range demandEach {
+			engines = append(engines, demandEngine(d, i))
+		}
+	}
+	team := sardine.TeamSettings{
+		Team:      plan.LayoutTeam,
+		Objective: sardine.Objective{DowntimeWeight: 20, StrandedWeight: 1},
+		Deployments: []sardine.Deployment{
+			{Name: "large", Kind: sardine.KindEngine, Model: "m0", GroupSize: 4, Opens: true, Demand: 0.57},
+			{Name: "small", Kind: sardine.KindEngine, Model: "m1", GroupSize: 3, Opens: true, Demand: 0.43},
+		},
+	}
+	return engines, []sardine.TeamSettings{team}
+}
+
+func demandEngine(domain, i int) *Engine {
+	return &Engine{
+		VM:           sardine.VMID(fmt.Sprintf("vm-%d-%03d", domain, i)),
+		Domain:       sardine.FabricDomain(fmt.Sprintf("domain-%d", domain)),
+		Accelerators: 1,
+		ChecksEpoch:  true,
+	}
+}
+
+// demandWorld returns a world whose requests have just begun.
+func demandWorld(t *testing.T, seed uint64) *World {
+	t.Helper()
+	engines, teams := demandSite()
+	w := NewWorld(seed, engines, teams, WithStock(demandStock), WithBound(missingBound))
+	require.NoError(t, w.Run(demandFrom))
+	w.OpenTraffic()
+	return w
+}
+
+func TestDemandSharesTheGroups(t *testing.T) {
+	w := demandWorld(t, 1)
+	large, small := w.Serving("large"), w.Serving("small")
+	require.Greater(t, 4*large+3*small, demandDomains*demandEach*3/4, "most VMs serve")
+	require.InDelta(t, 0.57/0.43, float64(large)/float64(small), 0.6, "%d large, %d small", large, small)
+}
+
+func TestLoadsBeginTogetherBeforeTraffic(t *testing.T) {
+	engines, teams := demandSite()
+	w := NewWorld(1, engines, teams, WithStock(demandStock), WithBound(missingBound))
+	most := 0
+	for w.now < 30*sardine.Second {
+		require.NoError(t, w.Run(w.now+100))
+		most = max(most, len(w.store.active))
+	}
+	require.Greater(t, most, 6*demandStock.AtOnce, "nobody is delayed yet")
+	require.NoError(t, w.Run(200*sardine.Second))
+	w.OpenTraffic()
+	for i := range 12 {
+		w.Crash(w.engines[i*4])
+		e := demandEngine(i%demandDomains, 100+i)
+		w.Add(e)
+	}
+	for w.now < 260*sardine.Second {
+		require.NoError(t, w.Run(w.now+100))
+		require.LessOrEqual(t, len(w.store.active), demandStock.AtOnce, "at %d", w.now)
+	}
+}
+
+// TestSpareOfTheDomainRepairsAtOnce loses one member of a group whose domain has a
+// VM that holds the model.
+func TestSpareOfTheDomainRepairsAtOnce(t *testing.T) {
+	w := demandWorld(t, 2)
+	require.NoError(t, w.Run(w.now+60*sardine.Second))
+	before := w.Serving("large")
+	var victim sardine.Group
+	for _, g := range w.truth.Groups() {
+		if g.Service == "large" && w.stagedSpare(g) {
+			victim = g
+		}
+	}
+	require.NotEmpty(t, victim.ID, "some domain has a spare")
+	w.Crash(w.byVM[victim.Members[1].VM])
+	require.NoError(t, w.Run(w.now+lease+2*sardine.Second))
+	require.Equal(t, before, w.Serving("large"))
+}
+
+// stagedSpare reports whether the group's domain has a free VM that holds its
+// model.
+func (w *World) stagedSpare(g sardine.Group) bool {
+	for _, e := range w.engines {
+		_, owned := w.truth.Owner(e.VM)
+		if e.Domain == g.Domain && e.alive && !owned && e.staged == g.Model {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLossesInTwosWithEmptyOnesInReturn is the pattern of spot VMs: two are lost
+// for good every 3.5 s, and as many empty ones come 4 s later. Loads are so slow
+// that they can replace half of the losses; the groups that are whole must be
+// worth more than if every group waited for a load of its own.
+func TestLossesInTwosWithEmptyOnesInReturn(t *testing.T) {
+	for seed := range uint64(8) {
+		w := demandWorld(t, seed)
+		lost, served, instants := 0, 0, 0
+		for step := range 10 {
+			for range 2 {
+				e := w.engines[w.random.IntN(len(w.engines))]
+				if !e.alive {
+					continue
+				}
+				domain := e.Domain
+				w.Crash(e)
+				lost++
+				next := demandEngine(0, 200+20*step+lost)
+				next.Domain = domain
+				w.After(4*sardine.Second, func() { w.Add(next) })
+			}
+			until := w.now + 3500
+			for w.now < until {
+				require.NoError(t, w.Run(w.now+500))
+				served += 4*w.Serving("large") + 3*w.Serving("small")
+				instants++
+			}
+		}
+		mean := float64(served) / float64(instants)
+		require.Greater(t, mean, float64(demandDomains*demandEach)/2, "seed %d: VMs in whole groups after %d losses", seed, lost)
+	}
+}
+
+// TestDomainGoesDarkAndReturns loses a whole domain for some seconds: its hosts
+// keep their model, so that its groups need no load.
+func TestDomainGoesDarkAndReturns(t *testing.T) {
+	w := demandWorld(t, 4)
+	before := w.Serving("large") + w.Serving("small")
+	for _, e := range w.engines {
+		if e.Domain == "domain-2" {
+			w.CrashFor(e, 6700)
+		}
+	}
+	require.NoError(t, w.Run(w.now+6*sardine.Second))
+	require.Less(t, w.Serving("large")+w.Serving("small"), before)
+	require.NoError(t, w.Run(w.now+8*sardine.Second))
+	require.GreaterOrEqual(t, w.Serving("large")+w.Serving("small"), before-1, "less than one load time later")
+}
+
+// TestLeaderChangeKeepsGroups replaces the leader in the middle of repairs.
+func TestLeaderChangeKeepsGroups(t *testing.T) {
+	for seed := range uint64(6) {
+		w := demandWorld(t, 20+seed)
+		for i := range 6 {
+			w.Crash(w.engines[(i*7+int(seed))%len(w.engines)])
+			w.After(sardine.Millis(300*i), func() { w.ChangeLeader(1200, 2000) })
+			require.NoError(t, w.Run(w.now+4*sardine.Second))
+		}
+		require.NoError(t, w.Run(w.now+30*sardine.Second))
+		require.Greater(t, 4*w.Serving("large")+3*w.Serving("small"), demandDomains*demandEach/2)
+	}
+}
--- a/standin/fake/engine.go
+++ b/standin/fake/engine.go
@@ -27,6 +27,9 @@
 	model       sardine.ModelName // of the weights in memory
 	version     string
 	loaded      sardine.Millis // of the load under way, at the full rate
+	staged      sardine.ModelName // on the host, outlives the process
+	staging     sardine.ModelName // that the host loads besides, empty for none
+	stagedBy    sardine.Millis    // of that load, at the full rate
 	slow        float64        // time for a token relative to others
 	beatAt      sardine.Millis // last announcement
 	home        int
@@ -53,10 +56,21 @@
 	e.model = ""
 	e.version = ""
 	e.loaded = 0
+	e.staging = ""
 }
 
 // take carries out an order as far as that needs no load.
 func (e *Engine) take(o sardine.Order) error {
+	if o.Stage {
+		if e.staged != o.Model {
+			e.staging = o.Model
+			e.stagedBy = 0
+		}
+		return nil
+	}
+	if o.Open {
+		return e.open(o)
+	}
 	if e.ChecksEpoch && o.Epoch < e.highest {
 		return codes.New(codes.EpochRefused, "engine %s holds epoch %d, the order has %d", e.VM, e.highest, o.Epoch)
 	}
@@ -69,6 +83,10 @@
 		return nil
 	}
 	e.holding = sardine.Holding{Group: o.Group, Epoch: o.Epoch, Rank: o.Rank, Model: o.Model, Version: o.Version, State: sardine.MemberReady}
+	if e.staged == o.Model {
+		e.model = o.Model
+		e.version = o.Version
+	}
 	if e.model != o.Model || e.version != o.Version {
 		e.holding.State = sardine.MemberLoading
 		e.model = ""
@@ -78,9 +96,19 @@
 	return nil
 }
 
+// open makes rank 0 of a group take requests.
+func (e *Engine) open(o sardine.Order) error {
+	h := e.holding
+	if h.Group != o.Group || h.Epoch != o.Epoch || h.Rank != 0 || !h.State.Ready() {
+		return codes.New(codes.TargetFailed, "engine %s is not ready to open group %s", e.VM, o.Group)
+	}
+	e.holding.State = sardine.MemberOpen
+	return nil
+}
+
 // loading reports whether the engine reads from the weight store.
 func (e *Engine) loading(now sardine.Millis) bool {
-	return e.running(now) && e.holding.State == sardine.MemberLoading
+	return e.running(now) && (e.holding.State == sardine.MemberLoading || e.staging != "")
 }
 
 // finishLoad makes the engine ready.
@@ -88,11 +116,23 @@
 	e.model = e.holding.Model
 	e.version = e.holding.Version
 	e.holding.State = sardine.MemberReady
+	e.staged = e.model
+}
+
+// finishStaging puts the model on the host.
+func (e *Engine) finishStaging() {
+	e.staged = e.staging
+	e.staging = ""
 }
 
 // announcement is what the engine says about itself now.
 func (e *Engine) announcement() sardine.Announcement {
+	var staged []sardine.ModelName
+	if e.staged != "" {
+		staged = append(staged, e.staged)
+	}
 	return sardine.Announcement{
+		Staged:       staged,
 		VM:           e.VM,
 		Incarnation:  e.incarnation,
 		Kind:         sardine.KindEngine,
--- a/standin/fake/leader.go
+++ b/standin/fake/leader.go
@@ -37,6 +37,9 @@
 	}
 	l.fleet.Lead(w.now, l.term)
 	l.planner.Lead(w.now, l.term, l.machine)
+	if w.stock != nil {
+		l.planner.SetStore(*w.stock)
+	}
 	w.leader = l
 	w.reporter.elected()
 }
--- a/standin/fake/meter.go
+++ b/standin/fake/meter.go
@@ -119,7 +119,7 @@
 			return "VM " + string(m.VM) + " has restarted"
 		case h.Group != g.ID || h.Epoch != g.Epoch:
 			return "VM " + string(m.VM) + " holds another order"
-		case h.State != sardine.MemberReady:
+		case !h.State.Ready():
 			return "VM " + string(m.VM) + " is " + h.State.String()
 		}
 	}
--- a/standin/fake/store.go
+++ b/standin/fake/store.go
@@ -31,14 +31,15 @@
 	kept := s.active[:0]
 	for _, e := range s.active {
 		switch {
-		case e.holding.State != sardine.MemberLoading || !e.alive:
+		case !e.alive || e.holding.State != sardine.MemberLoading && e.staging == "":
 			continue
 		case !e.running(now):
-		default:
+		case e.holding.State == sardine.MemberLoading:
 			e.loaded += done
+		default:
+			e.stagedBy += done
 		}
-		if e.loaded >= s.loadTime {
-			e.finishLoad()
+		if s.finish(e) {
 			ended = append(ended, e)
 			continue
 		}
@@ -48,6 +49,19 @@
 	return ended
 }
 
+// finish ends an engine's load if it is complete.
+func (s *store) finish(e *Engine) bool {
+	switch {
+	case e.holding.State == sardine.MemberLoading && e.loaded >= s.loadTime:
+		e.finishLoad()
+	case e.staging != "" && e.stagedBy >= s.loadTime:
+		e.finishStaging()
+	default:
+		return false
+	}
+	return true
+}
+
 // next returns the time until a load ends, 0 without one.
 func (s *store) next() sardine.Millis {
 	if len(s.active) == 0 {
@@ -55,6 +69,10 @@
 	}
 	left := s.loadTime
 	for _, e := range s.active {
+		if e.staging != "" && e.holding.State != sardine.MemberLoading {
+			left = min(left, s.loadTime-e.stagedBy)
+			continue
+		}
 		left = min(left, s.loadTime-e.loaded)
 	}
 	return max(sardine.Millis(float64(left)/s.share()+0.999), 1)
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -51,6 +51,15 @@
 	return func(w *World) { w.store = store{atOnce: atOnce, loadTime: loadTime} }
 }
 
+// WithStock tells the planner what the weight store can do, so that it plans by
+// demand.
+func WithStock(s plan.Store) Option {
+	return func(w *World) {
+		w.stock = &s
+		w.store = store{atOnce: s.AtOnce, loadTime: s.Load}
+	}
+}
+
 // WithStopwatch measures the rounds with a clock that tells milliseconds.
 func WithStopwatch(read func() float64) Option {
 	return func(w *World) { w.stopwatch = read }
@@ -85,6 +94,7 @@
 	checker   checker
 	err       error
 	rounds    int
+	stock     *plan.Store // what the planner knows of the weight store, nil for its limits
 	stopwatch func() float64
 	roundSum  float64 // milliseconds
 	roundMost float64
@@ -117,6 +127,32 @@
 	return w
 }
 
+// Add starts an engine that the world did not have.
+func (w *World) Add(e *Engine) {
+	w.engines = append(w.engines, e)
+	w.byVM[e.VM] = e
+	e.start()
+	w.changed(e)
+}
+
+// OpenTraffic commits that callers' requests have begun.
+func (w *World) OpenTraffic() {
+	if w.leader != nil {
+		w.propose(w.leader, []state.Command{state.OpenTraffic{}})
+	}
+}
+
+// Serving counts the groups of a deployment that serve.
+func (w *World) Serving(service sardine.ServiceName) int {
+	count := 0
+	for _, g := range w.truth.Groups() {
+		if g.Service == service && g.State == sardine.GroupServing && w.broken(g) == "" {
+			count++
+		}
+	}
+	return count
+}
+
 // Now returns the world's instant.
 func (w *World) Now() sardine.Millis {
 	return w.now
