Release an engine from the epoch that it holds

Change: the release names the epoch that the engine announces, and a VM counts as fenced only once it holds none.

--- a/plan/notes.go
+++ b/plan/notes.go
@@ -53,6 +53,12 @@
 	return n.confirmed && n.order.Release && n.incarnation == i && n.order.Group == g && n.order.Epoch >= e
 }
 
+// releasedExactly reports whether the engine's incarnation confirmed that it
+// dropped the order of the group's epoch that it held. Some engines drop no other.
+func (n *vmNote) releasedExactly(i sardine.Incarnation, g sardine.GroupID, e sardine.Epoch) bool {
+	return n.released(i, g, e) && n.order.Epoch == e
+}
+
 // joined reports whether the engine's incarnation confirmed an order.
 func (n *vmNote) joined(i sardine.Incarnation, g sardine.GroupID, e sardine.Epoch) bool {
 	return n.confirmed && !n.order.Release && n.incarnation == i && n.order.Group == g && n.order.Epoch == e
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -160,8 +160,8 @@
 	if g := r.byID[v.owner.Group]; g != nil {
 		epoch = max(epoch, g.Epoch)
 	}
-	if held.Group == v.owner.Group {
-		epoch = max(epoch, held.Epoch)
+	if held.Group == v.owner.Group && held.Epoch > 0 {
+		epoch = held.Epoch // first what it holds, which may be an earlier order than the last one
 	}
 	return v.owner.Group, epoch
 }
--- a/plan/release.go
+++ b/plan/release.go
@@ -15,7 +15,7 @@
 		return false
 	}
 	h := v.status.Holding
-	return h.Group == "" || v.note.released(v.target.Incarnation, h.Group, h.Epoch)
+	return h.Group == "" || v.note.releasedExactly(v.target.Incarnation, h.Group, h.Epoch)
 }
 
 // unsure reports whether an order that was never confirmed may still reach an
@@ -56,6 +56,9 @@
 // fenced reports whether a VM's engine confirmed the release, and no older
 // order can undo it.
 func (r *round) fenced(v *vmView, epoch sardine.Epoch) bool {
+	if h := v.status.Holding; h.Group == v.owner.Group && h.Epoch < epoch {
+		return false // an earlier order of the group is still in force there
+	}
 	return v.alive && !r.unsure(v) && v.note.released(v.target.Incarnation, v.owner.Group, epoch)
 }
 
--- a/standin/fake/checker.go
+++ b/standin/fake/checker.go
@@ -81,6 +81,21 @@
 	return nil
 }
 
+// moved asserts that an engine takes a place in another group only once the group
+// that it held can serve no more: it has left, or no rank 0 is open.
+func (c *checker) moved(w *World, e *Engine, before sardine.Holding) error {
+	if before.Group == "" {
+		return nil
+	}
+	for _, head := range w.engines {
+		h := head.holding
+		if head.alive && h.Group == before.Group && h.State == sardine.MemberOpen {
+			return codes.New(codes.InvariantBroken, "VM %s joined group %s while VM %s serves its group %s", e.VM, e.holding.Group, head.VM, before.Group)
+		}
+	}
+	return nil
+}
+
 // look compares the log's groups with the engines.
 func (c *checker) look(w *World) error {
 	owner := make(map[sardine.VMID]sardine.GroupID)
--- a/standin/fake/demand_test.go
+++ b/standin/fake/demand_test.go
@@ -40,6 +40,7 @@
 
 func demandEngine(domain, i int) *Engine {
 	return &Engine{
+		ExactRelease: true,
 		VM:           sardine.VMID(fmt.Sprintf("vm-%d-%03d", domain, i)),
 		Domain:       sardine.FabricDomain(fmt.Sprintf("domain-%d", domain)),
 		Accelerators: 1,
@@ -165,6 +166,25 @@
 	require.GreaterOrEqual(t, w.Serving("large")+w.Serving("small"), before-1, "less than one load time later")
 }
 
+// TestLateOrdersJoinNoSecondGroup loses, delays and repeats orders while members
+// come and go: a join that was never answered may still have been taken, or may
+// not, and the release that follows must name the epoch that the engine holds.
+func TestLateOrdersJoinNoSecondGroup(t *testing.T) {
+	for seed := range uint64(30) {
+		w := demandWorld(t, 100+seed)
+		w.chaos = Chaos{LoseReply: 0.15, LoseOrder: 0.2, Delay: 0.2, Duplicate: 0.1}
+		for step := range 12 {
+			e := w.engines[w.random.IntN(len(w.engines))]
+			if step%2 == 0 {
+				w.Pause(e, 5*sardine.Second)
+			} else if e.alive {
+				w.CrashFor(e, 4*sardine.Second)
+			}
+			require.NoError(t, w.Run(w.now+2500), "seed %d", seed)
+		}
+	}
+}
+
 // TestLeaderChangeKeepsGroups replaces the leader in the middle of repairs.
 func TestLeaderChangeKeepsGroups(t *testing.T) {
 	for seed := range uint64(6) {
--- a/standin/fake/engine.go
+++ b/standin/fake/engine.go
@@ -17,6 +17,7 @@
 	Accelerators int
 	Loadable     []sardine.ModelName
 	ChecksEpoch  bool
+	ExactRelease bool // a release of another epoch than the one held changes nothing
 
 	incarnation sardine.Incarnation
 	alive       bool
@@ -76,7 +77,7 @@
 	}
 	e.highest = max(e.highest, o.Epoch)
 	if o.Release {
-		if e.holding.Group == o.Group {
+		if e.holding.Group == o.Group && (!e.ExactRelease || e.holding.Epoch == o.Epoch) {
 			e.holding = sardine.Holding{State: sardine.MemberIdle, Model: e.model, Version: e.version}
 			e.loaded = 0
 		}
--- a/standin/fake/leader.go
+++ b/standin/fake/leader.go
@@ -145,6 +145,9 @@
 	if e.loading(w.now) {
 		w.store.begin(e)
 	}
+	if e.holding.Group != before.Group && e.holding.Group != "" {
+		w.fail(w.checker.moved(w, e, before))
+	}
 	if e.holding != before {
 		w.changed(e)
 	}
