--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -30,6 +30,12 @@
 	return r.window.Take(now, s)
 }
 
+func (r *repeats) room(now sardine.Millis, s sardine.ServiceName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window.Room(now, s)
+}
+
 func (r *repeats) setNodes(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -34,6 +34,7 @@
 	w        http.ResponseWriter
 
 	attempts int
+	counted  bool        // the attempt under way is one of them
 	ran      sardine.Ran // over all attempts
 	unsent   int         // attempts of which nothing left this node
 	tried    []route.Ref
@@ -208,6 +209,7 @@
 		return q.causeOf(ctx, failed)
 	}
 	q.attempts++
+	q.counted = true
 	q.ran = sardine.RanYes
 	n.vitals.progress(q.flight, false)
 	n.gate.firstToken(choice, route.UnknownCached)
@@ -224,12 +226,29 @@
 	return nil
 }
 
+// mayMove reports whether the request could still go on at another target, if the
+// one that has it falls silent. One that can't waits for its answer all the same:
+// a silent target may well be at work.
+func (q *routed) mayMove() bool {
+	n := q.node
+	return q.route.Repeatable() && q.attempts+q.flying() < max(q.route.Attempts, 1) && n.repeats.room(n.clock.Now(), q.name)
+}
+
+// flying is 1 while the attempt under way is not counted yet.
+func (q *routed) flying() int {
+	if q.counted {
+		return 0
+	}
+	return 1
+}
+
 // takeOff registers the dispatch, so that it can be broken off if its target
-// stands still. One that may not run twice waits for its answer all the same.
+// stands still.
 func (q *routed) takeOff(ctx context.Context, choice *route.Choice) (context.Context, func()) {
 	n := q.node
 	q.flight = n.vitals.begin(choice.Candidate.Ref)
-	if !q.route.Repeatable() {
+	q.counted = false
+	if !q.mayMove() {
 		return ctx, func() { n.vitals.end(q.flight) }
 	}
 	ctx, cancel, end := n.flights.begin(ctx, choice.Candidate)
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -119,7 +119,7 @@
 
 // eventBy returns when the next event must be there.
 func (q *routed) eventBy() sardine.Millis {
-	if !q.began || !q.route.Resumable {
+	if !q.began || !q.mayMove() {
 		return q.deadline
 	}
 	return min(q.deadline, q.node.clock.Now()+streamSilence)
--- a/retry/window.go
+++ b/retry/window.go
@@ -54,15 +54,21 @@
 
 // Take reports whether a request may be repeated now, and counts it if so.
 func (w *Window) Take(now sardine.Millis, s sardine.ServiceName) bool {
-	c := w.counts(now, s)
-	firsts := sum(c.firsts[1:]) // the oldest bucket may lie outside of the window
-	if float64(sum(c.repeats)) >= caution*(w.ratio*float64(firsts)+w.slack/float64(w.nodes)) {
+	if !w.Room(now, s) {
 		return false
 	}
+	c := w.counts(now, s)
 	c.repeats[len(c.repeats)-1]++
 	return true
 }
 
+// Room reports whether a request could be repeated now.
+func (w *Window) Room(now sardine.Millis, s sardine.ServiceName) bool {
+	c := w.counts(now, s)
+	firsts := sum(c.firsts[1:]) // the oldest bucket may lie outside of the window
+	return float64(sum(c.repeats)) < caution*(w.ratio*float64(firsts)+w.slack/float64(w.nodes))
+}
+
 // counts moves a service's buckets on. They cover one bucket more than the
 // window, so that repeats count for as long as any window may hold them.
 func (w *Window) counts(now sardine.Millis, s sardine.ServiceName) *counts {
