--- a/plan/stage.go
+++ b/plan/stage.go
@@ -101,13 +101,13 @@
 // a number of free VMs: the one whose demand is met least of those that fit, or
 // of all if none does.
 func (r *round) nextKind(d sardine.FabricDomain, free int) *kindView {
-	var fits, any *kindView
+	var fits, needed *kindView
 	for _, k := range r.kinds {
 		if !k.byDemand() {
 			continue
 		}
-		if any == nil || k.coverage() < any.coverage() {
-			any = k
+		if needed == nil || k.coverage() < needed.coverage() {
+			needed = k
 		}
 		if k.deployment.GroupSize <= free && (fits == nil || k.coverage() < fits.coverage()) {
 			fits = k
@@ -119,7 +119,7 @@
 	if in := r.kindsIn(d); len(in) > 0 {
 		return in[0]
 	}
-	return any
+	return needed
 }
 
 // stageFor takes up to count VMs for a deployment, those that hold its model
--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -42,6 +42,8 @@
 
 // fake is a control node without a quorum: it applies commands at once.
 type fake struct {
+	wire.Control // what no command calls
+
 	mu       sync.Mutex
 	machine  *state.Machine
 	input    status.Input
--- a/standin/fake/engine.go
+++ b/standin/fake/engine.go
@@ -27,12 +27,12 @@
 	highest     sardine.Epoch
 	model       sardine.ModelName // of the weights in memory
 	version     string
-	loaded      sardine.Millis // of the load under way, at the full rate
+	loaded      sardine.Millis    // of the load under way, at the full rate
 	staged      sardine.ModelName // on the host, outlives the process
 	staging     sardine.ModelName // that the host loads besides, empty for none
 	stagedBy    sardine.Millis    // of that load, at the full rate
-	slow        float64        // time for a token relative to others
-	beatAt      sardine.Millis // last announcement
+	slow        float64           // time for a token relative to others
+	beatAt      sardine.Millis    // last announcement
 	home        int
 }
 
