--- a/conf/entry.go
+++ b/conf/entry.go
@@ -54,15 +54,17 @@
 		return nil, err
 	}
 	t := d.Root()
+	speaks := t.Choice("interface", InterfaceOwn, InterfaceOwn, InterfacePlatform)
 	e := &Entry{
 		node:           sardine.NodeID(t.Name("node")),
 		site:           t.Name("site"),
 		dataCentre:     sardine.DataCentre(t.Name("data_centre")),
 		dataFolder:     t.Text("data_folder", ""),
 		listen:         t.Address("listen", true, true),
+		listenTargets:  t.Address("listen_targets", speaks == InterfaceOwn, true),
 		listenInternal: t.Address("listen_internal", true, true),
 		listenReady:    t.Address("listen_ready", false, true),
-		speaks:         t.Choice("interface", InterfaceOwn, InterfaceOwn, InterfacePlatform),
+		speaks:         speaks,
 		discovery:      readDiscovery(t.Table("discovery")),
 		repeats:        readRepeats(t.Table("repeats")),
 		memory:         readMemory(t),
@@ -71,7 +73,6 @@
 		log:            readLog(t.Table("log")),
 		tls:            readTLS(t.Table("tls"), true),
 	}
-	e.listenTargets = t.Address("listen_targets", e.speaks == InterfaceOwn, true)
 	if !e.discovery.Enabled() {
 		e.controls = readPeers(t, "controls", 1, maxControls)
 	}
--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -166,6 +166,7 @@
 	t.Quorum.ElectionMin = s.Timings().Election()
 	t.Quorum.ElectionMax = sardine.Millis(electionSpread * float64(s.Timings().Election()))
 	if s.Interface() == conf.InterfacePlatform {
+		t.Quorum.First = s.Timings().Election() / 2
 		t.Target = missedBeats * s.Timings().Announce()
 		t.Overdue = sardine.Millis(overdueBeats * float64(s.Timings().Announce()))
 	}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -142,8 +142,8 @@
 		c.writeHard()
 	}
 	c.resetElection()
-	if c.fresh() {
-		c.electionAt = now + sardine.Millis(random.IntN(int(c.timing.ElectionMin/2)))
+	if c.timing.First > 0 && c.fresh() {
+		c.electionAt = now + sardine.Millis(random.IntN(int(c.timing.First)))
 	}
 	return c
 }
