--- a/ctrl/enrol.go
+++ b/ctrl/enrol.go
@@ -90,6 +90,17 @@
 	n.seeds = slices.Clone(addresses)
 }
 
+// Voters returns the control nodes that have a vote, as far as this node knows.
+func (n *Node) Voters() []sardine.NodeID {
+	var voters []sardine.NodeID
+	for _, m := range n.log.Members() {
+		if !m.Learner {
+			voters = append(voters, m.Node)
+		}
+	}
+	return voters
+}
+
 func (n *Node) isMember() bool {
 	return slices.ContainsFunc(n.log.Members(), func(m quorum.Member) bool { return m.Node == n.id })
 }
