--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -168,3 +168,34 @@
 	current, _ := f.Machine().Current("t")
 	require.EqualValues(t, 1, current.Version)
 }
+
+// TestLeaderCutOffFromOneNodeIsAskedAgainInTime: a node that was cut off from the
+// leader alone hears its name from all other control nodes. It must return well
+// within the time in which a change is in force everywhere.
+func TestLeaderCutOffFromOneNodeIsAskedAgainInTime(t *testing.T) {
+	const inForce = 2 * sardine.Second // a site's bound for a change
+	for seed := range uint64(50) {
+		f := NewFollower(NodeRef{Node: "e1", Incarnation: 1}, "e1:1", []string{"a:1", "b:1", "c:1"}, rand.New(rand.NewPCG(seed, 1)))
+		now, healed, asked := sardine.Millis(0), sardine.Millis(4000), sardine.Millis(0)
+		for now < healed+inForce && asked == 0 {
+			ask, more := f.Next(now)
+			if !more {
+				now = max(f.Wake(), now+1)
+				continue
+			}
+			if ask.Address != "a:1" {
+				now += 5
+				_, err := f.Took(now, ask.Request.Sequence, Reply{Fault: &Fault{Code: codes.NotLeader, Leader: "a:1"}})
+				require.NoError(t, err)
+				continue
+			}
+			if now >= healed {
+				asked = now
+				continue
+			}
+			now += ask.Timeout
+			f.Failed(now, ask.Request.Sequence)
+		}
+		require.NotZero(t, asked, "seed %d", seed)
+	}
+}
