Ask refused callers back after 0.5 to 1.5 s

Cause: a refused caller came back before a lost group was repaired, and one in 20 was refused again.

--- a/entry/routed.go
+++ b/entry/routed.go
@@ -396,7 +396,7 @@
 
 // returnAfter is when callers of a request that was not run should come back:
 // about the time until a group that lost a member is replaced in the routes.
-const returnAfter = 400 * sardine.Millis(1)
+const returnAfter = sardine.Second
 
 // comeBack spreads the return of refused callers.
 func (n *Node) comeBack() sardine.Millis {
