--- a/entry/meter.go
+++ b/entry/meter.go
@@ -58,6 +58,19 @@
 	i.count("failed", err)
 }
 
+func (i *instruments) served() {
+	i.count("served", nil)
+}
+
+// attempted counts what a target did with a request.
+func (i *instruments) attempted(err error) {
+	i.count("attempt", err)
+}
+
+func (i *instruments) stalled() {
+	i.count("stalled", codes.New(codes.TargetFailed, "the target has gone silent"))
+}
+
 func (i *instruments) firstToken(d sardine.Millis) {
 	i.first.Record(d)
 }
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -153,6 +153,7 @@
 
 // served logs one of many requests that were answered in full.
 func (q *routed) served() {
+	q.node.meter.served()
 	if xxhash.Sum64String(string(q.call.ID))%servedShare != 0 {
 		return
 	}
@@ -404,6 +405,7 @@
 }
 
 func (q *routed) logAttempt(choice *route.Choice, err error) {
+	q.node.meter.attempted(err)
 	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran),
 		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
 		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -67,6 +67,7 @@
 	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.began = true
+	q.node.meter.firstToken(q.node.clock.Now() - q.arrived)
 }
 
 // passThrough passes a long answer on as it comes.
--- a/entry/vitals.go
+++ b/entry/vitals.go
@@ -70,6 +70,7 @@
 	all := n.vitals.stalled()
 	for _, ref := range all {
 		event.Log(n.log, event.TargetStalled, slog.String("target", ref.String()))
+		n.meter.stalled()
 		n.flights.stall(ref)
 	}
 	if len(all) == 0 {
