Leave the bound on repeats to requests that were sent

Cause: a request refused here, because every engine was full, was tried again until the bound on repeats was used up, though nothing had been sent; a target's own error counted as two repeats. Change: such a refusal is final at once; routed.go is split by what its parts do.

--- /dev/null
+++ b/entry/rend.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/route"
+)
+
+// abandon ends a request whose caller has left or whose time is over.
+func (q *routed) abandon(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), errDrained) {
+		q.fail(errDrained)
+		return
+	}
+	panic(http.ErrAbortHandler) // nobody reads an answer any more
+}
+
+// fail gives the request up. What may have run gets an answer that promises
+// nothing; a head that is out can only be followed by the connection's end.
+func (q *routed) fail(err error) {
+	event.Log(q.node.log, event.RequestFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran), slog.Int("attempts", q.attempts))
+	q.node.meter.failed(err)
+	if q.began {
+		panic(http.ErrAbortHandler)
+	}
+	if q.ran == sardine.RanNo {
+		if status := codes.Of(err).Status(); status >= http.StatusInternalServerError {
+			err = codes.Wrap(codes.NoTarget, err, "the request was not run")
+		}
+	} else if codes.Of(err).Status() == http.StatusServiceUnavailable {
+		err = codes.Wrap(codes.TargetFailed, err, "the request may have run")
+	}
+	q.answer(err)
+}
+
+// refuse answers a request that no target got.
+func (q *routed) refuse(err error) {
+	event.Log(q.node.log, event.RequestRefused, requestAttr(q.call.ID), codeAttr(err))
+	q.node.meter.refused(err)
+	if closesConnection(err) {
+		q.w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	q.answer(err)
+}
+
+func (q *routed) answer(err error) {
+	after := sardine.Millis(0)
+	if codes.Of(err).Status() == http.StatusServiceUnavailable {
+		after = q.node.comeBack()
+	}
+	q.node.callers.Refuse(q.w, err, after)
+}
+
+// returnAfter is when callers of a request that was not run should come back:
+// about the time until a group that lost a member is replaced in the routes.
+const returnAfter = sardine.Second
+
+// comeBack spreads the return of refused callers.
+func (n *Node) comeBack() sardine.Millis {
+	return returnAfter/2 + sardine.Millis(n.random.IntN(int(returnAfter)))
+}
+
+func (q *routed) logAttempt(choice *route.Choice, err error) {
+	q.node.meter.attempted(err)
+	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran),
+		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
+		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
+}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net/http"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -166,7 +164,7 @@
 // may run twice, and neither its attempts nor the retry budget are used up.
 func (q *routed) mayRepeat(err error) bool {
 	n := q.node
-	if codes.Is(err, codes.DeadlineTight) || n.clock.Now() >= q.deadline {
+	if codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || n.clock.Now() >= q.deadline {
 		return false
 	}
 	if q.ran != sardine.RanNo && !q.route.Repeatable() {
@@ -271,67 +269,6 @@
 	return err
 }
 
-func (q *routed) pick() (*route.Choice, error) {
-	n := q.node
-	wanted := route.Request{Service: q.service.routed(), PromptTokens: q.call.PromptTokens}
-	wanted.Exclude = append(n.vitals.suspects(), q.tried...)
-	choice, err := n.gate.pick(wanted)
-	if err != nil && len(wanted.Exclude) > len(q.tried) { // better a suspect than none
-		wanted.Exclude = q.tried
-		choice, err = n.gate.pick(wanted)
-	}
-	if err != nil {
-		q.unsent = unsentMost // there is no other
-		return nil, err
-	}
-	if !n.view().current(choice.Candidate) {
-		n.gate.finish(choice, route.End{Abort: true})
-		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
-	}
-	if !q.placeIn(choice.Requests) {
-		n.gate.finish(choice, route.End{Abort: true})
-		return nil, codes.New(codes.QueueFull, "the least loaded target has %.0f requests already", choice.Requests)
-	}
-	return choice, nil
-}
-
-// Ranks of requests at an engine, which takes lower ones first.
-const (
-	rankPrompt  = 3 // can still begin in time
-	rankResumed = 5 // goes on after a break
-	rankLate    = 7 // begins late anyhow: served when nothing else waits
-)
-
-// Parts of an engine's batch that may wait before it.
-const (
-	// promptShare is how many may wait so that the last of them still begins
-	// within usual objectives: a batch turns over in about a second.
-	promptShare = 0.2
-	// waitingShare is how many may wait at all. Engines take a little more.
-	waitingShare = 1.5
-)
-
-// placeIn ranks the request by the requests at its target, and reports whether it
-// may go there at all.
-func (q *routed) placeIn(requests float64) bool {
-	q.rank = -1
-	service := q.node.view().table.Service(q.name)
-	if service == nil || service.Engine == nil || service.Engine.Slots == 0 {
-		return true
-	}
-	slots := float64(service.Engine.Slots)
-	late := q.node.clock.Now()-q.arrived > q.route.Objective
-	switch {
-	case q.last != "":
-		q.rank = rankResumed
-	case late || requests >= slots*(1+promptShare):
-		q.rank = rankLate
-	default:
-		q.rank = rankPrompt
-	}
-	return requests < slots*(1+waitingShare)
-}
-
 func (q *routed) exchange(choice *route.Choice) proxy.Exchange {
 	c := choice.Candidate
 	last := q.call.LastEvent
@@ -349,64 +286,3 @@
 	}
 	return proxy.Exchange{ID: q.call.ID, Address: c.Address, Request: q.request, Dispatch: d, Until: q.deadline}
 }
-
-// abandon ends a request whose caller has left or whose time is over.
-func (q *routed) abandon(ctx context.Context) {
-	if errors.Is(context.Cause(ctx), errDrained) {
-		q.fail(errDrained)
-		return
-	}
-	panic(http.ErrAbortHandler) // nobody reads an answer any more
-}
-
-// fail gives the request up. What may have run gets an answer that promises
-// nothing; a head that is out can only be followed by the connection's end.
-func (q *routed) fail(err error) {
-	event.Log(q.node.log, event.RequestFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran), slog.Int("attempts", q.attempts))
-	q.node.meter.failed(err)
-	if q.began {
-		panic(http.ErrAbortHandler)
-	}
-	if q.ran == sardine.RanNo {
-		if status := codes.Of(err).Status(); status >= http.StatusInternalServerError {
-			err = codes.Wrap(codes.NoTarget, err, "the request was not run")
-		}
-	} else if codes.Of(err).Status() == http.StatusServiceUnavailable {
-		err = codes.Wrap(codes.TargetFailed, err, "the request may have run")
-	}
-	q.answer(err)
-}
-
-// refuse answers a request that no target got.
-func (q *routed) refuse(err error) {
-	event.Log(q.node.log, event.RequestRefused, requestAttr(q.call.ID), codeAttr(err))
-	q.node.meter.refused(err)
-	if closesConnection(err) {
-		q.w.Header().Set("Connection", "close") // the rest of the body is not read
-	}
-	q.answer(err)
-}
-
-func (q *routed) answer(err error) {
-	after := sardine.Millis(0)
-	if codes.Of(err).Status() == http.StatusServiceUnavailable {
-		after = q.node.comeBack()
-	}
-	q.node.callers.Refuse(q.w, err, after)
-}
-
-// returnAfter is when callers of a request that was not run should come back:
-// about the time until a group that lost a member is replaced in the routes.
-const returnAfter = sardine.Second
-
-// comeBack spreads the return of refused callers.
-func (n *Node) comeBack() sardine.Millis {
-	return returnAfter/2 + sardine.Millis(n.random.IntN(int(returnAfter)))
-}
-
-func (q *routed) logAttempt(choice *route.Choice, err error) {
-	q.node.meter.attempted(err)
-	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran),
-		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
-		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
-}
--- /dev/null
+++ b/entry/routed_test.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/clock"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/paths"
+)
+
+// routedNode returns a node that only decides on repeats and places, and a layout
+// with one engine service of 20 slots.
+func routedNode() *Node {
+	layout := sardine.Layout{Number: 1, Services: []sardine.Service{{Name: "s", Engine: &sardine.EngineSpec{Slots: 20}}, {Name: "app"}}}
+	n := &Node{clock: clock.NewVirtual(1000), repeats: newRepeats(0.5, 10, 10*sardine.Second)}
+	v := emptyView()
+	v.table = paths.New(layout)
+	n.published.Store(&published{view: v})
+	return n
+}
+
+func routedRequest(n *Node, kind sardine.RouteKind) *routed {
+	r := &sardine.Route{Kind: kind, Resumable: true, Attempts: 2, Objective: 200, Timeout: 5000}
+	return &routed{node: n, route: r, name: "s", arrived: 1000, deadline: 6000, ran: sardine.RanNo}
+}
+
+func TestRepeatsFollowWhatIsKnownOfTheRun(t *testing.T) {
+	broken := codes.New(codes.TargetFailed, "x")
+	for name, c := range map[string]struct {
+		kind     sardine.RouteKind
+		ran      sardine.Ran
+		attempts int
+		unsent   int
+		err      error
+		want     bool
+	}{
+		"refused, unsafe":            {sardine.RouteUnsafe, sardine.RanNo, 1, 0, codes.New(codes.TargetFull, "x"), true},
+		"may have run, unsafe":       {sardine.RouteUnsafe, sardine.RanUnknown, 1, 0, broken, false},
+		"may have run, safe":         {sardine.RouteSafe, sardine.RanUnknown, 1, 0, broken, true},
+		"may have run, stream":       {sardine.RouteStream, sardine.RanYes, 1, 0, broken, true},
+		"attempts used up":           {sardine.RouteSafe, sardine.RanUnknown, 2, 0, broken, false},
+		"nobody there":               {sardine.RouteSafe, sardine.RanNo, 0, unsentMost, codes.New(codes.NoTarget, "x"), false},
+		"one took no connection":     {sardine.RouteUnsafe, sardine.RanNo, 0, 1, codes.New(codes.NoTarget, "x"), true},
+		"every engine is full":       {sardine.RouteSafe, sardine.RanNo, 0, 0, codes.New(codes.QueueFull, "x"), false},
+		"the deadline cut it off":    {sardine.RouteSafe, sardine.RanUnknown, 1, 0, errDeadline, false},
+		"a second engine is full":    {sardine.RouteStream, sardine.RanUnknown, 1, 0, codes.New(codes.QueueFull, "x"), false},
+		"stands still, may move on":  {sardine.RouteStream, sardine.RanUnknown, 1, 0, errStalled, true},
+		"stands still, attempts out": {sardine.RouteStream, sardine.RanUnknown, 2, 0, errStalled, false},
+	} {
+		q := routedRequest(routedNode(), c.kind)
+		q.ran, q.attempts, q.unsent = c.ran, c.attempts, c.unsent
+		require.Equal(t, c.want, q.mayRepeat(c.err), name)
+	}
+}
+
+// TestFullEnginesUseNoRepeats: a refusal of this node's own sends nothing, so it
+// must leave the bound on repeats to requests that were sent.
+func TestFullEnginesUseNoRepeats(t *testing.T) {
+	n := routedNode()
+	for range 100 {
+		require.False(t, routedRequest(n, sardine.RouteStream).mayRepeat(codes.New(codes.QueueFull, "x")))
+	}
+	require.True(t, n.repeats.room(n.clock.Now(), "s"))
+}
+
+// TestRequestsThatCannotBeginInTimeGoBehind: a burst fills the engines; what can
+// still begin in time goes first, the rest waits, and what would wait for too long
+// is refused.
+func TestRequestsThatCannotBeginInTimeGoBehind(t *testing.T) {
+	for _, c := range []struct {
+		requests float64
+		last     string
+		now      sardine.Millis
+		rank     int
+		placed   bool
+	}{
+		{0, "", 1000, rankPrompt, true},
+		{23, "", 1000, rankPrompt, true},
+		{24, "", 1000, rankLate, true},
+		{10, "", 1300, rankLate, true},
+		{10, "7", 1300, rankResumed, true},
+		{49, "", 1000, rankLate, true},
+		{50, "", 1000, rankLate, false},
+	} {
+		n := routedNode()
+		n.clock = clock.NewVirtual(c.now)
+		q := routedRequest(n, sardine.RouteStream)
+		q.last = c.last
+		require.Equal(t, c.placed, q.placeIn(c.requests), "%+v", c)
+		require.Equal(t, c.rank, q.rank, "%+v", c)
+	}
+	q := routedRequest(routedNode(), sardine.RouteSafe)
+	q.name = "app"
+	require.True(t, q.placeIn(1000), "plain services have no batch")
+	require.Negative(t, q.rank)
+}
+
+func TestRequestMovesOnlyWhileItMay(t *testing.T) {
+	n := routedNode()
+	q := routedRequest(n, sardine.RouteStream)
+	require.True(t, q.mayMove(), "a second attempt is left")
+	q.attempts = 1
+	require.False(t, q.mayMove(), "the one under way is the last")
+	q.counted = true
+	require.True(t, q.mayMove())
+	q.attempts = 2
+	require.False(t, q.mayMove())
+	require.False(t, routedRequest(n, sardine.RouteUnsafe).mayMove())
+	for n.repeats.take(n.clock.Now(), "s") {
+		continue
+	}
+	require.False(t, routedRequest(n, sardine.RouteStream).mayMove(), "the bound on repeats is used up")
+}
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -27,7 +27,7 @@
 	if resp.StatusCode == http.StatusOK && q.route.Kind == sardine.RouteStream && isEventStream(resp) {
 		return q.passStream(a)
 	}
-	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() && !q.began && q.mayRepeat(errTargetError) {
+	if resp.StatusCode >= http.StatusInternalServerError && !q.began && q.mayMove() {
 		return false, errTargetError
 	}
 	if q.began {
--- /dev/null
+++ b/entry/rplace.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/route"
+)
+
+// pick chooses a target that is not suspected and was not tried yet.
+func (q *routed) pick() (*route.Choice, error) {
+	n := q.node
+	wanted := route.Request{Service: q.service.routed(), PromptTokens: q.call.PromptTokens}
+	wanted.Exclude = append(n.vitals.suspects(), q.tried...)
+	choice, err := n.gate.pick(wanted)
+	if err != nil && len(wanted.Exclude) > len(q.tried) { // better a suspect than none
+		wanted.Exclude = q.tried
+		choice, err = n.gate.pick(wanted)
+	}
+	if err != nil {
+		q.unsent = unsentMost // there is no other
+		return nil, err
+	}
+	if !n.view().current(choice.Candidate) {
+		n.gate.finish(choice, route.End{Abort: true})
+		q.unsent++
+		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+	}
+	if !q.placeIn(choice.Requests) {
+		n.gate.finish(choice, route.End{Abort: true})
+		return nil, codes.New(codes.QueueFull, "the least loaded target has %.0f requests already", choice.Requests)
+	}
+	return choice, nil
+}
+
+// Ranks of requests at an engine, which takes lower ones first.
+const (
+	rankPrompt  = 3 // can still begin in time
+	rankResumed = 5 // goes on after a break
+	rankLate    = 7 // begins late anyhow: served when nothing else waits
+)
+
+// Parts of an engine's batch that may wait before it.
+const (
+	// promptShare is how many may wait so that the last of them still begins
+	// within usual objectives: a batch turns over in about a second.
+	promptShare = 0.2
+	// waitingShare is how many may wait at all. Engines take a little more.
+	waitingShare = 1.5
+)
+
+// placeIn ranks the request by the requests at its target, and reports whether it
+// may go there at all.
+func (q *routed) placeIn(requests float64) bool {
+	q.rank = -1
+	service := q.node.view().table.Service(q.name)
+	if service == nil || service.Engine == nil || service.Engine.Slots == 0 {
+		return true
+	}
+	slots := float64(service.Engine.Slots)
+	late := q.node.clock.Now()-q.arrived > q.route.Objective
+	switch {
+	case q.last != "":
+		q.rank = rankResumed
+	case late || requests >= slots*(1+promptShare):
+		q.rank = rankLate
+	default:
+		q.rank = rankPrompt
+	}
+	return requests < slots*(1+waitingShare)
+}
