Keep the engines of two services apart, and record nothing of services that no layout has

Cause: read as a newcomer would: a VM of one service with engines could join a group of another's, if a layout has two.

--- a/ctrl/desk.go
+++ b/ctrl/desk.go
@@ -166,6 +166,11 @@
 		return n.leaves(ctx, status.Target.VM, status.Target.Incarnation)
 	}
 	a := announcementOf(status)
+	models, used := n.layouts.usable(a.Service)
+	if !used && !a.Leaving {
+		return nil // no route leads there, so that there is nothing to record
+	}
+	a.Loadable = models
 	known, news, err := n.leadership.heard(n.clock.Now(), a)
 	if err != nil {
 		return n.redirect(err)
--- a/ctrl/layout.go
+++ b/ctrl/layout.go
@@ -15,6 +15,7 @@
 	mu       sync.Mutex
 	number   uint64
 	settings []sardine.TeamSettings
+	services []sardine.Service
 }
 
 // layoutSettings returns the deployments that the layout's engines call for.
@@ -36,10 +37,45 @@
 	}
 	n.layouts.number = current.Number
 	n.layouts.settings = []sardine.TeamSettings{plan.SettingsOf(layout)}
+	n.layouts.services = layout.Services
 	n.leadership.limits(layout)
 	return n.layouts.settings
 }
 
+// usable reports whether the layout has a target's service, and which models its
+// engines load; none means any. Before the first layout every service counts.
+func (v *layoutView) usable(service sardine.ServiceName) (models []sardine.ModelName, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return loadable(v.services, service)
+}
+
+// loadable names the models of a service's engines only where another service has
+// engines too: VMs of the one must not join groups of the other.
+func loadable(services []sardine.Service, service sardine.ServiceName) (models []sardine.ModelName, known bool) {
+	if len(services) == 0 {
+		return nil, true
+	}
+	others := false
+	for _, s := range services {
+		if s.Name != service {
+			others = others || s.Engine != nil
+			continue
+		}
+		known = true
+		if s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			models = append(models, m.Name)
+		}
+	}
+	if !others {
+		models = nil
+	}
+	return models, known
+}
+
 // limits tells the planner what the weight store can do.
 func (l *leadership) limits(layout sardine.Layout) {
 	l.mu.Lock()
--- a/launch/memory.go
+++ b/launch/memory.go
@@ -20,12 +20,3 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(bytes)))
 	debug.SetGCPercent(heapGrowth)
 }
-
-// SettingsFile returns the path given on the command line, else the one that the
-// platform names.
-func SettingsFile(args []string, platform string) string {
-	if len(args) > 0 {
-		return args[0]
-	}
-	return platform
-}
