Count a founding folder as settled, so that an emptied node can't elect an outdated one

Two unsettled members, one emptied and one that had never followed a leader, elected a leader without an acknowledged layout. Change: where the founding list is given at the very first start only, its folder is settled from its beginning. Test: the emptied and the outdated member alone never elect a leader; before, they did.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -133,7 +133,19 @@
 		}
 	}
 	n.link = peer.NewLink(n.site, n.id, n.internal.Address(), n.linkOptions()...)
-	n.log, err = repl.New(
+	n.log, err = repl.New(n.logOptions()...)
+	if err != nil {
+		return err
+	}
+	client, scheme := n.keys.Client(maxIdleOthers)
+	n.others = ctlapi.New(nil, ctlapi.WithHTTP(client, scheme))
+	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
+	n.meter, err = newInstruments(n)
+	return err
+}
+
+func (n *Node) logOptions() []repl.Option {
+	options := []repl.Option{
 		repl.WithID(n.id),
 		repl.WithSite(n.site),
 		repl.WithMembers(n.members),
@@ -143,15 +155,11 @@
 		repl.WithLink(n.link),
 		repl.WithLogger(n.logger),
 		repl.WithTiming(n.timing.Quorum),
-	)
-	if err != nil {
-		return err
 	}
-	client, scheme := n.keys.Client(maxIdleOthers)
-	n.others = ctlapi.New(nil, ctlapi.WithHTTP(client, scheme))
-	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
-	n.meter, err = newInstruments(n)
-	return err
+	if n.discovers {
+		options = append(options, repl.WithFoundedOnce())
+	}
+	return options
 }
 
 func (n *Node) linkOptions() []peer.Option {
--- a/repl/node.go
+++ b/repl/node.go
@@ -95,7 +95,7 @@
 	}
 	stored := loaded.Stored
 	if loaded.Empty && slices.ContainsFunc(s.members, func(m quorum.Member) bool { return m.Node == s.id }) {
-		if stored, err = files.Bootstrap(s.members); err != nil {
+		if stored, err = files.Bootstrap(s.members, s.foundedOnce); err != nil {
 			return err
 		}
 	}
--- a/repl/options.go
+++ b/repl/options.go
@@ -31,6 +31,7 @@
 	id            sardine.NodeID
 	site          string
 	members       []quorum.Member
+	foundedOnce   bool
 	disk          sardine.Disk
 	clock         sardine.Clock
 	random        sardine.Random
@@ -62,6 +63,13 @@
 	return func(s *settings) { s.members = members }
 }
 
+// WithFoundedOnce tells that WithMembers is given at the very first start of a site
+// only: a folder that begins with the list has lost nothing, and one that begins
+// without it may have. Otherwise a node can't tell the two apart.
+func WithFoundedOnce() Option {
+	return func(s *settings) { s.foundedOnce = true }
+}
+
 // WithDisk sets the data folder. Required.
 func WithDisk(d sardine.Disk) Option {
 	return func(s *settings) { s.disk = d }
--- a/repl/repl_test.go
+++ b/repl/repl_test.go
@@ -55,14 +55,14 @@
 	wall  state.WallTime
 }
 
-func newSite(t *testing.T, count int) *site {
+func newSite(t *testing.T, count int, options ...Option) *site {
 	s := &site{t: t, clock: clock.NewVirtual(0), wall: 1_000_000, disks: make(map[sardine.NodeID]*disk.Memory)}
 	s.net = &net{nodes: make(map[sardine.NodeID]*Node), cut: make(map[sardine.NodeID]bool)}
 	for i := range count {
 		s.list = append(s.list, quorum.Member{Node: sardine.NodeID(fmt.Sprintf("c%d", i+1)), Address: fmt.Sprintf("10.0.0.%d:1", i+1)})
 	}
 	for _, m := range s.list {
-		s.start(m.Node, s.list)
+		s.start(m.Node, s.list, options...)
 	}
 	return s
 }
@@ -240,6 +240,45 @@
 	}
 }
 
+// TestEmptiedFounderNeverElectsAnOutdatedOne: a change was acknowledged by the leader
+// and c2 while c3 was cut off since the site's first second. c2 loses its disk and
+// all lose power. c2 and c3 are a majority, but only the old leader holds the
+// change.
+func TestEmptiedFounderNeverElectsAnOutdatedOne(t *testing.T) {
+	s := newSite(t, 3, WithFoundedOnce())
+	const outdated = sardine.NodeID("c3")
+	s.net.mu.Lock()
+	s.net.cut[outdated] = true
+	s.net.mu.Unlock()
+	first := s.leader()
+	emptied := sardine.NodeID("c1")
+	if first.ID() == emptied {
+		emptied = "c2"
+	}
+	s.propose(first, 1)
+	for id, n := range s.net.nodes {
+		_ = s.stop(n)
+		s.disks[id].Crash()
+	}
+	clear(s.net.nodes)
+	s.net.cut[outdated] = false
+	s.disks[emptied] = nil
+	a := s.start(outdated, nil, WithFoundedOnce())
+	b := s.start(emptied, nil, WithFoundedOnce())
+	for end := s.clock.Now() + 8*sardine.Second; s.clock.Now() < end; {
+		s.clock.Advance(5)
+		time.Sleep(100 * time.Microsecond)
+		require.False(t, a.Leader().Leading, "a leader without the change")
+		require.False(t, b.Leader().Leading, "a leader without the change")
+	}
+	s.start(first.ID(), nil, WithFoundedOnce())
+	n := s.leader()
+	n.View(func(m *state.Machine) {
+		_, kept := m.Entry("e1")
+		require.True(t, kept)
+	})
+}
+
 // TestFullDiskIsWaitedFor fills the disk of a lone member: a proposal is neither
 // acknowledged nor lost, goes through once there is room, and survives a crash.
 func TestFullDiskIsWaitedFor(t *testing.T) {
--- a/standin/trial/member.go
+++ b/standin/trial/member.go
@@ -81,7 +81,7 @@
 	m.checkDurable(loaded.Stored)
 	stored := loaded.Stored
 	if loaded.Empty && m.first != nil {
-		if stored, err = files.Bootstrap(m.first); err != nil {
+		if stored, err = files.Bootstrap(m.first, false); err != nil {
 			m.refuse(err)
 			return
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -74,17 +74,21 @@
 
 // Bootstrap stores the first member list in an empty folder, as a snapshot at
 // index 1: every first member starts from it, and later ones receive it.
-func (s *Store) Bootstrap(members []quorum.Member) (quorum.Stored, error) {
+//
+// Settled tells that the list is given at the very first start only, so that this
+// folder can't have replaced a lost one.
+func (s *Store) Bootstrap(members []quorum.Member, settled bool) (quorum.Stored, error) {
 	first := quorum.Position{Index: 1, Term: 1}
 	snap := quorum.Snapshot{Position: first, Members: members}
 	if err := s.SaveSnapshot(snap); err != nil {
 		return quorum.Stored{}, s.fail(err)
 	}
-	if err := s.write(&wire.LogFrame{Reset_: &wire.LogReset{Index: 1, Term: 1}}, first.Index); err != nil {
+	s.hard = quorum.HardState{Term: first.Term, Settled: settled}
+	if err := s.write(&wire.LogFrame{Hard: hardTo(s.hard), Reset_: &wire.LogReset{Index: 1, Term: 1}}, first.Index); err != nil {
 		return quorum.Stored{}, err
 	}
 	s.last = first
-	return quorum.Stored{Snapshot: snap, Base: first}, nil
+	return quorum.Stored{Hard: s.hard, Snapshot: snap, Base: first}, nil
 }
 
 // Write makes writes of the core durable with one sync. After an error the
