--- a/repl/repl_test.go
+++ b/repl/repl_test.go
@@ -273,6 +273,7 @@
 	}
 	s.start(first.ID(), nil, WithFoundedOnce())
 	n := s.leader()
+	s.propose(n, 9) // once it is applied, all that came before it is
 	n.View(func(m *state.Machine) {
 		_, kept := m.Entry("e1")
 		require.True(t, kept)
@@ -315,6 +316,7 @@
 	_ = s.stop(n) // the crash has broken its files
 	n = s.start("c1", nil)
 	s.until(func() bool { return n.Leader().Leading })
+	s.propose(n, 9) // once it is applied, all that came before it is
 	n.View(func(m *state.Machine) {
 		_, kept := m.Entry("e2")
 		require.True(t, kept)
