--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -13,10 +13,10 @@
 	"github.com/spf13/cobra"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/disk"
-	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/logs"
@@ -48,16 +48,20 @@
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			path := launch.SettingsFile(args, platform.SettingsFile())
-			settings, err := conf.LoadControl(path)
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return codes.Wrap(codes.BadSettings, err, "settings file")
+			}
+			settings, err := conf.ParseControl(filepath.Base(path), text)
 			if err != nil {
 				return err
 			}
-			return run(path, settings, c.OutOrStdout())
+			return run(path, launch.NewReloader(path, text), settings, c.OutOrStdout())
 		},
 	}
 }
 
-func run(path string, settings *conf.Control, out io.Writer) error {
+func run(path string, reloader *launch.Reloader, settings *conf.Control, out io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -70,7 +74,7 @@
 		return err
 	}
 	node.Start()
-	go launch.Reload(path, node.Dead(), func(text []byte, err error) { reload(node, logger, path, text, err) })
+	go reloader.Run(node.Dead(), logger, func(text []byte) error { return reload(node, path, text) })
 	select {
 	case <-signals:
 	case <-node.Dead():
@@ -80,25 +84,6 @@
 	return node.Stop(ctx)
 }
 
-// reload takes over what may change while the node runs: the control nodes to
-// ask for membership. All else counts from the next start.
-func reload(node *ctrl.Node, logger *slog.Logger, path string, text []byte, err error) {
-	var settings *conf.Control
-	if err == nil {
-		settings, err = conf.ParseControl(filepath.Base(path), text)
-	}
-	if err != nil {
-		event.Log(logger, event.SettingsRefused, slog.String("error", err.Error()))
-		return
-	}
-	var seeds []string
-	for _, p := range settings.Discovery().Seeds() {
-		seeds = append(seeds, p.Address())
-	}
-	node.SetSeeds(seeds)
-	event.Log(logger, event.SettingsRead)
-}
-
 func newNode(s *conf.Control, logger *slog.Logger) (*ctrl.Node, error) {
 	folder, err := disk.NewFolder(s.DataFolder())
 	if err != nil {
@@ -172,3 +157,18 @@
 	}
 	return t
 }
+
+// reload takes over what may change while the node runs: the control nodes to
+// ask for membership. All else counts from the next start.
+func reload(node *ctrl.Node, path string, text []byte) error {
+	settings, err := conf.ParseControl(filepath.Base(path), text)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for _, p := range settings.Discovery().Seeds() {
+		seeds = append(seeds, p.Address())
+	}
+	node.SetSeeds(seeds)
+	return nil
+}
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -14,9 +14,9 @@
 	"github.com/spf13/cobra"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/conf"
 	"sardineswitch.dev/sardine/entry"
-	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/keys"
 	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/logs"
@@ -35,16 +35,20 @@
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			path := launch.SettingsFile(args, platform.SettingsFile())
-			settings, err := conf.LoadEntry(path)
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return codes.Wrap(codes.BadSettings, err, "settings file")
+			}
+			settings, err := conf.ParseEntry(filepath.Base(path), text)
 			if err != nil {
 				return err
 			}
-			return run(c.Context(), path, settings, c.OutOrStdout())
+			return run(c.Context(), path, launch.NewReloader(path, text), settings, c.OutOrStdout())
 		},
 	}
 }
 
-func run(ctx context.Context, path string, settings *conf.Entry, out io.Writer) error {
+func run(ctx context.Context, path string, reloader *launch.Reloader, settings *conf.Entry, out io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -57,7 +61,7 @@
 		return err
 	}
 	node.Start()
-	go launch.Reload(path, node.Dead(), func(text []byte, err error) { reload(node, logger, path, text, err) })
+	go reloader.Run(node.Dead(), logger, func(text []byte) error { return reload(node, path, text) })
 	select {
 	case <-signals:
 		node.Drain()
@@ -84,29 +88,6 @@
 // newNode builds the node from its settings. The incarnation is the time of the
 // start: it rises over restarts without a disk, as long as the machine's clock
 // does not go back over one.
-// reload takes over what may change while the node runs: the control nodes to
-// ask first. All else counts from the next start.
-func reload(node *entry.Node, logger *slog.Logger, path string, text []byte, err error) {
-	var settings *conf.Entry
-	if err == nil {
-		settings, err = conf.ParseEntry(filepath.Base(path), text)
-	}
-	if err != nil {
-		event.Log(logger, event.SettingsRefused, slog.String("error", err.Error()))
-		return
-	}
-	node.SetControls(addressesOf(settings.Controls()))
-	event.Log(logger, event.SettingsRead)
-}
-
-func addressesOf(peers []conf.Peer) []string {
-	var addresses []string
-	for _, p := range peers {
-		addresses = append(addresses, p.Address())
-	}
-	return addresses
-}
-
 func newNode(s *conf.Entry, logger *slog.Logger) (*entry.Node, error) {
 	incarnation := sardine.Incarnation(time.Now().UnixMilli())
 	set, err := keys.Open(s.TLS())
@@ -162,3 +143,22 @@
 		Connections: l.Requests(),
 	}
 }
+
+// reload takes over what may change while the node runs: the control nodes to
+// ask first. All else counts from the next start.
+func reload(node *entry.Node, path string, text []byte) error {
+	settings, err := conf.ParseEntry(filepath.Base(path), text)
+	if err != nil {
+		return err
+	}
+	node.SetControls(addressesOf(settings.Controls()))
+	return nil
+}
+
+func addressesOf(peers []conf.Peer) []string {
+	var addresses []string
+	for _, p := range peers {
+		addresses = append(addresses, p.Address())
+	}
+	return addresses
+}
--- a/launch/reload_test.go
+++ b/launch/reload_test.go
@@ -1,9 +1,12 @@
 package launch
 
 import (
+	"bytes"
+	"errors"
+	"log/slog"
 	"os"
-	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -11,51 +14,61 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestReloadReadsAfterAHangup: SIGHUP must not end the process, and has the file
-// read even if it is the same.
+// lines is a log that may be read while it is written.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) has(word string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Contains(l.text.Bytes(), []byte(word))
+}
+
+// TestReloadReadsAfterAHangup: SIGHUP does not end the process and has the file
+// read even if it is the same; a change is noticed without it; a text with errors
+// is refused with a line.
 func TestReloadReadsAfterAHangup(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	require.NoError(t, os.WriteFile(path, []byte("first"), 0o600))
-	caught := make(chan os.Signal, 1)
-	signal.Notify(caught, syscall.SIGHUP) // the test's process lives on whenever Reload begins to listen
-	defer signal.Stop(caught)
-	done := make(chan struct{})
+	r := NewReloader(path, []byte("first"))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) // before Run: kept, not deadly
+	done, ended := make(chan struct{}), make(chan struct{})
 	texts := make(chan string, 16)
-	ended := make(chan struct{})
+	var log lines
 	go func() {
-		Reload(path, done, func(text []byte, err error) {
-			if err != nil {
-				texts <- err.Error()
-				return
-			}
+		r.Run(done, slog.New(slog.NewTextHandler(&log, nil)), func(text []byte) error {
 			texts <- string(text)
+			if string(text) == "wrong" {
+				return errors.New("wrong settings")
+			}
+			return nil
 		})
 		close(ended)
 	}()
 	next := func() string {
 		t.Helper()
-		for end := time.After(20 * time.Second); ; {
-			select {
-			case text := <-texts:
-				return text
-			case <-end:
-				t.Fatal("nothing was read")
-			}
-		}
-	}
-	for read := false; !read; {
-		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 		select {
 		case text := <-texts:
-			require.Equal(t, "first", text)
-			read = true
-		case <-time.After(50 * time.Millisecond): // it did not listen yet
+			return text
+		case <-time.After(20 * time.Second):
+			t.Fatal("nothing was read")
+			return ""
 		}
 	}
-	require.NoError(t, os.WriteFile(path, []byte("second"), 0o600))
-	for text := next(); text != "second"; text = next() {
-		require.Equal(t, "first", text, "read again after another signal")
-	}
+	require.Equal(t, "first", next())
+	require.NoError(t, os.WriteFile(path+".new", []byte("wrong"), 0o600))
+	require.NoError(t, os.Rename(path+".new", path))
+	require.Equal(t, "wrong", next(), "without a signal")
 	close(done)
 	<-ended
+	require.True(t, log.has("settings_read"))
+	require.True(t, log.has("wrong settings"))
 }
