--- a/ctrl/enrol.go
+++ b/ctrl/enrol.go
@@ -62,6 +62,7 @@
 // one; the leader gives learners their vote and removes lost voters.
 func (n *Node) tendMembers() error {
 	quiet := n.clock.Now()
+	waits := false
 	for {
 		info := n.log.Leader()
 		if info.ID != "" && n.isMember() {
@@ -72,7 +73,11 @@
 		case info.Leading:
 			n.tendOthers(ctx)
 		case !n.isMember() || n.clock.Now()-quiet > enrolAfter:
-			n.askToEnrol(ctx)
+			err := n.askToEnrol(ctx)
+			if err != nil && !waits {
+				event.Log(n.logger, event.EnrolWaits, errorAttr(err))
+			}
+			waits = err != nil
 		}
 		cancel()
 		select {
@@ -105,8 +110,10 @@
 	return slices.ContainsFunc(n.log.Members(), func(m quorum.Member) bool { return m.Node == n.id })
 }
 
-// askToEnrol asks the control nodes that are known, the seeds first.
-func (n *Node) askToEnrol(ctx context.Context) {
+// askToEnrol asks the control nodes that are known, the seeds first, until one
+// takes this node. It returns why the last one did not.
+func (n *Node) askToEnrol(ctx context.Context) error {
+	last := error(codes.New(codes.NoQuorum, "no other control node is known"))
 	request := &wire.EnrolRequest{Node: string(n.id), Address: n.internal.Address()}
 	asked := map[string]bool{n.internal.Address(): true}
 	n.seedsMu.Lock()
@@ -123,14 +130,17 @@
 		asked[address] = true
 		answer, err := n.others.Stub(address).Enrol(ctx, request)
 		if err != nil {
-			continue // silent ones are asked again in the next round
+			last = codes.Wrap(codes.NoQuorum, err, "control node "+address+" does not answer")
+			continue
 		}
 		fault := ctlapi.ErrorOf(answer.GetFault())
 		if fault == nil {
-			return
+			return nil
 		}
+		last = fault
 		addresses = append(addresses, answer.GetFault().GetLeader())
 	}
+	return last
 }
 
 // tendOthers gives caught-up learners a vote, and removes a voter that has long
--- a/entry/learn.go
+++ b/entry/learn.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
 )
 
 const (
@@ -40,11 +42,13 @@
 	n.seedsMu.Lock()
 	seeds := slices.Clone(n.controls)
 	n.seedsMu.Unlock()
+	var last error
 	for _, address := range n.control.Known() {
 		ctx, cancel := context.WithTimeout(n.life, learnCall.Duration())
 		members, err := n.control.Addresses(ctx, address)
 		cancel()
 		if err != nil || len(members) == 0 {
+			last = err
 			continue // the next one may answer
 		}
 		for _, seed := range seeds {
@@ -55,6 +59,9 @@
 		n.useControls(members)
 		return
 	}
+	if last != nil {
+		event.Log(n.log, event.FollowLost, codeAttr(codes.Wrap(codes.NoQuorum, last, "no control node tells the members")))
+	}
 }
 
 func (n *Node) useControls(addresses []string) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -73,6 +73,7 @@
 	repeats        *repeats
 	vitals         *vitals
 	stalls         chan struct{} // wakes the witness duty
+	witnessLost    bool          // the leader takes no reports; the witness duty's
 	opening        atomic.Bool   // a command that opens the traffic is under way
 	gate           *gate
 	flights        *flights
--- a/entry/witness.go
+++ b/entry/witness.go
@@ -4,6 +4,7 @@
 	"context"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/vital"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -43,12 +44,24 @@
 		request.Signs = append(request.Signs, signToWire(s))
 	}
 	crowds, err := n.control.Witness(ctx, request)
+	n.noteWitness(err)
 	if err != nil {
 		return // the next report says it all anew
 	}
 	n.gate.crowds(crowds)
 }
 
+// noteWitness logs when the leader ceases to take reports, and when it does again.
+func (n *Node) noteWitness(err error) {
+	switch lost := err != nil; {
+	case lost && !n.witnessLost:
+		event.Log(n.log, event.WitnessLost, codeAttr(err))
+	case !lost && n.witnessLost:
+		event.Log(n.log, event.WitnessRegained)
+	}
+	n.witnessLost = err != nil
+}
+
 func signToWire(s vital.Sign) *wire.Sign {
 	return &wire.Sign{
 		Group:       string(s.Ref.Group),
--- a/event/table.go
+++ b/event/table.go
@@ -24,6 +24,7 @@
 	MembersChanged  ID = 206
 	DiskFull        ID = 207
 	DiskRoom        ID = 208
+	EnrolWaits      ID = 209
 	ChangeAccepted  ID = 300
 	ChangeRefused   ID = 301
 	EntryJoined     ID = 302
@@ -33,6 +34,8 @@
 	LayoutInForce   ID = 306
 	FollowLost      ID = 307
 	FollowRegained  ID = 308
+	WitnessLost     ID = 309
+	WitnessRegained ID = 310
 	TargetSeen      ID = 400
 	TargetLost      ID = 401
 	TargetLeaving   ID = 402
@@ -72,6 +75,7 @@
 	{MembersChanged, "members_changed", slog.LevelInfo, "the list of control members has changed", "nothing"},
 	{DiskFull, "disk_full", slog.LevelError, "the data folder's disk is full, this control node acknowledges nothing until there is room", "make room, see docs/operate/full-disk.md"},
 	{DiskRoom, "disk_room", slog.LevelInfo, "the disk takes writes again", "nothing"},
+	{EnrolWaits, "enrol_waits", slog.LevelWarn, "no known control node takes this one as a member; it asks on", "check the network to the seeds, and the seeds in the settings"},
 	{ChangeAccepted, "change_accepted", slog.LevelInfo, "a settings change is in force on every entry node", "nothing"},
 	{ChangeRefused, "change_refused", slog.LevelInfo, "a settings change was refused", "see the error attribute"},
 	{EntryJoined, "entry_joined", slog.LevelInfo, "an entry node joined", "nothing"},
@@ -81,6 +85,8 @@
 	{LayoutInForce, "layout_in_force", slog.LevelInfo, "an entry node serves by a new layout", "nothing"},
 	{FollowLost, "follow_lost", slog.LevelWarn, "the control node or relay that the node follows does not answer or does not lead, another one is asked", "check the control nodes if it is not regained"},
 	{FollowRegained, "follow_regained", slog.LevelInfo, "the node follows the log again", "nothing"},
+	{WitnessLost, "witness_lost", slog.LevelWarn, "the control leader takes no word on what targets answer", "check the control nodes if it is not regained"},
+	{WitnessRegained, "witness_regained", slog.LevelInfo, "the control leader takes word on targets again", "nothing"},
 	{TargetSeen, "target_seen", slog.LevelInfo, "a target announced itself", "nothing"},
 	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
 	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -22,14 +22,13 @@
 
 // Conn is one connection to a target. It carries one exchange at a time.
 type Conn struct {
-	pool     *Pool
-	address  string
-	raw      net.Conn
-	reader   *bufio.Reader
-	used     bool           // has carried an exchange
-	idleFrom sardine.Millis // of a connection in the pool
-	idleMost sardine.Millis // the target's own limit, 0 if it did not say
-	sending  chan error     // the end of a long body's write, nil without one
+	pool       *Pool
+	address    string
+	raw        net.Conn
+	reader     *bufio.Reader
+	idleFrom   sardine.Millis // of a connection in the pool
+	targetIdle sardine.Millis // the target's own limit, 0 if it did not say
+	sending    chan error     // the end of a long body's write, nil without one
 }
 
 // Request is one request as it goes over the wire.
@@ -43,7 +42,6 @@
 
 // Send writes the request. sent tells whether any byte may have left.
 func (c *Conn) Send(q Request) (sent bool, err error) {
-	c.used = true
 	head := q.head()
 	if len(q.Body) <= inlineBody {
 		n, err := c.raw.Write(append(head, q.Body...))
@@ -110,7 +108,7 @@
 		return
 	}
 	c.Until(time.Time{})
-	c.idleMost = keepAlive(resp.Header)
+	c.targetIdle = keepAlive(resp.Header)
 	c.pool.put(c)
 }
 
@@ -138,12 +136,6 @@
 	_ = c.raw.Close() // nothing is read from it any more
 }
 
-// Used reports whether the connection has carried an exchange before, so that
-// its target may have closed it meanwhile.
-func (c *Conn) Used() bool {
-	return c.used
-}
-
 // keepAlive returns how long the target keeps an idle connection, 0 if it does
 // not say.
 func keepAlive(h http.Header) sardine.Millis {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -16,16 +16,16 @@
 	"sardineswitch.dev/sardine/codes"
 )
 
-// Defaults of a Pool.
+// Bounds of connections.
 const (
-	// defaultDial bounds the making of a connection: a reachable target of the
+	// dialMost bounds the making of a connection: a reachable target of the
 	// site accepts within some milliseconds.
-	defaultDial = 400 * sardine.Millis(1)
-	// defaultSilence is after which time unacknowledged bytes break a connection,
+	dialMost = 400 * sardine.Millis(1)
+	// silenceMost is after which time unacknowledged bytes break a connection,
 	// for a target that is cut off in silence.
-	defaultSilence = 5 * sardine.Second
-	// defaultIdle is how long an unused connection is kept.
-	defaultIdle = 4 * sardine.Second
+	silenceMost = 5 * sardine.Second
+	// idleMost is how long an unused connection is kept.
+	idleMost = 4 * sardine.Second
 	// keptShare is the part of a target's own idle limit after which a connection
 	// is not used any more, so that a request does not cross its close.
 	keptShare = 0.5
@@ -36,77 +36,46 @@
 
 // Pool keeps the connections of one entry node. It is safe for concurrent use.
 type Pool struct {
-	clock   sardine.Clock
-	dial    sardine.Dial
-	dialing sardine.Millis
-	silence sardine.Millis
-	idle    sardine.Millis
+	clock sardine.Clock
 
 	mu    sync.Mutex
 	free  map[string][]*Conn // the one used last at the end
 	open  map[string]int
 	limit map[string]int
-	made  uint64
-}
-
-// Option sets a property of a Pool.
-type Option func(*Pool)
-
-// WithDial sets how targets are connected to.
-func WithDial(d sardine.Dial) Option {
-	return func(p *Pool) { p.dial = d }
-}
-
-// WithSilence sets after which time unacknowledged bytes break a connection.
-func WithSilence(d sardine.Millis) Option {
-	return func(p *Pool) { p.silence = d }
-}
-
-// WithIdle sets how long an unused connection is kept.
-func WithIdle(d sardine.Millis) Option {
-	return func(p *Pool) { p.idle = d }
 }
 
 // New returns a pool without connections.
-func New(clock sardine.Clock, options ...Option) *Pool {
-	p := &Pool{
-		clock:   clock,
-		dialing: defaultDial,
-		silence: defaultSilence,
-		idle:    defaultIdle,
-		free:    make(map[string][]*Conn),
-		open:    make(map[string]int),
-		limit:   make(map[string]int),
-	}
-	p.dial = p.dialTCP
-	for _, o := range options {
-		o(p)
+func New(clock sardine.Clock) *Pool {
+	return &Pool{
+		clock: clock,
+		free:  make(map[string][]*Conn),
+		open:  make(map[string]int),
+		limit: make(map[string]int),
 	}
-	return p
 }
 
 // dialTCP connects with a bound on unacknowledged bytes.
-func (p *Pool) dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1}
-	raw, err := d.DialContext(ctx, network, address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	if tcp, ok := raw.(*net.TCPConn); ok {
-		p.bound(tcp)
+		boundSilence(tcp)
 	}
 	return raw, nil
 }
 
-// bound sets the time after which the kernel gives unacknowledged bytes up. A
+// boundSilence sets the time after which the kernel gives unacknowledged bytes up. A
 // kernel without the option leaves the deadlines of each exchange.
-func (p *Pool) bound(tcp *net.TCPConn) {
+func boundSilence(tcp *net.TCPConn) {
 	control, err := tcp.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = control.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.silence))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceMost))
 	})
 }
 
@@ -152,11 +121,10 @@
 		return nil, codes.New(codes.NoTarget, "all %d connections to target %s are in use", most, address)
 	}
 	p.open[address]++
-	p.made++
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, p.dialing.Duration())
+	ctx, cancel := context.WithTimeout(ctx, dialMost.Duration())
 	defer cancel()
-	raw, err := p.dial(ctx, "tcp", address)
+	raw, err := dialTCP(ctx, address)
 	c := &Conn{pool: p, address: address, raw: raw}
 	if err != nil {
 		p.dropped(c)
@@ -197,7 +165,7 @@
 	for address, free := range p.free {
 		kept := free[:0]
 		for _, c := range free {
-			if c.expired(now, p.idle) {
+			if c.expired(now) {
 				stale = append(stale, c)
 			} else {
 				kept = append(kept, c)
@@ -214,24 +182,14 @@
 	}
 }
 
-func (c *Conn) expired(now, idle sardine.Millis) bool {
-	if c.idleMost > 0 {
-		idle = min(idle, sardine.Millis(keptShare*float64(c.idleMost)))
+func (c *Conn) expired(now sardine.Millis) bool {
+	idle := idleMost
+	if c.targetIdle > 0 {
+		idle = min(idle, sardine.Millis(keptShare*float64(c.targetIdle)))
 	}
 	return now-c.idleFrom >= idle
 }
 
-// Forget closes the unused connections to a target.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	stale := p.free[address]
-	delete(p.free, address)
-	p.mu.Unlock()
-	for _, c := range stale {
-		c.Close()
-	}
-}
-
 // Close closes all unused connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -246,13 +204,6 @@
 	}
 }
 
-// Made returns how many connections were made.
-func (p *Pool) Made() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.made
-}
-
 // deadline converts an instant of the pool's clock to the wall's.
 func (p *Pool) deadline(at sardine.Millis) time.Time {
 	return time.Now().Add((at - p.clock.Now()).Duration())
