--- a/call.go
+++ b/call.go
@@ -15,7 +15,6 @@
 	Patience     Millis // how long the caller waits, 0 if not said
 	Model        ModelName
 	PromptTokens int
-	AnswerTokens int    // at most
 	LastEvent    string // the caller goes on after this event, empty for a new stream
 }
 
@@ -34,7 +33,6 @@
 	Ran     Ran       // RanNo if the target says so, RanUnknown otherwise
 	Running int       // requests in the batch
 	Queued  int
-	Slots   int
 	Loaded  bool // Running, Queued and Slots are set
 }
 
--- a/layout.go
+++ b/layout.go
@@ -38,8 +38,6 @@
 	Kind      RouteKind
 	Timeout   Millis // longest time that a caller is kept waiting
 	Objective Millis // to the first byte or event
-	Gap       Millis // longest pause between two events, 0 for other kinds
-	Rank      int    // 0 is the most urgent
 	Split     []Share
 	Attempts  int  // targets that one request may be sent to
 	Public    bool // takes callers without a key
@@ -67,19 +65,10 @@
 // EngineSpec describes the engines of a service. Times are those of a group at
 // pace 1.
 type EngineSpec struct {
-	Slots            int     // requests in one batch of a group
-	CacheTokens      int     // KV cache of a group, in tokens
-	Stride           int     // token steps in one pass, which is one event
-	StepMillis       float64 // one token step
-	StepPerRequest   float64 // ms more for each request in the batch
-	StepPerContext   float64 // ms more for 1,000 tokens of context
-	PrefillPerSecond float64 // prompt tokens
-	PromptTokens     int     // mean of a request
-	AnswerTokens     int     // mean of a request
-	LoadsPerSecond   float64 // loads that may begin at the weight store
-	LoadsAtOnce      int     // loads that the weight store serves at its full rate
-	HostKeeps        int     // models staged on one host
-	Models           []ModelSpec
+	Slots          int     // requests in one batch of a group
+	LoadsPerSecond float64 // loads that may begin at the weight store
+	LoadsAtOnce    int     // loads that the weight store serves at its full rate
+	Models         []ModelSpec
 }
 
 // ModelSpec is one model that the engines of a service serve.
@@ -87,22 +76,16 @@
 	Name  ModelName
 	Size  int     // VMs in a group
 	Share float64 // of the service's work
-	Pace  float64 // factor on all times of a group
 	Load  Millis  // from the weight store
-	Warm  Millis  // from the host
 }
 
 // KeyTenant is a workspace that callers name by a key.
 type KeyTenant struct {
 	Name Workspace
 	Keys []string
-	Rank int // goes before the route's, 0 is the most urgent
 }
 
 // CallerLimits bounds what callers may send and how long they may take.
 type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout Millis
-	IdleTimeout   Millis
+	BodyBytes int64
 }
