Let the clock of the log's tests wait for its nodes

Beside eight busy loops, with the race detector, it failed 3 times in 20: the virtual clock ran ahead of the nodes' messages, so that every election timed out before its votes were counted. Change: the clock advances only once the nodes have nothing left to do, and the bound is 10 s on the site's clock instead of the machine's, which was up to ten times as much of the site's. No check is looser.

--- a/repl/repl_test.go
+++ b/repl/repl_test.go
@@ -92,14 +92,57 @@
 	return n.Stop(ctx)
 }
 
-// until advances the clock until f holds.
+// Bounds of until.
+const (
+	// enough is how much time of the site's clock any step of these tests may take.
+	// It is the ten seconds that they always had, no longer on the machine's clock.
+	enough = 10 * sardine.Second
+	// quietLooks is how often in a row the nodes must have nothing to do before the
+	// site's clock goes on.
+	quietLooks = 3
+	// busyLooks bounds the wait for that: a node whose disk is full keeps its writes.
+	busyLooks = 200
+	look      = 100 * time.Microsecond
+)
+
+// until advances the clock until f holds. The clock waits for the nodes: on a busy
+// machine it would otherwise run ahead of their messages, and every election would
+// time out before its votes were counted.
 func (s *site) until(f func() bool) {
 	s.t.Helper()
-	for start := time.Now(); !f(); {
-		require.Less(s.t, time.Since(start), patience)
-		s.clock.Advance(5)
-		time.Sleep(500 * time.Microsecond)
+	for end := s.clock.Now() + enough; ; s.clock.Advance(5) {
+		s.settle()
+		if f() {
+			return
+		}
+		require.Less(s.t, s.clock.Now(), end)
+	}
+}
+
+// settle waits until no node has anything in its rings.
+func (s *site) settle() {
+	quiet := 0
+	for range busyLooks {
+		time.Sleep(look)
+		if s.busy() {
+			quiet = 0
+			continue
+		}
+		if quiet++; quiet == quietLooks {
+			return
+		}
+	}
+}
+
+func (s *site) busy() bool {
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	for _, n := range s.net.nodes {
+		if n.inbox.Len()+n.requests.Len()+n.writes.Len()+n.applies.Len()+len(n.syncedCh) > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 func (s *site) leader() *Node {
