One forwarder for both interfaces, and ports for the product's own callers and targets

Cause: the product's own interface dispatched by serve.Client over net/http while the platform's went by proxy over pool, so that faults of forwarding had to be mended twice; its callers' headers were read inside entry. Change: reply.Callers and serve.Targets implement the ports; proxy.Client forwards for both. A dispatch names its group, epoch and request, a reply says whether the target has moved and whether the answer can be its own. Refusals pass through the port with what is known of the run. net/http's own resends on stale connections are gone with its transport.

--- a/call.go
+++ b/call.go
@@ -9,10 +9,13 @@
 // pass through unread.
 type Call struct {
 	ID           RequestID
-	Host         string // without a port
-	Path         string // without the query
-	Key          string // of the caller's workspace, empty without one
-	Patience     Millis // how long the caller waits, 0 if not said
+	Host         string    // without a port
+	Path         string    // without the query
+	Workspace    Workspace // named by the caller, empty if its key tells
+	Key          string    // of the caller's workspace, empty without one
+	Priority     Priority  // 0 if not said
+	RepeatKey    string    // the same on all resends of one request, empty for none
+	Patience     Millis    // how long the caller waits, 0 if not said
 	Model        ModelName
 	PromptTokens int
 	LastEvent    string // the caller goes on after this event, empty for a new stream
@@ -20,7 +23,10 @@
 
 // Dispatch is what the system tells a target about a request that it passes on.
 type Dispatch struct {
+	Request   RequestID
 	Target    VMID
+	Group     GroupID // that the target heads, empty for a plain target
+	Epoch     Epoch   // of the group
 	Workspace Workspace
 	Patience  Millis
 	LastEvent string // go on after this event, empty to start
@@ -31,9 +37,18 @@
 type Reply struct {
 	Request RequestID // that it answers, empty if not said
 	Ran     Ran       // RanNo if the target says so, RanUnknown otherwise
-	Running int       // requests in the batch
-	Queued  int
-	Loaded  bool // Running, Queued and Slots are set
+	Moved   bool      // the target is not, or no longer, the one that was meant
+	Invalid string    // why the answer can't be the target's own, empty if it can
+	Load    Load
+	Loaded  bool // Load is set
+}
+
+// Refusal is an answer of the system's own to a caller.
+type Refusal struct {
+	Request    RequestID // empty if it was not read so far
+	Cause      error
+	Ran        Ran
+	RetryAfter Millis // when the caller should come back, 0 if not said
 }
 
 // CallerPort translates callers' requests.
@@ -41,7 +56,7 @@
 	// Call reads a request's head. Errors carry codes.BadRequest.
 	Call(r *http.Request) (Call, error)
 	// Refuse writes an answer of the system's own.
-	Refuse(w http.ResponseWriter, err error, retryAfter Millis)
+	Refuse(w http.ResponseWriter, r Refusal)
 	// ReadyPath is where the platform's balancer asks whether to send callers.
 	ReadyPath() string
 }
--- a/entry/begin.go
+++ b/entry/begin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/admit"
 )
 
@@ -19,10 +20,10 @@
 
 // begin reads a request and waits until it may be dispatched. One that is refused
 // has its answer; then admitted is false.
-func (n *Node) begin(w http.ResponseWriter, r *http.Request, read func(*http.Request, int64) (*request, error)) (b *begun, admitted bool) {
+func (n *Node) begin(w http.ResponseWriter, r *http.Request, read func(sardine.CallerPort, *http.Request, int64) (*request, error)) (b *begun, admitted bool) {
 	k := n.beginTrace()
 	n.extendRead(w)
-	q, err := read(r, n.limits.BodyBytes)
+	q, err := read(n.callers, r, n.limits.BodyBytes)
 	if err != nil {
 		n.refuseTraced(w, k, err)
 		return nil, false
@@ -40,7 +41,7 @@
 		request: q,
 		service: key,
 		ticket:  ticket,
-		sink:    newSink(w, q.id, n.timing.Write),
+		sink:    newSink(n.callers, w, q.id, n.timing.Write),
 		ctx:     ctx,
 		cancel:  cancel,
 	}, true
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -14,7 +14,6 @@
 	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
-	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/trace"
 )
 
@@ -171,22 +170,22 @@
 	if closesConnection(err) {
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
-	problemOf(err, id, sardine.RanNo).Write(w)
+	n.callers.Refuse(w, refusalTo(err, id, sardine.RanNo))
 }
 
 func closesConnection(err error) bool {
 	return codes.Is(err, codes.TooLarge) || codes.Is(err, codes.SlowRequest)
 }
 
-// problemOf describes err to a caller, with the time to come back.
-func problemOf(err error, id sardine.RequestID, ran sardine.Ran) *reply.Problem {
-	options := []reply.Option{reply.WithRan(ran), reply.WithRequest(id)}
+// refusalTo is an answer of the system's own, with the time to come back.
+func refusalTo(err error, id sardine.RequestID, ran sardine.Ran) sardine.Refusal {
+	out := sardine.Refusal{Request: id, Cause: err, Ran: ran}
 	var r *refusal
 	switch {
 	case errors.As(err, &r):
-		options = append(options, reply.WithRetryAfter(r.retryAfter))
+		out.RetryAfter = r.retryAfter
 	case codes.Of(err).Status() == http.StatusServiceUnavailable:
-		options = append(options, reply.WithRetryAfter(sardine.Second))
+		out.RetryAfter = sardine.Second
 	}
-	return reply.NewProblem(err, options...)
+	return out
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -87,9 +87,6 @@
 	if n.pool != nil {
 		n.pool.Close()
 	}
-	if n.ownTransport != nil {
-		n.ownTransport.CloseIdleConnections()
-	}
 	if n.meter != nil {
 		_ = n.meter.meter.Close()
 	}
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	sardine "sardineswitch.dev/sardine"
-	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/limit"
 	"sardineswitch.dev/sardine/route"
@@ -36,13 +35,9 @@
 }
 
 // noteLoad takes over the load that a target put on its answer.
-func (n *Node) noteLoad(ref route.Ref, header http.Header) {
-	text := header.Get(annc.HeaderLoad)
-	if text == "" {
-		return
-	}
-	if l, err := annc.ParseLoad(text); err == nil {
-		n.gate.load(ref, l)
+func (n *Node) noteLoad(ref route.Ref, r sardine.Reply) {
+	if r.Loaded {
+		n.gate.load(ref, r.Load)
 	}
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -22,6 +22,7 @@
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/pool"
 	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 	"sardineswitch.dev/sardine/status"
@@ -46,15 +47,14 @@
 	timing            Timing
 	limits            Limits
 	dial              sardine.Dial // nil for the ordinary one
-	targetTransport   http.RoundTripper
-	callers           sardine.CallerPort // nil: callers use the product's own interface
+	byLayout          bool         // callers are served by the layout's routes
+	callers           sardine.CallerPort
 	targetPort        sardine.TargetPort
 	layouts           sardine.LayoutCodec
 	listenReady       string
 	repeatRatio       float64
 	repeatSlack       float64
 	repeatWindow      sardine.Millis
-	ownTransport      *http.Transport // closed by the node, nil if one was given
 	keys              *keys.Set
 	operatorHash      []byte
 	targetTokens      bool
@@ -66,7 +66,6 @@
 	internalClient *http.Client
 	internalScheme string
 	control        *ctlapi.Client
-	client         *serve.Client
 	ready          *listen.Server // nil without an address of its own
 	pool           *pool.Pool     // nil without ports
 	proxy          *proxy.Client
@@ -116,6 +115,9 @@
 		history: status.NewHistory(),
 		keys:    keys.Plain(),
 		traces:  trace.NewRing(),
+
+		callers:    reply.NewCallers(),
+		targetPort: serve.NewTargets(),
 	}
 	for _, o := range options {
 		o(n)
@@ -147,15 +149,10 @@
 		t.DialContext = n.dial
 	}
 	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, n.internalScheme))
-	if n.targetTransport == nil {
-		n.ownTransport = newTargetTransport()
-		n.targetTransport = n.ownTransport
-	}
-	n.client = serve.NewClient(n.targetTransport)
 	n.gate = newGate(n.clock, n.random, route.New(n.random, n.routeOptions()...))
-	if n.callers != nil {
-		n.pool = pool.New(n.clock)
-		n.proxy = proxy.NewClient(n.pool, n.targetPort)
+	n.pool = pool.New(n.clock)
+	n.proxy = proxy.NewClient(n.pool, n.targetPort)
+	if n.byLayout {
 		n.vitals = newVitals(n.clock)
 		n.stalls = make(chan struct{}, 1)
 		n.repeats = newRepeats(n.repeatRatio, n.repeatSlack, n.repeatWindow)
@@ -203,7 +200,7 @@
 // routeOptions returns how targets are chosen. Behind the ports engines keep no
 // prompt after its request, so that their load alone counts.
 func (n *Node) routeOptions() []route.Option {
-	if n.callers == nil {
+	if !n.byLayout {
 		return nil
 	}
 	return []route.Option{route.WithPolicy(route.Batch), route.WithHints(0)}
@@ -243,7 +240,7 @@
 func (n *Node) Start() {
 	n.published.Store(&published{view: emptyView()})
 	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
-	if n.callers != nil {
+	if n.byLayout {
 		n.tomb.Go(n.witness)
 		n.tomb.Go(n.learnControls)
 	}
@@ -284,8 +281,8 @@
 		n.gate.tick(n.view().routed)
 		n.claims.tick()
 		n.guards.tick()
-		if n.pool != nil {
-			n.pool.Tick()
+		n.pool.Tick()
+		if n.vitals != nil {
 			n.tickVitals()
 		}
 	}
@@ -298,7 +295,7 @@
 
 // callersMux serves callers through the port, or by the product's own interface.
 func (n *Node) callersMux() http.Handler {
-	if n.callers != nil {
+	if n.byLayout {
 		return n.routedMux()
 	}
 	return n.publicMux()
--- a/entry/options.go
+++ b/entry/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/follow"
@@ -122,9 +121,11 @@
 }
 
 // WithPorts sets what callers and targets speak, instead of the product's own
-// interface, and how operators' layouts are read.
+// interface, and how operators' layouts are read. Callers are then served by the
+// layout's routes.
 func WithPorts(callers sardine.CallerPort, targets sardine.TargetPort, layouts sardine.LayoutCodec) Option {
 	return func(n *Node) {
+		n.byLayout = true
 		n.callers = callers
 		n.targetPort = targets
 		n.layouts = layouts
@@ -167,9 +168,3 @@
 func WithDial(d sardine.Dial) Option {
 	return func(n *Node) { n.dial = d }
 }
-
-// WithTargetTransport sets how targets are reached. The transport must neither
-// follow redirects nor use a proxy.
-func WithTargetTransport(t http.RoundTripper) Option {
-	return func(n *Node) { n.targetTransport = t }
-}
--- a/entry/rend.go
+++ b/entry/rend.go
@@ -55,7 +55,7 @@
 	if codes.Of(err).Status() == http.StatusServiceUnavailable {
 		after = q.node.comeBack()
 	}
-	q.node.callers.Refuse(q.w, err, after)
+	q.node.callers.Refuse(q.w, sardine.Refusal{Request: q.call.ID, Cause: err, Ran: q.ran, RetryAfter: after})
 }
 
 // returnAfter is when callers of a request that was not run should come back:
--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -44,7 +44,7 @@
 
 // configureRouted takes over what a new view says about routed requests.
 func (n *Node) configureRouted(v *view) {
-	if n.callers == nil {
+	if !n.byLayout {
 		return
 	}
 	n.repeats.setNodes(v.nodes)
--- a/entry/request.go
+++ b/entry/request.go
@@ -8,24 +8,19 @@
 	"mime"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
-	"unicode/utf8"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/oper"
-	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/pool"
+	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/trace"
 )
 
-// Bounds of what a caller may ask for.
-const (
-	maxDeadline  = 600 * sardine.Second
-	maxKeyBytes  = 255
-	bytesPerWord = 4 // rough size of a token of text
-)
+// bytesPerWord is the rough size of a token of text.
+const bytesPerWord = 4
 
 // request is one caller's request, read whole and checked.
 type request struct {
@@ -69,36 +64,25 @@
 }
 
 // readCommon reads what every request has: its body and the system's headers.
-func readCommon(r *http.Request, limit int64) (*request, error) {
+func readCommon(callers sardine.CallerPort, r *http.Request, limit int64) (*request, error) {
 	body, err := readBody(r, limit)
 	if err != nil {
 		return nil, err
 	}
+	c, err := callers.Call(r)
+	if err != nil {
+		return nil, err
+	}
 	q := &request{
 		method:    r.Method,
 		header:    r.Header,
 		body:      body,
 		source:    oper.SourceOf(r),
-		workspace: sardine.Workspace(r.Header.Get(reply.HeaderWorkspace)),
-		key:       r.Header.Get(reply.HeaderKey),
-	}
-	if q.workspace == "" {
-		return nil, codes.New(codes.BadRequest, "header %s is missing, it names the caller's workspace", reply.HeaderWorkspace)
-	}
-	if len(q.key) > maxKeyBytes {
-		return nil, codes.New(codes.BadRequest, "header %s has %d bytes, at most %d are taken", reply.HeaderKey, len(q.key), maxKeyBytes)
-	}
-	if !utf8.ValidString(q.key) || !utf8.ValidString(string(q.workspace)) {
-		return nil, codes.New(codes.BadRequest, "headers %s and %s must be valid UTF-8", reply.HeaderWorkspace, reply.HeaderKey)
-	}
-	if q.token, err = bearer(r.Header.Get("Authorization")); err != nil {
-		return nil, err
-	}
-	if q.priority, err = parsePriority(r.Header.Get(reply.HeaderPriority)); err != nil {
-		return nil, err
-	}
-	if q.deadline, err = parseDeadline(r.Header.Get(reply.HeaderDeadline)); err != nil {
-		return nil, err
+		workspace: c.Workspace,
+		token:     c.Key,
+		priority:  c.Priority,
+		deadline:  c.Patience,
+		key:       c.RepeatKey,
 	}
 	return q, nil
 }
@@ -120,47 +104,12 @@
 	return body, nil
 }
 
-func bearer(header string) (string, error) {
-	if header == "" {
-		return "", nil
-	}
-	scheme, token, found := strings.Cut(header, " ")
-	if !found || !strings.EqualFold(scheme, "bearer") {
-		return "", codes.New(codes.BadRequest, "header Authorization is not of the form: Bearer TOKEN")
-	}
-	return strings.TrimSpace(token), nil
-}
-
-func parsePriority(text string) (sardine.Priority, error) {
-	switch text {
-	case "", "normal":
-		return sardine.PriorityNormal, nil
-	case "live":
-		return sardine.PriorityLive, nil
-	case "batch":
-		return sardine.PriorityBatch, nil
-	default:
-		return 0, codes.New(codes.BadRequest, "header %s is %q, expected live, normal or batch", reply.HeaderPriority, text)
-	}
-}
-
-func parseDeadline(text string) (sardine.Millis, error) {
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 1 || sardine.Millis(n) > maxDeadline {
-		return 0, codes.New(codes.BadRequest, "header %s is %q, expected milliseconds from 1 to %d", reply.HeaderDeadline, text, maxDeadline)
-	}
-	return sardine.Millis(n), nil
-}
-
 // readModel reads a chat or completion request.
-func readModel(r *http.Request, limit int64) (*request, error) {
+func readModel(callers sardine.CallerPort, r *http.Request, limit int64) (*request, error) {
 	if kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || kind != "application/json" {
 		return nil, codes.New(codes.BadRequest, "Content-Type is %q, expected application/json", r.Header.Get("Content-Type"))
 	}
-	q, err := readCommon(r, limit)
+	q, err := readCommon(callers, r, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -207,3 +156,17 @@
 	_, _ = h.Write(q.body)
 	q.fingerprint = h.Sum(nil)
 }
+
+// exchange is the request's dispatch to a target.
+func (q *request) exchange(c route.Candidate) proxy.Exchange {
+	return proxy.Exchange{
+		Address: c.Address,
+		Request: pool.Request{Method: q.method, Path: q.path, Host: c.Address, Header: q.header, Body: q.body},
+		Dispatch: sardine.Dispatch{
+			Request: q.id,
+			Target:  c.Head,
+			Group:   c.Group,
+			Epoch:   c.Epoch,
+		},
+	}
+}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -213,7 +213,7 @@
 	n.vitals.progress(q.flight, false)
 	n.gate.firstToken(choice, route.UnknownCached)
 	if answer.Reply.Loaded {
-		n.gate.load(choice.Candidate.Ref, sardine.Load{Running: answer.Reply.Running, Queued: answer.Reply.Queued})
+		n.gate.load(choice.Candidate.Ref, answer.Reply.Load)
 	}
 	whole, err := q.pass(answer)
 	answer.Close(whole)
@@ -276,6 +276,7 @@
 		last = q.last
 	}
 	d := sardine.Dispatch{
+		Request:   q.call.ID,
 		Target:    c.Head,
 		Patience:  q.deadline - q.node.clock.Now(),
 		LastEvent: last,
@@ -284,5 +285,5 @@
 	if q.tenant != nil {
 		d.Workspace = q.tenant.Name
 	}
-	return proxy.Exchange{ID: q.call.ID, Address: c.Address, Request: q.request, Dispatch: d, Until: q.deadline}
+	return proxy.Exchange{Named: true, Address: c.Address, Request: q.request, Dispatch: d, Until: q.deadline}
 }
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -9,7 +9,6 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/proxy"
-	"sardineswitch.dev/sardine/serve"
 )
 
 // heldBytes bounds an answer that is read whole before the caller gets any of
@@ -56,7 +55,7 @@
 // head passes the answer's status and header on.
 func (q *routed) head(resp *http.Response) {
 	h := q.w.Header()
-	for name, values := range serve.EndToEnd(resp.Header) {
+	for name, values := range proxy.EndToEnd(resp.Header) {
 		h[name] = values
 	}
 	if resp.ContentLength >= 0 {
--- a/entry/shared.go
+++ b/entry/shared.go
@@ -1,34 +1,13 @@
 package entry
 
 import (
-	"net"
-	"net/http"
 	"sync"
 
 	sardine "sardineswitch.dev/sardine"
 )
 
-// Connections of the node's clients.
-const (
-	maxIdleInternal  = 64
-	maxIdleTargets   = 256
-	targetConnect    = sardine.Second
-	targetIdle       = 30 * sardine.Second
-	targetReadBuffer = 16 << 10
-)
-
-// newTargetTransport returns the transport to targets: no proxy, HTTP/1.1 only,
-// so that a broken connection concerns one request.
-func newTargetTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: targetConnect.Duration()}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleTargets,
-		IdleConnTimeout:     targetIdle.Duration(),
-		ReadBufferSize:      targetReadBuffer,
-		DisableCompression:  true,
-	}
-}
+// maxIdleInternal bounds the idle connections to other nodes.
+const maxIdleInternal = 64
 
 // sharedRandom lets the node's cores, which run under different locks, share one
 // source.
--- a/outcome.go
+++ b/outcome.go
@@ -44,3 +44,15 @@
 		return "normal"
 	}
 }
+
+// Rank returns the priority's place among those of one target, 0 for the most
+// urgent.
+func (p Priority) Rank() int {
+	return int(PriorityLive) - int(p)
+}
+
+// PriorityOfRank returns the priority of a rank. Ranks out of range count as the
+// nearest one.
+func PriorityOfRank(rank int) Priority {
+	return Priority(int(PriorityLive) - min(max(rank, 0), int(PriorityLive-PriorityBatch)))
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -213,3 +213,8 @@
 func (c *Conn) Expire(at sardine.Millis) {
 	c.Until(c.pool.deadline(at))
 }
+
+// Linger bounds all reads and writes of the connection to a time from now.
+func (c *Conn) Linger(most sardine.Millis) {
+	c.Expire(c.pool.clock.Now() + most)
+}
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -1,5 +1,5 @@
-// Package proxy passes callers' requests on to targets along a layout's routes:
-// one exchange at a time, with what is known of its run after a failure.
+// Package proxy passes requests on to targets: one exchange at a time, with what
+// is known of its run after a failure.
 package proxy
 
 import (
@@ -10,7 +10,6 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/pool"
-	"sardineswitch.dev/sardine/serve"
 )
 
 const (
@@ -19,6 +18,9 @@
 	strays = 3
 	// strayBytes bounds the body of a skipped or refusing answer.
 	strayBytes = 64 << 10
+	// lingerMost is how long the end of a body may take that follows the last
+	// byte of its content, such as the last chunk: it is on its way by then.
+	lingerMost = 50 * sardine.Millis(1)
 )
 
 // Client passes requests on over a pool's connections.
@@ -34,11 +36,17 @@
 
 // Exchange is one request to one target.
 type Exchange struct {
-	ID       sardine.RequestID
+	Named    bool   // the target's answers say which request they are for
 	Address  string // host:port of the target
 	Request  pool.Request
 	Dispatch sardine.Dispatch
-	Until    sardine.Millis // when the answer's head must be there
+	Until    sardine.Millis // when the answer's head must be there, 0 if only the context bounds it
+}
+
+// answeredBy reports whether an answer is the exchange's own. Targets whose
+// answers do not name their request are taken by their order.
+func (x Exchange) answeredBy(r sardine.Reply) bool {
+	return !x.Named || r.Request == x.Dispatch.Request
 }
 
 // Answer is a target's answer whose body is not read yet. The caller ends it by
@@ -52,12 +60,14 @@
 
 // Open sends the request and returns the answer's head. Without an answer the
 // Failure tells whether the target may have run the request.
-func (c *Client) Open(ctx context.Context, x Exchange) (*Answer, *serve.Failure) {
+func (c *Client) Open(ctx context.Context, x Exchange) (*Answer, *Failure) {
 	conn, err := c.pool.Get(ctx, x.Address)
 	if err != nil {
-		return nil, serve.NewFailure(sardine.RanNo, err)
+		return nil, newFailure(sardine.RanNo, err)
+	}
+	if x.Until > 0 {
+		conn.Expire(x.Until)
 	}
-	conn.Expire(x.Until)
 	stop := conn.Watch(ctx)
 	answer, failed := c.exchange(conn, x)
 	if failed != nil {
@@ -76,51 +86,49 @@
 
 // exchange returns both an answer and a failure if the target said that it did
 // not run the request: its connection can be used again.
-func (c *Client) exchange(conn *pool.Conn, x Exchange) (*Answer, *serve.Failure) {
+func (c *Client) exchange(conn *pool.Conn, x Exchange) (*Answer, *Failure) {
 	q := x.Request
-	q.Header = forwarded(q.Header)
+	q.Header = EndToEnd(q.Header)
 	c.port.Prepare(q.Header, x.Dispatch)
 	if sent, err := conn.Send(q); err != nil {
 		ran := sardine.RanUnknown
 		if !sent {
 			ran = sardine.RanNo
 		}
-		return nil, serve.NewFailure(ran, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" took no request"))
+		return nil, newFailure(ran, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" took no request"))
 	}
 	for range strays {
 		resp, err := conn.Receive(q.Method)
 		if err != nil {
-			return nil, serve.NewFailure(sardine.RanUnknown, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" did not answer"))
+			return nil, newFailure(sardine.RanUnknown, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" did not answer"))
 		}
 		reply := c.port.Reply(resp.StatusCode, resp.Header)
 		switch {
-		case reply.Ran == sardine.RanNo && (reply.Request == x.ID || reply.Request == ""):
-			return &Answer{Response: resp, Reply: reply, conn: conn}, refusedBy(x, resp)
-		case reply.Request == x.ID:
-			return &Answer{Response: resp, Reply: reply, conn: conn}, encoded(x, resp)
+		case reply.Ran == sardine.RanNo && (x.answeredBy(reply) || reply.Request == ""):
+			return &Answer{Response: resp, Reply: reply, conn: conn}, refused(x, resp, reply)
+		case x.answeredBy(reply):
+			return &Answer{Response: resp, Reply: reply, conn: conn}, invalid(x, reply)
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes)); err != nil {
 			break
 		}
 	}
-	return nil, serve.NewFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent answers to other requests", x.Address))
+	return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent answers to other requests", x.Address))
 }
 
-func refusedBy(x Exchange, resp *http.Response) *serve.Failure {
+func refused(x Exchange, resp *http.Response, r sardine.Reply) *Failure {
 	code := codes.TargetFull
-	if resp.StatusCode == http.StatusMisdirectedRequest {
+	if r.Moved {
 		code = codes.EpochRefused
 	}
-	return serve.NewFailure(sardine.RanNo, codes.New(code, "target %s did not run the request: %s", x.Address, resp.Status))
+	return newFailure(sardine.RanNo, codes.New(code, "target %s did not run the request: %s", x.Address, resp.Status))
 }
 
-// encoded refuses an answer whose bytes were changed on the way: no caller asks
-// for an encoding, so none is sent by the target itself.
-func encoded(x Exchange, resp *http.Response) *serve.Failure {
-	if coding := resp.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
-		return serve.NewFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent the answer encoded as %s", x.Address, coding))
+func invalid(x Exchange, r sardine.Reply) *Failure {
+	if r.Invalid == "" {
+		return nil
 	}
-	return nil
+	return newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "the answer of target %s is not its own: %s", x.Address, r.Invalid))
 }
 
 // Expire bounds the reads of the answer's body by an instant.
@@ -128,10 +136,11 @@
 	a.conn.Expire(at)
 }
 
-// Close gives the connection back if the body was read to its end, and closes it
+// Close gives the connection back if the answer is whole, and closes it
 // otherwise, which makes the target drop the request.
 func (a *Answer) Close(whole bool) {
 	intime := a.stop()
+	a.conn.Linger(lingerMost)
 	if !whole || !intime {
 		a.conn.Close()
 		return
@@ -142,8 +151,3 @@
 	}
 	a.conn.Done(a.Response)
 }
-
-// forwarded copies a header without what concerns one connection.
-func forwarded(from http.Header) http.Header {
-	return serve.EndToEnd(from)
-}
--- a/serve/doc.go
+++ b/serve/doc.go
@@ -1,5 +1,4 @@
-// Package serve dispatches one request to one target and brings its answer back
-// whole. It keeps apart what surely did not run, what ran and what may have run,
-// matches answers to requests by id, checks their length and end mark, and
-// resumes broken streams.
+// Package serve holds what targets of the product's own interface speak: the
+// headers of a dispatch and of its answer, and answers that are checked to be
+// whole and to belong to their request.
 package serve
--- /dev/null
+++ b/serve/target.go
@@ -0,0 +1,87 @@
+package serve
+
+import (
+	"net/http"
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/annc"
+	"sardineswitch.dev/sardine/order"
+	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/reply"
+)
+
+// Targets implements sardine.TargetPort for engines and plain services that
+// speak the product's own protocol.
+type Targets struct{}
+
+// NewTargets returns the port to targets.
+func NewTargets() Targets {
+	return Targets{}
+}
+
+// ownHeaders of callers' requests are meant for this system.
+var ownHeaders = []string{
+	"Authorization", reply.HeaderWorkspace, reply.HeaderDeadline, reply.HeaderPriority,
+	order.HeaderEpoch, order.HeaderGroup, reply.HeaderRequest, order.HeaderResume, reply.HeaderRan,
+}
+
+// Prepare sets the system's headers of a dispatch.
+func (Targets) Prepare(h http.Header, d sardine.Dispatch) {
+	for _, name := range ownHeaders {
+		h.Del(name)
+	}
+	h.Del(reply.HeaderKey)
+	h.Set(reply.HeaderRequest, string(d.Request))
+	if d.Group != "" {
+		h.Set(order.HeaderGroup, string(d.Group))
+		h.Set(order.HeaderEpoch, strconv.FormatUint(uint64(d.Epoch), 10))
+		h.Set(reply.HeaderPriority, sardine.PriorityOfRank(d.Rank).String())
+	}
+	if next := nextToken(d.LastEvent); next > 0 {
+		h.Set(order.HeaderResume, strconv.Itoa(next))
+	}
+}
+
+// LastEvent returns the id of the last event that a caller holds who has the
+// first tokens of an answer.
+func LastEvent(tokens int) string {
+	if tokens == 0 {
+		return ""
+	}
+	return strconv.Itoa(tokens - 1)
+}
+
+// nextToken is the number of the token after an event: events are numbered as
+// their tokens.
+func nextToken(lastEvent string) int {
+	last, err := strconv.Atoi(lastEvent)
+	if err != nil {
+		return 0
+	}
+	return last + 1
+}
+
+// Reply reads the head of an answer. Plain services need not name the request.
+func (Targets) Reply(status int, h http.Header) sardine.Reply {
+	r := sardine.Reply{Request: sardine.RequestID(h.Get(reply.HeaderRequest))}
+	if status >= http.StatusBadRequest && h.Get(reply.HeaderRan) == sardine.RanNo.String() {
+		r.Ran = sardine.RanNo
+		r.Moved = status == http.StatusConflict
+	}
+	if load, err := annc.ParseLoad(h.Get(annc.HeaderLoad)); err == nil {
+		r.Load, r.Loaded = load, true
+	}
+	return r
+}
+
+// PassedHeader returns the header of a target's answer without what concerns
+// one connection or this system.
+func PassedHeader(from http.Header) http.Header {
+	passed := proxy.EndToEnd(from)
+	for _, name := range ownHeaders {
+		passed.Del(name)
+	}
+	passed.Del(annc.HeaderLoad)
+	return passed
+}
