Answer a request that a moved target refused with 503, never with the target's code

Only 5xx codes were turned into the promise of 503. Change: routed.final keeps the promise if and only if it is known that nothing ran, for every code. Test: TestFailuresPromiseOnlyWhatIsKnown goes through the whole table; it failed on the old rule.

--- a/entry/rend.go
+++ b/entry/rend.go
@@ -30,14 +30,22 @@
 	if q.began {
 		panic(http.ErrAbortHandler)
 	}
-	if q.ran == sardine.RanNo {
-		if status := codes.Of(err).Status(); status >= http.StatusInternalServerError {
-			err = codes.Wrap(codes.NoTarget, err, "the request was not run")
-		}
-	} else if codes.Of(err).Status() == http.StatusServiceUnavailable {
-		err = codes.Wrap(codes.TargetFailed, err, "the request may have run")
+	q.answer(q.final(err))
+}
+
+// final is what the caller is told of a failure. A status that promises that the
+// request did not run is given if and only if that is known.
+func (q *routed) final(err error) error {
+	status := codes.Of(err).Status()
+	promise := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	switch {
+	case q.ran == sardine.RanNo && !promise:
+		return codes.Wrap(codes.NoTarget, err, "the request was not run")
+	case q.ran != sardine.RanNo && status < http.StatusInternalServerError, q.ran != sardine.RanNo && promise:
+		return codes.Wrap(codes.TargetFailed, err, "the request may have run")
+	default:
+		return err
 	}
-	q.answer(err)
 }
 
 // refuse answers a request that no target got.
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -114,3 +115,19 @@
 	}
 	require.False(t, routedRequest(n, sardine.RouteStream).mayMove(), "the bound on repeats is used up")
 }
+
+// TestFailuresPromiseOnlyWhatIsKnown goes through all codes: callers take 429 and
+// 503 as a promise, and any other 4xx as a fault of their own.
+func TestFailuresPromiseOnlyWhatIsKnown(t *testing.T) {
+	for _, row := range codes.Table() {
+		err := codes.New(row.Code, "x")
+		q := routedRequest(routedNode(), sardine.RouteStream)
+		q.ran = sardine.RanNo
+		status := codes.Of(q.final(err)).Status()
+		require.Contains(t, []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}, status, "not run: %s", row.Name)
+		q.ran = sardine.RanUnknown
+		status = codes.Of(q.final(err)).Status()
+		require.GreaterOrEqual(t, status, http.StatusInternalServerError, "may have run: %s", row.Name)
+		require.NotEqual(t, http.StatusServiceUnavailable, status, "may have run: %s", row.Name)
+	}
+}
