--- a/layout.go
+++ b/layout.go
@@ -75,7 +75,7 @@
 type ModelSpec struct {
 	Name  ModelName
 	Size  int     // VMs in a group
-	Share float64 // of the service's work
+	Share float64 // of the service's work, and so of its VMs
 	Load  Millis  // from the weight store
 }
 
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -73,9 +73,10 @@
 }
 
 // coverage returns how far a deployment's groups meet its demand, relative to
-// other deployments.
+// other deployments. Demand is a share of the work, which VMs do: a group of four
+// times the members counts four times as much.
 func (k *kindView) coverage() float64 {
-	return float64(len(k.groups)) / k.deployment.Demand
+	return float64(len(k.groups)*k.deployment.GroupSize) / k.deployment.Demand
 }
 
 // byDemand reports whether the deployment takes as many groups as its demand
