Hear targets at every control node, and send layouts packed

Change: each control node is a home of targets and gathers entry nodes' signs, and reports to the leader four times a second or at once on news (RPC Hear); one out of touch with the leader refuses both. Late targets are listed by homes. A delayed announcement is known by its serial, a clock set back over a restart by the leader's word. Layouts are commands with the document packed; caches keep the newest one only. Conclusion: what the leader takes no longer grows with targets times entry nodes.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -36,6 +38,7 @@
 	mu     sync.Mutex
 	leader string // the last address that answered as leader
 	broken string // the last address that broke off a call, tried after the others
+	passed uint64 // control nodes that failed to take a report, one after the other
 	stubs  map[string]wire.Control
 }
 
@@ -172,32 +175,28 @@
 	})
 }
 
-// Witness tells what an entry node sees of targets. It is sent anew soon, so
-// that only the presumed leader is asked, or the next node without one.
+// Witness tells what an entry node sees of targets. It is sent anew soon, so that
+// only one control node is asked: each entry node has one of its own, and asks the
+// next after a failure.
 func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) ([]*wire.Crowd, error) {
-	address := c.order()[0]
-	answer, err := c.Stub(address).Witness(ctx, request)
+	answer, err := c.Stub(c.confidant(request.GetNode())).Witness(ctx, request)
+	if err == nil {
+		err = ErrorOf(answer.GetFault())
+	}
 	if err != nil {
-		c.forget(address)
+		c.mu.Lock()
+		c.passed++
+		c.mu.Unlock()
 		return nil, err
 	}
-	failed := ErrorOf(answer.GetFault())
-	if failed == nil {
-		c.remember(address)
-		return answer.GetCrowds(), nil
-	}
-	c.forgetLeader(address)
-	c.follow(failed)
-	return nil, failed
+	return answer.GetCrowds(), nil
 }
 
-// forgetLeader notes that a node says it does not lead.
-func (c *Client) forgetLeader(address string) {
+// confidant returns the control node that takes a node's reports.
+func (c *Client) confidant(node string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leader == address {
-		c.leader = ""
-	}
+	return c.addresses[(xxhash.Sum64String(node)+c.passed)%uint64(len(c.addresses))]
 }
 
 // elsewhere reports whether a refusal says that nothing was proposed and another
--- a/ctrl/desk.go
+++ b/ctrl/desk.go
@@ -8,8 +8,6 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
-	"sardineswitch.dev/sardine/fleet"
-	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -83,7 +81,10 @@
 	}
 	var current state.PutLayout
 	n.log.View(func(m *state.Machine) { current = m.Layout() })
-	return current.Document, nil
+	if current.Number == 0 {
+		return nil, nil
+	}
+	return current.Document()
 }
 
 // proposeLayout answers an overtaken or repeated document only after a quorum
@@ -93,7 +94,11 @@
 	if err != nil {
 		return err
 	}
-	result, err := n.log.Propose(ctx, state.PutLayout{Number: layout.Number, Document: document})
+	put, err := state.NewPutLayout(layout.Number, document)
+	if err != nil {
+		return err
+	}
+	result, err := n.log.Propose(ctx, put)
 	if err != nil {
 		return n.redirect(err)
 	}
@@ -109,92 +114,79 @@
 	return slog.Uint64("number", number)
 }
 
-// Announce takes a target's word about itself to the leader.
+// Announce takes a target's word about itself. That it leaves is durable before
+// it is acknowledged, because it stops serving soon afterwards.
 func (d desk) Announce(ctx context.Context, a sardine.Announcement) (string, error) {
-	request := &wire.AnnounceRequest{Target: follow.StatusToWire(follow.TargetStatus{
-		Target:  state.TargetOf(a),
-		Holding: a.Holding,
-		Load:    a.Load,
-		Staged:  a.Staged,
-		Serial:  a.Serial,
-	})}
-	return d.announce(ctx, request)
+	n := d.node
+	if a.Leaving {
+		if err := n.leave(ctx, a.VM, a.Incarnation); err != nil {
+			return "", err
+		}
+	}
+	n.layoutSettings()
+	models, used := n.layouts.usable(a.Service)
+	if !used {
+		return n.control.Address(), nil // no route leads there, so that there is nothing to record
+	}
+	a.Loadable = models
+	if err := n.hearing.announce(n.clock.Now(), a); err != nil {
+		return "", err
+	}
+	return n.control.Address(), nil
 }
 
-// Leave takes a target's last word to the leader.
+// Leave notes a target's last word.
 func (d desk) Leave(ctx context.Context, vm sardine.VMID, i sardine.Incarnation) error {
-	_, err := d.announce(ctx, &wire.AnnounceRequest{
-		Target: follow.StatusToWire(follow.TargetStatus{Target: state.Target{VM: vm, Incarnation: i}}),
-		Leave:  true,
-	})
-	return err
+	return d.node.leave(ctx, vm, i)
 }
 
-func (d desk) announce(ctx context.Context, request *wire.AnnounceRequest) (string, error) {
-	n := d.node
+// leave records here or at the leader that a target takes no new work.
+func (n *Node) leave(ctx context.Context, vm sardine.VMID, i sardine.Incarnation) error {
+	if n.hasLeft(vm, i) {
+		return nil
+	}
+	info := n.log.Leader()
 	ctx, cancel := context.WithTimeout(ctx, deskCall.Duration())
 	defer cancel()
-	info := n.log.Leader()
 	if info.Leading {
-		return n.control.Address(), n.announced(ctx, request)
+		return n.leaves(ctx, vm, i)
 	}
 	stub, err := n.leaderStub(info.Address)
 	if err != nil {
-		return "", err
+		return err
 	}
-	answer, err := stub.Announce(ctx, request)
+	answer, err := stub.Leaving(ctx, &wire.LeavingRequest{Vm: string(vm), Incarnation: uint64(i)})
 	if err != nil {
-		return "", codes.Wrap(codes.NoQuorum, err, "the leading control node does not answer")
+		return codes.Wrap(codes.NoQuorum, err, "the leading control node does not answer")
 	}
-	return answer.GetAddress(), ctlapi.ErrorOf(answer.GetFault())
+	return ctlapi.ErrorOf(answer.GetFault())
 }
 
-// Announce takes a target's announcement from another control node.
-func (n *Node) Announce(ctx context.Context, r *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
-	if n.control == nil {
-		return &wire.AnnounceReply{Fault: ctlapi.FaultOf(codes.New(codes.BadRequest, "this control node takes no announcements"))}, nil
-	}
-	err := n.announced(ctx, r)
-	return &wire.AnnounceReply{Address: n.control.Address(), Fault: ctlapi.FaultOf(err)}, nil
+// Leaving records that a target takes no new work, for another control node.
+func (n *Node) Leaving(ctx context.Context, r *wire.LeavingRequest) (*wire.LeavingReply, error) {
+	err := n.leaves(ctx, sardine.VMID(r.GetVm()), sardine.Incarnation(r.GetIncarnation()))
+	return &wire.LeavingReply{Fault: ctlapi.FaultOf(err)}, nil
 }
 
-// announced records an announcement at the leader. That a target leaves is
-// durable before it is acknowledged, because it stops serving soon afterwards.
-func (n *Node) announced(ctx context.Context, r *wire.AnnounceRequest) error {
-	status := follow.StatusFromWire(r.GetTarget())
-	if r.GetLeave() {
-		return n.leaves(ctx, status.Target.VM, status.Target.Incarnation)
-	}
-	a := announcementOf(status)
-	models, used := n.layouts.usable(a.Service)
-	if !used && !a.Leaving {
-		return nil // no route leads there, so that there is nothing to record
-	}
-	a.Loadable = models
-	known, news, err := n.leadership.heard(n.clock.Now(), a)
-	if err != nil {
-		return n.redirect(err)
-	}
-	if a.Leaving && !known {
-		return n.leaves(ctx, a.VM, a.Incarnation)
-	}
-	if news {
-		n.wakeLeader()
-	}
-	return nil
+// hasLeft reports whether the log says so already. It never takes that back.
+func (n *Node) hasLeft(vm sardine.VMID, i sardine.Incarnation) bool {
+	var known state.Target
+	var listed bool
+	n.log.View(func(m *state.Machine) { known, listed = m.Target(vm) })
+	return listed && known.Leaving && (i == 0 || known.Incarnation == i)
 }
 
 // leaves records that a target takes no new work. An unknown one takes none
 // anyway.
 func (n *Node) leaves(ctx context.Context, vm sardine.VMID, i sardine.Incarnation) error {
-	var known state.Target
-	var listed bool
-	n.log.View(func(m *state.Machine) { known, listed = m.Target(vm) })
-	if listed && known.Leaving && (i == 0 || known.Incarnation == i) {
+	if n.hasLeft(vm, i) {
 		return nil
 	}
 	if i == 0 {
-		i = known.Incarnation
+		n.log.View(func(m *state.Machine) {
+			known, _ := m.Target(vm)
+			i = known.Incarnation
+		})
 	}
 	result, err := n.log.Propose(ctx, state.TargetLeaving{VM: vm, Incarnation: i})
 	if err != nil {
@@ -207,50 +199,3 @@
 	n.wakeLeader()
 	return nil
 }
-
-// homeIncarnation is that of the leader's own table of targets, which begins
-// anew with each term.
-const homeIncarnation = 1
-
-// newHome returns the leader's own table of the targets that announce themselves
-// to control nodes.
-func newHome(self sardine.NodeID, lease sardine.Millis) *fleet.Home {
-	return fleet.NewHome(self, homeIncarnation, fleet.WithLease(lease))
-}
-
-// heard records an announcement in the leader's own table. known tells that the
-// target has said before that it leaves, news that more than a load has changed.
-func (l *leadership) heard(now sardine.Millis, a sardine.Announcement) (known, news bool, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.term == 0 {
-		return false, false, codes.New(codes.NotLeader, "this control node does not lead")
-	}
-	before, listed := l.home.Target(now, a.VM)
-	if err := l.home.Announce(now, a); err != nil {
-		if codes.Is(err, codes.Superseded) {
-			return true, false, nil // a late one, which a newer one has overtaken
-		}
-		return false, false, err
-	}
-	news = l.home.HasNews(now)
-	l.report(now)
-	l.fleet.Beat(now, a.VM, a.Incarnation)
-	return listed && before.Leaving && before.Incarnation == a.Incarnation, news, nil
-}
-
-// report moves the own table's news to the fleet. The lock is held.
-func (l *leadership) report(now sardine.Millis) {
-	r, news := l.home.Report(now)
-	if !news {
-		l.fleet.Heard(now, l.self, homeIncarnation)
-		return
-	}
-	l.home.Acked(l.fleet.Take(now, r))
-}
-
-// tickHome drops the targets that are silent. The lock is held.
-func (l *leadership) tickHome(now sardine.Millis) {
-	l.home.Tick(now)
-	l.report(now)
-}
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -87,7 +87,7 @@
 		Full:        r.Full,
 	}
 	for _, t := range r.Targets {
-		mapped.Statuses = append(mapped.Statuses, fleet.Status{Announcement: announcementOf(t)})
+		mapped.Statuses = append(mapped.Statuses, fleet.Status{Announcement: announcementOf(t), Age: t.Age})
 	}
 	for _, ref := range r.Lost {
 		mapped.Lost = append(mapped.Lost, fleet.Ref{VM: ref.VM, Incarnation: ref.Incarnation})
--- a/ctrl/layout.go
+++ b/ctrl/layout.go
@@ -27,10 +27,10 @@
 	n.log.View(func(m *state.Machine) { current = m.Layout() })
 	n.layouts.mu.Lock()
 	defer n.layouts.mu.Unlock()
-	if current.Number == n.layouts.number {
+	if current.Number == 0 || current.Number == n.layouts.number {
 		return n.layouts.settings
 	}
-	layout, err := n.port.ParseLayout(current.Document)
+	layout, err := n.parseLayout(current)
 	if err != nil { // checked before it was accepted, so only an older program meets one
 		event.Log(n.logger, event.DutyFailed, numberAttr(current.Number), errorAttr(err))
 		return n.layouts.settings
@@ -42,6 +42,14 @@
 	return n.layouts.settings
 }
 
+func (n *Node) parseLayout(current state.PutLayout) (sardine.Layout, error) {
+	document, err := current.Document()
+	if err != nil {
+		return sardine.Layout{}, err
+	}
+	return n.port.ParseLayout(document)
+}
+
 // usable reports whether the layout has a target's service, and which models its
 // engines load; none means any. Before the first layout every service counts.
 func (v *layoutView) usable(service sardine.ServiceName) (models []sardine.ModelName, known bool) {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -21,11 +21,9 @@
 // and the leader duty take turns at it.
 type leadership struct {
 	self    sardine.NodeID
-	target  sardine.Millis // lease of a target in home
 	mu      sync.Mutex
-	home    *fleet.Home // targets that announce themselves to control nodes
-	term    uint64      // 0 while the node does not lead
-	seen    uint64      // index up to which the ledger knows the log
+	term    uint64 // 0 while the node does not lead
+	seen    uint64 // index up to which the ledger knows the log
 	ledger  *lease.Ledger
 	fleet   *fleet.Leader
 	planner *plan.Planner
@@ -39,8 +37,6 @@
 	ledger := lease.New(lease.WithServing(t.Lease), lease.WithHolding(t.Holding))
 	return &leadership{
 		self:    self,
-		target:  t.Target,
-		home:    newHome(self, t.Target),
 		ledger:  ledger,
 		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
 		fleet:   fleet.NewLeader(fleet.WithGrace(t.Grace), fleet.WithOverdue(t.Overdue)),
@@ -64,7 +60,6 @@
 			l.ledger.Changed(name, r.Index, cut(name, r))
 		}
 	}
-	l.home = newHome(l.self, l.target)
 	l.fleet.Lead(now, term)
 	if len(m.Targets()) == 0 {
 		l.fleet.Settle(now + freshGrace)
@@ -138,7 +133,6 @@
 		return work{}, nil
 	}
 	l.configureLimits(settings)
-	l.tickHome(now)
 	targets := append(l.fleet.Tick(now, m), l.forget(now)...)
 	out, err := l.planner.Round(now, m, l.fleet.At(now), settings)
 	if err != nil {
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"time"
 
 	"goji.io"
 	"goji.io/pat"
@@ -59,6 +60,7 @@
 	log        *repl.Node
 	link       *peer.Link
 	leadership *leadership
+	hearing    *hearing // nil without a port
 	parsed     *parsedSettings
 	granted    *signal
 	wake       chan struct{}
@@ -140,10 +142,24 @@
 	client, scheme := n.keys.Client(maxIdleOthers)
 	n.others = ctlapi.New(nil, ctlapi.WithHTTP(client, scheme))
 	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
+	if n.port != nil {
+		started := sardine.Incarnation(time.Now().UnixMilli()) // later than at an earlier start, or else the leader says so
+		n.hearing = newHearing(n.id, started, n.timing)
+	}
 	n.meter, err = newInstruments(n)
 	return err
 }
 
+// sleep waits for d, or until the node stops.
+func (n *Node) sleep(d sardine.Millis) error {
+	select {
+	case <-n.tomb.Dying():
+		return tomb.ErrDying
+	case <-n.clock.After(d):
+		return nil
+	}
+}
+
 func (n *Node) logOptions() []repl.Option {
 	options := []repl.Option{
 		repl.WithID(n.id),
@@ -232,6 +248,7 @@
 		n.tomb.Go(n.sendOrders)
 	}
 	if n.port != nil {
+		n.tomb.Go(n.hear)
 		n.tomb.Go(func() error { return n.control.Serve(n.port.Handler(desk{node: n})) })
 	}
 	if n.discovers {
--- a/ctrl/witness.go
+++ b/ctrl/witness.go
@@ -12,14 +12,24 @@
 
 // Witness takes what an entry node sees of targets through its requests.
 func (n *Node) Witness(_ context.Context, r *wire.WitnessRequest) (*wire.WitnessReply, error) {
-	stalled, crowds, err := n.leadership.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
-	if err != nil {
-		return &wire.WitnessReply{Fault: ctlapi.FaultOf(n.redirect(err))}, nil
+	if n.hearing == nil {
+		return &wire.WitnessReply{Fault: ctlapi.FaultOf(codes.New(codes.BadRequest, "this control node takes no word on targets"))}, nil
 	}
-	if stalled {
-		n.wakeLeader()
+	crowds, err := n.hearing.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
+	return &wire.WitnessReply{Fault: ctlapi.FaultOf(err), Crowds: crowdsToWire(crowds)}, nil
+}
+
+func signToWire(s fleet.Sign) *wire.Sign {
+	return &wire.Sign{
+		Group:       string(s.Group),
+		Epoch:       uint64(s.Epoch),
+		Vm:          string(s.VM),
+		Incarnation: uint64(s.Incarnation),
+		Flights:     uint32(max(s.Flights, 0)),
+		Alive:       s.Alive >= 0,
+		AliveMillis: uint32(max(s.Alive, 0)),
+		Stalled:     s.Stalled,
 	}
-	return &wire.WitnessReply{Crowds: crowdsToWire(crowds)}, nil
 }
 
 func signsOf(all []*wire.Sign) []fleet.Sign {
@@ -56,17 +66,16 @@
 	return crowds
 }
 
-// witness hands an entry node's signs to the fleet and reports whether one of
-// them tells of a standstill, and what all nodes have in flight.
-func (l *leadership) witness(now sardine.Millis, node sardine.NodeID, signs []fleet.Sign) (stalled bool, crowds []fleet.Crowd, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.term == 0 {
-		return false, nil, codes.New(codes.NotLeader, "this control node does not lead")
-	}
-	l.fleet.Witness(now, node, signs)
-	for _, s := range signs {
-		stalled = stalled || s.Stalled
+func crowdsFromWire(all []*wire.Crowd) []fleet.Crowd {
+	crowds := make([]fleet.Crowd, 0, len(all))
+	for _, c := range all {
+		crowds = append(crowds, fleet.Crowd{
+			Group:       sardine.GroupID(c.GetGroup()),
+			Epoch:       sardine.Epoch(c.GetEpoch()),
+			VM:          sardine.VMID(c.GetVm()),
+			Incarnation: sardine.Incarnation(c.GetIncarnation()),
+			Flights:     int(c.GetFlights()),
+		})
 	}
-	return stalled, l.fleet.Crowds(), nil
+	return crowds
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -279,7 +279,7 @@
 	if f.lookup != nil && f.lookup.Layout().Number == current.Number {
 		return f.lookup
 	}
-	layout, err := f.node.layouts.ParseLayout(current.Document)
+	layout, err := f.parseLayout(current)
 	if err != nil { // checked before it was accepted, so only an older program meets one
 		event.Log(f.node.log, event.DutyFailed, codeAttr(err))
 		return f.lookup
@@ -289,6 +289,14 @@
 	return f.lookup
 }
 
+func (f *follower) parseLayout(current state.PutLayout) (sardine.Layout, error) {
+	document, err := current.Document()
+	if err != nil {
+		return sardine.Layout{}, err
+	}
+	return f.node.layouts.ParseLayout(document)
+}
+
 // noteLease logs when the node begins or ceases to serve.
 func (f *follower) noteLease(now sardine.Millis) {
 	serving := f.core.Lease().Serving(now)
@@ -314,7 +322,7 @@
 	if !news {
 		return 0
 	}
-	f.core.Report(reportOf(r, !sending))
+	f.core.Report(follow.ReportOf(r, !sending))
 	return r.Sequence
 }
 
--- a/entry/home.go
+++ b/entry/home.go
@@ -4,9 +4,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/fleet"
-	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/route"
-	"sardineswitch.dev/sardine/state"
 )
 
 // notable reports whether an announcement tells more than a changed load.
@@ -70,27 +68,3 @@
 	default: // it will look anyway
 	}
 }
-
-// reportOf maps the home's report to what is sent.
-func reportOf(r fleet.Report, urgent bool) follow.TargetReport {
-	mapped := follow.TargetReport{
-		Home:        r.Home,
-		Incarnation: r.Incarnation,
-		Sequence:    r.Sequence,
-		Full:        r.Full,
-		Urgent:      urgent,
-	}
-	for _, s := range r.Statuses {
-		mapped.Targets = append(mapped.Targets, follow.TargetStatus{
-			Target:  state.TargetOf(s.Announcement),
-			Holding: s.Holding,
-			Load:    s.Load,
-			Staged:  s.Staged,
-			Serial:  s.Serial,
-		})
-	}
-	for _, ref := range r.Lost {
-		mapped.Lost = append(mapped.Lost, follow.TargetRef{VM: ref.VM, Incarnation: ref.Incarnation})
-	}
-	return mapped
-}
--- a/event/table.go
+++ b/event/table.go
@@ -36,6 +36,8 @@
 	FollowRegained  ID = 308
 	WitnessLost     ID = 309
 	WitnessRegained ID = 310
+	HearingLost     ID = 311
+	HearingRegained ID = 312
 	TargetSeen      ID = 400
 	TargetLost      ID = 401
 	TargetLeaving   ID = 402
@@ -87,6 +89,8 @@
 	{FollowRegained, "follow_regained", slog.LevelInfo, "the node follows the log again", "nothing"},
 	{WitnessLost, "witness_lost", slog.LevelWarn, "the control leader takes no word on what targets answer", "check the control nodes if it is not regained"},
 	{WitnessRegained, "witness_regained", slog.LevelInfo, "the control leader takes word on targets again", "nothing"},
+	{HearingLost, "hearing_lost", slog.LevelWarn, "the leader takes no word on what this control node hears of targets; they are sent to others", "check the control nodes if it is not regained"},
+	{HearingRegained, "hearing_regained", slog.LevelInfo, "the leader takes it again", "nothing"},
 	{TargetSeen, "target_seen", slog.LevelInfo, "a target announced itself", "nothing"},
 	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
 	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -74,6 +74,11 @@
 	return h
 }
 
+// Name returns the node and its incarnation.
+func (h *Home) Name() (sardine.NodeID, sardine.Incarnation) {
+	return h.node, h.incarnation
+}
+
 // Announce takes a target's announcement. An announcement of an earlier
 // incarnation than the known one gives codes.Superseded.
 func (h *Home) Announce(now sardine.Millis, a sardine.Announcement) error {
@@ -144,6 +149,26 @@
 	return Status{Announcement: e.latest, Age: now - e.heard}
 }
 
+// Overdue returns the targets whose last announcement is older than a time, in
+// any order.
+func (h *Home) Overdue(now, after sardine.Millis) []Ref {
+	var late []Ref
+	for vm, e := range h.targets {
+		if now-e.heard >= after {
+			late = append(late, Ref{VM: vm, Incarnation: e.latest.Incarnation})
+		}
+	}
+	return late
+}
+
+// Renew begins a later incarnation of the home: all is told anew.
+func (h *Home) Renew(i sardine.Incarnation) {
+	h.incarnation = i
+	h.sequence = 0
+	h.full = true
+	h.fullSent = false
+}
+
 // HasNews reports whether a report should be sent at once.
 func (h *Home) HasNews(now sardine.Millis) bool {
 	if h.full && !h.fullSent || len(h.lost) > 0 {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -40,13 +40,13 @@
 	incarnation sardine.Incarnation
 	sequence    uint64
 	heard       sardine.Millis
-	full        bool // a full report of this incarnation was taken
+	full        bool                  // a full report of this incarnation was taken
+	overdue     map[sardine.VMID]bool // targets that are late with their announcement
 }
 
 type targetView struct {
 	latest  sardine.Announcement
 	at      sardine.Millis // when its home heard what it reported last
-	beatAt  sardine.Millis // when it was heard at this node itself, 0 for never
 	vouched map[sardine.NodeID]bool
 	synced  bool   // the log had the same facts
 	index   uint64 // at this fleet index of the log
@@ -80,7 +80,7 @@
 
 	leadAt    sardine.Millis
 	overdue   sardine.Millis // age of an announcement from which a standstill counts against its target, 0 for never
-	witnesses map[witnessKey]*witnessed
+	witnesses *Witnesses
 	memberOf  map[sardine.VMID]witnessKey // groups that serve
 	groupsAt  uint64                      // fleet index of the machine that memberOf is from
 }
@@ -102,7 +102,7 @@
 	l.sorted = nil
 	l.logged = nil
 	l.loggedAt = 0
-	l.witnesses = make(map[witnessKey]*witnessed)
+	l.witnesses = NewWitnesses()
 	l.memberOf = nil
 }
 
@@ -115,14 +115,27 @@
 	l.leadAt = now
 }
 
-// Beat notes that this node itself has heard a target's announcement, whether or
-// not that was news.
-func (l *Leader) Beat(now sardine.Millis, vm sardine.VMID, i sardine.Incarnation) {
-	if t := l.targets[vm]; t != nil && t.latest.Incarnation == i {
-		t.beatAt = now
+// Overdue takes the list of all targets that are late with their announcement to
+// a home.
+func (l *Leader) Overdue(home sardine.NodeID, late []Ref) {
+	h := l.homes[home]
+	if h == nil {
+		return
+	}
+	h.overdue = make(map[sardine.VMID]bool, len(late))
+	for _, r := range late {
+		h.overdue[r.VM] = true
 	}
 }
 
+// Incarnation returns a home's known incarnation, 0 if there is none.
+func (l *Leader) Incarnation(home sardine.NodeID) sardine.Incarnation {
+	if h := l.homes[home]; h != nil {
+		return h.incarnation
+	}
+	return 0
+}
+
 // Settle makes targets that were not heard of count as lost from an instant on,
 // instead of after the grace.
 func (l *Leader) Settle(at sardine.Millis) {
@@ -211,7 +224,7 @@
 		return
 	}
 	t.vouched[home] = true
-	if at >= t.at {
+	if at >= t.at && !overtaken(t.latest, s.Announcement) {
 		t.latest = s.Announcement
 		t.at = at
 		t.synced = false
@@ -239,13 +252,17 @@
 // announced reports whether a home vouches for the target.
 func (l *Leader) announced(now sardine.Millis, t *targetView) bool {
 	for node := range t.vouched {
-		if h := l.homes[node]; h != nil && h.heard+l.lease > now {
+		if l.heardLately(now, l.homes[node]) {
 			return true
 		}
 	}
 	return false
 }
 
+func (l *Leader) heardLately(now sardine.Millis, h *homeView) bool {
+	return h != nil && h.heard+l.lease > now
+}
+
 // Settled reports whether the grace after the election is over. Until then a
 // target that Live does not know may well be alive.
 func (l *Leader) Settled(now sardine.Millis) bool {
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"slices"
+	"strings"
+
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/state"
 )
@@ -15,7 +18,7 @@
 )
 
 // Sign is what an entry node has seen of a group or a plain target through the
-// requests that it has in flight there.
+// requests that it has in flight there, or what several of them have.
 type Sign struct {
 	Group       sardine.GroupID // engines only
 	Epoch       sardine.Epoch   // engines only
@@ -26,6 +29,16 @@
 	Stalled     bool           // nothing was heard for longer than its work explains
 }
 
+// Crowd is how many requests entry nodes have in flight at a group or a plain
+// target.
+type Crowd struct {
+	Group       sardine.GroupID
+	Epoch       sardine.Epoch
+	VM          sardine.VMID
+	Incarnation sardine.Incarnation
+	Flights     int
+}
+
 // witnessKey names what a sign is about.
 type witnessKey struct {
 	group       sardine.GroupID
@@ -34,73 +47,133 @@
 	incarnation sardine.Incarnation
 }
 
-// witnessed is what all entry nodes have seen of one group or plain target.
+// witnessed is what all witnesses have seen of one group or plain target.
 type witnessed struct {
 	aliveAt   sardine.Millis // last sign of life, 0 for none
 	stalledAt sardine.Millis // last report of a standstill, 0 for none
-	flights   map[sardine.NodeID]int
+	toldAt    sardine.Millis // Signs has passed earlier standstills on
+	flights   map[sardine.NodeID]flown
 	at        sardine.Millis // last report
 }
 
-// Witness takes an entry node's signs.
-func (l *Leader) Witness(now sardine.Millis, node sardine.NodeID, signs []Sign) {
-	for _, s := range signs {
-		key := witnessKey{group: s.Group, epoch: s.Epoch, vm: s.VM, incarnation: s.Incarnation}
-		w := l.witnesses[key]
+// flown is one witness's requests in flight.
+type flown struct {
+	count int
+	at    sardine.Millis
+}
+
+func (w *witnessed) inFlight() int {
+	sum := 0
+	for _, f := range w.flights {
+		sum += f.count
+	}
+	return sum
+}
+
+// Witnesses merges the signs of several nodes. It is not safe for concurrent use.
+type Witnesses struct {
+	all map[witnessKey]*witnessed
+}
+
+// NewWitnesses returns one that has heard of nothing.
+func NewWitnesses() *Witnesses {
+	return &Witnesses{all: make(map[witnessKey]*witnessed)}
+}
+
+// Take takes a node's signs.
+func (s *Witnesses) Take(now sardine.Millis, node sardine.NodeID, signs []Sign) {
+	for _, sign := range signs {
+		key := witnessKey{group: sign.Group, epoch: sign.Epoch, vm: sign.VM, incarnation: sign.Incarnation}
+		w := s.all[key]
 		if w == nil {
-			w = &witnessed{flights: make(map[sardine.NodeID]int)}
-			l.witnesses[key] = w
+			w = &witnessed{flights: make(map[sardine.NodeID]flown)}
+			s.all[key] = w
 		}
 		w.at = now
-		w.flights[node] = s.Flights
-		if s.Alive >= 0 {
-			w.aliveAt = max(w.aliveAt, now-s.Alive)
+		w.flights[node] = flown{count: sign.Flights, at: now}
+		if sign.Alive >= 0 {
+			w.aliveAt = max(w.aliveAt, now-sign.Alive)
 		}
-		if s.Stalled {
+		if sign.Stalled {
 			w.stalledAt = now
 		}
 	}
-	for key, w := range l.witnesses {
+	s.expire(now)
+}
+
+// expire forgets what was not reported lately.
+func (s *Witnesses) expire(now sardine.Millis) {
+	for key, w := range s.all {
 		if w.at+max(witnessFor, stallFor) <= now {
-			delete(l.witnesses, key)
+			delete(s.all, key)
+			continue
+		}
+		for node, f := range w.flights {
+			if f.at+witnessFor <= now {
+				delete(w.flights, node)
+			}
 		}
 	}
 }
 
-// Flights returns how many requests entry nodes have in flight at a group.
-func (l *Leader) Flights(g sardine.GroupID, e sardine.Epoch) (count int, known bool) {
-	w := l.witnesses[witnessKey{group: g, epoch: e}]
-	if w == nil {
-		return 0, false
+// Signs returns what all nodes together have seen, as one node's signs. A
+// standstill is told once for each report of it, unless a sign of life came later.
+func (s *Witnesses) Signs(now sardine.Millis) []Sign {
+	s.expire(now)
+	signs := make([]Sign, 0, len(s.all))
+	for key, w := range s.all {
+		sign := Sign{
+			Group:       key.group,
+			Epoch:       key.epoch,
+			VM:          key.vm,
+			Incarnation: key.incarnation,
+			Flights:     w.inFlight(),
+			Alive:       -1,
+			Stalled:     w.stalledAt > max(w.toldAt, w.aliveAt),
+		}
+		if w.aliveAt > 0 {
+			sign.Alive = now - w.aliveAt
+		}
+		w.toldAt = now
+		signs = append(signs, sign)
 	}
-	for _, n := range w.flights {
-		count += n
+	slices.SortFunc(signs, func(a, b Sign) int {
+		if c := strings.Compare(string(a.Group), string(b.Group)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.VM), string(b.VM))
+	})
+	return signs
+}
+
+// Crowds returns what the nodes have in flight.
+func (s *Witnesses) Crowds() []Crowd {
+	crowds := make([]Crowd, 0, len(s.all))
+	for key, w := range s.all {
+		crowds = append(crowds, Crowd{Group: key.group, Epoch: key.epoch, VM: key.vm, Incarnation: key.incarnation, Flights: w.inFlight()})
 	}
-	return count, true
+	return crowds
 }
 
-// Crowd is how many requests entry nodes have in flight at a group or a plain
-// target.
-type Crowd struct {
-	Group       sardine.GroupID
-	Epoch       sardine.Epoch
-	VM          sardine.VMID
-	Incarnation sardine.Incarnation
-	Flights     int
+// Witness takes the signs of an entry node, or of those that one control node
+// has heard.
+func (l *Leader) Witness(now sardine.Millis, node sardine.NodeID, signs []Sign) {
+	l.witnesses.Take(now, node, signs)
 }
 
 // Crowds returns what entry nodes have in flight, as far as they have told
 // lately.
 func (l *Leader) Crowds() []Crowd {
-	crowds := make([]Crowd, 0, len(l.witnesses))
-	for key, w := range l.witnesses {
-		c := Crowd{Group: key.group, Epoch: key.epoch, VM: key.vm, Incarnation: key.incarnation}
-		for _, n := range w.flights {
-			c.Flights += n
-		}
-		crowds = append(crowds, c)
+	return l.witnesses.Crowds()
+}
+
+// Flights returns how many requests entry nodes have in flight at a group.
+func (l *Leader) Flights(g sardine.GroupID, e sardine.Epoch) (count int, known bool) {
+	w := l.witnesses.all[witnessKey{group: g, epoch: e}]
+	if w == nil {
+		return 0, false
 	}
-	return crowds
+	return w.inFlight(), true
 }
 
 // viewGroups notes to which group's epoch each VM belongs, as the log says.
@@ -124,13 +197,13 @@
 // it serves in; nil for nothing.
 func (l *Leader) witnessOf(kind sardine.TargetKind, r Ref) *witnessed {
 	if kind == sardine.KindPlain {
-		return l.witnesses[witnessKey{vm: r.VM, incarnation: r.Incarnation}]
+		return l.witnesses.all[witnessKey{vm: r.VM, incarnation: r.Incarnation}]
 	}
 	key, serves := l.memberOf[r.VM]
 	if !serves {
 		return nil
 	}
-	return l.witnesses[key]
+	return l.witnesses.all[key]
 }
 
 // proved reports whether a silent target is alive all the same: a group goes on
@@ -143,13 +216,23 @@
 // disproved reports whether a target is lost though its announcement still
 // counts: its group stands still and it is late with the next one.
 func (l *Leader) disproved(now sardine.Millis, kind sardine.TargetKind, r Ref) bool {
-	beatAt := l.leadAt // a leader that is new has heard nobody before
-	if t := l.targets[r.VM]; t != nil {
-		beatAt = max(beatAt, t.beatAt)
-	}
-	if l.overdue <= 0 || now-beatAt < l.overdue {
+	if l.overdue <= 0 || now-l.leadAt < l.overdue || !l.late(now, r.VM) {
 		return false
 	}
 	w := l.witnessOf(kind, r)
 	return w != nil && w.stalledAt > 0 && w.stalledAt+stallFor > now && w.stalledAt > w.aliveAt
 }
+
+// late reports whether no home has heard the target's announcement in time.
+func (l *Leader) late(now sardine.Millis, vm sardine.VMID) bool {
+	t := l.targets[vm]
+	if t == nil {
+		return true // a leader that is new has heard nobody before
+	}
+	for node := range t.vouched {
+		if h := l.homes[node]; l.heardLately(now, h) && !h.overdue[vm] {
+			return false
+		}
+	}
+	return true
+}
--- a/follow/cache.go
+++ b/follow/cache.go
@@ -35,6 +35,9 @@
 		return
 	}
 	c.through = n.Index
+	if put, ok := n.Command.(state.PutLayout); ok && !c.addLayout(put) {
+		return
+	}
 	c.items = append(c.items, n)
 	c.bytes += newsSize(n)
 	for len(c.items) > cacheItems || c.bytes > cacheBytes {
@@ -44,6 +47,25 @@
 	}
 }
 
+// addLayout drops the layouts that a new one overtakes, and reports whether it is
+// the newest itself: followers need no other.
+func (c *cache) addLayout(put state.PutLayout) bool {
+	kept := c.items[:0:0]
+	for _, n := range c.items {
+		held, ok := n.Command.(state.PutLayout)
+		if ok && held.Number >= put.Number {
+			return false
+		}
+		if ok {
+			c.bytes -= newsSize(n)
+			continue
+		}
+		kept = append(kept, n)
+	}
+	c.items = kept
+	return true
+}
+
 // reach notes that there are no more spread entries up to index.
 func (c *cache) reach(index uint64) {
 	c.through = max(c.through, index)
@@ -68,10 +90,14 @@
 }
 
 func newsSize(n News) int {
-	if c, ok := n.Command.(state.ChangeSettings); ok {
+	switch c := n.Command.(type) {
+	case state.ChangeSettings:
 		return newsBytes + len(c.Document)
+	case state.PutLayout:
+		return newsBytes + len(c.Packed)
+	default:
+		return newsBytes
 	}
-	return newsBytes
 }
 
 func hashRefs(set []NodeRef) uint64 {
--- a/follow/report.go
+++ b/follow/report.go
@@ -2,6 +2,7 @@
 
 import (
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/fleet"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -42,6 +43,31 @@
 	return r
 }
 
+// ReportOf maps a home's report to what is sent.
+func ReportOf(r fleet.Report, urgent bool) TargetReport {
+	mapped := TargetReport{
+		Home:        r.Home,
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		Full:        r.Full,
+		Urgent:      urgent,
+	}
+	for _, s := range r.Statuses {
+		mapped.Targets = append(mapped.Targets, TargetStatus{
+			Target:  state.TargetOf(s.Announcement),
+			Holding: s.Holding,
+			Load:    s.Load,
+			Staged:  s.Staged,
+			Serial:  s.Serial,
+			Age:     s.Age,
+		})
+	}
+	for _, ref := range r.Lost {
+		mapped.Lost = append(mapped.Lost, TargetRef{VM: ref.VM, Incarnation: ref.Incarnation})
+	}
+	return mapped
+}
+
 // StatusToWire maps a target's status to its message.
 func StatusToWire(s TargetStatus) *wire.TargetStatus {
 	return &wire.TargetStatus{
@@ -58,6 +84,7 @@
 		StepMillis:      s.Load.StepMillis,
 		Staged:          namesToWire(s.Staged),
 		Serial:          s.Serial,
+		AgeMillis:       uint32(max(s.Age, 0)),
 	}
 }
 
@@ -97,5 +124,6 @@
 		},
 		Staged: namesFromWire(w.GetStaged()),
 		Serial: w.GetSerial(),
+		Age:    sardine.Millis(w.GetAgeMillis()),
 	}
 }
--- a/follow/types.go
+++ b/follow/types.go
@@ -80,7 +80,8 @@
 	Holding sardine.Holding
 	Load    sardine.Load
 	Staged  []sardine.ModelName
-	Serial  uint64 // of the announcement
+	Serial  uint64         // of the announcement
+	Age     sardine.Millis // since it was heard
 }
 
 // TargetRef is one start of one target VM.
--- a/state/codec_test.go
+++ b/state/codec_test.go
@@ -49,7 +49,7 @@
 		ReleasePoison{Fingerprint: mark},
 		PutToken{Token: Token{Hash: mark, Scope: "operator", Name: "ama", Expires: 99}},
 		DropToken{Hash: mark},
-		PutLayout{Number: 7, Document: []byte(`{"version":7}`)},
+		PutLayout{Number: 7, Packed: []byte{1}},
 		OpenTraffic{},
 	}
 }
