A fault soak: the programs as processes of their own, broken from outside

Change: standin soak starts three controld and two entryd behind proxies of its own, kills, ends, pauses and cuts them in a seeded order, and runs the load that checks what was promised, which moved from chaos to pledge for both. It ends only what it has started, by id. Conclusion: the product's own interface only; clocks and storage do not misbehave in it yet.

--- a/standin/chaos/chaos.go
+++ b/standin/chaos/chaos.go
@@ -16,6 +16,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/entry"
+	"sardineswitch.dev/sardine/standin/pledge"
 	"sardineswitch.dev/sardine/standin/site"
 )
 
@@ -28,8 +29,6 @@
 	groups     = 3
 	groupSize  = 3
 	plains     = 2
-	chatters   = 8
-	bookers    = 4
 	startLimit = 30 * time.Second
 )
 
@@ -46,8 +45,8 @@
 	Seed       uint64         `json:"seed"`
 	Seconds    float64        `json:"seconds"`
 	Faults     map[string]int `json:"faults"`
-	Chats      Counts         `json:"chats"`
-	Bookings   Counts         `json:"bookings"`
+	Chats      pledge.Counts  `json:"chats"`
+	Bookings   pledge.Counts  `json:"bookings"`
 	Changes    int            `json:"changes_accepted"`
 	Looks      int            `json:"looks"`              // of the watchers at entry nodes
 	Unready    int            `json:"unready"`            // times that a serving entry node lost its lease and got it again
@@ -56,25 +55,15 @@
 	Violations []string       `json:"violations"`
 }
 
-// Counts are the outcomes of one kind of request.
-type Counts struct {
-	Right   int `json:"right"`
-	NotRun  int `json:"not_run"`
-	Ran     int `json:"ran"` // ended with an error after it ran, at least in part
-	Unknown int `json:"unknown"`
-	Broken  int `json:"broken"` // no answer that says more
-}
-
 // run is one run under way.
 type run struct {
 	options Options
 	site    *site.Site
-	http    *caller
+	load    *pledge.Load
 
-	mu       sync.Mutex
-	result   Result
-	accepted uint64 // highest settings version that was accepted
-	down     map[string]time.Time
+	mu     sync.Mutex
+	result Result
+	down   map[string]time.Time
 }
 
 // Run runs a site for the given time and returns what it saw. The error concerns
@@ -97,8 +86,7 @@
 	r := &run{
 		options: o,
 		site:    s,
-		http:    newCaller(),
-		result:  Result{Seed: o.Seed, Faults: make(map[string]int), Violations: []string{}},
+		result:  Result{Seed: o.Seed, Faults: make(map[string]int)},
 		down:    make(map[string]time.Time),
 	}
 	if err := r.begin(); err != nil {
@@ -107,6 +95,8 @@
 	started := time.Now()
 	r.breakThings()
 	r.result.Seconds = time.Since(started).Seconds()
+	seen := r.load.Result()
+	r.result.Chats, r.result.Bookings, r.result.Changes, r.result.Violations = seen.Chats, seen.Bookings, seen.Changes, seen.Violations
 	return &r.result, nil
 }
 
@@ -118,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	r.accepted = answer.Version
+	r.load = pledge.NewLoad(scene{r.site}, answer.Version)
 	_, err = r.site.AwaitServing(startLimit, groups, plains)
 	return err
 }
@@ -128,13 +118,7 @@
 func (r *run) breakThings() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for i := range chatters {
-		group.Go(func() { r.chat(ctx, i) })
-	}
-	for i := range bookers {
-		group.Go(func() { r.book(ctx, i) })
-	}
-	group.Go(func() { r.change(ctx) })
+	group.Go(func() { r.load.Run(ctx) })
 	group.Go(func() { r.watch(ctx) })
 	r.faults()
 	mended, err := r.site.AwaitServing(startLimit, groups, plains)
@@ -172,9 +156,32 @@
 
 // violate notes a broken promise.
 func (r *run) violate(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
+	r.load.Violate(format, args...)
+}
+
+// scene is the site as the load sees it.
+type scene struct {
+	site *site.Site
+}
+
+// Balancer returns the address for callers.
+func (s scene) Balancer() string {
+	return s.site.Balancer()
+}
+
+// Runs returns how often the plain services ran a booking.
+func (s scene) Runs(seat string) int {
+	runs := 0
+	for _, p := range s.site.Plains() {
+		runs += p.Runs(seat)
+	}
+	return runs
+}
+
+// Set changes the demo team's settings.
+func (s scene) Set(ctx context.Context, base uint64, changeID, path, document string) (uint64, error) {
+	answer, err := s.site.Set(ctx, base, changeID, path, document)
+	return answer.GetVersion(), err
 }
 
 func (r *run) random(stream uint64) *rand.Rand {
--- a/standin/chaos/watch.go
+++ b/standin/chaos/watch.go
@@ -23,9 +23,7 @@
 	seen := make(map[string]uint64) // highest version by node and incarnation
 	gaps := newGaps()
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		accepted := r.accepted
-		r.mu.Unlock()
+		accepted := r.load.Accepted()
 		members := r.members()
 		for _, e := range r.site.Entries() {
 			if node := e.Node(); node != nil {
@@ -93,7 +91,7 @@
 	defer r.mu.Unlock()
 	for _, vm := range members {
 		if since, down := r.down[vm]; down && time.Since(since) > missingBound {
-			r.result.Violations = append(r.result.Violations, node+" routes to "+target+" without "+vm)
+			r.violate("%s routes to %s without %s", node, target, vm)
 		}
 	}
 }
--- a/standin/report/chaos.go
+++ b/standin/report/chaos.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"sardineswitch.dev/sardine/standin/chaos"
+	"sardineswitch.dev/sardine/standin/pledge"
 )
 
 func buildChaos(line []byte) (Section, error) {
@@ -28,6 +29,6 @@
 	return s, nil
 }
 
-func addCounts(t *Table, name string, c chaos.Counts) {
+func addCounts(t *Table, name string, c pledge.Counts) {
 	t.add(name, c.Right, c.NotRun, c.Ran, c.Unknown, c.Broken)
 }
--- /dev/null
+++ b/standin/soak/site.go
@@ -0,0 +1,284 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/standin/balnce"
+	"sardineswitch.dev/sardine/standin/engine"
+	"sardineswitch.dev/sardine/standin/plain"
+	"sardineswitch.dev/sardine/standin/site"
+	"sardineswitch.dev/sardine/standin/weight"
+	"sardineswitch.dev/sardine/wire"
+)
+
+// Sizes of the site: the fewest that bear the loss of one of each.
+const (
+	controls  = 3
+	entries   = 2
+	domains   = 2
+	vms       = 4
+	groups    = 2
+	groupSize = 3
+	plains    = 2
+)
+
+// Ports that the system does not give to connections by itself.
+const (
+	lowestPort = 20000
+	ports      = 12000
+	portTries  = 200
+)
+
+// node is one process with the proxies before it.
+type node struct {
+	process  *process
+	internal *proxy // what the other processes send
+	public   *proxy // what callers send, nil at a control node
+	folder   string // of its data, empty at an entry node
+}
+
+// place is a site of processes of their own.
+type place struct {
+	folder    string
+	controls  []*node
+	entries   []*node
+	operators []string
+	client    *ctlapi.Client
+	balancer  *balnce.Balancer
+	engines   []*engine.Engine
+	plains    []*plain.Plain
+	weights   *weight.Store
+}
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress() (string, error) {
+	for range portTries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports)))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
+	}
+	return "", codes.New(codes.Internal, "soak: no free port from %d on after %d tries", lowestPort, portTries)
+}
+
+// addresses returns so many free addresses.
+func addresses(count int) ([]string, error) {
+	var all []string
+	for range count {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+// newPlace starts the processes and the stand-ins around them.
+func newPlace(folder, programs string, failed func(string, error)) (*place, error) {
+	p := &place{folder: folder}
+	if err := p.startNodes(programs, failed); err != nil {
+		p.stop()
+		return nil, err
+	}
+	if err := p.startTargets(); err != nil {
+		p.stop()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *place) startNodes(programs string, failed func(string, error)) error {
+	told, err := addresses(controls) // at which the others call a control node
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for i, a := range told {
+		peers = append(peers, fmt.Sprintf("{ node = \"control-%d\", address = %q }", i+1, a))
+	}
+	for i := range controls {
+		if err := p.addControl(i, told[i], peers, filepath.Join(programs, "controld"), failed); err != nil {
+			return err
+		}
+	}
+	p.client = ctlapi.New(p.operators, ctlapi.WithKnownOnly())
+	p.balancer = balnce.New()
+	if err := p.balancer.Start(); err != nil {
+		return err
+	}
+	var backends []balnce.Backend
+	for i := range entries {
+		address, err := p.addEntry(i, peers, filepath.Join(programs, "entryd"), failed)
+		if err != nil {
+			return err
+		}
+		backends = append(backends, balnce.NewBackend(address, address))
+	}
+	p.balancer.SetBackends(backends...)
+	return nil
+}
+
+func (p *place) addControl(i int, told string, peers []string, program string, failed func(string, error)) error {
+	own, err := addresses(2)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("control-%d", i+1)
+	data := filepath.Join(p.folder, name)
+	if err := os.Mkdir(data, 0o700); err != nil {
+		return err
+	}
+	settings := fmt.Sprintf("node = %q\nsite = \"soak\"\ndata_centre = \"osu\"\ndata_folder = %q\nlisten_internal = %q\nadvertise_internal = %q\nlisten_operators = %q\nmembers = [%s]\n",
+		name, data, own[0], told, own[1], strings.Join(peers, ", "))
+	n := &node{folder: data}
+	if n.internal, err = newProxy(told, own[0]); err != nil {
+		return err
+	}
+	p.controls = append(p.controls, n)
+	p.operators = append(p.operators, own[1])
+	return p.run(n, name, program, settings, failed)
+}
+
+func (p *place) addEntry(i int, peers []string, program string, failed func(string, error)) (public string, err error) {
+	a, err := addresses(5)
+	if err != nil {
+		return "", err
+	}
+	name := fmt.Sprintf("entry-%d", i+1)
+	settings := fmt.Sprintf("node = %q\nsite = \"soak\"\ndata_centre = \"osu\"\nlisten = %q\nlisten_targets = %q\nlisten_internal = %q\nadvertise_internal = %q\ncontrols = [%s]\n[timings]\nunready_ms = 300\n",
+		name, a[0], a[1], a[2], a[3], strings.Join(peers, ", "))
+	n := &node{}
+	p.entries = append(p.entries, n)
+	if n.internal, err = newProxy(a[3], a[2]); err != nil {
+		return "", err
+	}
+	if n.public, err = newProxy(a[4], a[0]); err != nil {
+		return "", err
+	}
+	return a[4], p.run(n, name, program, settings, failed)
+}
+
+func (p *place) run(n *node, name, program, settings string, failed func(string, error)) error {
+	var err error
+	if n.process, err = newProcess(p.folder, name, program, []byte(settings), failed); err != nil {
+		return err
+	}
+	return n.process.start()
+}
+
+func (p *place) startTargets() error {
+	p.weights = weight.New(weight.WithSize(1<<20), weight.WithRate(4<<20))
+	fabric := engine.NewFabric()
+	for d := range domains {
+		for v := range vms {
+			e := engine.New(
+				engine.WithVM(sardine.VMID(fmt.Sprintf("vm-%d-%d", d+1, v+1))),
+				engine.WithPlace("osu", sardine.FabricDomain(fmt.Sprintf("fabric-%d", d+1))),
+				engine.WithBalancer(p.balancer.Address()),
+				engine.WithFabric(fabric),
+				engine.WithLoader(p.weights),
+				engine.WithLoadable(site.Model),
+				engine.WithChecksEpoch(true),
+				engine.WithSpeed(10, 5),
+			)
+			p.engines = append(p.engines, e)
+			if err := e.Start(); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range plains {
+		s := plain.New(
+			plain.WithVM(sardine.VMID(fmt.Sprintf("app-%d", i+1))),
+			plain.WithService(site.Service),
+			plain.WithDataCentre("osu"),
+			plain.WithBalancer(p.balancer.Address()),
+		)
+		p.plains = append(p.plains, s)
+		if err := s.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Balancer returns the address for callers.
+func (p *place) Balancer() string {
+	return p.balancer.Address()
+}
+
+// Runs returns how often the plain services ran a booking.
+func (p *place) Runs(seat string) int {
+	runs := 0
+	for _, s := range p.plains {
+		runs += s.Runs(seat)
+	}
+	return runs
+}
+
+// Set changes the demo team's settings.
+func (p *place) Set(ctx context.Context, base uint64, changeID, path, document string) (uint64, error) {
+	answer, err := p.client.Settings(ctx, &wire.SettingsRequest{
+		Operation: "set", Path: path, Base: base, ChangeId: changeID, Document: document, Author: "soak",
+	})
+	return answer.GetVersion(), err
+}
+
+// version returns the newest version of the team's settings.
+func (p *place) version(ctx context.Context) (uint64, error) {
+	answer, err := p.client.Settings(ctx, &wire.SettingsRequest{Operation: "get", Path: "/teams/" + string(site.Team)})
+	return answer.GetVersion(), err
+}
+
+// stop ends everything that was started.
+func (p *place) stop() {
+	for _, e := range p.engines {
+		e.Stop()
+	}
+	for _, s := range p.plains {
+		s.Stop()
+	}
+	if p.balancer != nil {
+		p.balancer.Stop()
+	}
+	for _, n := range append(append([]*node{}, p.entries...), p.controls...) {
+		if n.process != nil {
+			n.process.signal(syscall.SIGCONT)
+			n.process.end(syscall.SIGKILL)
+			_ = n.process.log.Close() // the process has ended
+		}
+		for _, x := range []*proxy{n.internal, n.public} {
+			if x != nil {
+				x.close()
+			}
+		}
+	}
+	if p.client != nil {
+		p.client.Close()
+	}
+}
+
+// pause is the wait between two looks for a condition.
+const pause = 50 * time.Millisecond
+
+// until waits for a condition for a bounded time.
+func until(most time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(most); !holds(); time.Sleep(pause) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -31,6 +31,7 @@
 			newPlain,
 			newWeights,
 			newLoad,
+			newSoak,
 			newReport,
 			func() *cobra.Command { return launch.NewVersion("standin") },
 		},
