Let many entry nodes with the same reports choose among a few random targets

Cause: on the grown sites a node rarely has two requests at once, so that its choice followed the others' loads alone, and all 69 nodes sent their next request to the same group until the next report (busiest target 9 to 17 times the mean). Change: a node keeps so few random targets that about ten nodes at most have the least loaded one among them; up to ten nodes choose as before.

--- a/route/policy.go
+++ b/route/policy.go
@@ -27,6 +27,7 @@
 	case Hints:
 		return r.hinted(now, s, q)
 	case Batch:
+		r.thinOut()
 		return r.choice(now, s, q, r.least(r.batchLoad), noRank)
 	default:
 		return r.mixed(now, s, q)
@@ -44,6 +45,25 @@
 	return a
 }
 
+// crowdMost bounds how many entry nodes may choose the same target by the same
+// reports: a third of a usual batch, which it has room for at any time.
+const crowdMost = 10
+
+// thinOut keeps so few random targets that no more than crowdMost nodes are
+// expected to have the least loaded of all among them.
+func (r *Router) thinOut() {
+	count := len(r.usable)
+	if r.nodes <= crowdMost || count < 2 {
+		return
+	}
+	kept := max(count*crowdMost/r.nodes, 2)
+	for i := range min(kept, count) {
+		other := i + r.random.IntN(count-i)
+		r.usable[i], r.usable[other] = r.usable[other], r.usable[i]
+	}
+	r.usable = r.usable[:min(kept, count)]
+}
+
 // least returns the target with the lowest value, a random one among equals.
 func (r *Router) least(value func(*target) float64) *target {
 	start := r.random.IntN(len(r.usable))
