--- a/plan/demand.go
+++ b/plan/demand.go
@@ -72,11 +72,26 @@
 	p.starts.perSecond = s.PerSecond
 }
 
+const (
+	// memberAbsence is the part of the time for which a group waits because of any
+	// one of its members: at sites that lose two of 222 VMs every 3 s, and repair a
+	// group within 4 s.
+	memberAbsence = 0.0125
+	// leastWhole is the part of the time for which groups of any size are whole.
+	leastWhole = 0.5
+)
+
+// wholeShare returns the part of the time for which a group has all its members.
+func wholeShare(size int) float64 {
+	return max(1-memberAbsence*float64(size), leastWhole)
+}
+
 // coverage returns how far a deployment's groups meet its demand, relative to
-// other deployments. Demand is a share of the work, which VMs do: a group of four
-// times the members counts four times as much.
+// other deployments. Demand is a share of the work, which VMs do while their group
+// is whole.
 func (k *kindView) coverage() float64 {
-	return float64(len(k.groups)*k.deployment.GroupSize) / k.deployment.Demand
+	size := k.deployment.GroupSize
+	return float64(len(k.groups)*size) * wholeShare(size) / k.deployment.Demand
 }
 
 // byDemand reports whether the deployment takes as many groups as its demand
