Give a busy leader time, and encode its state once for many followers

After a power loss of all the same kept 69 entry nodes without a layout for ten seconds, as the leader encoded the state for each poll, answered or not. Tests: TestSnapshotIsTakenOnceForMany; TestLeaderThatIsNamedGetsTime failed with the old bound.

--- a/follow/absorb.go
+++ b/follow/absorb.go
@@ -54,8 +54,8 @@
 			f.machine = m
 			f.relay.cache.reset(m.Index())
 			outcome.Restored = true
+			have = m.Index()
 		}
-		return outcome, nil
 	}
 	if r.After > have {
 		return outcome, nil
--- a/follow/cache.go
+++ b/follow/cache.go
@@ -24,6 +24,33 @@
 	through uint64
 	items   []News
 	bytes   int
+	kept    snapshot // handed out last
+}
+
+// snapshot is a state that was encoded for followers.
+type snapshot struct {
+	bytes []byte
+	index uint64
+}
+
+// keptNews is how many entries may have followed a snapshot that is handed out
+// again: after a loss of all nodes each of them asks for one within a second, and
+// each of them joins by an entry.
+const keptNews = 128
+
+// whole returns what a follower gets that lags too far for news: a snapshot and the
+// news after it.
+func (c *cache) whole(take func() ([]byte, uint64, error)) (snapshot, []News, error) {
+	news, ok := c.since(c.kept.index)
+	if c.kept.bytes == nil || !ok || len(news) > keptNews {
+		b, index, err := take()
+		if err != nil {
+			return snapshot{}, nil, err
+		}
+		c.kept = snapshot{bytes: b, index: index}
+		news, _ = c.since(index)
+	}
+	return c.kept, news, nil
 }
 
 func (c *cache) reset(index uint64) {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -207,7 +207,7 @@
 	address, relay := f.route.next(now)
 	c := f.relay.gather(now, f.underWay(), f.reportable())
 	s := &sending{at: now, cover: c, main: main}
-	s.ask = Ask{Address: address, Relay: relay, Timeout: ProbeTimeout, Request: Request{
+	s.ask = Ask{Address: address, Relay: relay, Timeout: f.route.probeTimeout(), Request: Request{
 		From:     f.self,
 		Sequence: f.sequence,
 		Applied:  c.applied,
--- a/follow/gather.go
+++ b/follow/gather.go
@@ -163,12 +163,13 @@
 	news, ok := y.cache.since(p.r.Have)
 	reply.After, reply.Through, reply.News = p.r.Have, max(p.r.Have, y.cache.through), news
 	if !ok {
-		b, index, err := y.snapshot()
+		whole, news, err := y.cache.whole(y.snapshot)
 		if err != nil {
 			y.send(p.id, faultReply(codes.Of(err), err.Error(), ""))
 			return
 		}
-		reply.Snapshot, reply.Through = b, index
+		reply.Snapshot, reply.After, reply.News = whole.bytes, whole.index, news
+		reply.Through = max(whole.index, y.cache.through)
 	}
 	y.send(p.id, reply)
 }
--- a/follow/route.go
+++ b/follow/route.go
@@ -46,6 +46,14 @@
 	return t.controls[t.at%len(t.controls)]
 }
 
+// probeTimeout bounds a poll that is not held.
+func (t *route) probeTimeout() sardine.Millis {
+	if t.failures >= SlowAfter {
+		return 2 * ProbeTimeout
+	}
+	return ProbeTimeout
+}
+
 // answered notes a success, and the relay that a control node assigned.
 func (t *route) answered(now sardine.Millis, address string, fromRelay bool, assigned string) {
 	t.failures = 0
--- a/follow/server.go
+++ b/follow/server.go
@@ -277,12 +277,13 @@
 	news, ok := s.cache.since(p.r.Have)
 	reply.After, reply.Through, reply.News = p.r.Have, s.cache.through, news
 	if !ok {
-		b, index, err := s.snapshot()
+		whole, news, err := s.cache.whole(s.snapshot)
 		if err != nil {
 			s.answer(p, faultReply(codes.Of(err), err.Error(), ""))
 			return
 		}
-		reply.Snapshot, reply.Through = b, index
+		reply.Snapshot, reply.After, reply.News = whole.bytes, whole.index, news
+		reply.Through = max(whole.index, s.cache.through)
 	}
 	s.answer(p, reply)
 }
--- a/follow/types.go
+++ b/follow/types.go
@@ -33,7 +33,7 @@
 	Refused  []Refusal
 	After    uint64 // the news hold every spread entry after this index up to Through
 	News     []News
-	Snapshot []byte // replaces the follower's state if not empty
+	Snapshot []byte // replaces the follower's state if not empty, before the news
 	Through  uint64
 	Relay    string           // address of the relay to ask, empty for a control node
 	WantSet  bool             // the next request must hold the set
