Give each soak a block of ports of its own, and end its processes with it

Change: blocks of 100 ports below those that other tests draw, the first one held open as a lock; a name for each site; the soak ends its processes when it is told to end.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
 	"os"
 	"syscall"
@@ -59,8 +60,8 @@
 	time.Sleep(shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault))))
 }
 
-func (r *run) sequence(end time.Time, of []fault, random *rand.Rand) {
-	for time.Now().Before(end) {
+func (r *run) sequence(ctx context.Context, end time.Time, of []fault, random *rand.Rand) {
+	for time.Now().Before(end) && ctx.Err() == nil {
 		f := pick(random, of)
 		r.note(f.name)
 		f.run(r, random)
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,7 +10,6 @@
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
-	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/standin/balnce"
 	"sardineswitch.dev/sardine/standin/engine"
@@ -33,13 +30,6 @@
 	plains    = 2
 )
 
-// Ports that the system does not give to connections by itself.
-const (
-	lowestPort = 20000
-	ports      = 12000
-	portTries  = 200
-)
-
 // node is one process with the proxies before it.
 type node struct {
 	process  *process
@@ -51,6 +41,8 @@
 // place is a site of processes of their own.
 type place struct {
 	folder    string
+	site      string
+	ports     *ports
 	controls  []*node
 	entries   []*node
 	operators []string
@@ -61,33 +53,13 @@
 	weights   *weight.Store
 }
 
-// freeAddress returns an address that nobody listens on.
-func freeAddress() (string, error) {
-	for range portTries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports)))
-		if err == nil {
-			return l.Addr().String(), l.Close()
-		}
-	}
-	return "", codes.New(codes.Internal, "soak: no free port from %d on after %d tries", lowestPort, portTries)
-}
-
-// addresses returns so many free addresses.
-func addresses(count int) ([]string, error) {
-	var all []string
-	for range count {
-		a, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, a)
-	}
-	return all, nil
-}
-
 // newPlace starts the processes and the stand-ins around them.
 func newPlace(folder, programs string, failed func(string, error)) (*place, error) {
-	p := &place{folder: folder}
+	block, err := takePorts()
+	if err != nil {
+		return nil, err
+	}
+	p := &place{folder: folder, site: fmt.Sprintf("soak-%d", block.base), ports: block}
 	if err := p.startNodes(programs, failed); err != nil {
 		p.stop()
 		return nil, err
@@ -100,7 +72,7 @@
 }
 
 func (p *place) startNodes(programs string, failed func(string, error)) error {
-	told, err := addresses(controls) // at which the others call a control node
+	told, err := p.ports.addresses(controls) // at which the others call a control node
 	if err != nil {
 		return err
 	}
@@ -131,7 +103,7 @@
 }
 
 func (p *place) addControl(i int, told string, peers []string, program string, failed func(string, error)) error {
-	own, err := addresses(2)
+	own, err := p.ports.addresses(2)
 	if err != nil {
 		return err
 	}
@@ -140,8 +112,8 @@
 	if err := os.Mkdir(data, 0o700); err != nil {
 		return err
 	}
-	settings := fmt.Sprintf("node = %q\nsite = \"soak\"\ndata_centre = \"osu\"\ndata_folder = %q\nlisten_internal = %q\nadvertise_internal = %q\nlisten_operators = %q\nmembers = [%s]\n",
-		name, data, own[0], told, own[1], strings.Join(peers, ", "))
+	settings := fmt.Sprintf("node = %q\nsite = %q\ndata_centre = \"osu\"\ndata_folder = %q\nlisten_internal = %q\nadvertise_internal = %q\nlisten_operators = %q\nmembers = [%s]\n",
+		name, p.site, data, own[0], told, own[1], strings.Join(peers, ", "))
 	n := &node{folder: data}
 	if n.internal, err = newProxy(told, own[0]); err != nil {
 		return err
@@ -152,13 +124,13 @@
 }
 
 func (p *place) addEntry(i int, peers []string, program string, failed func(string, error)) (public string, err error) {
-	a, err := addresses(5)
+	a, err := p.ports.addresses(5)
 	if err != nil {
 		return "", err
 	}
 	name := fmt.Sprintf("entry-%d", i+1)
-	settings := fmt.Sprintf("node = %q\nsite = \"soak\"\ndata_centre = \"osu\"\nlisten = %q\nlisten_targets = %q\nlisten_internal = %q\nadvertise_internal = %q\ncontrols = [%s]\n[timings]\nunready_ms = 300\n",
-		name, a[0], a[1], a[2], a[3], strings.Join(peers, ", "))
+	settings := fmt.Sprintf("node = %q\nsite = %q\ndata_centre = \"osu\"\nlisten = %q\nlisten_targets = %q\nlisten_internal = %q\nadvertise_internal = %q\ncontrols = [%s]\n[timings]\nunready_ms = 300\n",
+		name, p.site, a[0], a[1], a[2], a[3], strings.Join(peers, ", "))
 	n := &node{}
 	p.entries = append(p.entries, n)
 	if n.internal, err = newProxy(a[3], a[2]); err != nil {
@@ -268,6 +240,7 @@
 	if p.client != nil {
 		p.client.Close()
 	}
+	p.ports.release()
 }
 
 // pause is the wait between two looks for a condition.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -69,10 +69,10 @@
 	failed []string // processes that ended by themselves
 }
 
-// Run runs a site for the given time and returns what it saw. The error concerns
-// the start of the site only. Without violations the folder is removed if the run
+// Run runs a site for the given time, or until ctx ends, and returns what it saw.
+// The error concerns the start of the site only. Without violations the folder is removed if the run
 // has made it.
-func Run(o Options) (*Result, error) {
+func Run(ctx context.Context, o Options) (*Result, error) {
 	made := o.Folder == ""
 	if made {
 		folder, err := os.MkdirTemp("", "soak-")
@@ -90,7 +90,7 @@
 	if err := r.begin(); err != nil {
 		return nil, codes.Wrap(codes.Internal, err, "soak: the site does not start, its logs are in "+o.Folder)
 	}
-	result := r.soak()
+	result := r.soak(ctx)
 	if made && len(result.Violations) == 0 {
 		_ = os.RemoveAll(o.Folder) // a folder of the system's temporary files
 	}
@@ -129,12 +129,12 @@
 }
 
 // soak runs the load and the faults, lets the site mend, and checks what stays.
-func (r *run) soak() *Result {
+func (r *run) soak(parent context.Context) *Result {
 	started := time.Now()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(parent)
 	var group sync.WaitGroup
 	group.Go(func() { r.load.Run(ctx) })
-	r.breakThings()
+	r.breakThings(ctx)
 	r.plant()
 	mending := time.Now()
 	if r.options.Defect == "" && !until(mendMost, r.load.Serves) {
@@ -154,12 +154,12 @@
 	}
 }
 
-func (r *run) breakThings() {
+func (r *run) breakThings(ctx context.Context) {
 	end := time.Now().Add(r.options.Length)
 	var group sync.WaitGroup
 	for i, faults := range sequences {
 		random := rand.New(rand.NewPCG(r.options.Seed, uint64(i)))
-		group.Go(func() { r.sequence(end, faults, random) })
+		group.Go(func() { r.sequence(ctx, end, faults, random) })
 	}
 	group.Wait()
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -40,7 +40,7 @@
 		if defect != "none" {
 			o.Defect = defect
 		}
-		r, err := Run(o)
+		r, err := Run(t.Context(), o)
 		require.NoError(t, err, line)
 		require.NotEmpty(t, r.Faults)
 		if o.Defect == "" {
--- a/standin/start/soak.go
+++ b/standin/start/soak.go
@@ -43,9 +43,14 @@
 }
 
 func soakRuns(c *cobra.Command, o soak.Options, runs int) error {
+	ctx, stop := untilSignal(c)
+	defer stop()
 	broken := 0
 	for range runs {
-		r, err := soak.Run(o)
+		if ctx.Err() != nil {
+			return codes.New(codes.UsageError, "ended by a signal")
+		}
+		r, err := soak.Run(ctx, o)
 		if err != nil {
 			return err
 		}
