Let the group of a leaving member end its work

Change: a degraded group whose members are all there under their incarnations may finish; it gets nothing new. Test: TestLeavingMembersGroupEndsItsWork failed before.

--- a/entry/view.go
+++ b/entry/view.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -145,10 +146,13 @@
 
 func (v *view) addGroups(m *state.Machine) {
 	for _, g := range m.Groups() {
-		if g.State != sardine.GroupServing || len(g.Members) == 0 {
+		if len(g.Members) == 0 || !mayFinish(m, g) {
 			continue
 		}
 		v.intact[g.ID] = g.Epoch
+		if g.State != sardine.GroupServing {
+			continue
+		}
 		for _, member := range g.Members {
 			v.members[g.ID] = append(v.members[g.ID], member.VM)
 		}
@@ -171,6 +175,19 @@
 	}
 }
 
+// mayFinish reports whether the group can end the requests that it has. One that
+// is drained, since a member leaves, is degraded but whole until its planner has
+// seen the last of them end.
+func mayFinish(m *state.Machine, g sardine.Group) bool {
+	if g.State == sardine.GroupServing {
+		return true
+	}
+	return g.State == sardine.GroupDegraded && !slices.ContainsFunc(g.Members, func(member sardine.Member) bool {
+		t, known := m.Target(member.VM)
+		return !known || t.Incarnation != member.Incarnation
+	})
+}
+
 // leaving reports whether a member of the group has announced that it leaves or
 // is not known any more.
 func leaving(m *state.Machine, g sardine.Group) bool {
