Name the collector of targets' words as what it is

Cause: read as a newcomer, ctrl's hearing, heard, answered and the RPC Hear, and ctlapi's confidant, need explaining; the check that a member's target is there stood twice in entry/view.go. Change: collector, collected, collectAnswer and the RPC Collected in ctrl/collect.go, reportAddress in ctlapi, targetOf in entry. Names only, nothing else changes.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -179,7 +179,7 @@
 // only one control node is asked: each entry node has one of its own, and asks the
 // next after a failure.
 func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) ([]*wire.Crowd, error) {
-	answer, err := c.Stub(c.confidant(request.GetNode())).Witness(ctx, request)
+	answer, err := c.Stub(c.reportAddress(request.GetNode())).Witness(ctx, request)
 	if err == nil {
 		err = ErrorOf(answer.GetFault())
 	}
@@ -192,8 +192,8 @@
 	return answer.GetCrowds(), nil
 }
 
-// confidant returns the control node that takes a node's reports.
-func (c *Client) confidant(node string) string {
+// reportAddress returns the control node that takes a node's reports.
+func (c *Client) reportAddress(node string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.addresses[(xxhash.Sum64String(node)+c.passed)%uint64(len(c.addresses))]
--- a/ctrl/hear.go
+++ b/ctrl/collect.go
@@ -14,23 +14,23 @@
 )
 
 const (
-	// hearEvery is the time between two reports to the leader without news. Half of
+	// collectEvery is the time between two reports to the leader without news. Half of
 	// what entry nodes take between theirs, so that it adds little to their age.
-	hearEvery = 250 * sardine.Millis(1)
-	// hearPause lets news that come together go out together.
-	hearPause = 20 * sardine.Millis(1)
-	// hearCall bounds one report, so that the next one finds a new leader.
-	hearCall = 500 * sardine.Millis(1)
+	collectEvery = 250 * sardine.Millis(1)
+	// collectPause lets news that come together go out together.
+	collectPause = 20 * sardine.Millis(1)
+	// collectCall bounds one report, so that the next one finds a new leader.
+	collectCall = 500 * sardine.Millis(1)
 	// outOfTouch is how long the leader may not have taken a report until targets
 	// and entry nodes are sent to other control nodes: less than the second that
 	// they give one of them, more than a report that is lost.
 	outOfTouch = 900 * sardine.Millis(1)
 )
 
-// hearing is what a control node hears of targets: their announcements, and what
+// collector is what a control node hears of targets: their announcements, and what
 // entry nodes see of them. The leader is told in one report of each control node,
 // so that its work does not grow with their callers.
-type hearing struct {
+type collector struct {
 	overdue sardine.Millis // age of an announcement that is late, 0 for never
 
 	mu        sync.Mutex
@@ -42,8 +42,8 @@
 	news      chan struct{}
 }
 
-func newHearing(self sardine.NodeID, started sardine.Incarnation, t Timing) *hearing {
-	return &hearing{
+func newCollector(self sardine.NodeID, started sardine.Incarnation, t Timing) *collector {
+	return &collector{
 		overdue:   t.Overdue,
 		home:      fleet.NewHome(self, started, fleet.WithLease(t.Target)),
 		witnesses: fleet.NewWitnesses(),
@@ -52,8 +52,8 @@
 }
 
 // inTouch refuses if the leader does not take reports. The lock is held.
-func (h *hearing) inTouch(now sardine.Millis) error {
-	if h.touched == 0 || now-h.touched > outOfTouch {
+func (c *collector) inTouch(now sardine.Millis) error {
+	if c.touched == 0 || now-c.touched > outOfTouch {
 		return codes.New(codes.NoQuorum, "this control node is out of touch with the leader")
 	}
 	return nil
@@ -61,50 +61,50 @@
 
 // announce takes a target's announcement. One that a newer one has overtaken
 // changes nothing.
-func (h *hearing) announce(now sardine.Millis, a sardine.Announcement) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.inTouch(now); err != nil {
+func (c *collector) announce(now sardine.Millis, a sardine.Announcement) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.inTouch(now); err != nil {
 		return err
 	}
-	err := h.home.Announce(now, a)
+	err := c.home.Announce(now, a)
 	if codes.Is(err, codes.Superseded) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if h.home.HasNews(now) {
-		h.wake()
+	if c.home.HasNews(now) {
+		c.wake()
 	}
 	return nil
 }
 
 // witness takes an entry node's signs and returns what all have in flight.
-func (h *hearing) witness(now sardine.Millis, node sardine.NodeID, signs []fleet.Sign) ([]fleet.Crowd, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.inTouch(now); err != nil {
+func (c *collector) witness(now sardine.Millis, node sardine.NodeID, signs []fleet.Sign) ([]fleet.Crowd, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.inTouch(now); err != nil {
 		return nil, err
 	}
-	h.witnesses.Take(now, node, signs)
+	c.witnesses.Take(now, node, signs)
 	for _, s := range signs {
 		if s.Stalled {
-			h.wake()
+			c.wake()
 		}
 	}
-	return h.crowds, nil
+	return c.crowds, nil
 }
 
-func (h *hearing) wake() {
+func (c *collector) wake() {
 	select {
-	case h.news <- struct{}{}:
+	case c.news <- struct{}{}:
 	default: // a report is due already
 	}
 }
 
-// heard is one report to the leader.
-type heard struct {
+// collected is one report to the leader.
+type collected struct {
 	home        sardine.NodeID
 	incarnation sardine.Incarnation
 	report      *fleet.Report // nil without news
@@ -112,78 +112,78 @@
 	signs       []fleet.Sign
 }
 
-// answered is the leader's answer.
-type answered struct {
+// collectAnswer is the leader's answer.
+type collectAnswer struct {
 	ack    fleet.Ack
 	known  sardine.Incarnation // of the home, higher than its own if that is outdated
 	crowds []fleet.Crowd
 }
 
 // next returns the next report.
-func (h *hearing) next(now sardine.Millis) heard {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.home.Tick(now)
-	out := heard{signs: h.witnesses.Signs(now)}
-	out.home, out.incarnation = h.home.Name()
-	if r, news := h.home.Report(now); news {
+func (c *collector) next(now sardine.Millis) collected {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.home.Tick(now)
+	out := collected{signs: c.witnesses.Signs(now)}
+	out.home, out.incarnation = c.home.Name()
+	if r, news := c.home.Report(now); news {
 		out.report = &r
 	}
-	if h.overdue > 0 {
-		out.overdue = h.home.Overdue(now, h.overdue)
+	if c.overdue > 0 {
+		out.overdue = c.home.Overdue(now, c.overdue)
 	}
 	return out
 }
 
 // told takes the leader's answer.
-func (h *hearing) told(now sardine.Millis, a answered) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.touched = now
-	h.crowds = a.crowds
-	if _, own := h.home.Name(); a.known > own {
-		h.home.Renew(a.known + 1) // the clock that gave the incarnation was set back
+func (c *collector) told(now sardine.Millis, a collectAnswer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.touched = now
+	c.crowds = a.crowds
+	if _, own := c.home.Name(); a.known > own {
+		c.home.Renew(a.known + 1) // the clock that gave the incarnation was set back
 	} else {
-		h.home.Acked(a.ack)
+		c.home.Acked(a.ack)
 	}
-	if h.home.HasNews(now) {
-		h.wake()
+	if c.home.HasNews(now) {
+		c.wake()
 	}
 }
 
 // noteTouch reports whether the leader was just lost or found again.
-func (h *hearing) noteTouch(now sardine.Millis) (lost, changed bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	lost = h.touched != 0 && h.inTouch(now) != nil
-	changed = lost != h.lost
-	h.lost = lost
+func (c *collector) noteTouch(now sardine.Millis) (lost, changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost = c.touched != 0 && c.inTouch(now) != nil
+	changed = lost != c.lost
+	c.lost = lost
 	return lost, changed
 }
 
-// hear is a duty: it tells the leader what this node hears of targets.
-func (n *Node) hear() error {
+// collect is a duty: it tells the leader what this node hears of targets.
+func (n *Node) collect() error {
 	for {
 		select {
 		case <-n.tomb.Dying():
 			return nil
-		case <-n.hearing.news:
-			if n.sleep(hearPause) != nil {
+		case <-n.collector.news:
+			if n.sleep(collectPause) != nil {
 				return nil
 			}
-		case <-n.clock.After(hearEvery):
+		case <-n.clock.After(collectEvery):
 		}
-		n.hearOnce()
+		n.reportOnce()
 	}
 }
 
-func (n *Node) hearOnce() {
-	a, err := n.tell(n.hearing.next(n.clock.Now()))
+func (n *Node) reportOnce() {
+	a, err := n.tell(n.collector.next(n.clock.Now()))
 	now := n.clock.Now()
 	if err == nil {
-		n.hearing.told(now, a)
+		n.collector.told(now, a)
 	}
-	switch lost, changed := n.hearing.noteTouch(now); {
+	switch lost, changed := n.collector.noteTouch(now); {
 	case changed && lost:
 		event.Log(n.logger, event.HearingLost, errorAttr(err))
 	case changed:
@@ -192,34 +192,34 @@
 }
 
 // tell hands a report to the leader, which may be this node.
-func (n *Node) tell(x heard) (answered, error) {
+func (n *Node) tell(x collected) (collectAnswer, error) {
 	info := n.log.Leader()
 	if info.Leading {
-		return n.takeHeard(x)
+		return n.takeCollected(x)
 	}
 	stub, err := n.leaderStub(info.Address)
 	if err != nil {
-		return answered{}, err
+		return collectAnswer{}, err
 	}
-	ctx, cancel := context.WithTimeout(n.life, hearCall.Duration())
+	ctx, cancel := context.WithTimeout(n.life, collectCall.Duration())
 	defer cancel()
-	answer, err := stub.Hear(ctx, heardToWire(x))
+	answer, err := stub.Collected(ctx, collectedToWire(x))
 	if err != nil {
-		return answered{}, codes.Wrap(codes.NoQuorum, err, "the leading control node does not answer")
+		return collectAnswer{}, codes.Wrap(codes.NoQuorum, err, "the leading control node does not answer")
 	}
-	return answeredFromWire(answer), ctlapi.ErrorOf(answer.GetFault())
+	return collectAnswerFromWire(answer), ctlapi.ErrorOf(answer.GetFault())
 }
 
-// Hear takes another control node's report.
-func (n *Node) Hear(_ context.Context, r *wire.HearRequest) (*wire.HearReply, error) {
-	a, err := n.takeHeard(heardFromWire(r))
-	return answeredToWire(a, ctlapi.FaultOf(err)), nil
+// Collected takes another control node's report.
+func (n *Node) Collected(_ context.Context, r *wire.CollectedRequest) (*wire.CollectedReply, error) {
+	a, err := n.takeCollected(collectedFromWire(r))
+	return collectAnswerToWire(a, ctlapi.FaultOf(err)), nil
 }
 
-func (n *Node) takeHeard(x heard) (answered, error) {
-	a, news, err := n.leadership.takeHeard(n.clock.Now(), x)
+func (n *Node) takeCollected(x collected) (collectAnswer, error) {
+	a, news, err := n.leadership.takeCollected(n.clock.Now(), x)
 	if err != nil {
-		return answered{}, n.redirect(err)
+		return collectAnswer{}, n.redirect(err)
 	}
 	if news {
 		n.wakeLeader()
@@ -227,13 +227,13 @@
 	return a, nil
 }
 
-// takeHeard merges a control node's report into the fleet; news tells that a
+// takeCollected merges a control node's report into the fleet; news tells that a
 // round may find work in it.
-func (l *leadership) takeHeard(now sardine.Millis, x heard) (a answered, news bool, err error) {
+func (l *leadership) takeCollected(now sardine.Millis, x collected) (a collectAnswer, news bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term == 0 {
-		return answered{}, false, codes.New(codes.NotLeader, "this control node does not lead")
+		return collectAnswer{}, false, codes.New(codes.NotLeader, "this control node does not lead")
 	}
 	if x.report != nil {
 		a.ack = l.fleet.Take(now, *x.report)
@@ -253,8 +253,8 @@
 	return a, news, nil
 }
 
-func heardToWire(x heard) *wire.HearRequest {
-	r := &wire.HearRequest{Node: string(x.home), Incarnation: uint64(x.incarnation)}
+func collectedToWire(x collected) *wire.CollectedRequest {
+	r := &wire.CollectedRequest{Node: string(x.home), Incarnation: uint64(x.incarnation)}
 	if x.report != nil {
 		r.Report = follow.ReportToWire(follow.ReportOf(*x.report, true))
 	}
@@ -267,8 +267,8 @@
 	return r
 }
 
-func heardFromWire(r *wire.HearRequest) heard {
-	x := heard{
+func collectedFromWire(r *wire.CollectedRequest) collected {
+	x := collected{
 		home:        sardine.NodeID(r.GetNode()),
 		incarnation: sardine.Incarnation(r.GetIncarnation()),
 		signs:       signsOf(r.GetSigns()),
@@ -283,8 +283,8 @@
 	return x
 }
 
-func answeredToWire(a answered, fault *wire.Fault) *wire.HearReply {
-	return &wire.HearReply{
+func collectAnswerToWire(a collectAnswer, fault *wire.Fault) *wire.CollectedReply {
+	return &wire.CollectedReply{
 		Fault:       fault,
 		Sequence:    a.ack.Sequence,
 		WantFull:    a.ack.WantFull,
@@ -293,8 +293,8 @@
 	}
 }
 
-func answeredFromWire(r *wire.HearReply) answered {
-	return answered{
+func collectAnswerFromWire(r *wire.CollectedReply) collectAnswer {
+	return collectAnswer{
 		ack:    fleet.Ack{Sequence: r.GetSequence(), WantFull: r.GetWantFull()},
 		known:  sardine.Incarnation(r.GetIncarnation()),
 		crowds: crowdsFromWire(r.GetCrowds()),
--- a/ctrl/desk.go
+++ b/ctrl/desk.go
@@ -129,7 +129,7 @@
 		return n.control.Address(), nil // no route leads there, so that there is nothing to record
 	}
 	a.Loadable = models
-	if err := n.hearing.announce(n.clock.Now(), a); err != nil {
+	if err := n.collector.announce(n.clock.Now(), a); err != nil {
 		return "", err
 	}
 	return n.control.Address(), nil
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -62,7 +62,7 @@
 	log        *repl.Node
 	link       *peer.Link
 	leadership *leadership
-	hearing    *hearing // nil without a port
+	collector  *collector // nil without a port
 	parsed     *parsedSettings
 	granted    *signal
 	wake       chan struct{}
@@ -157,7 +157,7 @@
 	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.SpreadSnapshot)
 	if n.port != nil {
 		started := sardine.Incarnation(time.Now().UnixMilli()) // later than at an earlier start, or else the leader says so
-		n.hearing = newHearing(n.id, started, n.timing)
+		n.collector = newCollector(n.id, started, n.timing)
 	}
 	return n.meter.meter.Gauges(n.gauges())
 }
@@ -260,7 +260,7 @@
 		n.tomb.Go(n.sendOrders)
 	}
 	if n.port != nil {
-		n.tomb.Go(n.hear)
+		n.tomb.Go(n.collect)
 		n.tomb.Go(func() error { return n.control.Serve(n.port.Handler(desk{node: n})) })
 	}
 	if n.metrics != nil {
--- a/ctrl/witness.go
+++ b/ctrl/witness.go
@@ -12,10 +12,10 @@
 
 // Witness takes what an entry node sees of targets through its requests.
 func (n *Node) Witness(_ context.Context, r *wire.WitnessRequest) (*wire.WitnessReply, error) {
-	if n.hearing == nil {
+	if n.collector == nil {
 		return &wire.WitnessReply{Fault: ctlapi.FaultOf(codes.New(codes.BadRequest, "this control node takes no word on targets"))}, nil
 	}
-	crowds, err := n.hearing.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
+	crowds, err := n.collector.witness(n.clock.Now(), sardine.NodeID(r.GetNode()), signsOf(r.GetSigns()))
 	return &wire.WitnessReply{Fault: ctlapi.FaultOf(err), Crowds: crowdsToWire(crowds)}, nil
 }
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"slices"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -182,18 +181,29 @@
 	if g.State == sardine.GroupServing {
 		return true
 	}
-	return g.State == sardine.GroupDegraded && !slices.ContainsFunc(g.Members, func(member sardine.Member) bool {
-		t, known := m.Target(member.VM)
-		return !known || t.Incarnation != member.Incarnation
-	})
+	if g.State != sardine.GroupDegraded {
+		return false
+	}
+	for _, member := range g.Members {
+		if _, there := targetOf(m, member); !there {
+			return false
+		}
+	}
+	return true
+}
+
+// targetOf returns a member's target, if it is known under the member's
+// incarnation.
+func targetOf(m *state.Machine, member sardine.Member) (state.Target, bool) {
+	t, known := m.Target(member.VM)
+	return t, known && t.Incarnation == member.Incarnation
 }
 
 // leaving reports whether a member of the group has announced that it leaves or
 // is not known any more.
 func leaving(m *state.Machine, g sardine.Group) bool {
 	for _, member := range g.Members {
-		t, known := m.Target(member.VM)
-		if !known || t.Leaving || t.Incarnation != member.Incarnation {
+		if t, there := targetOf(m, member); !there || t.Leaving {
 			return true
 		}
 	}
