--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -8,16 +8,15 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
-	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/ctrl"
 	"sardineswitch.dev/sardine/disk"
 	"sardineswitch.dev/sardine/entry"
 	"sardineswitch.dev/sardine/logs"
+	"sardineswitch.dev/sardine/ports"
 	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/standin/balnce"
 	"sardineswitch.dev/sardine/standin/cut"
@@ -43,6 +42,7 @@
 	plains    []*plain.Plain
 	client    *ctlapi.Client
 	network   *cut.Net
+	ports     *ports.Block
 	addresses []string // of the controls' internal servers
 	keys      *Keys    // nil for plain HTTP
 }
@@ -124,12 +124,14 @@
 
 // startControls chooses the addresses first: each member must know the others'.
 func (s *Site) startControls() error {
-	for i := range s.settings.controls {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		s.addresses = append(s.addresses, address)
+	var err error
+	if s.ports, err = ports.Take(); err != nil {
+		return err
+	}
+	if s.addresses, err = s.ports.Addresses(s.settings.controls); err != nil {
+		return err
+	}
+	for i, address := range s.addresses {
 		id := sardine.NodeID(fmt.Sprintf("control-%d", i+1))
 		s.network.Name(address, string(id))
 		s.controls = append(s.controls, &Control{
@@ -146,27 +148,6 @@
 	return nil
 }
 
-// Ports of control nodes, which must keep theirs over a restart. The system gives
-// connections higher ones, so that none takes a port while its node is stopped.
-const (
-	lowestPort = 20000
-	ports      = 12000
-	portTries  = 100
-)
-
-// freeAddress returns an address that nobody listens on. The port is drawn without
-// the seed: sites with one seed may run beside each other.
-func freeAddress() (string, error) {
-	for range portTries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports)))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", codes.New(codes.Internal, "no free port from %d on after %d tries", lowestPort, portTries)
-}
-
 func (s *Site) random(stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(s.settings.seed, stream))
 }
@@ -393,5 +374,8 @@
 	if s.client != nil {
 		s.client.Close()
 	}
+	if s.ports != nil {
+		s.ports.Release()
+	}
 	s.network.Close()
 }
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -11,6 +11,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/ctlapi"
+	"sardineswitch.dev/sardine/ports"
 	"sardineswitch.dev/sardine/standin/balnce"
 	"sardineswitch.dev/sardine/standin/engine"
 	"sardineswitch.dev/sardine/standin/plain"
@@ -42,7 +43,7 @@
 type place struct {
 	folder    string
 	site      string
-	ports     *ports
+	ports     *ports.Block
 	controls  []*node
 	entries   []*node
 	operators []string
@@ -55,11 +56,11 @@
 
 // newPlace starts the processes and the stand-ins around them.
 func newPlace(folder, programs string, failed func(string, error)) (*place, error) {
-	block, err := takePorts()
+	block, err := ports.Take()
 	if err != nil {
 		return nil, err
 	}
-	p := &place{folder: folder, site: fmt.Sprintf("soak-%d", block.base), ports: block}
+	p := &place{folder: folder, site: fmt.Sprintf("soak-%d", block.Base()), ports: block}
 	if err := p.startNodes(programs, failed); err != nil {
 		p.stop()
 		return nil, err
@@ -72,7 +73,7 @@
 }
 
 func (p *place) startNodes(programs string, failed func(string, error)) error {
-	told, err := p.ports.addresses(controls) // at which the others call a control node
+	told, err := p.ports.Addresses(controls) // at which the others call a control node
 	if err != nil {
 		return err
 	}
@@ -103,7 +104,7 @@
 }
 
 func (p *place) addControl(i int, told string, peers []string, program string, failed func(string, error)) error {
-	own, err := p.ports.addresses(2)
+	own, err := p.ports.Addresses(2)
 	if err != nil {
 		return err
 	}
@@ -124,7 +125,7 @@
 }
 
 func (p *place) addEntry(i int, peers []string, program string, failed func(string, error)) (public string, err error) {
-	a, err := p.ports.addresses(5)
+	a, err := p.ports.Addresses(5)
 	if err != nil {
 		return "", err
 	}
@@ -240,7 +241,7 @@
 	if p.client != nil {
 		p.client.Close()
 	}
-	p.ports.release()
+	p.ports.Release()
 }
 
 // pause is the wait between two looks for a condition.
