Read an answer's head, strays and events within bounds, and go on only where an answer ended

Cause: an answer to another request was skipped up to 64 KB, and the next head was read wherever that stopped; a stray body of 65,536 bytes followed by a forged head was passed to the caller. Heads, interim answers and events had no bound; comments none either.

Change: a framer feeds the parser of answers line by line within a head (32 KB, 256 lines, 8 interim answers). What is not read to its very end closes the connection; so do a stray to a HEAD request and a head with both length and chunks. A refusal that names no request counts only on a connection that carried nothing before. An event has at most 64 KB (1 MB before), comments and empty events in a row too. Heads of engines' answers to orders have at most 16 KB. Chunk sizes, extensions and trailers are bounded by net/http; cases show it.

--- a/order/client.go
+++ b/order/client.go
@@ -15,7 +15,10 @@
 // DefaultTimeout bounds one order from connection to answer.
 const DefaultTimeout = 2 * sardine.Second
 
-const maxDetail = 512 // bytes of a refusal's body kept in the error
+const (
+	maxDetail = 512      // bytes of a refusal's body kept in the error
+	headBytes = 16 << 10 // bytes of the head of an engine's answer at most
+)
 
 // Client sends orders over HTTP. It implements sardine.EngineClient.
 type Client struct {
@@ -43,7 +46,7 @@
 		o(s)
 	}
 	if s.http == nil {
-		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
+		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: headBytes}}
 	}
 	return s
 }
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -25,7 +25,10 @@
 	pool       *Pool
 	address    string
 	raw        net.Conn
-	reader     *bufio.Reader
+	source     *bufio.Reader  // of the connection's bytes
+	frames     *framer        // between source and reader
+	reader     *bufio.Reader  // of answers
+	used       bool           // has carried an exchange
 	idleFrom   sardine.Millis // of a connection in the pool
 	targetIdle sardine.Millis // the target's own limit, 0 if it did not say
 	sending    chan error     // the end of a long body's write, nil without one
@@ -78,8 +81,11 @@
 // Receive reads the head of an answer. The caller reads its body to the end
 // before the next call.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	for {
+	c.frames.begin()
+	for range interimMost + 1 {
+		c.frames.inHead = true
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.frames.inHead = false // also if it was in the reader's buffer already
 		if err != nil {
 			return nil, err
 		}
@@ -87,6 +93,13 @@
 			return resp, nil
 		}
 	}
+	return nil, errInterimAnswers
+}
+
+// Used reports whether the connection has carried an exchange before, of which a
+// second answer may still come.
+func (c *Conn) Used() bool {
+	return c.used
 }
 
 // Until bounds all reads and writes. The zero time removes the bound.
@@ -108,6 +121,7 @@
 		return
 	}
 	c.Until(time.Time{})
+	c.used = true
 	c.targetIdle = keepAlive(resp.Header)
 	c.pool.put(c)
 }
@@ -115,7 +129,10 @@
 // reusable reports whether the next answer on the connection is sure to be the
 // next request's: both sides have ended this exchange and nothing follows it.
 func (c *Conn) reusable(resp *http.Response) bool {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || c.reader.Buffered() > 0 {
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return false
+	}
+	if c.frames.ambiguous() || c.reader.Buffered() > 0 || c.source.Buffered() > 0 {
 		return false
 	}
 	if c.sending == nil {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -130,7 +130,9 @@
 		p.dropped(c)
 		return nil, codes.Wrap(codes.NoTarget, err, "target "+address+" can't be reached")
 	}
-	c.reader = bufio.NewReaderSize(raw, readSize)
+	c.source = bufio.NewReaderSize(raw, readSize)
+	c.frames = newFramer(c.source)
+	c.reader = bufio.NewReaderSize(c.frames, readSize)
 	return c, nil
 }
 
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -16,7 +16,8 @@
 	// strays bounds the answers to other requests that are skipped on one
 	// connection before it is given up.
 	strays = 3
-	// strayBytes bounds the body of a skipped or refusing answer.
+	// strayBytes bounds the body of a skipped or refusing answer. A longer one
+	// ends its connection.
 	strayBytes = 64 << 10
 	// lingerMost is how long the end of a body may take that follows the last
 	// byte of its content, such as the last chunk: it is on its way by then.
@@ -104,13 +105,15 @@
 		}
 		reply := c.port.Reply(resp.StatusCode, resp.Header)
 		switch {
+		case reply.Ran == sardine.RanNo && reply.Request == "" && conn.Used():
+			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s refused without saying which request", x.Address))
 		case reply.Ran == sardine.RanNo && (x.answeredBy(reply) || reply.Request == ""):
 			return &Answer{Response: resp, Reply: reply, conn: conn}, refused(x, resp, reply)
 		case x.answeredBy(reply):
 			return &Answer{Response: resp, Reply: reply, conn: conn}, invalid(x, reply)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes)); err != nil {
-			break
+		if q.Method == http.MethodHead || !readToEnd(resp) {
+			break // where the next answer begins is not known
 		}
 	}
 	return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent answers to other requests", x.Address))
@@ -145,9 +148,16 @@
 		a.conn.Close()
 		return
 	}
-	if n, err := io.Copy(io.Discard, io.LimitReader(a.Response.Body, strayBytes)); err != nil || n == strayBytes {
+	if !readToEnd(a.Response) {
 		a.conn.Close()
 		return
 	}
 	a.conn.Done(a.Response)
 }
+
+// readToEnd reads the rest of a body that nobody needs. It reports whether the
+// body has ended there, which is where the next answer begins.
+func readToEnd(resp *http.Response) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
+	return err == nil && n <= strayBytes
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,6 +40,8 @@
 
 // scriptTarget answers each request on a connection with the next text. The text
 // RESET breaks the connection off, and one that ends with CLOSE ends it after it.
+// FILL=n stands for n bytes, and what follows ENDLESS is sent over and over until
+// the other side closes.
 type scriptTarget struct {
 	listener net.Listener
 	mu       sync.Mutex
@@ -98,32 +102,54 @@
 			return
 		}
 		text, last := strings.CutSuffix(text, "CLOSE")
-		_, _ = io.WriteString(c, text)
-		if last {
+		text, endless, _ := strings.Cut(text, "ENDLESS")
+		_, err = io.WriteString(c, text)
+		for endless != "" && err == nil {
+			_, err = io.WriteString(c, strings.Repeat(endless, 1+1024/len(endless)))
+		}
+		if last || endless != "" {
 			return
 		}
 	}
 }
 
+var fill = regexp.MustCompile(`FILL=\d+`)
+
+// unescape replaces what stands for line ends and for many bytes in a script.
+func unescape(line string) string {
+	line = strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(line)
+	return fill.ReplaceAllStringFunc(line, func(found string) string {
+		count, err := strconv.Atoi(strings.TrimPrefix(found, "FILL="))
+		if err != nil {
+			panic(err)
+		}
+		return strings.Repeat("x", count)
+	})
+}
+
 // TestExchanges plays targets that answer well, not at all and too much.
 func TestExchanges(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var texts []string
 			for _, line := range strings.Split(d.Input, "\n") {
-				texts = append(texts, strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(line))
+				texts = append(texts, unescape(line))
 			}
 			target := newScriptTarget(t, texts)
 			calls := 1
 			if d.HasArg("calls") {
 				d.ScanArgs(t, "calls", &calls)
 			}
-			return exchange(target, calls)
+			method := http.MethodPost
+			if d.HasArg("method") {
+				d.ScanArgs(t, "method", &method)
+			}
+			return exchange(target, method, calls)
 		})
 	})
 }
 
-func exchange(target *scriptTarget, calls int) string {
+func exchange(target *scriptTarget, method string, calls int) string {
 	k := clock.NewReal()
 	p := pool.New(k)
 	defer p.Close()
@@ -136,7 +162,7 @@
 		x := Exchange{
 			Named:    true,
 			Address:  target.listener.Addr().String(),
-			Request:  pool.Request{Method: http.MethodPost, Path: "/p", Host: "h", Header: http.Header{}, Body: []byte("body")},
+			Request:  pool.Request{Method: method, Path: "/p", Host: "h", Header: http.Header{}, Body: []byte("body")},
 			Dispatch: sardine.Dispatch{Request: sardine.RequestID(fmt.Sprintf("r%d", i+1)), Target: "vm-1"},
 			Until:    k.Now() + 2*sardine.Second,
 		}
