Learn from sound targets how long a silence may last

Cause: limits of 500 and 1,000 ms, and 900 ms for one stream, were those of today's engines. Engines slower by three had sound streams broken off and moved, and their prompts read again.

Change: a target's patience is the greatest of the old limit, twice what 95 in 100 of the silences of its deployment stay below, and one and a half (a first event: three) of the longest pass that the layout states. Where all overrun the limit, it grows. A stream's own pause is 1.8 times as long, within six tenths of the time after which its caller leaves. Only an event with content that is new counts as progress: comments, empty events and repeats don't keep a stalled stream open.

--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -57,6 +57,7 @@
 	if v.table == nil {
 		return
 	}
+	n.vitals.setPasses(v.table.Layout())
 	for key, all := range v.candidates {
 		s := v.table.Service(plan.ServiceOf(key.service))
 		if s == nil || s.Connections == 0 {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -249,7 +249,7 @@
 // stands still.
 func (q *routed) takeOff(ctx context.Context, choice *route.Choice) (context.Context, func()) {
 	n := q.node
-	q.flight = n.vitals.begin(choice.Candidate.Ref)
+	q.flight = n.vitals.begin(choice.Candidate)
 	q.counted = false
 	if !q.mayMove() {
 		return ctx, func() { n.vitals.end(q.flight) }
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -15,10 +15,21 @@
 // it, so that one that breaks off can be had again.
 const heldBytes = 64 << 10
 
-// streamSilence is the longest pause between two events before the stream goes
-// on elsewhere: far over the time of one pass of an engine, and below the two
-// seconds after which callers give up.
-const streamSilence = 900 * sardine.Millis(1)
+const (
+	// silenceFactor is how many times as long a stream's pause may last as one that
+	// makes its target a suspect: this stream alone may wait for its turn.
+	silenceFactor = 1.8
+	// moveShare is the part of a caller's patience after which a stream that stands
+	// still goes on elsewhere, which takes the rest.
+	moveShare = 0.6
+)
+
+// Callers leave a stream after the longest of these pauses.
+const (
+	patienceLeast      = 2 * sardine.Second
+	patienceObjectives = 4 // times the route's objective
+	patienceGaps       = 8 // times the route's longest pause in time
+)
 
 // pass passes an answer on. whole tells that its body was read to the end.
 func (q *routed) pass(a *proxy.Answer) (whole bool, err error) {
@@ -83,8 +94,9 @@
 func (q *routed) passStream(a *proxy.Answer) (bool, error) {
 	events := proxy.NewEvents(a.Response.Body)
 	control := http.NewResponseController(q.w)
+	next := q.eventBy()
 	for {
-		a.Expire(q.eventBy())
+		a.Expire(next)
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if !q.began {
@@ -95,9 +107,13 @@
 		if err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the stream broke off")
 		}
-		q.node.vitals.progress(q.flight, true)
-		q.noteGap()
-		if e.ID != "" && q.passed(e.ID) {
+		repeated := e.ID != "" && q.passed(e.ID)
+		if e.Data && !repeated {
+			q.node.vitals.progress(q.flight, true)
+			q.noteGap()
+			next = q.eventBy()
+		}
+		if repeated {
 			continue
 		}
 		if !q.began {
@@ -132,7 +148,15 @@
 	if !q.began || !q.mayMove() {
 		return q.deadline
 	}
-	return min(q.deadline, q.node.clock.Now()+streamSilence)
+	return min(q.deadline, q.node.clock.Now()+q.longestPause())
+}
+
+// longestPause returns the pause after which the stream goes on elsewhere: longer
+// than the work of a sound target explains, unless the caller left before.
+func (q *routed) longestPause() sardine.Millis {
+	sound := silenceFactor * float64(q.node.vitals.gap(q.service.routed()))
+	patience := max(patienceLeast, patienceObjectives*q.route.Objective, patienceGaps*q.route.Gap)
+	return sardine.Millis(min(sound, moveShare*float64(patience)))
 }
 
 // passed reports whether the caller has the event already: a target may repeat
--- a/entry/vitals.go
+++ b/entry/vitals.go
@@ -6,6 +6,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/vital"
 )
@@ -22,10 +23,33 @@
 	return &vitals{clock: clock, tracker: vital.New(vital.DefaultLimits())}
 }
 
-func (v *vitals) begin(ref route.Ref) *vital.Flight {
+func (v *vitals) begin(c route.Candidate) *vital.Flight {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.tracker.Begin(v.clock.Now(), ref)
+	return v.tracker.Begin(v.clock.Now(), c.Ref, c.Service)
+}
+
+// gap returns the longest pause between events that a deployment's work explains.
+func (v *vitals) gap(service sardine.ServiceName) sardine.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Gap(service)
+}
+
+// setPasses takes over from a layout how long the passes of its engines are.
+func (v *vitals) setPasses(l sardine.Layout) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range l.Services {
+		if s.Engine == nil {
+			continue
+		}
+		longest := s.Engine.Passes.Longest(s.Engine.Slots)
+		for _, m := range s.Engine.Models {
+			key := serviceKey{plan.LayoutTeam, plan.DeploymentName(s.Name, m.Name)}
+			v.tracker.Kind(key.routed()).SetPass(sardine.Millis(longest * m.Pace))
+		}
+	}
 }
 
 func (v *vitals) progress(f *vital.Flight, stream bool) {
--- a/vital/vital.go
+++ b/vital/vital.go
@@ -11,27 +11,30 @@
 	"sardineswitch.dev/sardine/route"
 )
 
-// Limits hold the times after which a silent target is suspected.
+// Limits hold the least times after which a silent target is suspected. Those of
+// slower engines are longer, see Kind.
 type Limits struct {
-	// Running is the longest silence of an engine that has a stream under way:
-	// several times as long as one pass of a full batch with prompts to read.
+	// Running is for an engine that has a stream under way.
 	Running sardine.Millis
-	// Waiting is the longest silence of an engine whose requests all wait for
-	// their first event, which may have others before them.
+	// Waiting is for an engine whose requests all wait for their first event, which
+	// may have others before them.
 	Waiting sardine.Millis
-	// Plain is the longest silence of a plain target with a request under way.
+	// Plain is for a plain target with a request under way.
 	Plain sardine.Millis
 	// Rest is how long a suspect gets no request before it is tried again.
 	Rest sardine.Millis
 }
 
-// DefaultLimits returns limits for engines with passes of some 100 ms.
+// DefaultLimits returns limits that a sound target on a sound network keeps, if
+// its work explains no silence at all: a delayed packet is sent again after some
+// 200 ms.
 func DefaultLimits() Limits {
 	return Limits{Running: 500, Waiting: 1000, Plain: 500, Rest: 2 * sardine.Second}
 }
 
 // record is one target's requests in flight.
 type record struct {
+	kind     *Kind
 	flights  int
 	streams  int            // of them, those with an event
 	quiet    sardine.Millis // since when nothing was heard of the target
@@ -44,24 +47,36 @@
 type Tracker struct {
 	limits  Limits
 	targets map[route.Ref]*record
+	kinds   map[sardine.ServiceName]*Kind
 }
 
 // New returns a tracker that knows no target.
 func New(l Limits) *Tracker {
-	return &Tracker{limits: l, targets: make(map[route.Ref]*record)}
+	return &Tracker{limits: l, targets: make(map[route.Ref]*record), kinds: make(map[sardine.ServiceName]*Kind)}
+}
+
+// Kind returns what is known of the targets of a deployment.
+func (t *Tracker) Kind(name sardine.ServiceName) *Kind {
+	k := t.kinds[name]
+	if k == nil {
+		k = newKind(t.limits)
+		t.kinds[name] = k
+	}
+	return k
 }
 
 // Flight is one request in flight. Pass it to Progress and End.
 type Flight struct {
 	ref    route.Ref
-	stream bool // has had an event
+	at     sardine.Millis // of the last sign, or of the start
+	stream bool           // has had an event
 }
 
-// Begin notes a request that is sent to a target.
-func (t *Tracker) Begin(now sardine.Millis, ref route.Ref) *Flight {
+// Begin notes a request that is sent to a target of a deployment.
+func (t *Tracker) Begin(now sardine.Millis, ref route.Ref, service sardine.ServiceName) *Flight {
 	r := t.targets[ref]
 	if r == nil {
-		r = &record{}
+		r = &record{kind: t.Kind(service)}
 		t.targets[ref] = r
 	}
 	if r.flights == 0 {
@@ -69,18 +84,28 @@
 		r.missed = false
 	}
 	r.flights++
-	return &Flight{ref: ref}
+	return &Flight{ref: ref, at: now}
 }
 
-// Progress notes bytes of an answer.
+// Progress notes the head of an answer, or with stream an event of it that brings
+// it on. Bytes that don't are no sign of progress.
 func (t *Tracker) Progress(now sardine.Millis, f *Flight, stream bool) {
 	r := t.targets[f.ref]
 	if r == nil {
 		return
 	}
-	if stream && !f.stream {
+	switch {
+	case stream && f.stream:
+		r.kind.gaps.observe(now - f.at)
+	case stream:
 		f.stream = true
 		r.streams++
+		r.kind.firsts.observe(now - f.at)
+	case f.ref.Group == "":
+		r.kind.answers.observe(now - f.at)
+	}
+	if stream || f.ref.Group == "" {
+		f.at = now
 	}
 	r.quiet = now
 	r.progress = now
@@ -116,11 +141,15 @@
 		case r.flights == 0 && r.until <= now && r.progress+keepFor <= now:
 			delete(t.targets, ref)
 		case r.flights > 0 && !r.missed && now-r.quiet >= t.patience(ref, r):
-			r.missed = true
-			r.until = now + t.limits.Rest
 			stalled = append(stalled, ref)
 		}
 	}
+	for _, ref := range stalled {
+		r := t.targets[ref]
+		r.missed = true
+		r.until = now + t.limits.Rest
+		r.kind.overrun(r, now-r.quiet)
+	}
 	slices.SortFunc(stalled, compareRefs)
 	return stalled
 }
@@ -131,14 +160,20 @@
 func (t *Tracker) patience(ref route.Ref, r *record) sardine.Millis {
 	switch {
 	case ref.Group == "":
-		return t.limits.Plain
+		return r.kind.answer()
 	case r.streams > 0:
-		return t.limits.Running
+		return r.kind.gap()
 	default:
-		return t.limits.Waiting
+		return r.kind.first()
 	}
 }
 
+// Gap returns the longest pause between two events of one stream of a deployment
+// that its work explains.
+func (t *Tracker) Gap(service sardine.ServiceName) sardine.Millis {
+	return t.Kind(service).gap()
+}
+
 // Suspects returns the targets that should get no request now.
 func (t *Tracker) Suspects(now sardine.Millis) []route.Ref {
 	var suspects []route.Ref
