Say of each late, failed and left request where its time went, and sum it up: sardctl losses

Cause: lateness is the greatest loss of the scholarship site and had no log line: served requests are sampled 1 in 64.

Change: request_late (506) and request_left (507), and more on request_failed: when a target was picked, the request sent, the head and the first event there, the longest pause and when, what the router expected, the requests at the target, the report's age, the rank. `sardctl losses LOG...` reads the logs of many nodes and counts by route, second, target and node with the cause of each; CSV, and a plot as SVG.

--- a/entry/rend.go
+++ b/entry/rend.go
@@ -19,13 +19,14 @@
 		q.fail(errDrained)
 		return
 	}
+	q.logLeft(context.Cause(ctx))
 	panic(http.ErrAbortHandler) // nobody reads an answer any more
 }
 
 // fail gives the request up. What may have run gets an answer that promises
 // nothing; a head that is out can only be followed by the connection's end.
 func (q *routed) fail(err error) {
-	event.Log(q.node.log, event.RequestFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran), slog.Int("attempts", q.attempts))
+	event.Log(q.node.log, event.RequestFailed, append(q.timeAttrs(), codeAttr(err), ranAttr(q.ran), slog.Bool("began", q.began))...)
 	q.node.meter.failed(err)
 	if q.began {
 		panic(http.ErrAbortHandler)
@@ -50,7 +51,11 @@
 
 // refuse answers a request that no target got.
 func (q *routed) refuse(err error) {
-	event.Log(q.node.log, event.RequestRefused, requestAttr(q.call.ID), codeAttr(err))
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+	}
+	event.Log(q.node.log, event.RequestRefused, requestAttr(q.call.ID), codeAttr(err), slog.String("route", name))
 	q.node.meter.refused(err)
 	if closesConnection(err) {
 		q.w.Header().Set("Connection", "close") // the rest of the body is not read
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -41,6 +41,7 @@
 	eventAt  sardine.Millis // when an event came last, 0 before the first
 	flight   *vital.Flight  // of the attempt
 	rank     int            // of the attempt at its engine, negative for none
+	times    answerTimes
 }
 
 // routedMux serves callers by the layout's routes.
@@ -150,9 +151,13 @@
 // of one request are kept or none, on every node, since its id decides.
 const servedShare = 64
 
-// served logs one of many requests that were answered in full.
+// served logs one of many requests that were answered in full, and each late one.
 func (q *routed) served() {
 	q.node.meter.served()
+	if q.late() {
+		q.logLate()
+		return
+	}
 	if xxhash.Sum64String(string(q.call.ID))%servedShare != 0 {
 		return
 	}
@@ -194,6 +199,7 @@
 		n.meter.waited(n.clock.Now() - q.arrived)
 	}
 	q.tried = append(q.tried, choice.Candidate.Ref)
+	q.times.pickedAt, q.times.choice = n.clock.Now(), choice
 	ctx, end := q.takeOff(ctx, choice)
 	defer end()
 	done := route.End{}
@@ -214,6 +220,7 @@
 	q.attempts++
 	q.counted = true
 	q.ran = sardine.RanYes
+	q.times.sentAt, q.times.headAt = answer.SentAt, n.clock.Now()
 	n.vitals.progress(q.flight, false)
 	n.gate.firstToken(choice, route.UnknownCached)
 	if answer.Reply.Loaded {
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -77,6 +77,7 @@
 	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.began = true
+	q.times.firstAt = q.node.clock.Now()
 	q.node.meter.firstToken(q.node.clock.Now() - q.arrived)
 }
 
@@ -140,6 +141,9 @@
 	if q.eventAt > 0 {
 		q.node.meter.gap(now - q.eventAt)
 	}
+	if pause := now - q.eventAt; q.eventAt > 0 && pause > q.times.pause {
+		q.times.pause, q.times.pausedAt = pause, q.eventAt
+	}
 	q.eventAt = now
 }
 
--- a/entry/rplace.go
+++ b/entry/rplace.go
@@ -51,11 +51,10 @@
 // may go there at all.
 func (q *routed) placeIn(requests float64) bool {
 	q.rank = -1
-	service := q.node.view().table.Service(q.name)
-	if service == nil || service.Engine == nil || service.Engine.Slots == 0 {
+	slots := float64(q.slots())
+	if slots == 0 {
 		return true
 	}
-	slots := float64(service.Engine.Slots)
 	late := q.node.clock.Now()-q.arrived > q.route.Objective
 	switch {
 	case q.last != "":
@@ -67,3 +66,16 @@
 	}
 	return requests < slots*(1+waitingShare)
 }
+
+// slots returns the batch of the service's engines, 0 if it is not known.
+func (q *routed) slots() int {
+	table := q.node.view().table
+	if table == nil {
+		return 0
+	}
+	service := table.Service(q.name)
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	return service.Engine.Slots
+}
--- a/event/table.go
+++ b/event/table.go
@@ -53,6 +53,8 @@
 	RequestPoison   ID = 503
 	AttemptFailed   ID = 504
 	RequestServed   ID = 505
+	RequestLate     ID = 506
+	RequestLeft     ID = 507
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -106,6 +108,8 @@
 	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
 	{AttemptFailed, "attempt_failed", slog.LevelInfo, "a target did not answer a request in full", "see the code and target attributes"},
 	{RequestServed, "request_served", slog.LevelInfo, "a request was answered in full; one of many is logged, chosen by its id", "nothing"},
+	{RequestLate, "request_late", slog.LevelInfo, "an answer's first piece or one of its pauses came later than its route's objective", "see sardctl losses"},
+	{RequestLeft, "request_left", slog.LevelInfo, "a caller left, or its time was over, before its answer was whole", "see sardctl losses"},
 	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
 	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
 }
--- /dev/null
+++ b/loss/reader.go
@@ -0,0 +1,191 @@
+package loss
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+)
+
+// lineMost bounds one log line, in bytes.
+const lineMost = 1 << 20
+
+// Reader collects the losses that log lines tell of.
+type Reader struct {
+	records []Record
+	lines   int
+	served  int // lines of served requests, one of many
+	bad     int // lines of losses that could not be read
+}
+
+// NewReader returns a reader that has read nothing.
+func NewReader() *Reader {
+	return &Reader{}
+}
+
+// Read takes all lines of a log. Lines that tell of no loss are passed over.
+func (r *Reader) Read(from io.Reader) error {
+	lines := bufio.NewScanner(from)
+	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
+	for lines.Scan() {
+		r.lines++
+		r.line(lines.Bytes())
+	}
+	if err := lines.Err(); err != nil {
+		return codes.Wrap(codes.UsageError, err, "line "+strconv.Itoa(r.lines+1)+" can't be read")
+	}
+	return nil
+}
+
+// Records returns the losses in the order in which they were read.
+func (r *Reader) Records() []Record {
+	return r.records
+}
+
+// Lines returns how many lines were read.
+func (r *Reader) Lines() int {
+	return r.lines
+}
+
+// Unread returns how many lines tell of a loss but could not be read.
+func (r *Reader) Unread() int {
+	return r.bad
+}
+
+// lossEvents are the events that tell of a loss.
+var lossEvents = []event.ID{event.RequestRefused, event.RequestFailed, event.RequestLate, event.RequestLeft}
+
+func (r *Reader) line(line []byte) {
+	if !tellsOfLoss(line) {
+		return
+	}
+	record, err := parse(line)
+	if err != nil {
+		r.bad++
+		return
+	}
+	r.records = append(r.records, record)
+}
+
+// tellsOfLoss looks for an event's name, which is cheaper than to parse all lines.
+func tellsOfLoss(line []byte) bool {
+	for _, id := range lossEvents {
+		if bytes.Contains(line, []byte(id.Row().Name)) {
+			return true
+		}
+	}
+	return false
+}
+
+// lineJSON is a line as the nodes write it.
+type lineJSON struct {
+	Time     time.Time `json:"time"`
+	Node     string    `json:"node"`
+	Event    int       `json:"event"`
+	Request  string    `json:"request"`
+	Route    string    `json:"route"`
+	Target   string    `json:"target"`
+	Began    bool      `json:"began"`
+	InTime   bool      `json:"in_time"`
+	Attempts int       `json:"attempts"`
+	Picked   int64     `json:"picked_ms"`
+	Sent     int64     `json:"sent_ms"`
+	First    int64     `json:"first_ms"`
+	Pause    int64     `json:"pause_ms"`
+	Objective int64    `json:"objective_ms"`
+	Gap      int64     `json:"gap_ms"`
+	Requests float64   `json:"requests"`
+	Slots    float64   `json:"slots"`
+	Error    struct {
+		Code int `json:"code"`
+	} `json:"error"`
+}
+
+// parse reads a line in JSON, or the same in text, with anything before it.
+func parse(line []byte) (Record, error) {
+	var j lineJSON
+	text := line
+	if at := bytes.IndexByte(line, '{'); at >= 0 {
+		text = line[at:]
+	} else {
+		text = textToJSON(string(line))
+	}
+	if err := json.Unmarshal(text, &j); err != nil {
+		return Record{}, err
+	}
+	return Record{
+		at:        sardine.Millis(j.Time.UnixMilli()),
+		node:      j.Node,
+		event:     event.ID(j.Event),
+		request:   sardine.RequestID(j.Request),
+		route:     j.Route,
+		target:    j.Target,
+		code:      codes.Code(j.Error.Code),
+		began:     j.Began,
+		inTime:    j.InTime,
+		attempts:  j.Attempts,
+		picked:    sardine.Millis(j.Picked),
+		sent:      sardine.Millis(j.Sent),
+		first:     sardine.Millis(j.First),
+		pause:     sardine.Millis(j.Pause),
+		objective: sardine.Millis(j.Objective),
+		gap:       sardine.Millis(j.Gap),
+		requests:  j.Requests,
+		slots:     j.Slots,
+	}, nil
+}
+
+// textToJSON turns the fields key=value of a line into JSON.
+func textToJSON(line string) []byte {
+	if at := strings.Index(line, "time="); at >= 0 {
+		line = line[at:]
+	}
+	fields := make(map[string]any)
+	for line = strings.TrimSpace(line); line != ""; line = strings.TrimSpace(line) {
+		key, rest, found := strings.Cut(line, "=")
+		if !found {
+			break
+		}
+		var value string
+		if quoted, err := strconv.QuotedPrefix(rest); err == nil {
+			rest = rest[len(quoted):]
+			value, _ = strconv.Unquote(quoted) // QuotedPrefix has checked it
+		} else {
+			value, rest, _ = strings.Cut(rest, " ")
+		}
+		setField(fields, key, value)
+		line = rest
+	}
+	text, err := json.Marshal(fields)
+	if err != nil {
+		return nil // no JSON, which the caller reports
+	}
+	return text
+}
+
+func setField(fields map[string]any, key, value string) {
+	var typed any = value
+	if n, err := strconv.ParseFloat(value, 64); err == nil && key != "request" && key != "node" {
+		typed = n
+	} else if b, err := strconv.ParseBool(value); err == nil {
+		typed = b
+	}
+	group, name, nested := strings.Cut(key, ".")
+	if !nested {
+		fields[key] = typed
+		return
+	}
+	inner, held := fields[group].(map[string]any)
+	if !held {
+		inner = make(map[string]any)
+		fields[group] = inner
+	}
+	inner[name] = typed
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -79,6 +79,11 @@
 	})
 }
 
+// Now returns the time of the pool's clock.
+func (p *Pool) Now() sardine.Millis {
+	return p.clock.Now()
+}
+
 // SetLimit bounds the connections to a target, 0 for any number.
 func (p *Pool) SetLimit(address string, most int) {
 	p.mu.Lock()
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -55,6 +55,7 @@
 type Answer struct {
 	Response *http.Response
 	Reply    sardine.Reply
+	SentAt   sardine.Millis // when the request had been written
 	conn     *pool.Conn
 	stop     func() bool
 }
@@ -98,6 +99,7 @@
 		}
 		return nil, newFailure(ran, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" took no request"))
 	}
+	sent := c.pool.Now()
 	for range strays {
 		resp, err := conn.Receive(q.Method)
 		if err != nil {
@@ -108,9 +110,9 @@
 		case reply.Ran == sardine.RanNo && reply.Request == "" && conn.Used():
 			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s refused without saying which request", x.Address))
 		case reply.Ran == sardine.RanNo && (x.answeredBy(reply) || reply.Request == ""):
-			return &Answer{Response: resp, Reply: reply, conn: conn}, refused(x, resp, reply)
+			return &Answer{Response: resp, Reply: reply, SentAt: sent, conn: conn}, refused(x, resp, reply)
 		case x.answeredBy(reply):
-			return &Answer{Response: resp, Reply: reply, conn: conn}, invalid(x, reply)
+			return &Answer{Response: resp, Reply: reply, SentAt: sent, conn: conn}, invalid(x, reply)
 		}
 		if q.Method == http.MethodHead || !readToEnd(resp) {
 			break // where the next answer begins is not known
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -71,6 +71,7 @@
 	Candidate Candidate
 	Expected  sardine.Millis // expected time to first token
 	Requests  float64        // estimated requests at the target, without this one
+	ReportAge sardine.Millis // of the report that the estimate rests on
 	Hinted    bool           // a cache hint decided
 
 	target   *target
--- a/route/policy.go
+++ b/route/policy.go
@@ -148,6 +148,7 @@
 		Candidate: t.candidate,
 		Expected:  sardine.Millis(t.expected(now, s, uncached)),
 		Requests:  t.requests(),
+		ReportAge: now - t.loadAt,
 		Hinted:    blocks > 0,
 		target:    t,
 		request:   q,
--- a/sardctl/verbs/table.go
+++ b/sardctl/verbs/table.go
@@ -7,6 +7,7 @@
 		groupsVerb(),
 		targetsVerb(),
 		explainVerb(),
+		lossesVerb(),
 		watchVerb(),
 		dumpVerb(),
 		doctorVerb(),
