Spread the reading of prompts over the engines, not the requests

Hypothesis: engines read all prompts that came during a pass in the next one, so that prompts which meet delay each other and all streams there; nodes that go by the count of requests all send theirs to a group that has just formed.

Change: under the batch policy a target's value is the reading that this node gave it within about a second, plus what its batch is filled by; a new target starts with a random part more than the others. The layout's figures of the engines are read for it.

The pauses that are left follow the stall of a group by half a second: its streams move at the same moment and are read elsewhere in one pass.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -189,6 +189,13 @@
 	g.router.Load(g.clock.Now(), ref, l)
 }
 
+// setEngine tells how a deployment's engines work on their batches.
+func (g *gate) setEngine(name sardine.ServiceName, e route.Engine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.SetEngine(name, e)
+}
+
 // crowds takes how many requests all entry nodes have in flight at targets.
 func (g *gate) crowds(all []*wire.Crowd) {
 	g.mu.Lock()
--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -6,6 +6,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/retry"
+	"sardineswitch.dev/sardine/route"
 )
 
 // repeats lets the request handlers take turns at the bound on repeats.
@@ -57,7 +58,7 @@
 	if v.table == nil {
 		return
 	}
-	n.vitals.setPasses(v.table.Layout())
+	n.configureEngines(v.table.Layout())
 	for key, all := range v.candidates {
 		s := v.table.Service(plan.ServiceOf(key.service))
 		if s == nil || s.Connections == 0 {
@@ -68,3 +69,22 @@
 		}
 	}
 }
+
+// configureEngines takes over from a layout how its engines work.
+func (n *Node) configureEngines(l sardine.Layout) {
+	for _, s := range l.Services {
+		if s.Engine == nil {
+			continue
+		}
+		passes := s.Engine.Passes
+		for _, m := range s.Engine.Models {
+			key := serviceKey{plan.LayoutTeam, plan.DeploymentName(s.Name, m.Name)}
+			n.vitals.setPass(key.routed(), sardine.Millis(m.Pace*passes.Longest(s.Engine.Slots)))
+			read := 0.0
+			if passes.ReadPerTime > 0 {
+				read = m.Pace * 1000 / passes.ReadPerTime
+			}
+			n.gate.setEngine(key.routed(), route.Engine{Slots: s.Engine.Slots, Read: read})
+		}
+	}
+}
--- a/entry/vitals.go
+++ b/entry/vitals.go
@@ -6,7 +6,6 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/event"
-	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/vital"
 )
@@ -36,20 +35,11 @@
 	return v.tracker.Gap(service)
 }
 
-// setPasses takes over from a layout how long the passes of its engines are.
-func (v *vitals) setPasses(l sardine.Layout) {
+// setPass tells the longest pass of a deployment's engines.
+func (v *vitals) setPass(service sardine.ServiceName, longest sardine.Millis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, s := range l.Services {
-		if s.Engine == nil {
-			continue
-		}
-		longest := s.Engine.Passes.Longest(s.Engine.Slots)
-		for _, m := range s.Engine.Models {
-			key := serviceKey{plan.LayoutTeam, plan.DeploymentName(s.Name, m.Name)}
-			v.tracker.Kind(key.routed()).SetPass(sardine.Millis(longest * m.Pace))
-		}
-	}
+	v.tracker.Kind(service).SetPass(longest)
 }
 
 func (v *vitals) progress(f *vital.Flight, stream bool) {
--- a/route/crowd_test.go
+++ b/route/crowd_test.go
@@ -52,3 +52,90 @@
 func TestFewNodesTakeTheLeastLoaded(t *testing.T) {
 	require.Equal(t, 9, crowd(t, 9, 8)[0])
 }
+
+// batchNode is one entry node of a small site with groups that read 1,000 prompt
+// tokens in 18 ms.
+func batchNode(seed uint64, groups []Candidate) *Router {
+	r := New(rand.New(rand.NewPCG(7, seed)), WithPolicy(Batch), WithHints(0))
+	r.SetPosition(int(seed), 9)
+	r.SetEngine("surtitle", Engine{Slots: 26, Read: 18})
+	r.Update(0, groups)
+	return r
+}
+
+// send lets the node send one request that is answered at once, and returns the
+// place of its target among the groups.
+func send(t *testing.T, r *Router, now sardine.Millis, prompt int, groups []Candidate) int {
+	c, err := r.Pick(now, Request{Service: "surtitle", PromptTokens: prompt})
+	require.NoError(t, err)
+	r.Started(&c, now)
+	r.FirstToken(&c, now, UnknownCached)
+	r.Ended(&c, now, End{OK: true})
+	for i, g := range groups {
+		if g.Ref == c.Candidate.Ref {
+			return i
+		}
+	}
+	t.Fatal("not a group of the site")
+	return -1
+}
+
+// TestAGroupThatFormsAgainIsNotFlooded is the pattern of a site of nine entry
+// nodes whose sixth group comes back under load, idle: in the first 300 ms it gets
+// its share, not what all nodes have.
+func TestAGroupThatFormsAgainIsNotFlooded(t *testing.T) {
+	groups := engines(6)
+	came, sent := 0, 0
+	for n := range uint64(9) {
+		r := batchNode(n, groups[1:])
+		now := sardine.Millis(0)
+		for ; now < 3000; now += 150 {
+			send(t, r, now, 1600, groups)
+		}
+		r.Update(now, groups)
+		for _, g := range groups[1:] {
+			r.Load(now, g.Ref, sardine.Load{Running: 14})
+		}
+		for end := now + 300; now < end; now += 150 {
+			sent++
+			if send(t, r, now, 1600, groups) == 0 {
+				came++
+			}
+		}
+	}
+	require.LessOrEqual(t, came, 2*sent/len(groups))
+}
+
+// TestReadingIsSpread is the pattern of prompts of very different length: each
+// group gets about the same number of tokens, not of requests.
+func TestReadingIsSpread(t *testing.T) {
+	groups := engines(4)
+	random := rand.New(rand.NewPCG(3, 3))
+	r := batchNode(0, groups)
+	tokens := make([]int, len(groups))
+	total := 0
+	for now := sardine.Millis(0); now < 60_000; now += 150 {
+		prompt := 200
+		if random.IntN(8) == 0 {
+			prompt = 5000
+		}
+		tokens[send(t, r, now, prompt, groups)] += prompt
+		total += prompt
+	}
+	for i, n := range tokens {
+		require.InDelta(t, total/len(groups), n, 0.1*float64(total)/float64(len(groups)), "group %d", i)
+	}
+}
+
+// TestAFullBatchGetsNothingWhileOthersHaveRoom is the pattern of groups of which
+// one is slow to end its requests.
+func TestAFullBatchGetsNothingWhileOthersHaveRoom(t *testing.T) {
+	groups := engines(6)
+	r := batchNode(0, groups)
+	for i, g := range groups {
+		r.Load(0, g.Ref, sardine.Load{Running: 12 + 14*(1-min(i, 1)), Queued: 4 * (1 - min(i, 1))})
+	}
+	for now := sardine.Millis(0); now < 1500; now += 150 {
+		require.NotZero(t, send(t, r, now, 1600, groups))
+	}
+}
--- a/route/feedback.go
+++ b/route/feedback.go
@@ -24,6 +24,7 @@
 	c.at = now
 	c.target.inFlight++
 	c.target.prefill += c.uncached
+	r.giveReading(now, c)
 	r.hints.add(c.target, c.request.PrefixHashes)
 }
 
--- a/route/policy.go
+++ b/route/policy.go
@@ -28,7 +28,7 @@
 		return r.hinted(now, s, q)
 	case Batch:
 		r.thinOut()
-		return r.choice(now, s, q, r.least(r.batchLoad), noRank)
+		return r.choice(now, s, q, r.least(func(t *target) float64 { return r.batchLoad(now, s, t) }), noRank)
 	default:
 		return r.mixed(now, s, q)
 	}
@@ -77,17 +77,6 @@
 	return best
 }
 
-// batchLoad returns the value of a target by the requests there, each as long as
-// the target is slow. Entry nodes hold the same word on each other's requests, a
-// moment old, so that by the sum they would all choose the same target until the
-// next report. The others' requests therefore count as those of one more node: a
-// node first spreads its own, which it knows exactly. Faster than usual does not
-// count, since it is mostly luck with short prompts.
-func (r *Router) batchLoad(t *target) float64 {
-	others := max(t.requests()-float64(t.inFlight), 0) / float64(max(r.nodes-1, 1))
-	return (float64(t.inFlight) + others + 1)
-}
-
 // bounded walks the prefix's rendezvous order to the first target whose load is
 // not far above the mean.
 func (r *Router) bounded(now sardine.Millis, s *service, q Request) Choice {
--- a/route/router.go
+++ b/route/router.go
@@ -27,6 +27,7 @@
 	random   sardine.Random
 	targets  map[Ref]*target
 	services map[sardine.ServiceName]*service
+	engines  map[sardine.ServiceName]Engine
 	hints    *hintTable
 	usable   []*target // scratch of Pick
 	position int       // of this node among the entry nodes
@@ -55,17 +56,19 @@
 		random:   random,
 		targets:  make(map[Ref]*target),
 		services: make(map[sardine.ServiceName]*service),
+		engines:  make(map[sardine.ServiceName]Engine),
 		hints:    newHintTable(o.hintLimit),
 	}
 }
 
 // Update replaces the candidates. Those already known keep what was learned;
 // those missing get no more requests.
-func (r *Router) Update(_ sardine.Millis, candidates []Candidate) {
+func (r *Router) Update(now sardine.Millis, candidates []Candidate) {
 	kept := make(map[Ref]*target, len(candidates))
 	for _, s := range r.services {
 		s.targets = s.targets[:0]
 	}
+	var fresh []*target
 	for _, c := range candidates {
 		if kept[c.Ref] != nil {
 			continue
@@ -73,6 +76,7 @@
 		t := r.targets[c.Ref]
 		if t == nil {
 			t = newTarget(c, &r.options)
+			fresh = append(fresh, t)
 		}
 		t.candidate = c
 		t.gone = false
@@ -85,6 +89,9 @@
 	}
 	r.targets = kept
 	r.sortTargets()
+	for _, t := range fresh {
+		r.startReading(now, r.services[t.candidate.Service], t)
+	}
 }
 
 // SetPosition tells the node's position among the entry nodes, from 0, and their
--- a/route/target.go
+++ b/route/target.go
@@ -41,7 +41,9 @@
 	slowness  float64        // observed time over expected time
 	lag       float64        // usual time between tokens over this target's, by its reports
 	outlier   outlier
-	slot      int // place among the service's targets by hash
+	reading   float64        // own milliseconds of reading given to it lately
+	readingAt sardine.Millis // when reading was last brought up to date
+	slot      int            // place among the service's targets by hash
 	gone      bool
 }
 
