Tell a second answer from the awaited one on both interfaces, and never let an aborted answer look complete

Cause: on the own interface answers of plain targets were taken by their order, so that a late second copy on a connection in use again was passed to the next caller. An answer without a length that was given up ended with an ordinary close, which to a caller of HTTP/1.0 is the end of a whole answer.

Change: an answer that names no request counts only on a connection that has carried nothing before, and such a connection is not used again. A handler that aborts resets the connection of an HTTP/1.0 caller.

Before, same cases: the copy is passed on as r2's answer; the broken half is read without an error by HTTP/1.0. After: both pass (proxy/testdata/unnamed, listen). The case "a refusal leaves the connection usable" now names its request; one that does not has a case of its own.

--- a/listen/listen.go
+++ b/listen/listen.go
@@ -74,6 +74,7 @@
 		},
 		connections: defaultConnections,
 	}
+	s.http.ConnContext = withConn
 	for _, o := range options {
 		o(s)
 	}
@@ -96,7 +97,7 @@
 // Serve answers requests by handler until Shutdown or Close. It is the body of a
 // duty.
 func (s *Server) Serve(handler http.Handler) error {
-	s.http.Handler = handler
+	s.http.Handler = resetAborted(handler)
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -44,10 +44,11 @@
 	Until    sardine.Millis // when the answer's head must be there, 0 if only the context bounds it
 }
 
-// answeredBy reports whether an answer is the exchange's own. Targets whose
-// answers do not name their request are taken by their order.
-func (x Exchange) answeredBy(r sardine.Reply) bool {
-	return !x.Named || r.Request == x.Dispatch.Request
+// answeredBy reports whether an answer is the exchange's own. An answer that names
+// no request is taken on a connection that has carried nothing before: on any other
+// it may be a second one to an earlier request.
+func (x Exchange) answeredBy(r sardine.Reply, used bool) bool {
+	return r.Request == x.Dispatch.Request || r.Request == "" && !x.Named && !used
 }
 
 // Answer is a target's answer whose body is not read yet. The caller ends it by
@@ -56,6 +57,7 @@
 	Response *http.Response
 	Reply    sardine.Reply
 	SentAt   sardine.Millis // when the request had been written
+	named    bool           // it says which request it is for
 	conn     *pool.Conn
 	stop     func() bool
 }
@@ -109,10 +111,10 @@
 		switch {
 		case reply.Ran == sardine.RanNo && reply.Request == "" && conn.Used():
 			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s refused without saying which request", x.Address))
-		case reply.Ran == sardine.RanNo && (x.answeredBy(reply) || reply.Request == ""):
-			return &Answer{Response: resp, Reply: reply, SentAt: sent, conn: conn}, refused(x, resp, reply)
-		case x.answeredBy(reply):
-			return &Answer{Response: resp, Reply: reply, SentAt: sent, conn: conn}, invalid(x, reply)
+		case reply.Ran == sardine.RanNo && (x.answeredBy(reply, conn.Used()) || reply.Request == ""):
+			return &Answer{Response: resp, Reply: reply, SentAt: sent, named: reply.Request != "", conn: conn}, refused(x, resp, reply)
+		case x.answeredBy(reply, conn.Used()):
+			return &Answer{Response: resp, Reply: reply, SentAt: sent, named: reply.Request != "", conn: conn}, invalid(x, reply)
 		}
 		if q.Method == http.MethodHead || !readToEnd(resp) {
 			break // where the next answer begins is not known
@@ -141,12 +143,12 @@
 	a.conn.Expire(at)
 }
 
-// Close gives the connection back if the answer is whole, and closes it
-// otherwise, which makes the target drop the request.
+// Close gives the connection back if the answer is whole and names its request, and
+// closes it otherwise, which makes the target drop the request.
 func (a *Answer) Close(whole bool) {
 	intime := a.stop()
 	a.conn.Linger(lingerMost)
-	if !whole || !intime {
+	if !whole || !intime || !a.named {
 		a.conn.Close()
 		return
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -144,12 +144,12 @@
 			if d.HasArg("method") {
 				d.ScanArgs(t, "method", &method)
 			}
-			return exchange(target, method, calls)
+			return exchange(target, method, calls, !d.HasArg("unnamed"))
 		})
 	})
 }
 
-func exchange(target *scriptTarget, method string, calls int) string {
+func exchange(target *scriptTarget, method string, calls int, named bool) string {
 	k := clock.NewReal()
 	p := pool.New(k)
 	defer p.Close()
@@ -160,7 +160,7 @@
 			time.Sleep(50 * time.Millisecond) // what follows an answer arrives
 		}
 		x := Exchange{
-			Named:    true,
+			Named:    named,
 			Address:  target.listener.Addr().String(),
 			Request:  pool.Request{Method: method, Path: "/p", Host: "h", Header: http.Header{}, Body: []byte("body")},
 			Dispatch: sardine.Dispatch{Request: sardine.RequestID(fmt.Sprintf("r%d", i+1)), Target: "vm-1"},
