Let what moves away from a stalled group take turns

Hypothesis: when a group stands still, all its streams move at the same moment, and their prompts, read elsewhere in one pass, make the streams there pause for 260 ms. They are late already, so that some 100 ms more cost them nothing.

Change: a stream that can't be in time any more waits for its turn before it goes on: the late ones of all nodes together get a quarter of the engines' time for reading. The wait ends well before the caller leaves. A target that is new begins with a random part of two full batches more reading than the others.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -196,6 +196,14 @@
 	g.router.SetEngine(name, e)
 }
 
+// lateEvery returns the time between two requests of this node to a deployment
+// that are late already.
+func (g *gate) lateEvery(name sardine.ServiceName) sardine.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return sardine.Millis(g.router.LateEvery(name))
+}
+
 // crowds takes how many requests all entry nodes have in flight at targets.
 func (g *gate) crowds(all []*wire.Crowd) {
 	g.mu.Lock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -74,6 +74,7 @@
 	proxy          *proxy.Client
 	repeats        *repeats
 	vitals         *vitals
+	turns          *turns        // nil without layouts
 	stalls         chan struct{} // wakes the witness duty
 	witnessLost    bool          // the leader takes no reports; the witness duty's
 	opening        atomic.Bool   // a command that opens the traffic is under way
@@ -158,6 +159,7 @@
 	n.proxy = proxy.NewClient(n.pool, n.targetPort)
 	if n.byLayout {
 		n.vitals = newVitals(n.clock)
+		n.turns = newTurns(n.random)
 		n.stalls = make(chan struct{}, 1)
 		n.repeats = newRepeats(n.repeatRatio, n.repeatSlack, n.repeatWindow)
 	}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -144,6 +144,7 @@
 			q.fail(err)
 			return
 		}
+		q.awaitTurn(ctx)
 	}
 }
 
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -159,8 +159,12 @@
 // than the work of a sound target explains, unless the caller left before.
 func (q *routed) longestPause() sardine.Millis {
 	sound := silenceFactor * float64(q.node.vitals.gap(q.service.routed()))
-	patience := max(patienceLeast, patienceObjectives*q.route.Objective, patienceGaps*q.route.Gap)
-	return sardine.Millis(min(sound, moveShare*float64(patience)))
+	return sardine.Millis(min(sound, moveShare*float64(q.patience())))
+}
+
+// patience returns the pause after which the caller leaves.
+func (q *routed) patience() sardine.Millis {
+	return max(patienceLeast, patienceObjectives*q.route.Objective, patienceGaps*q.route.Gap)
 }
 
 // passed reports whether the caller has the event already: a target may repeat
--- a/route/batch.go
+++ b/route/batch.go
@@ -86,6 +86,23 @@
 	}
 }
 
+// lateShare is the part of the engines' time that all nodes together give to the
+// reading of requests that are late already.
+const lateShare = 0.25
+
+// LateEvery returns the milliseconds between two requests of this node that are
+// late already, so that their reading does not delay those that are in time. It is
+// 0 for targets that are no known engines.
+func (r *Router) LateEvery(name sardine.ServiceName) float64 {
+	engine, known := r.engines[name]
+	s := r.services[name]
+	if !known || s == nil {
+		return 0
+	}
+	usual := s.meanPrefill / 1000 * engine.Read
+	return usual * float64(max(r.nodes, 1)) / (float64(max(len(s.targets), 1)) * lateShare)
+}
+
 // startReading lets a target that is new begin as if it had got more than its
 // share lately, by a random part: all nodes see it at the same time.
 func (r *Router) startReading(now sardine.Millis, s *service, t *target) {
@@ -99,6 +116,7 @@
 	if count == 0 {
 		return
 	}
-	t.reading = sum / float64(count) * (1 + r.random.Float64())
+	usual := s.meanPrefill / 1000 * r.engines[t.candidate.Service].Read
+	t.reading = sum/float64(count) + 2*fullWeight*usual*r.random.Float64()
 	t.readingAt = now
 }
