Let spares join ahead of need, and keep whole groups before spares

Hypothesis: a group that loses a member waits 1.6 s until its substitute has read the weights from its host; an engine that was a member of any group of the model joins in 0.2 s.

Change: under a layout a staged spare joins a group of its own, which is never opened. A repair takes joined spares first, then staged VMs, then spares about to join.

--- a/ctrl/attrs.go
+++ b/ctrl/attrs.go
@@ -89,6 +89,7 @@
 	ids := map[sardine.GroupState]event.ID{
 		sardine.GroupServing:  event.GroupServing,
 		sardine.GroupDegraded: event.GroupDegraded,
+		sardine.GroupFenced:   event.GroupDissolved,
 		sardine.GroupReleased: event.GroupReleased,
 	}
 	if id, listed := ids[c.State]; listed {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 
 	sardine "sardineswitch.dev/sardine"
@@ -313,6 +314,9 @@
 	if err != nil {
 		event.Log(n.logger, event.OrderFailed, vmAttr(o.VM), errorAttr(err))
 	}
+	if o.Order.Stage && err == nil {
+		event.Log(n.logger, event.ModelStaged, vmAttr(o.VM), slog.String("model", string(o.Order.Model)))
+	}
 	n.meter.ordered(o.Order, err)
 	n.leadership.orderDone(n.clock.Now(), o, err)
 	n.wakeLeader()
--- a/plan/spares.go
+++ b/plan/spares.go
@@ -109,15 +109,20 @@
 			return
 		}
 		count--
-		g := sardine.Group{
-			ID:      r.p.newID("spare.", k.Kind),
-			Team:    k.Team,
-			Model:   k.deployment.Model,
-			Version: k.deployment.ModelVersion,
-			Domain:  d,
-			Members: []sardine.Member{memberOf(p.vm, 0)},
-		}
-		r.p.groups[g.ID] = &groupNote{since: r.now, placed: "a spare for " + string(k.Service)}
-		r.propose(nil, []sardine.VMID{p.vm.target.VM}, state.AssignGroup{Group: g})
+		r.loadSpare(k, d, p)
+	}
+}
+
+// loadSpare makes a VM a spare for a deployment.
+func (r *round) loadSpare(k *kindView, d sardine.FabricDomain, p pick) {
+	g := sardine.Group{
+		ID:      r.p.newID("spare.", k.Kind),
+		Team:    k.Team,
+		Model:   k.deployment.Model,
+		Version: k.deployment.ModelVersion,
+		Domain:  d,
+		Members: []sardine.Member{memberOf(p.vm, 0)},
 	}
+	r.p.groups[g.ID] = &groupNote{since: r.now, placed: "a spare for " + string(k.Service)}
+	r.propose(nil, []sardine.VMID{p.vm.target.VM}, state.AssignGroup{Group: g})
 }
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -21,10 +21,7 @@
 // can be whole at once.
 func (r *round) repairByDemand(g *groupView) {
 	missing := g.missing()
-	picks := r.freeIn(g.Domain, g.Model, g.Version)
-	if !r.cheap() {
-		picks = warmOnly(picks)
-	}
+	picks := r.substitutes(g)
 	if len(picks) >= len(missing) {
 		r.refill(g, missing, picks[:len(missing)], missing[0].reason()+", a warm VM takes its place")
 		return
@@ -33,6 +30,25 @@
 	r.dropKindGroup(g)
 }
 
+// substitutes returns the VMs of a group's domain that may take a member's place,
+// those that are ready soonest first: spares that have joined, VMs whose host has
+// the weights, and spares that are about to join.
+func (r *round) substitutes(g *groupView) []pick {
+	picks := r.sparesIn(g.Domain, g.Team, g.Model, g.Version)
+	free := r.freeIn(g.Domain, g.Model, g.Version)
+	if !r.cheap() {
+		free = warmOnly(free)
+	}
+	picks = append(picks, free...)
+	for _, s := range r.spares[g.Domain] {
+		v := s.members[0].vm
+		if r.usableSpare(s) && s.Team == g.Team && s.Model == g.Model && s.Version == g.Version && !s.ready() && v.warm(g.Model, g.Version) {
+			picks = append(picks, pick{vm: v, spare: s, warm: true})
+		}
+	}
+	return picks
+}
+
 func (m memberView) reason() string {
 	return "member " + string(m.VM) + " is " + m.condition.String()
 }
@@ -56,9 +72,18 @@
 }
 
 func (r *round) stageDomain(d sardine.FabricDomain) {
-	free := r.freeVMs(d)
+	if r.releasing(d) {
+		return // what its members can do together is not known before all are free
+	}
+	free := r.stageWhole(d, r.freeVMs(d))
 	for _, k := range r.kindsIn(d) {
-		free = r.stageFor(k, free, 1)
+		if r.spareCount(k, d) > 0 {
+			continue
+		}
+		if len(free) == 0 && r.cedeSpare(k, d) {
+			return
+		}
+		free = r.stageSpare(k, d, free)
 	}
 	for len(free) > 0 {
 		k := r.nextKind(d, len(free))
@@ -73,6 +98,84 @@
 	}
 }
 
+// releasing reports whether members of a group or a spare that was given up are still told to
+// leave it.
+func (r *round) releasing(d sardine.FabricDomain) bool {
+	for _, g := range r.groups {
+		if g.Domain != d || g.State != sardine.GroupFenced {
+			continue
+		}
+		if slices.ContainsFunc(g.members, func(m memberView) bool { return m.vm.alive && m.vm.owned && m.vm.owner.Group == g.ID }) {
+			return true
+		}
+	}
+	return false
+}
+
+// stageWhole takes a whole group of the deployment whose demand is met least out of
+// the free VMs of a domain, if there are so many, and returns the rest. It gives up
+// spares of other deployments for that: a group serves, a spare waits.
+func (r *round) stageWhole(d sardine.FabricDomain, free []*vmView) []*vmView {
+	k := r.neediest()
+	if k == nil {
+		return free
+	}
+	var others []*groupView
+	for _, s := range r.spares[d] {
+		if r.usableSpare(s) && s.Model != k.deployment.Model && s.members[0].vm.canLoad(k.deployment.Model) {
+			others = append(others, s)
+		}
+	}
+	lacking := k.deployment.GroupSize - len(free) - r.spareCount(k, d)
+	if lacking > len(others) {
+		return free
+	}
+	for _, s := range others[:max(lacking, 0)] {
+		r.move(s, sardine.GroupFenced, "its VM makes a group of "+string(k.Service)+" whole")
+	}
+	return r.stageFor(k, free, k.deployment.GroupSize-r.spareCount(k, d))
+}
+
+// neediest returns the deployment whose demand is met least, nil without one.
+func (r *round) neediest() *kindView {
+	var needed *kindView
+	for _, k := range r.kinds {
+		if k.byDemand() && (needed == nil || k.coverage() < needed.coverage()) {
+			needed = k
+		}
+	}
+	return needed
+}
+
+// cedeSpare gives up a spare of a deployment with smaller groups, so that its VM
+// becomes one for a deployment without: a larger group loses more VMs with a member.
+func (r *round) cedeSpare(k *kindView, d sardine.FabricDomain) bool {
+	for _, other := range r.kindsIn(d) {
+		if other.deployment.GroupSize >= k.deployment.GroupSize {
+			continue
+		}
+		for _, s := range r.spares[d] {
+			if r.usableSpare(s) && s.Model == other.deployment.Model && s.members[0].vm.canLoad(k.deployment.Model) {
+				r.move(s, sardine.GroupFenced, "its VM becomes a spare for "+string(k.Service))
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stageSpare takes one VM as a spare for a deployment and returns the rest. One
+// whose host has the weights joins a group of its own: an engine that was a member
+// of any group of the model joins the next one much sooner than it reads the weights
+// from its host.
+func (r *round) stageSpare(k *kindView, d sardine.FabricDomain, free []*vmView) []*vmView {
+	rest := r.stageFor(k, free, 1)
+	if len(rest) < len(free) && free[0].warm(k.deployment.Model, k.deployment.ModelVersion) {
+		r.loadSpare(k, d, pick{vm: free[0], warm: true})
+	}
+	return rest
+}
+
 // freeVMs returns the VMs of a domain that no group takes in this round.
 func (r *round) freeVMs(d sardine.FabricDomain) []*vmView {
 	var free []*vmView
--- a/standin/fake/leader.go
+++ b/standin/fake/leader.go
@@ -134,6 +134,20 @@
 	})
 }
 
+// readHost makes the engine ready once it has read the weights from its host.
+func (w *World) readHost(e *Engine) {
+	h := e.holding
+	if w.hostTime == 0 {
+		e.finishHost(h)
+		return
+	}
+	w.After(w.hostTime, func() {
+		if e.finishHost(h) {
+			w.changed(e)
+		}
+	})
+}
+
 // deliver gives an order to whatever process listens at the address.
 func (w *World) deliver(s plan.SendOrder) (answered bool, err error) {
 	e := w.byVM[s.VM]
@@ -145,6 +159,9 @@
 	if e.loading(w.now) {
 		w.store.begin(e)
 	}
+	if e.fromHost {
+		w.readHost(e)
+	}
 	if e.holding.Group != before.Group && e.holding.Group != "" {
 		w.fail(w.checker.moved(w, e, before))
 	}
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// WithHostTime sets how long an engine takes to read the weights from its host, 0
+// for no time.
+func WithHostTime(d sardine.Millis) Option {
+	return func(w *World) { w.hostTime = d }
+}
+
 // WithStopwatch measures the rounds with a clock that tells milliseconds.
 func WithStopwatch(read func() float64) Option {
 	return func(w *World) { w.stopwatch = read }
@@ -94,6 +100,7 @@
 	checker   checker
 	err       error
 	rounds    int
+	hostTime  sardine.Millis
 	stock     *plan.Store // what the planner knows of the weight store, nil for its limits
 	stopwatch func() float64
 	roundSum  float64 // milliseconds
