--- a/loss/reader.go
+++ b/loss/reader.go
@@ -21,7 +21,6 @@
 type Reader struct {
 	records []Record
 	lines   int
-	served  int // lines of served requests, one of many
 	bad     int // lines of losses that could not be read
 }
 
@@ -86,24 +85,24 @@
 
 // lineJSON is a line as the nodes write it.
 type lineJSON struct {
-	Time     time.Time `json:"time"`
-	Node     string    `json:"node"`
-	Event    int       `json:"event"`
-	Request  string    `json:"request"`
-	Route    string    `json:"route"`
-	Target   string    `json:"target"`
-	Began    bool      `json:"began"`
-	InTime   bool      `json:"in_time"`
-	Attempts int       `json:"attempts"`
-	Picked   int64     `json:"picked_ms"`
-	Sent     int64     `json:"sent_ms"`
-	First    int64     `json:"first_ms"`
-	Pause    int64     `json:"pause_ms"`
-	Objective int64    `json:"objective_ms"`
-	Gap      int64     `json:"gap_ms"`
-	Requests float64   `json:"requests"`
-	Slots    float64   `json:"slots"`
-	Error    struct {
+	Time      time.Time `json:"time"`
+	Node      string    `json:"node"`
+	Event     int       `json:"event"`
+	Request   string    `json:"request"`
+	Route     string    `json:"route"`
+	Target    string    `json:"target"`
+	Began     bool      `json:"began"`
+	InTime    bool      `json:"in_time"`
+	Attempts  int       `json:"attempts"`
+	Picked    int64     `json:"picked_ms"`
+	Sent      int64     `json:"sent_ms"`
+	First     int64     `json:"first_ms"`
+	Pause     int64     `json:"pause_ms"`
+	Objective int64     `json:"objective_ms"`
+	Gap       int64     `json:"gap_ms"`
+	Requests  float64   `json:"requests"`
+	Slots     float64   `json:"slots"`
+	Error     struct {
 		Code int `json:"code"`
 	} `json:"error"`
 }
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -30,6 +30,7 @@
 			newEngine,
 			newPlain,
 			newWeights,
+			newVary,
 			newLoad,
 			newSoak,
 			newReport,
--- /dev/null
+++ b/standin/start/vary.go
@@ -0,0 +1,38 @@
+package start
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/standin/vary"
+)
+
+func newVary() *cobra.Command {
+	f := vary.Factors{Engines: 1, Load: 1, Times: 1}
+	c := &cobra.Command{
+		Use:   "vary SITE",
+		Short: "Print a site file with other engines, load and objectives",
+		Long: `Prints a site file of the users' bench with figures multiplied: the times of engines,
+the requests, and the objectives, pauses, deadlines and timeouts of streams.`,
+		Example: `  standin vary site.toml --engines 3 --load 0.3 --times 3`,
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if f.Engines <= 0 || f.Load <= 0 || f.Times <= 0 {
+				return codes.New(codes.UsageError, "factors must be above 0")
+			}
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return codes.Wrap(codes.UsageError, err, "the site file can't be read")
+			}
+			c.Print(vary.Site(string(text), f))
+			return nil
+		},
+	}
+	flags := c.Flags()
+	flags.Float64Var(&f.Engines, "engines", 1, "factor on the times of engines")
+	flags.Float64Var(&f.Load, "load", 1, "factor on the requests")
+	flags.Float64Var(&f.Times, "times", 1, "factor on objectives, pauses, deadlines and timeouts of streams")
+	return c
+}
--- /dev/null
+++ b/standin/vary/vary_test.go
@@ -0,0 +1,20 @@
+package vary
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestSite prints sites with other figures.
+func TestSite(t *testing.T) {
+	datadriven.RunTest(t, "testdata/sites", func(t *testing.T, d *datadriven.TestData) string {
+		f := Factors{Engines: 1, Load: 1, Times: 1}
+		for name, factor := range map[string]*float64{"engines": &f.Engines, "load": &f.Load, "times": &f.Times} {
+			if d.HasArg(name) {
+				d.ScanArgs(t, name, factor)
+			}
+		}
+		return Site(d.Input, f) + "\n"
+	})
+}
