Send an order without an answer again after 0.6 s

Hypothesis: engines that leave a third of the orders unanswered hold up a repair by 2 s of waiting and 0.5 s of pause for each, and six members are all to take theirs.

Change: behind the platform's interface an order counts as lost after 0.6 s, and the pause before the next attempt begins with 100 ms instead of 500. A staging that was refused waits for that pause too: an engine that refused was asked 24 times in 0.3 s.

--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -36,6 +36,11 @@
 // standstill of its group counts against it: a little over one.
 const overdueBeats = 1.25
 
+// orderAnswer is after which time an order that has no answer is sent again. The
+// platform's engines answer within a round trip; what is late got lost, or is carried
+// out some seconds later, when its epoch tells that it was repeated.
+const orderAnswer = 600 * sardine.Millis(1)
+
 // newRun returns the command that runs the node until a signal ends it.
 func newRun() *cobra.Command {
 	return &cobra.Command{
@@ -153,6 +158,7 @@
 	t.Quorum.ElectionMax = sardine.Millis(electionSpread * float64(s.Timings().Election()))
 	if s.Interface() == conf.InterfacePlatform {
 		t.Quorum.First = s.Timings().Election() / 2
+		t.Order = orderAnswer
 		t.Target = missedBeats * s.Timings().Announce()
 		t.Overdue = sardine.Millis(overdueBeats * float64(s.Timings().Announce()))
 	}
--- a/plan/notes.go
+++ b/plan/notes.go
@@ -4,9 +4,10 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
-// Back-off between two attempts at one order.
+// Back-off between two attempts at one order. Many orders that get no answer are
+// taken at the second attempt.
 const (
-	firstRetry = 500
+	firstRetry = 100 * sardine.Millis(1)
 	lastRetry  = 8 * sardine.Second
 )
 
@@ -42,7 +43,7 @@
 
 // retryLater sets the next attempt, with back-off.
 func (n *vmNote) retryLater(now sardine.Millis) {
-	wait := sardine.Millis(firstRetry) << min(n.tries, 5)
+	wait := firstRetry << min(n.tries, 7)
 	n.tries++
 	n.retryAt = now + min(wait, lastRetry)
 }
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -157,6 +157,7 @@
 	if n != nil && s.Order.Stage {
 		if err != nil && n.incarnation == s.Incarnation {
 			n.staging = "" // planned anew
+			n.retryLater(now)
 		}
 		return
 	}
