Let members that start stand for election within half a timeout

Hypothesis: after all machines lost power the site serves nobody for 1.2 s; half of that is the wait of an election timeout for a leader that can't be there.

Change: the short first wait of a new site holds for every start. A member that starts beside a leader is refused by pre-vote, as the others hear it.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -142,19 +142,14 @@
 		c.writeHard()
 	}
 	c.resetElection()
-	if c.timing.First > 0 && c.fresh() {
+	if c.timing.First > 0 && c.mayLead() {
+		// All members may have started at once. If there is a leader, the others hear
+		// it and refuse the pre-vote.
 		c.electionAt = now + sardine.Millis(random.IntN(int(c.timing.First)))
 	}
 	return c
 }
 
-// fresh reports whether the node has never taken part in a term: there is no
-// leader yet that an early election could disturb.
-func (c *Core) fresh() bool {
-	last := c.log.last()
-	return c.hard.Vote == "" && c.hard.Term == last.Term && last.Index <= bootstrapIndex && c.mayLead()
-}
-
 // Step takes a message of another member.
 func (c *Core) Step(now sardine.Millis, m Message) {
 	if c.err != nil || m.To != c.id {
--- /dev/null
+++ b/quorum/start_test.go
@@ -0,0 +1,95 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+// startTiming lets members that start stand within half an election timeout.
+var startTiming = Timing{Heartbeat: 400, ElectionMin: 850, ElectionMax: 1150, First: 425}
+
+// TestARestartedSiteElectsSoon is the pattern of a site whose members all lost power
+// and come back within some 400 ms of each other: it need not wait a whole election
+// timeout for a leader that can't be there.
+func TestARestartedSiteElectsSoon(t *testing.T) {
+	for seed := range uint64(20) {
+		s := &stage{cores: make(map[sardine.NodeID]*Core), down: make(map[sardine.NodeID]bool), now: 10_000}
+		random := rand.New(rand.NewPCG(seed, 1))
+		members := []Member{{Node: "c1"}, {Node: "c2"}, {Node: "c3"}, {Node: "c4"}, {Node: "c5"}}
+		up := s.now
+		for _, m := range members {
+			s.now += sardine.Millis(random.IntN(100))
+			up = s.now
+			s.restart(m.Node, members, random)
+		}
+		require.Less(t, s.untilLeader(t)-up, startTiming.ElectionMin, "seed %d", seed)
+	}
+}
+
+// TestARestartedMemberDeposesNobody is the pattern of one member that starts again
+// while the others have a leader.
+func TestARestartedMemberDeposesNobody(t *testing.T) {
+	for seed := range uint64(20) {
+		s := &stage{cores: make(map[sardine.NodeID]*Core), down: make(map[sardine.NodeID]bool), now: 10_000}
+		random := rand.New(rand.NewPCG(seed, 2))
+		members := []Member{{Node: "c1"}, {Node: "c2"}, {Node: "c3"}}
+		for _, m := range members {
+			s.restart(m.Node, members, random)
+		}
+		s.untilLeader(t)
+		term := s.cores["c1"].Status().Term
+		for _, m := range members {
+			if s.cores[m.Node].Status().Role != Leader {
+				s.restart(m.Node, members, random)
+				break
+			}
+		}
+		for range 300 {
+			s.step()
+		}
+		for _, m := range members {
+			require.LessOrEqual(t, s.cores[m.Node].Status().Term, term, "seed %d", seed)
+		}
+	}
+}
+
+// restart gives a node the state of a member of an old site, or what it had.
+func (s *stage) restart(id sardine.NodeID, members []Member, random sardine.Random) {
+	last := Position{Index: 50, Term: 7}
+	stored := Stored{Snapshot: Snapshot{Position: last, Members: members}, Base: last, Hard: HardState{Term: 7, Vote: "c1", Settled: true, Folder: 1}}
+	if old := s.cores[id]; old != nil {
+		stored.Hard = old.hard
+	}
+	if s.cores[id] == nil {
+		s.order = append(s.order, id)
+	}
+	s.cores[id] = New(id, random, stored, s.now, WithFolder(1), WithTiming(startTiming))
+}
+
+// step lets 10 ms pass.
+func (s *stage) step() {
+	s.now += 10
+	for _, id := range s.order {
+		s.cores[id].Tick(s.now)
+	}
+	s.deliver()
+}
+
+// untilLeader returns when a leader was there.
+func (s *stage) untilLeader(t *testing.T) sardine.Millis {
+	t.Helper()
+	for range 500 {
+		s.step()
+		for _, id := range s.order {
+			if s.cores[id].Status().Role == Leader {
+				return s.now
+			}
+		}
+	}
+	t.Fatal("no leader")
+	return 0
+}
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -15,7 +15,7 @@
 	Heartbeat   sardine.Millis // between a leader's heartbeats
 	ElectionMin sardine.Millis // shortest silence before an election; a leader without quorum contact for so long steps down
 	ElectionMax sardine.Millis // longest silence before an election
-	First       sardine.Millis // longest wait before the first election of a new site, 0 for the ordinary one
+	First       sardine.Millis // longest wait of a member that starts before it stands, 0 for the ordinary one
 }
 
 // DefaultTiming returns the intervals for links of up to 50 ms one way.
