Tell callers of a node that has just started to come back once it knows the layout

Hypothesis: after a loss of all machines callers come back while no layout is known, are refused a second time, and those that are not meet in the same second.

Change: such a node names the time that it is expected to need, plus a second at random. A caller that has less time left than others of its route has waited before: its request ranks among the late ones at an engine.

Tests: TestCallersOfAStartedNodeComeBackLater, TestACallerThatComesBackHasWaited.

--- a/entry/node.go
+++ b/entry/node.go
@@ -75,9 +75,11 @@
 	repeats        *repeats
 	vitals         *vitals
 	turns          *turns        // nil without layouts
+	patiences      patiences     // of callers, by route
 	stalls         chan struct{} // wakes the witness duty
 	witnessLost    bool          // the leader takes no reports; the witness duty's
-	opening        atomic.Bool   // a command that opens the traffic is under way
+	startedAt      sardine.Millis
+	opening        atomic.Bool // a command that opens the traffic is under way
 	gate           *gate
 	flights        *flights
 	claims         *claims
@@ -249,6 +251,7 @@
 
 // Start starts the duties.
 func (n *Node) Start() {
+	n.startedAt = n.clock.Now()
 	n.published.Store(&published{view: emptyView()})
 	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
 	if n.byLayout {
--- a/entry/rend.go
+++ b/entry/rend.go
@@ -66,18 +66,29 @@
 func (q *routed) answer(err error) {
 	after := sardine.Millis(0)
 	if codes.Of(err).Status() == http.StatusServiceUnavailable {
-		after = q.node.comeBack()
+		after = q.node.comeBack(err)
 	}
 	q.node.callers.Refuse(q.w, sardine.Refusal{Request: q.call.ID, Cause: err, Ran: q.ran, RetryAfter: after})
 }
 
-// returnAfter is when callers of a request that was not run should come back:
-// about the time until a group that lost a member is replaced in the routes.
-const returnAfter = sardine.Second
+const (
+	// returnAfter is when callers of a request that was not run should come back:
+	// about the time until a group that lost a member is replaced in the routes.
+	returnAfter = sardine.Second
+	// layoutAfter is how long after its start a node knows the layout at the latest,
+	// unless the control nodes can't elect a leader.
+	layoutAfter = 1500 * sardine.Millis(1)
+)
 
-// comeBack spreads the return of refused callers.
-func (n *Node) comeBack() sardine.Millis {
-	return returnAfter/2 + sardine.Millis(n.random.IntN(int(returnAfter)))
+// comeBack spreads the return of refused callers. Those of a node that has just
+// started come back once it knows the layout: all nodes may have started at the same
+// moment, and a caller that is refused twice may not come a third time.
+func (n *Node) comeBack(err error) sardine.Millis {
+	spread := sardine.Millis(n.random.IntN(int(returnAfter)))
+	if codes.Is(err, codes.NoLease) {
+		return max(layoutAfter-(n.clock.Now()-n.startedAt), returnAfter/2) + spread
+	}
+	return returnAfter/2 + spread
 }
 
 func (q *routed) logAttempt(choice *route.Choice, err error) {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -28,6 +28,7 @@
 	tenant   *sardine.KeyTenant  // nil without a key
 	request  pool.Request
 	arrived  sardine.Millis
+	waited   sardine.Millis // by the caller before it came here
 	deadline sardine.Millis // the caller or the route waits no longer
 	w        http.ResponseWriter
 
@@ -96,6 +97,7 @@
 		return err
 	}
 	q.deadline = q.arrived + q.route.Timeout
+	q.waited = n.patiences.waited(q.route.Name, q.call.Patience)
 	if q.call.Patience > 0 {
 		q.deadline = min(q.deadline, q.arrived+q.call.Patience)
 	}
--- a/entry/rplace.go
+++ b/entry/rplace.go
@@ -55,7 +55,7 @@
 	if slots == 0 {
 		return true
 	}
-	late := q.node.clock.Now()-q.arrived > q.route.Objective
+	late := q.waited+q.node.clock.Now()-q.arrived > q.route.Objective
 	switch {
 	case q.last != "":
 		q.rank = rankResumed
--- /dev/null
+++ b/entry/rwait_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/clock"
+	"sardineswitch.dev/sardine/codes"
+)
+
+// TestACallerThatComesBackHasWaited is the pattern of callers that were refused
+// elsewhere: their deadline tells that they can't be answered in time any more.
+func TestACallerThatComesBackHasWaited(t *testing.T) {
+	var p patiences
+	require.Zero(t, p.waited("letters", 8000))
+	require.Equal(t, sardine.Millis(1100), p.waited("letters", 6900))
+	require.Zero(t, p.waited("letters", 8000))
+	require.Zero(t, p.waited("checks", 6000), "each route has its own")
+	require.Zero(t, p.waited("checks", 0), "this one does not say")
+}
+
+// TestCallersOfAStartedNodeComeBackLater is the pattern of a site whose nodes all
+// lost power: callers that come back before the layout is known are refused again,
+// and those that come back together crowd the engines.
+func TestCallersOfAStartedNodeComeBackLater(t *testing.T) {
+	k := clock.NewVirtual(0)
+	n := &Node{clock: k, random: rand.New(rand.NewPCG(1, 2))}
+	unready := codes.New(codes.NoLease, "no layout")
+	least, most := 60*sardine.Second, sardine.Millis(0)
+	for range 200 {
+		after := n.comeBack(unready)
+		require.GreaterOrEqual(t, after, layoutAfter)
+		least, most = min(least, after), max(most, after)
+	}
+	require.Greater(t, most-least, returnAfter/2, "they are spread")
+	k.Advance(10 * sardine.Second)
+	require.Less(t, n.comeBack(unready), 2*returnAfter, "the node is no longer new")
+	require.Less(t, n.comeBack(codes.New(codes.QueueFull, "full")), 2*returnAfter)
+}
+
+// TestRequestsThatMoveTakeTurns is the pattern of a group that stands still: what it
+// had is read elsewhere one after the other, not in one pass.
+func TestRequestsThatMoveTakeTurns(t *testing.T) {
+	turns := newTurns(rand.New(rand.NewPCG(1, 2)))
+	const every, most = 100, 600
+	var last sardine.Millis
+	for i := range 5 {
+		wait := turns.take(1000, "m", every, most)
+		if i > 0 {
+			require.GreaterOrEqual(t, wait, last+every)
+		}
+		last = wait
+	}
+	for range 50 {
+		require.LessOrEqual(t, turns.take(1000, "m", every, most), sardine.Millis(most), "the caller's patience bounds it")
+	}
+	require.Less(t, turns.take(1000, "other", every, most), sardine.Millis(every+1))
+	require.Zero(t, turns.take(1000, "plain", 0, most))
+}
