Keep the weights that are needed most, and form groups of what is loaded

Change: a free VM keeps the weights of the deployment in greatest need for two load times. A group by demand takes what is loaded first, spares included.

Tests: TestSurvivorsKeepTheirWeights, TestAGroupFormsOfWhatIsLoaded (fails before).

--- a/plan/form.go
+++ b/plan/form.go
@@ -61,6 +61,9 @@
 			all = append(all, pick{vm: v, spare: s, warm: v.warm(model, version)})
 		}
 	}
+	if k.byDemand() { // a spare that holds the weights goes before an empty VM
+		all = append(warmOnly(all), coldOnly(all)...)
+	}
 	return all
 }
 
--- a/plan/notes.go
+++ b/plan/notes.go
@@ -30,6 +30,17 @@
 	slowSince   sardine.Millis    // 0 while not slow
 	staging     sardine.ModelName // that it was told to bring to its host, empty for none
 	stagingAt   sardine.Millis
+	freeSince   sardine.Millis // 0 while not free
+}
+
+// noteFree follows since when the VM may join a group.
+func (n *vmNote) noteFree(now sardine.Millis, free bool) {
+	switch {
+	case !free:
+		n.freeSince = 0
+	case n.freeSince == 0:
+		n.freeSince = now
+	}
 }
 
 // sent notes that an order left.
--- a/plan/release.go
+++ b/plan/release.go
@@ -32,6 +32,7 @@
 		if r.isFree(v) {
 			r.free[v.target.Domain] = append(r.free[v.target.Domain], v)
 		}
+		v.note.noteFree(r.now, r.isFree(v))
 		if v.owned && !v.member {
 			r.freeMember(v, r.byID[v.owner.Group])
 		}
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -90,16 +90,16 @@
 		if k == nil {
 			return
 		}
-		before := len(free)
-		free = r.stageFor(k, free, k.deployment.GroupSize)
-		if len(free) == before {
+		var taken []*vmView
+		taken, free = r.stageFor(k, free, k.deployment.GroupSize)
+		if len(taken) == 0 {
 			return
 		}
 	}
 }
 
-// releasing reports whether members of a group or a spare that was given up are still told to
-// leave it.
+// releasing reports whether members of a group or a spare that was given up are still
+// told to leave it.
 func (r *round) releasing(d sardine.FabricDomain) bool {
 	for _, g := range r.groups {
 		if g.Domain != d || g.State != sardine.GroupFenced {
@@ -133,7 +133,8 @@
 	for _, s := range others[:max(lacking, 0)] {
 		r.move(s, sardine.GroupFenced, "its VM makes a group of "+string(k.Service)+" whole")
 	}
-	return r.stageFor(k, free, k.deployment.GroupSize-r.spareCount(k, d))
+	_, rest := r.stageFor(k, free, k.deployment.GroupSize-r.spareCount(k, d))
+	return rest
 }
 
 // neediest returns the deployment whose demand is met least, nil without one.
@@ -169,9 +170,9 @@
 // of any group of the model joins the next one much sooner than it reads the weights
 // from its host.
 func (r *round) stageSpare(k *kindView, d sardine.FabricDomain, free []*vmView) []*vmView {
-	rest := r.stageFor(k, free, 1)
-	if len(rest) < len(free) && free[0].warm(k.deployment.Model, k.deployment.ModelVersion) {
-		r.loadSpare(k, d, pick{vm: free[0], warm: true})
+	taken, rest := r.stageFor(k, free, 1)
+	if len(taken) > 0 && taken[0].warm(k.deployment.Model, k.deployment.ModelVersion) {
+		r.loadSpare(k, d, pick{vm: taken[0], warm: true})
 	}
 	return rest
 }
@@ -227,16 +228,40 @@
 
 // stageFor takes up to count VMs for a deployment, those that hold its model
 // first, plans the staging of the others, and returns the rest.
-func (r *round) stageFor(k *kindView, free []*vmView, count int) []*vmView {
+func (r *round) stageFor(k *kindView, free []*vmView, count int) (taken, rest []*vmView) {
 	model := k.deployment.Model
-	slices.SortStableFunc(free, func(a, b *vmView) int { return b.closeness(model) - a.closeness(model) })
-	count = min(count, len(free))
-	for _, v := range free[:count] {
+	var usable, held []*vmView
+	for _, v := range free {
+		if r.mayRestage(v, k) {
+			usable = append(usable, v)
+		} else {
+			held = append(held, v)
+		}
+	}
+	slices.SortStableFunc(usable, func(a, b *vmView) int { return b.closeness(model) - a.closeness(model) })
+	count = min(count, len(usable))
+	for _, v := range usable[:count] {
 		if v.canLoad(model) && !v.warm(model, k.deployment.ModelVersion) && v.note.staging != model {
 			r.staging = append(r.staging, stagePlan{vm: v, model: model})
 		}
 	}
-	return free[count:]
+	return usable[:count], append(usable[count:], held...)
+}
+
+// keepLoads is how many load times a free VM keeps the weights of the deployment in
+// greatest need, in case that enough others for a group come: to load them again
+// would take as long.
+const keepLoads = 2
+
+// mayRestage reports whether a VM may load a deployment's model. One that holds the
+// weights of the deployment in greatest need keeps them for a while: the mates that it
+// lacks for a group may only be silent, or come soon.
+func (r *round) mayRestage(v *vmView, k *kindView) bool {
+	need := r.neediest()
+	if need == nil || need == k || !v.warm(need.deployment.Model, need.deployment.ModelVersion) {
+		return true
+	}
+	return v.note.freeSince+keepLoads*r.p.limits.LoadTime <= r.now
 }
 
 // closeness tells how near a VM is to holding a model: 3 holds it, 2 is told to,
