--- a/entry/node.go
+++ b/entry/node.go
@@ -79,6 +79,7 @@
 	stalls         chan struct{} // wakes the witness duty
 	witnessLost    bool          // the leader takes no reports; the witness duty's
 	startedAt      sardine.Millis
+	configured     uint64      // number of the layout whose engines are known; the follower's
 	opening        atomic.Bool // a command that opens the traffic is under way
 	gate           *gate
 	flights        *flights
--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -58,7 +58,11 @@
 	if v.table == nil {
 		return
 	}
-	n.configureEngines(v.table.Layout())
+	if number := v.table.Layout().Number; number != n.configured {
+		n.configured = number
+		n.configureEngines(v.table.Layout())
+		n.patiences.keep(v.table.Layout())
+	}
 	for key, all := range v.candidates {
 		s := v.table.Service(plan.ServiceOf(key.service))
 		if s == nil || s.Connections == 0 {
--- a/entry/rwait.go
+++ b/entry/rwait.go
@@ -27,3 +27,16 @@
 	p.most[route] = max(p.most[route], left)
 	return p.most[route] - left
 }
+
+// keep forgets the routes that a layout does not have.
+func (p *patiences) keep(l sardine.Layout) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := make(map[string]sardine.Millis, len(p.most))
+	for _, r := range l.Routes {
+		if most, known := p.most[r.Name]; known {
+			kept[r.Name] = most
+		}
+	}
+	p.most = kept
+}
--- a/entry/rwait_test.go
+++ b/entry/rwait_test.go
@@ -20,6 +20,9 @@
 	require.Zero(t, p.waited("letters", 8000))
 	require.Zero(t, p.waited("checks", 6000), "each route has its own")
 	require.Zero(t, p.waited("checks", 0), "this one does not say")
+	p.keep(sardine.Layout{Routes: []sardine.Route{{Name: "checks"}}})
+	require.Zero(t, p.waited("letters", 6900), "a route that was away is new")
+	require.Equal(t, sardine.Millis(1000), p.waited("checks", 5000))
 }
 
 // TestCallersOfAStartedNodeComeBackLater is the pattern of a site whose nodes all
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -108,13 +108,14 @@
 			return nil, newFailure(sardine.RanUnknown, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" did not answer"))
 		}
 		reply := c.port.Reply(resp.StatusCode, resp.Header)
+		answer := &Answer{Response: resp, Reply: reply, SentAt: sent, named: reply.Request != "", conn: conn}
 		switch {
 		case reply.Ran == sardine.RanNo && reply.Request == "" && conn.Used():
 			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s refused without saying which request", x.Address))
 		case reply.Ran == sardine.RanNo && (x.answeredBy(reply, conn.Used()) || reply.Request == ""):
-			return &Answer{Response: resp, Reply: reply, SentAt: sent, named: reply.Request != "", conn: conn}, refused(x, resp, reply)
+			return answer, refused(x, resp, reply)
 		case x.answeredBy(reply, conn.Used()):
-			return &Answer{Response: resp, Reply: reply, SentAt: sent, named: reply.Request != "", conn: conn}, invalid(x, reply)
+			return answer, invalid(x, reply)
 		}
 		if q.Method == http.MethodHead || !readToEnd(resp) {
 			break // where the next answer begins is not known
