Give a wrongly named answer up at once where no late one is due

On the own interface an answer that names another request was skipped as a late copy since, and the engine sends no other one.

Change: there only a second answer to the exchange before on that connection is skipped; any other name, and none on a connection in use again, ends the exchange at once as unknown.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -29,6 +29,8 @@
 	frames     *framer        // between source and reader
 	reader     *bufio.Reader  // of answers
 	used       bool           // has carried an exchange
+	current    string         // name of the exchange under way
+	before     string         // name of the one before it
 	idleFrom   sardine.Millis // of a connection in the pool
 	targetIdle sardine.Millis // the target's own limit, 0 if it did not say
 	sending    chan error     // the end of a long body's write, nil without one
@@ -96,6 +98,16 @@
 	return nil, errInterimAnswers
 }
 
+// Begin names the exchange that the connection carries from now on.
+func (c *Conn) Begin(name string) {
+	c.before, c.current = c.current, name
+}
+
+// Before returns the name of the exchange before the one under way.
+func (c *Conn) Before() string {
+	return c.before
+}
+
 // Used reports whether the connection has carried an exchange before, of which a
 // second answer may still come.
 func (c *Conn) Used() bool {
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -94,6 +94,7 @@
 	q := x.Request
 	q.Header = EndToEnd(q.Header)
 	c.port.Prepare(q.Header, x.Dispatch)
+	conn.Begin(string(x.Dispatch.Request))
 	if sent, err := conn.Send(q); err != nil {
 		ran := sardine.RanUnknown
 		if !sent {
@@ -116,6 +117,8 @@
 			return answer, refused(x, resp, reply)
 		case x.answeredBy(reply, conn.Used()):
 			return answer, invalid(x, reply)
+		case !x.Named && string(reply.Request) != conn.Before(): // a wrong answer, not a late one
+			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s answered request %q", x.Address, reply.Request))
 		}
 		if q.Method == http.MethodHead || !readToEnd(resp) {
 			break // where the next answer begins is not known
