--- a/standin/fake/demand_test.go
+++ b/standin/fake/demand_test.go
@@ -170,10 +170,7 @@
 // second member of its large group after its spare has taken the first one's place:
 // the survivors and the spare of the small groups are as many as a large group needs.
 func TestSurvivorsAndAnotherSpareMakeAGroup(t *testing.T) {
-	w := demandWorld(t, 3)
-	require.NoError(t, w.Run(w.now+60*sardine.Second))
-	large, _ := w.mixedDomain()
-	require.NotEmpty(t, large.ID, "some domain has groups of both sizes")
+	w, large := mixedWorld(t)
 	before := w.Serving("large")
 	w.crashMember(t, large.ID)
 	w.crashMember(t, large.ID)
@@ -195,10 +192,7 @@
 // its large group, and some time later another one: the VM that was a spare for the
 // small groups is one for the large ones by then.
 func TestALargeGroupGetsTheLastSpare(t *testing.T) {
-	w := demandWorld(t, 3)
-	require.NoError(t, w.Run(w.now+60*sardine.Second))
-	large, _ := w.mixedDomain()
-	require.NotEmpty(t, large.ID, "some domain has groups of both sizes")
+	w, large := mixedWorld(t)
 	before := w.Serving("large")
 	w.crashMember(t, large.ID)
 	require.NoError(t, w.Run(w.now+demandStock.Load+5*sardine.Second))
@@ -206,23 +200,26 @@
 	require.Equal(t, before, w.Serving("large"))
 }
 
-// mixedDomain returns the groups of a domain that has one of each size.
-func (w *World) mixedDomain() (large, small sardine.Group) {
-	larges, smalls := make(map[sardine.FabricDomain][]sardine.Group), make(map[sardine.FabricDomain][]sardine.Group)
+// mixedWorld returns a world that has run for a while, and the large group of a domain
+// that has one group of each size.
+func mixedWorld(t *testing.T) (*World, sardine.Group) {
+	t.Helper()
+	w := demandWorld(t, 3)
+	require.NoError(t, w.Run(w.now+60*sardine.Second))
+	count := make(map[sardine.FabricDomain]map[sardine.ServiceName]int)
 	for _, g := range w.truth.Groups() {
-		switch g.Service {
-		case "large":
-			larges[g.Domain] = append(larges[g.Domain], g)
-		case "small":
-			smalls[g.Domain] = append(smalls[g.Domain], g)
+		if count[g.Domain] == nil {
+			count[g.Domain] = make(map[sardine.ServiceName]int)
 		}
+		count[g.Domain][g.Service]++
 	}
-	for d, all := range larges {
-		if len(all) == 1 && len(smalls[d]) == 1 {
-			return all[0], smalls[d][0]
+	for _, g := range w.truth.Groups() {
+		if g.Service == "large" && count[g.Domain]["large"] == 1 && count[g.Domain]["small"] == 1 {
+			return w, g
 		}
 	}
-	return large, small
+	t.Fatal("no domain has one group of each size")
+	return nil, sardine.Group{}
 }
 
 func (w *World) stateOf(id sardine.GroupID) sardine.GroupState {
