Number the announcements of the own interface, so that an old one never counts as the newest

An entry node that had been paused read announcements from before as it woke and reported them as heard just now; the leader kept them, since no other home had anything new to tell (docs/incidents/old-news.md).

Change: `serial` in announcements, as behind the platform's interface, where an overtaken one is known since. The stand-ins number theirs.

Nothing behind the platform's interface changes.

--- a/annc/annc.go
+++ b/annc/annc.go
@@ -41,6 +41,7 @@
 	Leaving      bool     `json:"leaving"`
 	Holding      holding  `json:"holding"`
 	Load         load     `json:"load"`
+	Serial       uint64   `json:"serial,omitempty"`
 }
 
 type holding struct {
@@ -94,6 +95,7 @@
 		Leaving:      a.Leaving,
 		Holding:      encodeHolding(a.Holding),
 		Load:         encodeLoad(a.Load),
+		Serial:       a.Serial,
 	}
 	for _, name := range a.Loadable {
 		m.Loadable = append(m.Loadable, string(name))
@@ -148,7 +150,8 @@
 			Model:   sardine.ModelName(m.Holding.Model),
 			Version: m.Holding.Version,
 		},
-		Load: m.Load.decode(),
+		Load:   m.Load.decode(),
+		Serial: m.Serial,
 	}
 	a.Holding.State, _ = states(m.Holding.State)
 	for _, name := range m.Loadable {
--- a/annc/annc_test.go
+++ b/annc/annc_test.go
@@ -17,6 +17,7 @@
 		Loadable: []sardine.ModelName{"surtitle"}, ChecksEpoch: true, Leaving: true,
 		Holding: sardine.Holding{Group: "g1", Epoch: 7, Rank: 2, Model: "surtitle", Version: "1", State: sardine.MemberReady},
 		Load:    sardine.Load{Running: 2, Queued: 1, TokensPerSecond: 33.5},
+		Serial:  12,
 	}
 }
 
--- a/standin/callup/callup.go
+++ b/standin/callup/callup.go
@@ -25,6 +25,7 @@
 	describe func() sardine.Announcement
 	http     *http.Client
 	now      chan struct{}
+	serial   uint64 // of the last announcement
 }
 
 // New returns a caller that announces what describe returns. An empty balancer
@@ -72,7 +73,10 @@
 	if c.balancer == "" {
 		return "", interval
 	}
-	text := annc.Encode(c.describe())
+	c.serial++
+	a := c.describe()
+	a.Serial = c.serial
+	text := annc.Encode(a)
 	for _, address := range []string{home, c.balancer} {
 		if address == "" {
 			continue
