--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -92,10 +92,25 @@
 // Stop ends the engine at once and waits for its goroutines. Connections are
 // closed.
 func (e *Engine) Stop() {
+	if duties := e.end(); duties != nil {
+		_ = duties.Wait()
+	}
+}
+
+// Die ends the engine as a crash does: without a word, connections broken, nobody
+// listening any more. It does not wait for its goroutines, so that a handler may call
+// it.
+func (e *Engine) Die() {
+	e.end()
+}
+
+// end closes the engine's sockets. It returns what is left to wait for, nil if the
+// engine had ended before.
+func (e *Engine) end() *tomb.Tomb {
 	e.mu.Lock()
 	if !e.running {
 		e.mu.Unlock()
-		return
+		return nil
 	}
 	e.running = false
 	e.detach()
@@ -105,13 +120,7 @@
 	e.mu.Unlock()
 	duties.Kill(nil)
 	_ = server.Close()
-	_ = duties.Wait()
-}
-
-// Die ends the engine as a crash does: without a word, connections broken. It
-// does not wait, so that a handler may call it.
-func (e *Engine) Die() {
-	go e.Stop()
+	return duties
 }
 
 // Pause freezes the engine: it neither announces, generates nor answers. Its
