Learn for what part of the time groups wait for a member, and let only survivors keep weights

Cause: memberAbsence in plan/demand.go was worked out from one site's losses.

Change: the planner counts, over some ten minutes, the member time of groups that have served and the time for which they did not; the assumption counts like ten minutes of one member at first and fades with the rest. Only a VM whose group was given up keeps its weights.

--- a/plan/demand.go
+++ b/plan/demand.go
@@ -72,18 +72,13 @@
 	p.starts.perSecond = s.PerSecond
 }
 
-const (
-	// memberAbsence is the part of the time for which a group waits because of any
-	// one of its members: at sites that lose two of 222 VMs every 3 s, and repair a
-	// group within 4 s.
-	memberAbsence = 0.0125
-	// leastWhole is the part of the time for which groups of any size are whole.
-	leastWhole = 0.5
-)
+// leastWhole is the part of the time for which groups of any size are whole.
+const leastWhole = 0.5
 
-// wholeShare returns the part of the time for which a group has all its members.
-func wholeShare(size int) float64 {
-	return max(1-memberAbsence*float64(size), leastWhole)
+// wholeShare returns the part of the time for which a group has all its members,
+// if it waits for each of them for a part of the time.
+func wholeShare(absence float64, size int) float64 {
+	return max(1-absence*float64(size), leastWhole)
 }
 
 // coverage returns how far a deployment's groups meet its demand, relative to
@@ -91,7 +86,7 @@
 // is whole.
 func (k *kindView) coverage() float64 {
 	size := k.deployment.GroupSize
-	return float64(len(k.groups)*size) * wholeShare(size) / k.deployment.Demand
+	return float64(len(k.groups)*size) * wholeShare(k.absence, size) / k.deployment.Demand
 }
 
 // byDemand reports whether the deployment takes as many groups as its demand
--- a/plan/form_test.go
+++ b/plan/form_test.go
@@ -48,6 +48,9 @@
 	large.deployment.Model, small.deployment.Model = "m0", "m1"
 	r := &round{p: New(), kinds: []*kindView{large, small}}
 	survivors := []*vmView{engineVM("vm-1", "m0"), engineVM("vm-2", "m0")}
+	for _, v := range survivors {
+		v.note.survivor = true
+	}
 	taken, rest := r.stageFor(small, append(survivors, engineVM("vm-3")), 3)
 	require.Len(t, taken, 1, "the empty one")
 	require.Equal(t, survivors, rest)
--- a/plan/notes.go
+++ b/plan/notes.go
@@ -31,6 +31,7 @@
 	staging     sardine.ModelName // that it was told to bring to its host, empty for none
 	stagingAt   sardine.Millis
 	freeSince   sardine.Millis // 0 while not free
+	survivor    bool           // was last a member of a group that was given up
 }
 
 // noteFree follows since when the VM may join a group.
@@ -122,6 +123,7 @@
 	drainAt  sardine.Millis
 	swapOut  sardine.VMID // the member that is being replaced
 	newEpoch bool         // an engine holds a higher epoch than the group
+	served   bool         // it has served under this leader, whatever its epoch
 	placed   string       // why it is in its domain
 	why      string       // the last decision
 }
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -30,6 +30,7 @@
 	history history
 	last    *round // the newest round, for Explain
 	starts  starts
+	absent  absences
 	loads   int // begun, over all terms
 	// newestAt is when a VM was last heard of for the first time.
 	newestAt sardine.Millis
@@ -54,6 +55,7 @@
 	p.awaits = make(map[sardine.GroupID]sardine.GroupID)
 	p.claims = make(map[sardine.GroupID]Kind)
 	p.history = history{}
+	p.absent = newAbsences()
 	p.last = nil
 	p.logged = logged{}
 }
@@ -81,6 +83,7 @@
 	p.expirePending(now)
 	p.logged.renew(now, m, p)
 	r := newRound(p, now, live, teams)
+	r.learnAbsence()
 	if err := r.check(); err != nil {
 		return Output{}, err
 	}
--- a/plan/release.go
+++ b/plan/release.go
@@ -50,6 +50,7 @@
 		return
 	}
 	if r.fenced(v, epoch) || r.forgotten(v) || r.p.defect == DefectNoFencing {
+		v.note.survivor = g != nil && !g.spare
 		r.propose(nil, []sardine.VMID{v.owner.VM}, state.FreeMember{VM: v.owner.VM, Group: v.owner.Group, Epoch: epoch})
 	}
 }
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -248,17 +248,17 @@
 	return usable[:count], append(usable[count:], held...)
 }
 
-// keepLoads is how many load times a free VM keeps the weights of the deployment in
-// greatest need, in case that enough others for a group come: to load them again
-// would take as long.
+// keepLoads is how many load times a survivor of a group keeps the weights of the
+// deployment in greatest need, in case that enough others for a group come: to load
+// them again would take as long.
 const keepLoads = 2
 
-// mayRestage reports whether a VM may load a deployment's model. One that holds the
-// weights of the deployment in greatest need keeps them for a while: the mates that it
-// lacks for a group may only be silent, or come soon.
+// mayRestage reports whether a VM may load a deployment's model. The survivors of a
+// group of the deployment in greatest need keep their weights for a while: the mates
+// that they lack may only be silent, or come soon. A spare has no mates.
 func (r *round) mayRestage(v *vmView, k *kindView) bool {
 	need := r.neediest()
-	if need == nil || need == k || !v.warm(need.deployment.Model, need.deployment.ModelVersion) {
+	if need == nil || need == k || !v.note.survivor || !v.warm(need.deployment.Model, need.deployment.ModelVersion) {
 		return true
 	}
 	return v.note.freeSince+keepLoads*r.p.limits.LoadTime <= r.now
--- a/plan/view.go
+++ b/plan/view.go
@@ -141,6 +141,7 @@
 	objective  sardine.Objective
 	groups     []*groupView // active ones
 	serving    int
+	absence    float64 // part of the time for which a group waits for one member
 }
 
 // value returns the worth of one group of the deployment.
--- a/plan/viewgroup.go
+++ b/plan/viewgroup.go
@@ -71,6 +71,7 @@
 			fresh.placed = n.placed
 			fresh.why = n.why
 			fresh.downFrom = n.downFrom
+			fresh.served = n.served
 		}
 		n = fresh
 		r.p.groups[group.ID] = n
@@ -82,6 +83,7 @@
 	switch {
 	case group.State == sardine.GroupServing:
 		n.downFrom = 0
+		n.served = true
 	case n.downFrom == 0:
 		n.downFrom = r.now
 	}
