Have the others tell again once a late reader is gone, and show that answers vouch for silence

Open from: a target that sends no number was believed as a home that had stood still read it, for good, since the others repeat nothing that was acknowledged. Now the leader asks them for a full report once that home hears the target no more.

Tests: TestTheOthersTellAgainOnceALateReaderIsGone failed before. TestAnswersVouchForASilentTarget: nothing showed that answers keep a silent target, or the member of a group, alive; with `proved` switched off it fails.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -47,6 +47,7 @@
 type targetView struct {
 	latest  sardine.Announcement
 	at      sardine.Millis // when its home heard what it reported last
+	from    sardine.NodeID // that home
 	vouched map[sardine.NodeID]bool
 	synced  bool   // the log had the same facts
 	index   uint64 // at this fleet index of the log
@@ -172,6 +173,7 @@
 	for _, ref := range r.Lost {
 		if t := l.targets[ref.VM]; t != nil && t.latest.Incarnation <= ref.Incarnation {
 			delete(t.vouched, r.Home)
+			l.askAgain(t, r.Home)
 		}
 	}
 	for _, s := range r.Statuses {
@@ -180,6 +182,21 @@
 	return Ack{Sequence: r.Sequence, WantFull: !h.full}
 }
 
+// askAgain has the other homes of a target tell all again, if the newest word on it
+// came from a home that does not hear it any more: that one may have read it late, and
+// the others repeat nothing that was acknowledged.
+func (l *Leader) askAgain(t *targetView, gone sardine.NodeID) {
+	if t.from != gone {
+		return
+	}
+	for node := range t.vouched {
+		if h := l.homes[node]; h != nil {
+			h.full = false
+			t.at = 0
+		}
+	}
+}
+
 // hear notes that a home is heard of. One that was silent for a lease must tell
 // all again: what it vouched for may be forgotten, and it repeats nothing that
 // was acknowledged.
@@ -226,7 +243,7 @@
 	t.vouched[home] = true
 	if at >= t.at && !overtaken(t.latest, s.Announcement) {
 		t.latest = s.Announcement
-		t.at = at
+		t.at, t.from = at, home
 		t.synced = false
 	}
 }
--- a/fleet/witness_test.go
+++ b/fleet/witness_test.go
@@ -95,3 +95,56 @@
 	require.True(t, live)
 	require.False(t, h.HasNews(20))
 }
+
+// TestAnswersVouchForASilentTarget: a target that no home hears any more, as it is cut
+// off from the control nodes, is alive while entry nodes get its answers; so is each
+// member of a group whose head answers.
+func TestAnswersVouchForASilentTarget(t *testing.T) {
+	for name, sign := range map[string]Sign{
+		"plain":  {VM: "a", Incarnation: 1, Flights: 1, Alive: 100},
+		"member": {Group: "g", Epoch: 3, Flights: 1, Alive: 100},
+	} {
+		l := plainLeader()
+		if name == "member" {
+			l.targets["a"].latest.Kind = sardine.KindEngine
+			l.memberOf = map[sardine.VMID]witnessKey{"a": {group: "g", epoch: 3}}
+		}
+		l.Take(4000, Report{Home: "one", Incarnation: 1, Sequence: 2, Lost: []Ref{{VM: "a", Incarnation: 1}}})
+		_, live := l.Live(4000, "a")
+		require.False(t, live, name)
+		l.Witness(4100, "e1", []Sign{sign})
+		_, live = l.Live(4200, "a")
+		require.True(t, live, name)
+		sign.Alive, sign.Stalled = -1, true
+		l.Witness(4300, "e1", []Sign{sign})
+		_, live = l.Live(4300, "a")
+		require.False(t, live, name+": its answers have ceased")
+	}
+}
+
+// TestTheOthersTellAgainOnceALateReaderIsGone: a home that stood still reads what was
+// sent to it meanwhile and reports it as heard just now. Once it does not hear the
+// target any more, what another home has known all the time counts.
+func TestTheOthersTellAgainOnceALateReaderIsGone(t *testing.T) {
+	l := NewLeader()
+	l.Lead(0, 1)
+	held, stale := announcement("a", 1), announcement("a", 1)
+	held.Holding = sardine.Holding{Group: "g", Epoch: 2, State: sardine.MemberReady}
+	one := NewHome("one", 1)
+	require.NoError(t, one.Announce(1000, held))
+	r, _ := one.Report(1000)
+	one.Acked(l.Take(1000, r))
+	l.Take(2000, Report{Home: "two", Incarnation: 1, Sequence: 1, Full: true, Statuses: []Status{{Announcement: stale}}})
+	s, live := l.Live(2000, "a")
+	require.True(t, live)
+	require.Empty(t, s.Holding.Group, "the late word counts as the newest")
+	l.Take(3000, Report{Home: "two", Incarnation: 1, Sequence: 2, Lost: []Ref{{VM: "a", Incarnation: 1}}})
+	require.NoError(t, one.Announce(3000, held))
+	one.Acked(l.Heard(3100, "one", 1))
+	r, news := one.Report(3100)
+	require.True(t, news)
+	one.Acked(l.Take(3100, r))
+	s, live = l.Live(3200, "a")
+	require.True(t, live)
+	require.Equal(t, held.Holding, s.Holding)
+}
