--- a/loss/reader.go
+++ b/loss/reader.go
@@ -88,11 +88,9 @@
 	Time      time.Time `json:"time"`
 	Node      string    `json:"node"`
 	Event     int       `json:"event"`
-	Request   string    `json:"request"`
 	Route     string    `json:"route"`
 	Target    string    `json:"target"`
 	Began     bool      `json:"began"`
-	InTime    bool      `json:"in_time"`
 	Attempts  int       `json:"attempts"`
 	Picked    int64     `json:"picked_ms"`
 	Sent      int64     `json:"sent_ms"`
@@ -123,12 +121,10 @@
 		at:        sardine.Millis(j.Time.UnixMilli()),
 		node:      j.Node,
 		event:     event.ID(j.Event),
-		request:   sardine.RequestID(j.Request),
 		route:     j.Route,
 		target:    j.Target,
 		code:      codes.Code(j.Error.Code),
 		began:     j.Began,
-		inTime:    j.InTime,
 		attempts:  j.Attempts,
 		picked:    sardine.Millis(j.Picked),
 		sent:      sardine.Millis(j.Sent),
--- a/loss/record.go
+++ b/loss/record.go
@@ -13,12 +13,10 @@
 	at        sardine.Millis // of the log line, from any start
 	node      string
 	event     event.ID
-	request   sardine.RequestID
 	route     string
 	target    string // that had it last, empty for none
 	code      codes.Code
 	began     bool // the caller had a part of the answer
-	inTime    bool // the caller left before its time was over
 	attempts  int
 	picked    sardine.Millis // times since the request came, -1 for what did not happen
 	sent      sardine.Millis
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -28,7 +28,6 @@
 	source     *bufio.Reader  // of the connection's bytes
 	frames     *framer        // between source and reader
 	reader     *bufio.Reader  // of answers
-	used       bool           // has carried an exchange
 	current    string         // name of the exchange under way
 	before     string         // name of the one before it
 	idleFrom   sardine.Millis // of a connection in the pool
@@ -108,10 +107,10 @@
 	return c.before
 }
 
-// Used reports whether the connection has carried an exchange before, of which a
-// second answer may still come.
+// Used reports whether the connection has carried an exchange before the one under
+// way, of which a second answer may still come.
 func (c *Conn) Used() bool {
-	return c.used
+	return c.before != ""
 }
 
 // Until bounds all reads and writes. The zero time removes the bound.
@@ -133,7 +132,6 @@
 		return
 	}
 	c.Until(time.Time{})
-	c.used = true
 	c.targetIdle = keepAlive(resp.Header)
 	c.pool.put(c)
 }
