Take the window over which the weight store counts starts from the settings

Cause: startWindow in plan/demand.go was 5 s, the bound of today's sites.

The figure is the same on today's sites, so that nothing changes there.

--- a/conf/control.go
+++ b/conf/control.go
@@ -234,6 +234,7 @@
 type Weights struct {
 	loadsAtOnce int
 	load        sardine.Millis
+	startWindow sardine.Millis
 }
 
 // maxLoads bounds the loads that a weight store serves at its full rate.
@@ -243,6 +244,7 @@
 	return Weights{
 		loadsAtOnce: int(t.Int("loads_at_once", int64(plan.DefaultLimits().LoadsAtOnce), 1, maxLoads)),
 		load:        millis(t, "load_ms", plan.DefaultLimits().LoadTime, 10, 3600*sardine.Second),
+		startWindow: sardine.Millis(t.Int("start_window_s", int64(plan.DefaultLimits().StartWindow/sardine.Second), 1, 600)) * sardine.Second,
 	}
 }
 
@@ -255,3 +257,8 @@
 func (w Weights) Load() sardine.Millis {
 	return w.load
 }
+
+// StartWindow returns the time over which the store counts the loads that begin.
+func (w Weights) StartWindow() sardine.Millis {
+	return w.startWindow
+}
--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -112,6 +112,7 @@
 		ctrl.WithMetrics(s.ListenMetrics(), lines.Dropped),
 		ctrl.WithTiming(timingOf(s)),
 		ctrl.WithWeightStore(s.Weights().LoadsAtOnce(), s.Weights().Load()),
+		ctrl.WithStartWindow(s.Weights().StartWindow()),
 		ctrl.WithOperatorHash(s.OperatorHash()),
 		ctrl.WithKeys(set),
 	}
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -159,6 +159,12 @@
 	}
 }
 
+// WithStartWindow sets the time over which the weight store counts the loads that
+// begin.
+func WithStartWindow(d sardine.Millis) Option {
+	return func(n *Node) { n.limits.StartWindow = d }
+}
+
 // WithOperatorHash sets the hash of the first operator's token. Without it and
 // without tokens in the log, everyone who reaches the operators' server is an
 // operator.
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -155,29 +155,25 @@
 	return 1
 }
 
-// startWindow is the time over which begun loads are counted. The store counts
-// over a window of some seconds and allows a little more.
-const startWindow = 5 * sardine.Second
-
 // starts counts the loads that were begun lately.
 type starts struct {
 	perSecond float64
 	begun     []sardine.Millis
 }
 
-// room returns how many loads may begin now.
-func (s *starts) room(now sardine.Millis) int {
+// room returns how many loads may begin now if the store counts over a window.
+func (s *starts) room(now, window sardine.Millis) int {
 	if s.perSecond <= 0 {
 		return 1 << 20
 	}
 	kept := s.begun[:0]
 	for _, at := range s.begun {
-		if at+startWindow > now {
+		if at+window > now {
 			kept = append(kept, at)
 		}
 	}
 	s.begun = kept
-	return int(s.perSecond*seconds(startWindow)) - len(kept)
+	return int(s.perSecond*seconds(window)) - len(kept)
 }
 
 // Loads returns how many loads from the store the planner has begun.
--- a/plan/options.go
+++ b/plan/options.go
@@ -10,6 +10,9 @@
 	LoadsAtOnce int
 	// LoadTime is how long one VM's load takes then.
 	LoadTime sardine.Millis
+	// StartWindow is the time over which the weight store counts the loads that
+	// begin, where their rate is bounded.
+	StartWindow sardine.Millis
 	// OrderTimeout is after which time the shell gives up an order. Counted on
 	// the leader's clock.
 	OrderTimeout sardine.Millis
@@ -50,6 +53,7 @@
 	return Limits{
 		LoadsAtOnce:  8,
 		LoadTime:     40 * sardine.Second,
+		StartWindow:  5 * sardine.Second,
 		OrderTimeout: 2 * sardine.Second,
 		Pause:        5 * sardine.Second,
 		Drift:        0.01,
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -36,7 +36,7 @@
 		return len(r.vms)
 	}
 	room := max(r.p.limits.LoadsAtOnce, 1) - r.loadsUnderWay()
-	return min(room, r.p.starts.room(r.now))
+	return min(room, r.p.starts.room(r.now, r.p.limits.StartWindow))
 }
 
 // active reports whether something is under way that a round must follow.
