Say in the log which request was lost and whether its target ended

Lines about attempts now carry the request's fingerprint, and one look at a time finds out what became of a target that lost a request behind the ports (target_ended, and its count in sardine_requests). The look of the own interface is the same code; its behaviour is unchanged.

--- a/entry/attrs.go
+++ b/entry/attrs.go
@@ -5,6 +5,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/guard"
 )
 
 func requestAttr(id sardine.RequestID) slog.Attr {
@@ -27,6 +28,12 @@
 	return slog.String("ran", r.String())
 }
 
+// poisonAttr names a request by what targets run, so that its resends have the
+// same one.
+func poisonAttr(f guard.Fingerprint) slog.Attr {
+	return slog.String("fingerprint", f.String())
+}
+
 func tokensAttr(n int) slog.Attr {
 	return slog.Int("tokens", n)
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -37,6 +37,7 @@
 	}
 	n.claims.drain()
 	n.guards.drain()
+	n.checks.drain()
 	event.Log(n.log, event.DrainEnded, slog.Bool("whole", err == nil))
 	n.quit()
 	n.tomb.Kill(nil)
@@ -68,6 +69,7 @@
 	err := n.tomb.Wait()
 	n.claims.drain()
 	n.guards.drain()
+	n.checks.drain()
 	event.Log(n.log, event.NodeStopped)
 	return err
 }
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"os"
 	"sync"
-	"syscall"
-	"time"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/claim"
@@ -18,12 +14,6 @@
 )
 
 const (
-	// probeTimeout bounds the look whether a target still listens.
-	probeTimeout = 300 * sardine.Millis(1)
-	// probeHold is how long the connection of that look is watched. A process that
-	// ends closes its sockets one after the other, so that the one it listens on may
-	// outlive the one that broke by some milliseconds.
-	probeHold = 50 * sardine.Millis(1)
 	// strikeWait bounds how long a request waits until the log has its strike. The
 	// wait ends with the log's answer, some milliseconds as a rule; without the
 	// strike neither this node nor one that the caller asks next would know that a
@@ -219,40 +209,6 @@
 // listens reports whether a process still takes connections at the address. No
 // answer in time leaves it open, and counts as yes.
 func (n *Node) listens(ctx context.Context, address string) bool {
-	conn, taken := n.probe(ctx, address)
-	if conn == nil {
-		return taken
-	}
-	closed := closes(conn)
-	_ = conn.Close() // nothing was sent
-	if !closed {
-		return true
-	}
-	conn, taken = n.probe(ctx, address) // one that is only full closes it too, but still listens
-	if conn != nil {
-		_ = conn.Close() // nothing was sent
-	}
-	return taken
-}
-
-// probe connects to the address. Without a connection it reports whether a process
-// may listen there all the same.
-func (n *Node) probe(ctx context.Context, address string) (conn net.Conn, taken bool) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET)
-	}
-	return conn, true
-}
-
-// closes reports whether the other side ends a connection on which nothing was sent.
-func closes(conn net.Conn) bool {
-	if err := conn.SetReadDeadline(time.Now().Add(probeHold.Duration())); err != nil {
-		return true
-	}
-	var one [1]byte
-	_, err := conn.Read(one[:])
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	listens, err := n.look(context.WithoutCancel(ctx), address)
+	return err != nil || listens
 }
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -110,6 +110,11 @@
 	i.count("stalled", codes.New(codes.TargetFailed, "the target has gone silent"))
 }
 
+// ended counts a target whose process ended while it ran requests.
+func (i *instruments) ended() {
+	i.count("ended", codes.New(codes.TargetFailed, "the target's process ended"))
+}
+
 func (i *instruments) firstToken(d sardine.Millis) {
 	i.first.Record(d)
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -269,7 +268,7 @@
 	if codes.Is(err, codes.PoisonRequest) {
 		id = event.RequestPoison
 	}
-	event.Log(m.node.log, id, requestAttr(m.request.id), codeAttr(err), ranAttr(ran), slog.String("fingerprint", m.request.poison.String()))
+	event.Log(m.node.log, id, requestAttr(m.request.id), codeAttr(err), ranAttr(ran), poisonAttr(m.request.poison))
 	m.node.meter.failed(err)
 	m.node.endTrace(m.request.trace, err, ran, m.tokens)
 	m.sink.fail(refusalTo(err, m.request.id, ran))
--- a/entry/node.go
+++ b/entry/node.go
@@ -85,6 +85,7 @@
 	flights        *flights
 	claims         *claims
 	guards         *guards
+	checks         *checks
 	follower       *follower
 	meter          *instruments
 	traces         *trace.Ring
@@ -170,6 +171,7 @@
 	n.limiter = limit.NewLimiter(n.id, n.random)
 	n.claims = newClaims(n)
 	n.guards = newGuards(n)
+	n.checks = newChecks(n)
 	n.follower = newFollower(n)
 	return nil
 }
@@ -299,6 +301,7 @@
 		n.gate.tick(n.view().routed)
 		n.claims.tick()
 		n.guards.tick()
+		n.checks.tick()
 		n.pool.Tick()
 		if n.vitals != nil {
 			n.tickVitals()
--- a/entry/rend.go
+++ b/entry/rend.go
@@ -93,7 +93,7 @@
 
 func (q *routed) logAttempt(choice *route.Choice, err error) {
 	q.node.meter.attempted(err)
-	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), codeAttr(err), ranAttr(q.ran),
+	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.poison), codeAttr(err), ranAttr(q.ran),
 		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
 		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -141,7 +141,7 @@
 	q.prefixes = prefixHashes(q.service, prompt)
 	q.talk, q.later = conversationOf(m.Messages)
 	q.setFingerprint()
-	q.poison = guard.Of(q.service, q.method, q.path, q.body)
+	q.poison = guard.Of(q.body, string(q.service), q.method, q.path)
 	return q, nil
 }
 
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 
@@ -10,6 +11,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/pool"
@@ -27,6 +29,7 @@
 	service  serviceKey          // of the deployment
 	tenant   *sardine.KeyTenant  // nil without a key
 	request  pool.Request
+	poison   guard.Fingerprint // of what targets run
 	arrived  sardine.Millis
 	waited   sardine.Millis // by the caller before it came here
 	deadline sardine.Millis // the caller or the route waits no longer
@@ -110,9 +113,18 @@
 		return err
 	}
 	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
+	q.poison = guard.Of(body, q.call.Host, r.Method, r.RequestURI, q.workspace())
 	return nil
 }
 
+// workspace returns the caller's workspace, empty without a key.
+func (q *routed) workspace() string {
+	if q.tenant == nil {
+		return ""
+	}
+	return string(q.tenant.Name)
+}
+
 // findService picks a part of the route's split, and the model's deployment if
 // the service has engines.
 func (q *routed) findService(table *paths.Table) error {
@@ -218,6 +230,9 @@
 		q.ran = combine(q.ran, failed.Ran())
 		done.Abort = failed.Ran() == sardine.RanNo
 		q.logAttempt(choice, failed)
+		if failed.Ran() != sardine.RanNo {
+			q.lose(ctx, choice.Candidate)
+		}
 		return q.causeOf(ctx, failed)
 	}
 	q.attempts++
@@ -234,6 +249,9 @@
 	done.OK = whole
 	if err != nil {
 		q.logAttempt(choice, err)
+		if !errors.Is(err, errTargetError) {
+			q.lose(ctx, choice.Candidate)
+		}
 		return q.causeOf(ctx, err)
 	}
 	return nil
--- a/event/table.go
+++ b/event/table.go
@@ -49,6 +49,7 @@
 	TargetStalled   ID = 408
 	GroupDissolved  ID = 409
 	ModelStaged     ID = 410
+	TargetEnded     ID = 411
 	RequestRefused  ID = 500
 	RequestFailed   ID = 501
 	StreamResumed   ID = 502
@@ -106,6 +107,7 @@
 	{TargetStalled, "target_stalled", slog.LevelWarn, "a target with requests in flight has gone silent, they go on elsewhere", "nothing if its group is repaired soon"},
 	{GroupDissolved, "group_dissolved", slog.LevelInfo, "a group is given up, its members are told to leave it", "see the why attribute"},
 	{ModelStaged, "model_staged", slog.LevelInfo, "a VM that serves nobody is told to bring a model to its host", "nothing"},
+	{TargetEnded, "target_ended", slog.LevelWarn, "a target's process ended while it ran requests", "compare the fingerprints of its attempt_failed lines"},
 	{RequestRefused, "request_refused", slog.LevelInfo, "a request was refused before it ran", "see the code attribute"},
 	{RequestFailed, "request_failed", slog.LevelWarn, "a request failed after it was dispatched", "see the code attribute"},
 	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
--- a/guard/action.go
+++ b/guard/action.go
@@ -22,10 +22,12 @@
 	return hex.EncodeToString(f[:])
 }
 
-// Of returns the fingerprint of a request's service, method, path and body.
-func Of(service sardine.ServiceName, method, path string, body []byte) Fingerprint {
+// Of returns the fingerprint of a request: its body, and what else tells it from
+// others, such as its caller, method and path. Headers stay out, a resend may
+// differ in them.
+func Of(body []byte, parts ...string) Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{string(service), method, path} {
+	for _, part := range parts {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
