Refuse a request behind the ports that has ended three targets, on every node

Cause: guard's strikes and the log's record of them were asked by the own interface's model path only; entry/routed.go never asked. Class: a safeguard that stands on one of two request paths.

Change: guard.Ledger, a pure core for requests of which many copies may be at work. An attempt that its target broke off starts one look at that target; if nobody listens there, or the log drops one of the processes it depended on without a notice, and the request does not run to its end elsewhere, the end is a strike: on this node at once, in the log for all others and for restarts. Three and the request is answered 502 at once (503 would invite callers back, a 4xx would deny a proper request). Strikes name the epoch or incarnation: a group that came back under its name counted once (TestEndsOfOneGroupCountByEpoch). No round trip on the way of other requests.

Without the rule for sound requests TestSiteServesAPollAfterItsWorkersCrashed fails.

--- a/entry/checks.go
+++ b/entry/checks.go
@@ -6,12 +6,14 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/route"
 )
 
@@ -25,18 +27,32 @@
 	// checkProbes bounds the looks at a target that gives no answer: an opening
 	// packet may be lost.
 	checkProbes = 3
+	// checkWatch is how long the log may take to know that a target has ended that
+	// still takes connections or is silent: the lease of an announcement, and some
+	// time for the decision.
+	checkWatch = 5 * sardine.Second
 	// checkKept is how long it is known that a target has ended. Answers that it
 	// broke off are all missed by then.
 	checkKept = 30 * sardine.Second
+	// blamedMost bounds the requests that await the result of one check.
+	blamedMost = 256
 )
 
-// check finds out whether a target's process has ended. Its result may be read
-// once done is closed.
+// dispatched is a target with the processes that it depended on when it got a
+// request.
+type dispatched struct {
+	candidate route.Candidate
+	crew      []sardine.Member
+}
+
+// check finds out whether a process of a target has ended. checks.mu guards it.
 type check struct {
-	done     chan struct{}
-	ended    bool
-	at       sardine.Millis // of the result, 0 before it; guarded by checks.mu
-	requests int            // that the target lost; guarded by checks.mu
+	target   dispatched
+	until    sardine.Millis // the log may still tell
+	probing  bool
+	endedAt  sardine.Millis // 0 unless it has ended
+	requests int            // that the target lost
+	blamed   []guard.Loss   // that count once it has ended
 }
 
 // checks looks at targets that lost requests, at each of them once at a time.
@@ -51,49 +67,104 @@
 	return &checks{node: n, all: make(map[route.Ref]*check)}
 }
 
-// begin returns the check of a target that has just lost a request.
-func (c *checks) begin(candidate route.Candidate) *check {
+// begin returns the check of a target that has just lost a request. A silent one is
+// not asked: the log tells what becomes of it.
+func (c *checks) begin(d dispatched, ask bool) *check {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := c.all[candidate.Ref]
+	k := c.all[d.candidate.Ref]
 	if k == nil {
-		k = &check{done: make(chan struct{})}
-		c.all[candidate.Ref] = k
-		c.running.Go(func() { c.run(candidate, k) })
+		k = &check{target: d}
+		c.all[d.candidate.Ref] = k
 	}
 	k.requests++
+	k.until = c.node.clock.Now() + checkWatch
+	if ask && k.endedAt == 0 && !k.probing {
+		k.probing = true
+		c.running.Go(func() { c.probe(k) })
+	}
 	return k
 }
 
-func (c *checks) run(candidate route.Candidate, k *check) {
+// probe asks the target itself.
+func (c *checks) probe(k *check) {
+	ended := c.node.ended(c.node.life, k.target.candidate.Address)
+	c.mu.Lock()
+	k.probing = false
+	blamed := []guard.Loss(nil)
+	if ended && k.endedAt == 0 && !c.excused(c.node.view(), k) {
+		blamed = c.close(k, "nobody listens")
+	}
+	c.mu.Unlock()
+	c.strike(blamed)
+}
+
+// close notes that a target has ended and returns the losses that count now. The
+// lock is held.
+func (c *checks) close(k *check, why string) []guard.Loss {
 	n := c.node
-	began := n.clock.Now()
-	k.ended = n.ended(n.life, candidate.Address)
+	k.endedAt = n.clock.Now()
+	n.meter.ended()
+	event.Log(n.log, event.TargetEnded, slog.String("target", k.target.candidate.String()), slog.String("address", k.target.candidate.Address),
+		slog.String("why", why), slog.Int("requests", k.requests))
+	blamed := k.blamed
+	k.blamed = nil
+	return blamed
+}
+
+func (c *checks) strike(all []guard.Loss) {
+	for _, l := range all {
+		c.node.strikes.ended(l)
+	}
+}
+
+// hasEnded reports whether the target is known to have ended.
+func (c *checks) hasEnded(k *check) bool {
 	c.mu.Lock()
-	k.at = n.clock.Now()
-	requests := k.requests
-	if !k.ended {
-		delete(c.all, candidate.Ref) // it may end yet
+	defer c.mu.Unlock()
+	return k.endedAt > 0
+}
+
+// blame counts a loss, now or once the check has found that the target has ended.
+func (c *checks) blame(k *check, l guard.Loss) {
+	c.mu.Lock()
+	ended := k.endedAt > 0
+	if !ended && len(k.blamed) < blamedMost {
+		k.blamed = append(k.blamed, l)
 	}
 	c.mu.Unlock()
-	close(k.done)
-	if !k.ended {
-		return
+	if ended {
+		c.strike([]guard.Loss{l})
 	}
-	n.meter.ended()
-	event.Log(n.log, event.TargetEnded, slog.String("target", candidate.String()), slog.String("address", candidate.Address),
-		slog.Int("requests", requests), slog.Int64("took_ms", int64(n.clock.Now()-began)))
 }
 
-// tick forgets targets that ended long ago.
+// tick asks the log about targets that gave no answer or still listen, and forgets
+// those that ended long ago or were sound.
 func (c *checks) tick() {
+	v, now := c.node.view(), c.node.clock.Now()
+	var blamed []guard.Loss
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	for ref, k := range c.all {
-		if k.at > 0 && c.node.clock.Now() > k.at+checkKept {
+		switch {
+		case k.endedAt > 0 && now > k.endedAt+checkKept:
 			delete(c.all, ref)
+		case k.endedAt > 0 || k.probing:
+		case c.excused(v, k) || now > k.until:
+			delete(c.all, ref)
+		case slices.ContainsFunc(k.target.crew, v.gone):
+			blamed = append(blamed, c.close(k, "the log has dropped it")...)
 		}
 	}
+	c.mu.Unlock()
+	c.strike(blamed)
+}
+
+// excused reports whether the target was to leave: then its end is no wonder.
+func (c *checks) excused(v *view, k *check) bool {
+	return slices.ContainsFunc(k.target.crew, func(m sardine.Member) bool {
+		s, known := v.standings[m.VM]
+		return known && s.incarnation == m.Incarnation && s.leaving
+	})
 }
 
 // drain waits for the checks under way.
@@ -158,13 +229,9 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// lose begins to find out what became of a target that has lost the request. One
-// that was to leave has no part in what it may have done to it.
-func (q *routed) lose(ctx context.Context, c route.Candidate) {
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errStalled) && !errors.Is(cause, errGroupLost) {
-		return // the caller has left
-	}
-	if q.node.view().current(c) {
-		q.node.checks.begin(c)
-	}
+// lostByTarget reports whether an attempt with the context ended by its target, not
+// by its caller, its deadline or the node.
+func lostByTarget(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause == nil || errors.Is(cause, errStalled) || errors.Is(cause, errGroupLost)
 }
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -130,7 +130,11 @@
 // propose submits a command. err is not nil if it is unknown whether the log
 // took it; result.Err is the log's own refusal.
 func (n *Node) propose(command state.Command) (result state.Result, err error) {
-	ctx, cancel := context.WithTimeout(n.life, n.timing.Submit.Duration())
+	return n.proposeWithin(n.timing.Submit, command)
+}
+
+func (n *Node) proposeWithin(limit sardine.Millis, command state.Command) (result state.Result, err error) {
+	ctx, cancel := context.WithTimeout(n.life, limit.Duration())
 	defer cancel()
 	answer, err := n.control.Submit(ctx, &wire.SubmitRequest{Command: state.ToWire(0, command)})
 	result = resultOf(answer, err)
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -38,6 +38,7 @@
 	n.claims.drain()
 	n.guards.drain()
 	n.checks.drain()
+	n.strikes.drain()
 	event.Log(n.log, event.DrainEnded, slog.Bool("whole", err == nil))
 	n.quit()
 	n.tomb.Kill(nil)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -263,7 +263,11 @@
 }
 
 func (f *follower) newView(m *state.Machine) *view {
-	v, failed := newView(m, f.node.id, f.table(m))
+	var before *view
+	if old := f.node.published.Load(); old != nil {
+		before = old.view
+	}
+	v, failed := newView(m, f.node.id, f.table(m), before)
 	for _, err := range failed {
 		event.Log(f.node.log, event.DutyFailed, codeAttr(err))
 	}
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -11,6 +11,7 @@
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/state"
 )
 
 const (
@@ -58,6 +59,11 @@
 
 // Strikes returns the groups that failed while they ran the fingerprint.
 func (r register) Strikes(fingerprint []byte) []sardine.GroupID {
+	return r.Poison(fingerprint).Groups()
+}
+
+// Poison returns what is known of a fingerprint.
+func (r register) Poison(fingerprint []byte) state.Poison {
 	return r.node.view().strikes[string(fingerprint)]
 }
 
--- a/entry/home.go
+++ b/entry/home.go
@@ -39,15 +39,11 @@
 // leavingHere reports whether the target, or a member of the group, has told this
 // node that it leaves.
 func (n *Node) leavingHere(v *view, c route.Candidate) bool {
-	vms := v.members[c.Group]
-	if c.Group == "" {
-		vms = []sardine.VMID{c.VM}
-	}
 	now := n.clock.Now()
 	n.homeMu.Lock()
 	defer n.homeMu.Unlock()
-	for _, vm := range vms {
-		if s, known := n.home.Target(now, vm); known && s.Leaving {
+	for _, member := range v.crew(c) {
+		if s, known := n.home.Target(now, member.VM); known && s.Leaving {
 			return true
 		}
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -86,6 +86,7 @@
 	claims         *claims
 	guards         *guards
 	checks         *checks
+	strikes        *strikes
 	follower       *follower
 	meter          *instruments
 	traces         *trace.Ring
@@ -172,6 +173,7 @@
 	n.claims = newClaims(n)
 	n.guards = newGuards(n)
 	n.checks = newChecks(n)
+	n.strikes = newStrikes(n)
 	n.follower = newFollower(n)
 	return nil
 }
@@ -273,6 +275,7 @@
 	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
+	n.tomb.Go(n.strikes.report)
 	n.tomb.Go(n.borrow)
 	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.log) })
 	n.tomb.Go(n.close)
@@ -302,6 +305,7 @@
 		n.claims.tick()
 		n.guards.tick()
 		n.checks.tick()
+		n.strikes.tick()
 		n.pool.Tick()
 		if n.vitals != nil {
 			n.tickVitals()
--- a/entry/rend.go
+++ b/entry/rend.go
@@ -15,6 +15,7 @@
 
 // abandon ends a request whose caller has left or whose time is over.
 func (q *routed) abandon(ctx context.Context) {
+	q.losses.failed()
 	if errors.Is(context.Cause(ctx), errDrained) {
 		q.fail(errDrained)
 		return
@@ -26,6 +27,7 @@
 // fail gives the request up. What may have run gets an answer that promises
 // nothing; a head that is out can only be followed by the connection's end.
 func (q *routed) fail(err error) {
+	q.losses.failed()
 	event.Log(q.node.log, event.RequestFailed, append(q.timeAttrs(), codeAttr(err), ranAttr(q.ran), slog.Bool("began", q.began))...)
 	q.node.meter.failed(err)
 	if q.began {
@@ -55,7 +57,12 @@
 	if q.route != nil {
 		name = q.route.Name
 	}
-	event.Log(q.node.log, event.RequestRefused, requestAttr(q.call.ID), codeAttr(err), slog.String("route", name))
+	attrs := []slog.Attr{requestAttr(q.call.ID), codeAttr(err), slog.String("route", name)}
+	if codes.Is(err, codes.PoisonRequest) {
+		event.Log(q.node.log, event.RequestPoison, append(attrs, ranAttr(sardine.RanNo), poisonAttr(q.losses.poison))...)
+	} else {
+		event.Log(q.node.log, event.RequestRefused, attrs...)
+	}
 	q.node.meter.refused(err)
 	if closesConnection(err) {
 		q.w.Header().Set("Connection", "close") // the rest of the body is not read
@@ -93,7 +100,7 @@
 
 func (q *routed) logAttempt(choice *route.Choice, err error) {
 	q.node.meter.attempted(err)
-	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.poison), codeAttr(err), ranAttr(q.ran),
+	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.losses.poison), codeAttr(err), ranAttr(q.ran),
 		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
 		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
 }
--- a/entry/rlate.go
+++ b/entry/rlate.go
@@ -51,7 +51,7 @@
 		return int64(at - q.arrived)
 	}
 	attrs := []slog.Attr{
-		requestAttr(q.call.ID), poisonAttr(q.poison), slog.String("route", q.route.Name), slog.Int("attempts", q.attempts),
+		requestAttr(q.call.ID), poisonAttr(q.losses.poison), slog.String("route", q.route.Name), slog.Int("attempts", q.attempts),
 		slog.Int64("picked_ms", since(t.pickedAt)), slog.Int64("sent_ms", since(t.sentAt)),
 		slog.Int64("head_ms", since(t.headAt)), slog.Int64("first_ms", since(t.firstAt)),
 		slog.Int64("pause_ms", int64(t.pause)), slog.Int64("pause_at_ms", since(t.pausedAt)),
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -29,7 +29,7 @@
 	service  serviceKey          // of the deployment
 	tenant   *sardine.KeyTenant  // nil without a key
 	request  pool.Request
-	poison   guard.Fingerprint // of what targets run
+	losses   losses
 	arrived  sardine.Millis
 	waited   sardine.Millis // by the caller before it came here
 	deadline sardine.Millis // the caller or the route waits no longer
@@ -67,7 +67,7 @@
 }
 
 func (n *Node) handleRouted(w http.ResponseWriter, r *http.Request) {
-	q := &routed{node: n, w: w, arrived: n.clock.Now(), ran: sardine.RanNo}
+	q := &routed{node: n, w: w, arrived: n.clock.Now(), ran: sardine.RanNo, losses: losses{node: n}}
 	if n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -113,7 +113,7 @@
 		return err
 	}
 	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
-	q.poison = guard.Of(body, q.call.Host, r.Method, r.RequestURI, q.workspace())
+	q.losses.poison = guard.Of(body, q.call.Host, r.Method, r.RequestURI, q.workspace())
 	return nil
 }
 
@@ -144,9 +144,14 @@
 // serve sends the request to targets until one has answered it in full, or
 // nothing more may be tried.
 func (q *routed) serve(ctx context.Context) {
+	if err := q.losses.allow(); err != nil {
+		q.refuse(err)
+		return
+	}
 	for {
 		err := q.attempt(ctx)
 		if err == nil {
+			q.losses.survived()
 			q.served()
 			return
 		}
@@ -154,7 +159,7 @@
 			q.abandon(ctx)
 			return
 		}
-		if !q.mayRepeat(err) {
+		if q.losses.allow() != nil || !q.mayRepeat(err) {
 			q.fail(err)
 			return
 		}
@@ -215,6 +220,7 @@
 	}
 	q.tried = append(q.tried, choice.Candidate.Ref)
 	q.times.pickedAt, q.times.choice = n.clock.Now(), choice
+	target := dispatched{candidate: choice.Candidate, crew: n.view().crew(choice.Candidate)}
 	ctx, end := q.takeOff(ctx, choice)
 	defer end()
 	done := route.End{}
@@ -231,32 +237,38 @@
 		done.Abort = failed.Ran() == sardine.RanNo
 		q.logAttempt(choice, failed)
 		if failed.Ran() != sardine.RanNo {
-			q.lose(ctx, choice.Candidate)
+			q.losses.lose(ctx, target, failed)
 		}
 		return q.causeOf(ctx, failed)
 	}
-	q.attempts++
-	q.counted = true
-	q.ran = sardine.RanYes
-	q.times.sentAt, q.times.headAt = answer.SentAt, n.clock.Now()
-	n.vitals.progress(q.flight, false)
-	n.gate.firstToken(choice, route.UnknownCached)
-	if answer.Reply.Loaded {
-		n.gate.load(choice.Candidate.Ref, answer.Reply.Load)
-	}
+	q.noteHead(choice, answer)
 	whole, err := q.pass(answer)
 	answer.Close(whole)
 	done.OK = whole
 	if err != nil {
 		q.logAttempt(choice, err)
 		if !errors.Is(err, errTargetError) {
-			q.lose(ctx, choice.Candidate)
+			q.losses.lose(ctx, target, err)
 		}
 		return q.causeOf(ctx, err)
 	}
 	return nil
 }
 
+// noteHead notes that a target has begun to answer.
+func (q *routed) noteHead(choice *route.Choice, answer *proxy.Answer) {
+	n := q.node
+	q.attempts++
+	q.counted = true
+	q.ran = sardine.RanYes
+	q.times.sentAt, q.times.headAt = answer.SentAt, n.clock.Now()
+	n.vitals.progress(q.flight, false)
+	n.gate.firstToken(choice, route.UnknownCached)
+	if answer.Reply.Loaded {
+		n.gate.load(choice.Candidate.Ref, answer.Reply.Load)
+	}
+}
+
 // mayMove reports whether the request could still go on at another target, if the
 // one that has it falls silent. One that can't waits for its answer all the same:
 // a silent target may well be at work.
--- a/entry/view.go
+++ b/entry/view.go
@@ -44,9 +44,11 @@
 	serving     map[sardine.GroupID]sardine.Epoch // groups that get new work
 	intact      map[sardine.GroupID]sardine.Epoch // groups that may finish work, a superset
 	plain       map[sardine.VMID]sardine.Incarnation
-	strikes     map[string][]sardine.GroupID // by fingerprint
+	strikes     map[string]state.Poison // by fingerprint
+	struck      uint64                  // index of the last change of strikes
 	cuts        map[sardine.Team]sardine.CutPolicy
-	members     map[sardine.GroupID][]sardine.VMID
+	members     map[sardine.GroupID][]sardine.Member
+	standings   map[sardine.VMID]standing // of all targets
 	tokens      oper.Tokens
 	nodes       int                   // entry nodes of the site
 	position    int                   // of this one among them, by name
@@ -55,10 +57,17 @@
 	trafficOpen bool                  // callers' requests have begun
 }
 
+// standing is a target VM as the log knows it.
+type standing struct {
+	incarnation sardine.Incarnation
+	leaving     bool
+}
+
 // newView arranges the machine's state. Documents that can't be parsed are
 // reported and leave their team out; the leader validates documents before they
 // are accepted, so that only an older program can meet one.
-func newView(m *state.Machine, self sardine.NodeID, table *paths.Table) (*view, []error) {
+// What has not changed since the view before is taken over from it.
+func newView(m *state.Machine, self sardine.NodeID, table *paths.Table, before *view) (*view, []error) {
 	v := emptyView()
 	v.index = m.Index()
 	for i, e := range m.Entries() {
@@ -78,10 +87,20 @@
 	v.addTable(table)
 	v.addGroups(m)
 	v.addPlain(m)
+	v.addStrikes(m, before)
+	return v, failed
+}
+
+// addStrikes takes the strikes over from the view before if they are the same.
+func (v *view) addStrikes(m *state.Machine, before *view) {
+	v.struck = m.StrikeIndex()
+	if before != nil && before.struck == v.struck {
+		v.strikes = before.strikes
+		return
+	}
 	for _, p := range m.Poisons() {
-		v.strikes[string(p.Fingerprint)] = p.Groups
+		v.strikes[string(p.Fingerprint)] = p
 	}
-	return v, failed
 }
 
 // emptyView returns the view of a node that has not followed anything yet.
@@ -94,9 +113,10 @@
 		serving:     make(map[sardine.GroupID]sardine.Epoch),
 		intact:      make(map[sardine.GroupID]sardine.Epoch),
 		plain:       make(map[sardine.VMID]sardine.Incarnation),
-		strikes:     make(map[string][]sardine.GroupID),
+		strikes:     make(map[string]state.Poison),
 		cuts:        make(map[sardine.Team]sardine.CutPolicy),
-		members:     make(map[sardine.GroupID][]sardine.VMID),
+		members:     make(map[sardine.GroupID][]sardine.Member),
+		standings:   make(map[sardine.VMID]standing),
 	}
 }
 
@@ -152,9 +172,7 @@
 		if g.State != sardine.GroupServing {
 			continue
 		}
-		for _, member := range g.Members {
-			v.members[g.ID] = append(v.members[g.ID], member.VM)
-		}
+		v.members[g.ID] = g.Members
 		if leaving(m, g) {
 			continue
 		}
@@ -210,10 +228,25 @@
 	return false
 }
 
+// crew returns the processes that a candidate's requests depend on.
+func (v *view) crew(c route.Candidate) []sardine.Member {
+	if c.Group != "" {
+		return v.members[c.Group]
+	}
+	return []sardine.Member{{VM: c.VM, Incarnation: c.Incarnation, Address: c.Address}}
+}
+
+// gone reports whether the log does not know the member's process any more.
+func (v *view) gone(m sardine.Member) bool {
+	s, known := v.standings[m.VM]
+	return !known || s.incarnation > m.Incarnation
+}
+
 // addPlain makes every plain target a candidate of each team that deploys its
 // service.
 func (v *view) addPlain(m *state.Machine) {
 	for _, t := range m.Targets() {
+		v.standings[t.VM] = standing{incarnation: t.Incarnation, leaving: t.Leaving}
 		if t.Kind != sardine.KindPlain || t.Leaving {
 			continue
 		}
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -21,7 +21,7 @@
 			index++
 			require.NoError(t, m.Apply(index, 1, c).Err)
 		}
-		v, _ := newView(m, "e1", nil)
+		v, _ := newView(m, "e1", nil, nil)
 		c := route.Candidate{Ref: route.Ref{Group: "g", Epoch: m.Groups()[0].Epoch}}
 		return v.current(c), v.lost(c)
 	}
--- a/event/table.go
+++ b/event/table.go
@@ -58,6 +58,9 @@
 	RequestServed   ID = 505
 	RequestLate     ID = 506
 	RequestLeft     ID = 507
+	RequestStruck   ID = 508
+	RequestCleared  ID = 509
+	RequestTried    ID = 510
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -116,6 +119,9 @@
 	{RequestServed, "request_served", slog.LevelInfo, "a request was answered in full; one of many is logged, chosen by its id", "nothing"},
 	{RequestLate, "request_late", slog.LevelInfo, "an answer's first piece or one of its pauses came later than its route's objective", "see sardctl losses"},
 	{RequestLeft, "request_left", slog.LevelInfo, "a caller left, or its time was over, before its answer was whole", "see sardctl losses"},
+	{RequestStruck, "request_struck", slog.LevelWarn, "a target ended while it ran the request, which did not run to its end anywhere else", "see the known attribute and sardctl poison"},
+	{RequestCleared, "request_cleared", slog.LevelInfo, "a request with strikes has run to its end, they are taken back", "nothing"},
+	{RequestTried, "request_tried", slog.LevelInfo, "a refused request is run once more, to see whether it was refused wrongly", "nothing"},
 	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
 	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -136,7 +136,7 @@
 		return nil
 	}
 	if e.Fate == Crashed && !g.options.hooks.noStrikes {
-		return []Action{g.strike(id, state.Strike{Fingerprint: slices.Clone(r.fingerprint[:]), Group: e.Group, Epoch: e.Epoch})}
+		return []Action{g.strike(id, state.Strike{Fingerprint: slices.Clone(r.fingerprint[:]), End: state.End{Group: e.Group, Epoch: e.Epoch}})}
 	}
 	var actions []Action
 	if e.Fate == Survived && r.attempt != 0 {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -224,7 +224,7 @@
 func TestInnocentRequestIsForgiven(t *testing.T) {
 	w := newWorld(1, hooks{})
 	f := Fingerprint{1, 1}
-	w.apply(state.Strike{Fingerprint: f[:], Group: "g5"})
+	w.apply(state.Strike{Fingerprint: f[:], End: state.End{Group: "g5"}})
 	for _, view := range w.followed {
 		w.catchUp(view)
 	}
--- /dev/null
+++ b/guard/ledger.go
@@ -0,0 +1,251 @@
+package guard
+
+import (
+	"strconv"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/state"
+)
+
+// MostEnds is the number of targets that may end under a request before a Ledger
+// refuses it. Two may end under a sound one, on both attempts that routes allow as
+// a rule, if a domain fails.
+const MostEnds = 3
+
+const (
+	// soundFor is how long a request counts as sound that has run to its end: what
+	// ends its targets at the same moment is taken for something else.
+	soundFor = 60 * sardine.Second
+	// soundMost bounds the sound requests that are remembered, twice.
+	soundMost = 8192
+	// ownMost bounds the ends that await the log.
+	ownMost = 1024
+)
+
+// trialAfter is how long a request is refused before it is run once more, by one
+// node, to see whether it was refused wrongly. A sender of the same request meets
+// no more trials than these while its strikes count.
+var trialAfter = [...]sardine.Millis{60 * sardine.Second, 600 * sardine.Second}
+
+// Record tells the strikes that this node has followed. state.Machine is one.
+type Record interface {
+	// Poison returns what is known of a fingerprint.
+	Poison(fingerprint []byte) state.Poison
+	// Index returns the index of the last log entry that Poison reflects.
+	Index() uint64
+}
+
+// Verdict says whether a request may be sent to a target.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Allowed Verdict = iota + 1
+	Refused
+	Trial // once, by the node that the log grants it to
+)
+
+// Loss is an attempt whose target is gone.
+type Loss struct {
+	Fingerprint Fingerprint
+	End         state.End
+	At          sardine.Millis // when the answer broke off
+	Known       int            // ends that were known when the request was sent
+}
+
+// own is an end that the record does not hold yet.
+type own struct {
+	end   state.End
+	index uint64 // of its strike, 0 until the log has it
+}
+
+// refusal is a request that this node refuses.
+type refusal struct {
+	since  sardine.Millis
+	trials int
+}
+
+// Ledger counts the targets that ended under each request and refuses those that
+// end their targets. It is a pure core as Guard is, for requests of which many
+// copies may be at work at once: it holds none of them back. Not safe for
+// concurrent use.
+type Ledger struct {
+	record   Record
+	own      map[Fingerprint][]own
+	sound    *recent
+	refused  map[Fingerprint]*refusal
+	released map[Fingerprint]uint64 // index from which the record knows, 0 until the log has it
+	waiting  int                    // ends in own
+	seen     uint64                 // index of the record at the last Tick, 0 if something came since
+}
+
+// NewLedger returns a ledger that knows what the record holds.
+func NewLedger(r Record) *Ledger {
+	return &Ledger{
+		record:   r,
+		own:      make(map[Fingerprint][]own),
+		sound:    newRecent(soundFor, soundMost),
+		refused:  make(map[Fingerprint]*refusal),
+		released: make(map[Fingerprint]uint64),
+	}
+}
+
+// Known returns the number of targets that have ended under the request.
+func (l *Ledger) Known(f Fingerprint) int {
+	ends := l.record.Poison(f[:]).Ends
+	count := len(ends)
+	for _, o := range l.own[f] {
+		if !holds(ends, o.end) {
+			count++
+		}
+	}
+	return count
+}
+
+func holds(ends []state.End, e state.End) bool {
+	for _, held := range ends {
+		if held == e {
+			return true
+		}
+	}
+	return false
+}
+
+// Ask says whether the request may be sent, seen that more targets have ended under
+// it than the ledger knows of.
+func (l *Ledger) Ask(now sardine.Millis, f Fingerprint, more int) Verdict {
+	if l.Known(f)+more < MostEnds {
+		delete(l.refused, f)
+		return Allowed
+	}
+	r := l.refused[f]
+	if r == nil {
+		r = &refusal{since: now}
+		l.refused[f] = r
+	}
+	if r.trials < len(trialAfter) && now >= r.since+trialAfter[r.trials] {
+		r.trials++
+		return Trial
+	}
+	return Refused
+}
+
+// TrialClaim returns the command with which a node asks the log for the trial of
+// the request that Ask has just offered. The first node gets it; all others are
+// refused.
+func (l *Ledger) TrialClaim(node sardine.NodeID, i sardine.Incarnation, f Fingerprint) state.ClaimKey {
+	key := f.String()
+	if ends := l.record.Poison(f[:]).Ends; len(ends) > 0 {
+		first := ends[0] // other strikes after a release are another case
+		key += "/" + first.Target() + "/" + strconv.FormatUint(uint64(first.Epoch)+uint64(first.Incarnation), 10)
+	}
+	trial := 0
+	if r := l.refused[f]; r != nil {
+		trial = r.trials
+	}
+	return state.ClaimKey{
+		Workspace: permits, Key: key + "/" + strconv.Itoa(trial), Fingerprint: f[:],
+		Node: node, Incarnation: i, Attempt: 1,
+	}
+}
+
+// Ended counts a loss whose target has ended. It returns the strike to propose, or
+// false if the loss does not count.
+func (l *Ledger) Ended(now sardine.Millis, s Loss) (state.Strike, bool) {
+	doubtful := l.sound.has(now, s.Fingerprint)
+	switch {
+	case doubtful && l.sound.at(s.Fingerprint) >= s.At:
+		return state.Strike{}, false // it has run to its end since
+	case doubtful && s.Known < l.Known(s.Fingerprint):
+		return state.Strike{}, false
+	case holds(l.record.Poison(s.Fingerprint[:]).Ends, s.End) || l.waits(s.Fingerprint, s.End):
+		return state.Strike{}, false
+	case l.waiting >= ownMost:
+		return state.Strike{}, false
+	}
+	l.waiting++
+	l.own[s.Fingerprint] = append(l.own[s.Fingerprint], own{end: s.End})
+	f := s.Fingerprint
+	return state.Strike{Fingerprint: f[:], End: s.End, Limit: MostEnds, Known: s.Known, Doubtful: doubtful}, true
+}
+
+func (l *Ledger) waits(f Fingerprint, e state.End) bool {
+	for _, o := range l.own[f] {
+		if o.end == e {
+			return true
+		}
+	}
+	return false
+}
+
+// Struck notes that the log has a strike at the index.
+func (l *Ledger) Struck(s state.Strike, index uint64) {
+	f := Fingerprint(s.Fingerprint)
+	for i := range l.own[f] {
+		if l.own[f][i].end == s.End {
+			l.own[f][i].index = index
+		}
+	}
+	l.seen = 0
+}
+
+// Survived notes that the request has run to its end, so that it is not what ended
+// its targets. It returns the command that takes its strikes back, or false if the
+// log has none.
+func (l *Ledger) Survived(now sardine.Millis, f Fingerprint) (state.ReleasePoison, bool) {
+	l.sound.note(now, f)
+	l.waiting -= len(l.own[f])
+	delete(l.own, f)
+	if len(l.record.Poison(f[:]).Ends) == 0 {
+		return state.ReleasePoison{}, false
+	}
+	if _, under := l.released[f]; under {
+		return state.ReleasePoison{}, false
+	}
+	l.released[f] = 0
+	return state.ReleasePoison{Fingerprint: f[:]}, true
+}
+
+// Released notes that the log has a release at the index, 0 if it did not take it.
+func (l *Ledger) Released(r state.ReleasePoison, index uint64) {
+	f := Fingerprint(r.Fingerprint)
+	if index == 0 {
+		delete(l.released, f)
+		return
+	}
+	l.released[f] = index
+	l.seen = 0
+}
+
+// Tick forgets what the record holds by now.
+func (l *Ledger) Tick() {
+	index := l.record.Index()
+	if index == l.seen {
+		return
+	}
+	l.seen = index
+	for f, at := range l.released {
+		if at > 0 && at <= index {
+			delete(l.released, f)
+		}
+	}
+	for f, all := range l.own {
+		var kept []own
+		for _, o := range all {
+			if o.index == 0 || o.index > index {
+				kept = append(kept, o)
+			}
+		}
+		l.waiting -= len(all) - len(kept)
+		if len(kept) == 0 {
+			delete(l.own, f)
+		} else {
+			l.own[f] = kept
+		}
+	}
+	for f := range l.refused {
+		if l.Known(f) < MostEnds {
+			delete(l.refused, f)
+		}
+	}
+}
--- a/sardctl/demo/failpoison.go
+++ b/sardctl/demo/failpoison.go
@@ -28,7 +28,7 @@
 		about: "refused",
 		told: func(r status.Report) error {
 			for _, p := range r.Poisons {
-				if p.Condition.State == "refused" && !p.Condition.Good && len(p.Groups) > 0 {
+				if p.Condition.State == "refused" && !p.Condition.Good && len(p.Targets) > 0 {
 					fingerprint = p.Fingerprint
 					return tellsOnly(r, "request", fingerprint)
 				}
--- a/sardctl/start/fake_test.go
+++ b/sardctl/start/fake_test.go
@@ -157,8 +157,8 @@
 		r, _ := f.machine.Current("adinkra")
 		f.apply(state.ChangeSettings{Team: "adinkra", Base: r.Version, ChangeID: "other", Document: adinkra + "idempotent = [\"GET\"]\n", Author: "kofi", Path: "/teams/adinkra/deployments/box_office"})
 	case "poison":
-		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, Group: "g-1"})
-		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, Group: "g-2"})
+		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, End: state.End{Group: "g-1"}})
+		f.apply(state.Strike{Fingerprint: []byte{0x9f, 0x86}, End: state.End{Group: "g-2"}})
 	case "other token":
 		f.token = "right"
 	case "no token":
--- a/sardctl/verbs/poison.go
+++ b/sardctl/verbs/poison.go
@@ -17,8 +17,8 @@
 		Use:     "poison",
 		Section: SectionRepair,
 		Short:   "List or release requests that crash their targets",
-		Long: `A request that has cost two groups is refused at every entry node. list shows
-such requests by their fingerprint, release lets one run again; the first digits of a fingerprint suffice.`,
+		Long: `A request that has cost two groups, or three targets behind a layout's routes or of
+a plain service, is refused at every entry node. list shows such requests by their fingerprint, release lets one run again; the first digits of a fingerprint suffice.`,
 		Examples: []string{"sardctl poison list", "sardctl poison release 9f86d081 --yes"},
 		Subs: []Verb{
 			{
@@ -43,18 +43,14 @@
 	}
 	var rows [][]string
 	for _, p := range r.Poisons {
-		var groups []string
-		for _, g := range p.Groups {
-			groups = append(groups, string(g))
-		}
-		rows = append(rows, []string{shortFingerprint(p.Fingerprint), p.Condition.State, since(r.At, p.Condition.Since), strings.Join(groups, " ")})
+		rows = append(rows, []string{shortFingerprint(p.Fingerprint), p.Condition.State, since(r.At, p.Condition.Since), strings.Join(p.Targets, " ")})
 	}
-	c.printTable("poison requests", []string{"fingerprint", "state", "for", "groups it cost"}, rows)
+	c.printTable("poison requests", []string{"fingerprint", "state", "for", "targets it cost"}, rows)
 	return nil
 }
 
 func runPoisonRelease(c *Call) error {
-	if err := c.confirm("The request may crash two more groups."); err != nil {
+	if err := c.confirm("The request may end as many targets again."); err != nil {
 		return err
 	}
 	fingerprint, err := c.fingerprint(c.args[0])
--- a/state/claims.go
+++ b/state/claims.go
@@ -149,35 +149,6 @@
 			break
 		}
 		delete(m.poisons, fingerprint)
-	}
-}
-
-func (m *Machine) strike(c Strike) Result {
-	p := m.poisons[string(c.Fingerprint)]
-	p.Fingerprint = c.Fingerprint
-	p.At = m.at
-	if !slices.Contains(p.Groups, c.Group) && len(p.Groups) < PoisonGroups {
-		p.Groups = append(slices.Clone(p.Groups), c.Group)
-	}
-	m.restorePoison(p)
-	m.boundPoisons()
-	return Result{}
-}
-
-func (m *Machine) restorePoison(p Poison) {
-	m.poisons[string(p.Fingerprint)] = p
-	m.strikes.put(string(p.Fingerprint), p.At)
-}
-
-func (m *Machine) dropPoison(fingerprint string) {
-	delete(m.poisons, fingerprint)
-	m.strikes.remove(fingerprint)
-}
-
-func (m *Machine) boundPoisons() {
-	if m.strikes.len() > MaxPoisons {
-		// Sorted, since machines restored from a snapshot queue equal stamps in
-		// another order.
-		m.dropPoison(m.strikes.sorted()[0].key)
+		m.struck = m.index
 	}
 }
--- a/state/codec_test.go
+++ b/state/codec_test.go
@@ -45,7 +45,7 @@
 		ClaimKey{Workspace: "box-office", Key: "k", Fingerprint: mark, Node: "e1", Incarnation: 3, Attempt: 4},
 		FinishClaim{Workspace: "box-office", Key: "k", Node: "e1", Incarnation: 3, Attempt: 4, Ran: sardine.RanYes, Answer: Answer{Status: 200, ContentType: "text/plain", Body: []byte("ok")}},
 		DropClaim{Workspace: "box-office", Key: "k", Node: "e1", Incarnation: 3, Attempt: 4},
-		Strike{Fingerprint: mark, Group: "g1", Epoch: 7},
+		Strike{Fingerprint: mark, End: End{Group: "g1", Epoch: 7, VM: "vm1", Incarnation: 2}, Limit: 3, Known: 1, Doubtful: true},
 		ReleasePoison{Fingerprint: mark},
 		PutToken{Token: Token{Hash: mark, Scope: "operator", Name: "ama", Expires: 99}},
 		DropToken{Hash: mark},
@@ -91,7 +91,8 @@
 // randomCommand draws from small sets of names, so that commands meet.
 func randomCommand(r *rand.Rand) Command {
 	node := sardine.NodeID(fmt.Sprintf("e%d", r.IntN(3)))
-	key := fmt.Sprintf("k%d", r.IntN(20))
+	number := r.IntN(20)
+	key := fmt.Sprintf("k%d", number)
 	inc := sardine.Incarnation(r.IntN(2) + 1)
 	mark := []byte{byte(r.IntN(4))}
 	target := fullTarget()
@@ -110,7 +111,7 @@
 		ClaimKey{Workspace: "w", Key: key, Fingerprint: []byte("f"), Node: node, Incarnation: inc},
 		FinishClaim{Workspace: "w", Key: key, Node: node, Incarnation: inc, Ran: sardine.RanYes, Answer: Answer{Status: 200}},
 		DropClaim{Workspace: "w", Key: key, Node: node, Incarnation: inc},
-		Strike{Fingerprint: mark, Group: group.ID, Epoch: 1},
+		Strike{Fingerprint: mark, End: End{Group: group.ID, Epoch: sardine.Epoch(number % 5)}, Limit: number % 2 * 3, Known: number % 3, Doubtful: number%7 < 3},
 		PutToken{Token: Token{Hash: mark, Scope: "operator"}},
 		DropToken{Hash: mark},
 	}
--- a/state/codecreq.go
+++ b/state/codecreq.go
@@ -39,8 +39,13 @@
 	case Strike:
 		w.Body = &wire.Command_Strike{Strike: &wire.Strike{
 			Fingerprint: c.Fingerprint,
-			Group:       string(c.Group),
-			Epoch:       uint64(c.Epoch),
+			Group:       string(c.End.Group),
+			Epoch:       uint64(c.End.Epoch),
+			Vm:          string(c.End.VM),
+			Incarnation: uint64(c.End.Incarnation),
+			Limit:       uint32(c.Limit),
+			Known:       uint32(c.Known),
+			Doubtful:    c.Doubtful,
 		}}
 	case ReleasePoison:
 		w.Body = &wire.Command_ReleasePoison{ReleasePoison: &wire.ReleasePoison{Fingerprint: c.Fingerprint}}
@@ -82,8 +87,15 @@
 	case *wire.Command_Strike:
 		return Strike{
 			Fingerprint: b.Strike.GetFingerprint(),
-			Group:       sardine.GroupID(b.Strike.GetGroup()),
-			Epoch:       sardine.Epoch(b.Strike.GetEpoch()),
+			End: End{
+				Group:       sardine.GroupID(b.Strike.GetGroup()),
+				Epoch:       sardine.Epoch(b.Strike.GetEpoch()),
+				VM:          sardine.VMID(b.Strike.GetVm()),
+				Incarnation: sardine.Incarnation(b.Strike.GetIncarnation()),
+			},
+			Limit:    int(b.Strike.GetLimit()),
+			Known:    int(b.Strike.GetKnown()),
+			Doubtful: b.Strike.GetDoubtful(),
 		}
 	case *wire.Command_ReleasePoison:
 		return ReleasePoison{Fingerprint: b.ReleasePoison.GetFingerprint()}
--- a/state/command.go
+++ b/state/command.go
@@ -102,11 +102,13 @@
 	Attempt     uint64
 }
 
-// Strike records that a group failed while it ran a request.
+// Strike records that a target ended while it ran a request.
 type Strike struct {
 	Fingerprint []byte
-	Group       sardine.GroupID
-	Epoch       sardine.Epoch
+	End         End
+	Limit       int  // ends after which the request is refused, 0 for PoisonGroups
+	Known       int  // ends that the sender knew of when it sent the request
+	Doubtful    bool // the end counts only if the sender knew all others
 }
 
 // ReleasePoison forgets a fingerprint's strikes.
--- a/state/machine.go
+++ b/state/machine.go
@@ -17,7 +17,7 @@
 	keptDocumentBytes = 1 << 20
 	keptChanges       = 2000
 	// PoisonGroups is the number of failed groups after which a request is
-	// refused.
+	// refused, unless its strikes say another one.
 	PoisonGroups = 2
 	// ClaimRetention is how long the answer to a key is kept.
 	ClaimRetention = WallTime(24 * 3600 * 1000)
@@ -35,7 +35,8 @@
 	// MaxTombstones bounds the keys that are refused after their retention,
 	// together with the claims that will become such.
 	MaxTombstones = 300_000
-	// MaxPoisons bounds the fingerprints with strikes; the oldest go first.
+	// MaxPoisons bounds the fingerprints with strikes; the oldest go first, those
+	// that are not refused before the others.
 	MaxPoisons = 10_000
 )
 
@@ -69,6 +70,7 @@
 	claimBytes int
 	expiry     *aging[claimName]
 	tombstones *aging[uint64]
+	struck     uint64 // index of the last change of poisons
 	poisons    map[string]Poison
 	strikes    *aging[string]
 	tokens     map[string]Token
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -155,6 +155,7 @@
 	for _, t := range w.GetTombstones() {
 		m.tombstones.put(t.GetHash(), WallTime(t.GetAt()))
 	}
+	m.struck = m.index
 	poisons := slices.Clone(w.GetPoisons())
 	slices.SortStableFunc(poisons, func(a, b *wire.Poison) int { return cmp.Compare(a.GetAt(), b.GetAt()) })
 	for _, p := range poisons {
@@ -215,19 +216,3 @@
 		Answer:      AnswerFromWire(w.GetAnswer()),
 	}
 }
-
-func poisonToWire(p Poison) *wire.Poison {
-	w := &wire.Poison{Fingerprint: p.Fingerprint, At: int64(p.At)}
-	for _, g := range p.Groups {
-		w.Groups = append(w.Groups, string(g))
-	}
-	return w
-}
-
-func poisonFromWire(w *wire.Poison) Poison {
-	p := Poison{Fingerprint: w.GetFingerprint(), At: WallTime(w.GetAt())}
-	for _, g := range w.GetGroups() {
-		p.Groups = append(p.Groups, sardine.GroupID(g))
-	}
-	return p
-}
--- a/state/types.go
+++ b/state/types.go
@@ -96,13 +96,6 @@
 	Answer      Answer
 }
 
-// Poison is a request fingerprint and the groups that failed while running it.
-type Poison struct {
-	Fingerprint []byte
-	Groups      []sardine.GroupID
-	At          WallTime
-}
-
 // Token is a bearer token's hash and what it covers: "operator", "caller:WS",
 // "target" or "team:TEAM".
 type Token struct {
--- a/state/view.go
+++ b/state/view.go
@@ -88,16 +88,6 @@
 	return found.result(changeID)
 }
 
-// Poisoned reports whether a request's fingerprint has cost PoisonGroups groups.
-func (m *Machine) Poisoned(fingerprint []byte) bool {
-	return len(m.poisons[string(fingerprint)].Groups) >= PoisonGroups
-}
-
-// Poisons returns all fingerprints with strikes, sorted.
-func (m *Machine) Poisons() []Poison {
-	return sorted(m.poisons, func(a, b Poison) int { return strings.Compare(string(a.Fingerprint), string(b.Fingerprint)) })
-}
-
 // Token returns the token with the given hash, unless it has expired.
 func (m *Machine) Token(hash []byte) (Token, bool) {
 	t, ok := m.tokens[string(hash)]
--- a/status/build.go
+++ b/status/build.go
@@ -308,12 +308,12 @@
 	var all []Poison
 	for _, p := range b.machine.Poisons() {
 		name := "suspected"
-		if b.machine.Poisoned(p.Fingerprint) {
+		if p.Refused() {
 			name = "refused"
 		}
 		fingerprint := hex.EncodeToString(p.Fingerprint)
 		all = append(all, Poison{
-			Fingerprint: fingerprint, Groups: p.Groups,
+			Fingerprint: fingerprint, Targets: each(p.Ends, state.End.Target),
 			Condition: b.condition("poison "+fingerprint, name, advisePoison(name)),
 		})
 	}
--- a/status/decode.go
+++ b/status/decode.go
@@ -110,7 +110,7 @@
 func decodePoison(m poisonMessage) Poison {
 	return Poison{
 		Fingerprint: m.Fingerprint,
-		Groups:      each(m.Groups, func(g string) sardine.GroupID { return sardine.GroupID(g) }),
+		Targets:     m.Targets,
 		Condition:   decodeCondition(m.Condition),
 	}
 }
--- a/status/encode.go
+++ b/status/encode.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 
-	sardine "sardineswitch.dev/sardine"
 )
 
 // Encode returns the JSON form of a report. Lists are never null, so that
@@ -105,7 +104,7 @@
 func encodePoison(p Poison) poisonMessage {
 	return poisonMessage{
 		Fingerprint: p.Fingerprint,
-		Groups:      each(p.Groups, func(g sardine.GroupID) string { return string(g) }),
+		Targets:     p.Targets,
 		Condition:   encodeCondition(p.Condition),
 	}
 }
--- a/status/message.go
+++ b/status/message.go
@@ -80,7 +80,7 @@
 
 type poisonMessage struct {
 	Fingerprint string           `json:"fingerprint"`
-	Groups      []string         `json:"groups"`
+	Targets     []string         `json:"targets"`
 	Condition   conditionMessage `json:"condition"`
 }
 
--- a/status/report.go
+++ b/status/report.go
@@ -109,8 +109,8 @@
 
 // Poison is a request that is refused, or close to it.
 type Poison struct {
-	Fingerprint string // hexadecimal
-	Groups      []sardine.GroupID
+	Fingerprint string   // hexadecimal
+	Targets     []string // that ended while they ran it
 	Condition   Condition
 }
 
