Count the plain targets of the own interface that a request ends

The same cause elsewhere: entry/plain.go asked no guard either, so that a booking without a key, sent again and again, ended a plain target each time. It follows its attempts with the same ledger as the layout's routes; callers get 422 poison_request there.

A keyed booking was safe: its claim runs it once at most.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -14,6 +14,7 @@
 	"sardineswitch.dev/sardine/claim"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
@@ -63,6 +64,7 @@
 	}
 	defer b.cancel(nil)
 	run := &plainRun{node: n, request: b.request, service: b.service, sink: b.sink, ran: sardine.RanNo}
+	run.losses = losses{node: n, poison: guard.Of(b.request.body, string(b.request.workspace), string(b.request.service), b.request.method, b.request.path)}
 	run.repeatable = repeatable(n.view().deployments[b.service], b.request.method)
 	timer := n.startDeadline(b.request, b.cancel)
 	defer timer.Stop()
@@ -98,6 +100,8 @@
 	ran        sardine.Ran // over all dispatches
 	tried      []route.Ref
 	attempts   int
+	losses     losses
+	target     dispatched     // of the last dispatch
 	took       sardine.Millis // of the last dispatch
 }
 
@@ -169,6 +173,19 @@
 // fetch dispatches until a target has answered or nothing more may be tried. The
 // caller calls end once it is done with the answer.
 func (p *plainRun) fetch(ctx context.Context) (*plainAnswer, func(), error) {
+	if err := p.losses.allow(); err != nil {
+		return nil, nil, err
+	}
+	answer, end, err := p.tryAll(ctx)
+	if err != nil {
+		p.losses.failed()
+	} else if answer.whole {
+		p.losses.survived()
+	}
+	return answer, end, err
+}
+
+func (p *plainRun) tryAll(ctx context.Context) (*plainAnswer, func(), error) {
 	for {
 		choice, err := p.pick()
 		if err != nil {
@@ -184,7 +201,7 @@
 		}
 		p.tried = append(p.tried, choice.Candidate.Ref)
 		d := p.node.gate.mayRetry(p.request.workspace, p.ran, p.repeatable, p.attempts)
-		if !d.Retry {
+		if !d.Retry || p.losses.allow() != nil {
 			return nil, nil, p.final(err)
 		}
 		if err := p.node.sleep(ctx, d.After); err != nil {
@@ -231,6 +248,7 @@
 // short.
 func (p *plainRun) attempt(ctx context.Context, choice *route.Choice) (*plainAnswer, func(), error) {
 	ctx, cancel, endFlight := p.node.flights.begin(ctx, choice.Candidate)
+	p.target = dispatched{candidate: choice.Candidate, crew: p.node.view().crew(choice.Candidate)}
 	watch := newWatchdog(cancel, p.node.timing.PlainAnswer, p.node.timing.PlainAnswer)
 	started := p.node.clock.Now()
 	end := func(ok bool) {
@@ -257,12 +275,16 @@
 	answer, failed := p.node.proxy.Open(ctx, p.request.exchange(choice.Candidate))
 	if failed != nil {
 		p.ran = combine(p.ran, failed.Ran())
+		if failed.Ran() != sardine.RanNo {
+			p.losses.lose(ctx, p.target, failed)
+		}
 		return nil, failed
 	}
 	p.ran = sardine.RanYes
 	p.node.noteLoad(choice.Candidate.Ref, answer.Reply)
 	held, err := hold(answer)
 	if err != nil {
+		p.losses.lose(ctx, p.target, err)
 		answer.Close(false)
 		return nil, err
 	}
@@ -295,8 +317,12 @@
 	}
 	_, err := io.Copy(extending{p.sink}, a.response.Body)
 	a.ended = err == nil
-	if err != nil {
+	if err == nil {
+		p.losses.survived()
+	} else {
 		err = codes.Wrap(codes.StreamBroken, err, "answer broke off")
+		p.losses.lose(context.Background(), p.target, err)
+		p.losses.failed()
 		event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(err), ranAttr(sardine.RanYes))
 		p.node.endTrace(p.request.trace, err, sardine.RanYes, 0)
 		panic(http.ErrAbortHandler)
@@ -320,7 +346,11 @@
 	if p.sink.started { // the caller is gone
 		return
 	}
-	event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(err), ranAttr(p.ran))
+	id := event.RequestFailed
+	if codes.Is(err, codes.PoisonRequest) {
+		id = event.RequestPoison
+	}
+	event.Log(p.node.log, id, requestAttr(p.request.id), codeAttr(err), ranAttr(p.ran), poisonAttr(p.losses.poison))
 	p.node.meter.failed(err)
 	p.sink.fail(refusalTo(err, p.request.id, p.ran))
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 
 const maxBody = 4 << 20
 
+// PoisonMarker ends the service that runs a body holding it.
+const PoisonMarker = "[[poison]]"
+
 // Fault is what the next requests suffer.
 type Fault uint8
 
@@ -183,6 +187,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	p.run(r.Context(), string(body), hold)
+	if strings.Contains(string(body), PoisonMarker) {
+		p.crash()
+	}
 	if fault == FaultAfter {
 		panic(http.ErrAbortHandler)
 	}
@@ -215,6 +222,17 @@
 	return p.fault, p.hold, true
 }
 
+// crash ends the service as its process's end would: its sockets close before
+// anything is answered.
+func (p *Plain) crash() {
+	p.mu.Lock()
+	server := p.server
+	p.mu.Unlock()
+	_ = server.Close()
+	go p.Stop() // waits for the handlers
+	panic(http.ErrAbortHandler)
+}
+
 // run counts the run, whether or not the caller waits for its end.
 func (p *Plain) run(ctx context.Context, body string, hold sardine.Millis) {
 	p.mu.Lock()
--- a/standin/site/once_test.go
+++ b/standin/site/once_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/standin/plain"
 )
 
@@ -142,3 +144,26 @@
 		cancel()
 	}
 }
+
+// Guards against a request that ends one plain target after the other: a booking
+// without a key, sent again and again through all entry nodes.
+func TestPoisonCostsFewPlainTargets(t *testing.T) {
+	const most = 6 // three until it is known, three more until all nodes follow
+	s := startSite(t, 1, 1, WithEngines(1, 1), WithPlains(4))
+	seat := "seat " + plain.PoisonMarker
+	poisoned := 0
+	for i := range 40 {
+		resp := post(t, s.Entries()[i%3].Node().PublicAddress(), "/services/box-office/bookings", "", []byte(seat))
+		require.NotEqual(t, http.StatusOK, resp.StatusCode)
+		if resp.StatusCode == codes.PoisonRequest.Status() {
+			poisoned++
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, p := range s.Plains() {
+			require.NoError(t, p.Start()) // nothing if it runs
+		}
+	}
+	t.Logf("%d targets ended, %d of 40 requests were refused for it", s.runs(seat), poisoned)
+	require.LessOrEqual(t, s.runs(seat), most)
+	require.GreaterOrEqual(t, poisoned, 20)
+}
