--- a/entry/view.go
+++ b/entry/view.go
@@ -98,9 +98,7 @@
 		v.strikes = before.strikes
 		return
 	}
-	for _, p := range m.Poisons() {
-		v.strikes[string(p.Fingerprint)] = p
-	}
+	v.strikes = m.PoisonTable()
 }
 
 // emptyView returns the view of a node that has not followed anything yet.
@@ -113,7 +111,6 @@
 		serving:     make(map[sardine.GroupID]sardine.Epoch),
 		intact:      make(map[sardine.GroupID]sardine.Epoch),
 		plain:       make(map[sardine.VMID]sardine.Incarnation),
-		strikes:     make(map[string]state.Poison),
 		cuts:        make(map[sardine.Team]sardine.CutPolicy),
 		members:     make(map[sardine.GroupID][]sardine.Member),
 		standings:   make(map[sardine.VMID]standing),
--- a/guard/ledger_test.go
+++ b/guard/ledger_test.go
@@ -178,3 +178,17 @@
 	require.Equal(t, ownMost, l.waiting)
 	require.Len(t, l.own, ownMost)
 }
+
+// BenchmarkLedger is what each request pays: its fingerprint, a question and a note
+// of its end.
+func BenchmarkLedger(b *testing.B) {
+	w := newLedgers()
+	l := w.desks["e1"].ledger
+	body := make([]byte, 2000)
+	for i := 0; b.Loop(); i++ {
+		body[i%len(body)]++
+		f := Of(body, "host", "POST", "/path/of/a/request", "workspace")
+		l.Ask(1000, f, 0)
+		l.Survived(1000, f)
+	}
+}
--- a/state/poison.go
+++ b/state/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -57,6 +58,11 @@
 	return sorted(m.poisons, func(a, b Poison) int { return strings.Compare(string(a.Fingerprint), string(b.Fingerprint)) })
 }
 
+// PoisonTable returns all fingerprints with strikes, by fingerprint.
+func (m *Machine) PoisonTable() map[string]Poison {
+	return maps.Clone(m.poisons)
+}
+
 // Strikes returns the groups that failed while they ran a request with the
 // fingerprint.
 func (m *Machine) Strikes(fingerprint []byte) []sardine.GroupID {
--- a/status/advise.go
+++ b/status/advise.go
@@ -129,7 +129,7 @@
 	if name == "refused" {
 		return advice{system: "refuses the request", person: "find its sender, or release it: sardctl poison release"}
 	}
-	return advice{good: true, system: "counts the groups that it costs"}
+	return advice{good: true, system: "counts the targets that end under it"}
 }
 
 // checks judges the promises. A group that the log calls serving while a member
