--- a/entry/meter.go
+++ b/entry/meter.go
@@ -54,6 +54,7 @@
 		{Name: "sardine_layout_number", Description: "number of the layout in force, 0 without one", Read: func() float64 { return float64(n.view().layoutNumber()) }},
 		{Name: "sardine_applied_index", Description: "index of the last entry of the log that was followed", Read: func() float64 { return float64(n.view().index) }},
 		{Name: "sardine_repeats_left", Description: "repeats that the bound leaves to the service that has fewest", Read: n.repeatsLeft},
+		{Name: "sardine_poison_requests", Description: "requests that are refused since they ended their targets", Read: func() float64 { return float64(n.view().poisons()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
 	}
 }
@@ -74,6 +75,17 @@
 	return count
 }
 
+// poisons returns the number of requests that the log has refused.
+func (v *view) poisons() int {
+	count := 0
+	for _, p := range v.strikes {
+		if p.Refused() {
+			count++
+		}
+	}
+	return count
+}
+
 func (v *view) layoutNumber() uint64 {
 	if v.table == nil {
 		return 0
