--- a/guard/ledger.go
+++ b/guard/ledger.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"slices"
 	"strconv"
 
 	sardine "sardineswitch.dev/sardine"
@@ -18,8 +19,8 @@
 	soundFor = 60 * sardine.Second
 	// soundMost bounds the sound requests that are remembered, twice.
 	soundMost = 8192
-	// ownMost bounds the ends that await the log.
-	ownMost = 1024
+	// pendingMost bounds the ends that await the log.
+	pendingMost = 1024
 )
 
 // trialAfter is how long a request is refused before it is run once more, by one
@@ -53,8 +54,8 @@
 	Known       int            // ends that were known when the request was sent
 }
 
-// own is an end that the record does not hold yet.
-type own struct {
+// pendingEnd is an end that the record does not hold yet.
+type pendingEnd struct {
 	end   state.End
 	index uint64 // of its strike, 0 until the log has it
 }
@@ -71,11 +72,11 @@
 // concurrent use.
 type Ledger struct {
 	record   Record
-	own      map[Fingerprint][]own
+	pending  map[Fingerprint][]pendingEnd
 	sound    *recent
 	refused  map[Fingerprint]*refusal
 	released map[Fingerprint]uint64 // index from which the record knows, 0 until the log has it
-	waiting  int                    // ends in own
+	waiting  int                    // ends in pending
 	seen     uint64                 // index of the record at the last Tick, 0 if something came since
 }
 
@@ -83,7 +84,7 @@
 func NewLedger(r Record) *Ledger {
 	return &Ledger{
 		record:   r,
-		own:      make(map[Fingerprint][]own),
+		pending:  make(map[Fingerprint][]pendingEnd),
 		sound:    newRecent(soundFor, soundMost),
 		refused:  make(map[Fingerprint]*refusal),
 		released: make(map[Fingerprint]uint64),
@@ -94,23 +95,14 @@
 func (l *Ledger) Known(f Fingerprint) int {
 	ends := l.record.Poison(f[:]).Ends
 	count := len(ends)
-	for _, o := range l.own[f] {
-		if !holds(ends, o.end) {
+	for _, p := range l.pending[f] {
+		if !slices.Contains(ends, p.end) {
 			count++
 		}
 	}
 	return count
 }
 
-func holds(ends []state.End, e state.End) bool {
-	for _, held := range ends {
-		if held == e {
-			return true
-		}
-	}
-	return false
-}
-
 // Ask says whether the request may be sent, seen that more targets have ended under
 // it than the ledger knows of.
 func (l *Ledger) Ask(now sardine.Millis, f Fingerprint, more int) Verdict {
@@ -136,8 +128,9 @@
 func (l *Ledger) TrialClaim(node sardine.NodeID, i sardine.Incarnation, f Fingerprint) state.ClaimKey {
 	key := f.String()
 	if ends := l.record.Poison(f[:]).Ends; len(ends) > 0 {
-		first := ends[0] // other strikes after a release are another case
-		key += "/" + first.Target() + "/" + strconv.FormatUint(uint64(first.Epoch)+uint64(first.Incarnation), 10)
+		first := ends[0]                                        // other strikes after a release are another case
+		life := uint64(first.Epoch) + uint64(first.Incarnation) // one of them is 0
+		key += "/" + first.Target() + "/" + strconv.FormatUint(life, 10)
 	}
 	trial := 0
 	if r := l.refused[f]; r != nil {
@@ -152,50 +145,63 @@
 // Ended counts a loss whose target has ended. It returns the strike to propose, or
 // false if the loss does not count.
 func (l *Ledger) Ended(now sardine.Millis, s Loss) (state.Strike, bool) {
-	doubtful := l.sound.has(now, s.Fingerprint)
+	f := s.Fingerprint
+	doubtful := l.sound.has(now, f)
 	switch {
-	case doubtful && l.sound.at(s.Fingerprint) >= s.At:
+	case doubtful && l.sound.at(f) >= s.At:
 		return state.Strike{}, false // it has run to its end since
-	case doubtful && s.Known < l.Known(s.Fingerprint):
+	case doubtful && s.Known < l.Known(f):
+		return state.Strike{}, false // at the same moment as another end
+	case slices.Contains(l.record.Poison(f[:]).Ends, s.End) || l.isPending(f, s.End):
 		return state.Strike{}, false
-	case holds(l.record.Poison(s.Fingerprint[:]).Ends, s.End) || l.waits(s.Fingerprint, s.End):
-		return state.Strike{}, false
-	case l.waiting >= ownMost:
+	case l.waiting >= pendingMost:
 		return state.Strike{}, false
 	}
 	l.waiting++
-	l.own[s.Fingerprint] = append(l.own[s.Fingerprint], own{end: s.End})
-	f := s.Fingerprint
+	l.pending[f] = append(l.pending[f], pendingEnd{end: s.End})
 	return state.Strike{Fingerprint: f[:], End: s.End, Limit: MostEnds, Known: s.Known, Doubtful: doubtful}, true
 }
 
-func (l *Ledger) waits(f Fingerprint, e state.End) bool {
-	for _, o := range l.own[f] {
-		if o.end == e {
-			return true
-		}
-	}
-	return false
+func (l *Ledger) isPending(f Fingerprint, e state.End) bool {
+	return slices.ContainsFunc(l.pending[f], func(p pendingEnd) bool { return p.end == e })
 }
 
-// Struck notes that the log has a strike at the index.
+// Struck notes that the log has a strike at the index, 0 if it will not take it: then
+// the end does not count any more.
 func (l *Ledger) Struck(s state.Strike, index uint64) {
 	f := Fingerprint(s.Fingerprint)
-	for i := range l.own[f] {
-		if l.own[f][i].end == s.End {
-			l.own[f][i].index = index
+	l.keep(f, func(p *pendingEnd) bool {
+		if p.end == s.End {
+			p.index = index
+			return index > 0
 		}
-	}
+		return true
+	})
 	l.seen = 0
 }
 
+// keep drops the pending ends of a fingerprint for which wanted is false.
+func (l *Ledger) keep(f Fingerprint, wanted func(*pendingEnd) bool) {
+	var kept []pendingEnd
+	for _, p := range l.pending[f] {
+		if wanted(&p) {
+			kept = append(kept, p)
+		}
+	}
+	l.waiting -= len(l.pending[f]) - len(kept)
+	l.pending[f] = kept
+	if len(kept) == 0 {
+		delete(l.pending, f)
+	}
+}
+
 // Survived notes that the request has run to its end, so that it is not what ended
 // its targets. It returns the command that takes its strikes back, or false if the
 // log has none.
 func (l *Ledger) Survived(now sardine.Millis, f Fingerprint) (state.ReleasePoison, bool) {
 	l.sound.note(now, f)
-	l.waiting -= len(l.own[f])
-	delete(l.own, f)
+	l.waiting -= len(l.pending[f])
+	delete(l.pending, f)
 	if len(l.record.Poison(f[:]).Ends) == 0 {
 		return state.ReleasePoison{}, false
 	}
@@ -229,19 +235,8 @@
 			delete(l.released, f)
 		}
 	}
-	for f, all := range l.own {
-		var kept []own
-		for _, o := range all {
-			if o.index == 0 || o.index > index {
-				kept = append(kept, o)
-			}
-		}
-		l.waiting -= len(all) - len(kept)
-		if len(kept) == 0 {
-			delete(l.own, f)
-		} else {
-			l.own[f] = kept
-		}
+	for f := range l.pending {
+		l.keep(f, func(p *pendingEnd) bool { return p.index == 0 || p.index > index })
 	}
 	for f := range l.refused {
 		if l.Known(f) < MostEnds {
--- a/guard/ledger_test.go
+++ b/guard/ledger_test.go
@@ -14,8 +14,9 @@
 
 // desk is one entry node: its ledger and the log as far as it has followed it.
 type desk struct {
-	view   *state.Machine
-	ledger *Ledger
+	view     *state.Machine
+	ledger   *Ledger
+	proposed []state.Strike // that the log may not have yet
 }
 
 // ledgers runs the ledgers of several nodes on one log.
@@ -93,6 +94,11 @@
 		w.survived(d, words[2])
 	case "ended":
 		return w.ended(d, words)
+	case "is": // refused by the log
+		for _, s := range d.proposed {
+			d.ledger.Struck(s, 0)
+		}
+		d.proposed, w.wait = nil, nil
 	case "restarts":
 		w.start(words[0])
 	}
@@ -139,6 +145,7 @@
 	if !counts {
 		return "does not count"
 	}
+	d.proposed = append(d.proposed, s)
 	w.wait = append(w.wait, func() { d.ledger.Struck(s, w.apply(s).Index) })
 	return fmt.Sprintf("known %d", d.ledger.Known(l.Fingerprint))
 }
@@ -175,8 +182,8 @@
 		l.Ended(w.now, Loss{Fingerprint: markOf(fmt.Sprint("lost", i)), End: state.End{VM: "t"}, At: w.now})
 	}
 	require.LessOrEqual(t, len(l.sound.now)+len(l.sound.before), 2*soundMost)
-	require.Equal(t, ownMost, l.waiting)
-	require.Len(t, l.own, ownMost)
+	require.Equal(t, pendingMost, l.waiting)
+	require.Len(t, l.pending, pendingMost)
 }
 
 // BenchmarkLedger is what each request pays: its fingerprint, a question and a note
