Count a target once that a request's own handler and the ledger both know

Cause, by reading how it got to three: a handler added the ends of its own attempts to the number that the ledger knows, though another copy on the same target had reported the same end.

--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -44,19 +44,20 @@
 	}
 }
 
-// known returns the number of targets that have ended under the request.
-func (s *strikes) known(f guard.Fingerprint) int {
+// known returns the number of targets that have ended under the request, with those
+// that its handler knows of.
+func (s *strikes) known(f guard.Fingerprint, handler ...state.End) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Known(f)
+	return s.ledger.Known(f, handler...)
 }
 
-// allow returns nil if the request may be sent to a target. more is the number of
-// targets that ended under it and that no one else knows of yet.
-func (s *strikes) allow(f guard.Fingerprint, more int) error {
+// allow returns nil if the request may be sent to a target, with the ends that its
+// handler knows of.
+func (s *strikes) allow(f guard.Fingerprint, handler ...state.End) error {
 	n := s.node
 	s.mu.Lock()
-	verdict := s.ledger.Ask(n.clock.Now(), f, more)
+	verdict := s.ledger.Ask(n.clock.Now(), f, handler...)
 	ask := state.ClaimKey{}
 	if verdict == guard.Trial {
 		ask = s.ledger.TrialClaim(n.id, n.incarnation, f)
@@ -196,22 +197,22 @@
 // first time.
 func (l *losses) allow() error {
 	own := l.ended()
-	if err := l.node.strikes.allow(l.poison, own); err != nil {
+	if err := l.node.strikes.allow(l.poison, own...); err != nil {
 		return err
 	}
-	l.sent = l.node.strikes.known(l.poison) + own
+	l.sent = l.node.strikes.known(l.poison, own...)
 	return nil
 }
 
-// ended returns the number of targets that have ended under this request.
-func (l *losses) ended() int {
-	count := 0
+// ended returns the targets that have ended under this request.
+func (l *losses) ended() []state.End {
+	var ends []state.End
 	for _, one := range l.all {
 		if l.node.checks.hasEnded(one.check) {
-			count++
+			ends = append(ends, one.loss.End)
 		}
 	}
-	return count
+	return ends
 }
 
 // lose begins to find out what became of a target that has lost the request, by the
--- a/guard/ledger.go
+++ b/guard/ledger.go
@@ -91,22 +91,28 @@
 	}
 }
 
-// Known returns the number of targets that have ended under the request.
-func (l *Ledger) Known(f Fingerprint) int {
+// Known returns the number of targets that have ended under the request, with those
+// that its sender knows of.
+func (l *Ledger) Known(f Fingerprint, sender ...state.End) int {
 	ends := l.record.Poison(f[:]).Ends
-	count := len(ends)
+	if len(l.pending[f])+len(sender) == 0 {
+		return len(ends)
+	}
+	all := slices.Clone(ends)
 	for _, p := range l.pending[f] {
-		if !slices.Contains(ends, p.end) {
-			count++
+		sender = append(sender, p.end)
+	}
+	for _, e := range sender {
+		if !slices.Contains(all, e) {
+			all = append(all, e)
 		}
 	}
-	return count
+	return len(all)
 }
 
-// Ask says whether the request may be sent, seen that more targets have ended under
-// it than the ledger knows of.
-func (l *Ledger) Ask(now sardine.Millis, f Fingerprint, more int) Verdict {
-	if l.Known(f)+more < MostEnds {
+// Ask says whether the request may be sent, with the ends that its sender knows of.
+func (l *Ledger) Ask(now sardine.Millis, f Fingerprint, sender ...state.End) Verdict {
+	if l.Known(f, sender...) < MostEnds {
 		delete(l.refused, f)
 		return Allowed
 	}
