--- a/status/encode.go
+++ b/status/encode.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-
 )
 
 // Encode returns the JSON form of a report. Lists are never null, so that
