Count ends less than a second apart as one for a request that was sound

Trace: its log shows each end found within a millisecond, so that retries and new copies knew of the first end when they met the second; the rule that an end counts if its sender knew of all others took one crash for three. Change: the log compares stamps; ends less than a second apart count once for a request that ran to its end within a minute. Strikes carry no number of known ends any more. A killer that was sound before is still refused after two seconds (guard/testdata/ledger/survivors), within the three that are allowed.

--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -44,12 +44,11 @@
 	}
 }
 
-// known returns the number of targets that have ended under the request, with those
-// that its handler knows of.
-func (s *strikes) known(f guard.Fingerprint, handler ...state.End) int {
+// known returns the number of targets that have ended under the request.
+func (s *strikes) known(f guard.Fingerprint) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Known(f, handler...)
+	return s.ledger.Known(f)
 }
 
 // allow returns nil if the request may be sent to a target, with the ends that its
@@ -184,7 +183,6 @@
 	node   *Node
 	poison guard.Fingerprint
 	all    []lost
-	sent   int // ends known when the attempt under way was sent
 }
 
 // lost is an attempt that its target did not bring to an end.
@@ -196,12 +194,7 @@
 // allow returns nil if the request may be sent to a target, once more or for the
 // first time.
 func (l *losses) allow() error {
-	own := l.ended()
-	if err := l.node.strikes.allow(l.poison, own...); err != nil {
-		return err
-	}
-	l.sent = l.node.strikes.known(l.poison, own...)
-	return nil
+	return l.node.strikes.allow(l.poison, l.ended()...)
 }
 
 // ended returns the targets that have ended under this request.
@@ -224,7 +217,7 @@
 	}
 	now := l.node.clock.Now()
 	k := l.node.checks.begin(d, !errors.Is(err, os.ErrDeadlineExceeded))
-	l.all = append(l.all, lost{check: k, loss: guard.Loss{Fingerprint: l.poison, End: state.End(d.candidate.Ref), At: now, Known: l.sent}})
+	l.all = append(l.all, lost{check: k, loss: guard.Loss{Fingerprint: l.poison, End: state.End(d.candidate.Ref), At: now}})
 }
 
 // failed blames the request for the targets that have ended under it, since it did
--- a/guard/ledger.go
+++ b/guard/ledger.go
@@ -51,13 +51,13 @@
 	Fingerprint Fingerprint
 	End         state.End
 	At          sardine.Millis // when the answer broke off
-	Known       int            // ends that were known when the request was sent
 }
 
 // pendingEnd is an end that the record does not hold yet.
 type pendingEnd struct {
 	end   state.End
-	index uint64 // of its strike, 0 until the log has it
+	at    sardine.Millis // when it counted
+	index uint64         // of its strike, 0 until the log has it
 }
 
 // refusal is a request that this node refuses.
@@ -156,16 +156,22 @@
 	switch {
 	case doubtful && l.sound.at(f) >= s.At:
 		return state.Strike{}, false // it has run to its end since
-	case doubtful && s.Known < l.Known(f):
-		return state.Strike{}, false // at the same moment as another end
+	case doubtful && l.together(now, f):
+		return state.Strike{}, false
 	case slices.Contains(l.record.Poison(f[:]).Ends, s.End) || l.isPending(f, s.End):
 		return state.Strike{}, false
 	case l.waiting >= pendingMost:
 		return state.Strike{}, false
 	}
 	l.waiting++
-	l.pending[f] = append(l.pending[f], pendingEnd{end: s.End})
-	return state.Strike{Fingerprint: f[:], End: s.End, Limit: MostEnds, Known: s.Known, Doubtful: doubtful}, true
+	l.pending[f] = append(l.pending[f], pendingEnd{end: s.End, at: now})
+	return state.Strike{Fingerprint: f[:], End: s.End, Limit: MostEnds, Doubtful: doubtful}, true
+}
+
+// together reports whether another end has just counted here. The log compares those
+// of all nodes.
+func (l *Ledger) together(now sardine.Millis, f Fingerprint) bool {
+	return slices.ContainsFunc(l.pending[f], func(p pendingEnd) bool { return now-p.at < sardine.Millis(state.StrikesApart) })
 }
 
 func (l *Ledger) isPending(f Fingerprint, e state.End) bool {
--- a/state/codecreq.go
+++ b/state/codecreq.go
@@ -44,7 +44,6 @@
 			Vm:          string(c.End.VM),
 			Incarnation: uint64(c.End.Incarnation),
 			Limit:       uint32(c.Limit),
-			Known:       uint32(c.Known),
 			Doubtful:    c.Doubtful,
 		}}
 	case ReleasePoison:
@@ -94,7 +93,6 @@
 				Incarnation: sardine.Incarnation(b.Strike.GetIncarnation()),
 			},
 			Limit:    int(b.Strike.GetLimit()),
-			Known:    int(b.Strike.GetKnown()),
 			Doubtful: b.Strike.GetDoubtful(),
 		}
 	case *wire.Command_ReleasePoison:
--- a/state/command.go
+++ b/state/command.go
@@ -107,8 +107,7 @@
 	Fingerprint []byte
 	End         End
 	Limit       int  // ends after which the request is refused, 0 for PoisonGroups
-	Known       int  // ends that the sender knew of when it sent the request
-	Doubtful    bool // the end counts only if the sender knew all others
+	Doubtful    bool // the end does not count together with another one
 }
 
 // ReleasePoison forgets a fingerprint's strikes.
--- a/state/machine.go
+++ b/state/machine.go
@@ -25,6 +25,10 @@
 	TombstoneRetention = 7 * ClaimRetention
 	// PoisonRetention is how long a fingerprint's strikes count.
 	PoisonRetention = ClaimRetention
+	// StrikesApart is the time between ends that add up under a request which ran
+	// to its end shortly before: those of one event, such as a domain's crash, come
+	// closer together.
+	StrikesApart = WallTime(1000)
 	// MaxClaims bounds the claims kept at once.
 	MaxClaims = 50_000
 	// MaxClaimBytes bounds the keys, fingerprints and answers of all claims.
--- a/state/poison.go
+++ b/state/poison.go
@@ -31,8 +31,8 @@
 type Poison struct {
 	Fingerprint []byte
 	Ends        []End
-	Limit       int // ends after which the request is refused
-	At          WallTime
+	Limit       int      // ends after which the request is refused
+	At          WallTime // of the last end that counted
 }
 
 // Refused reports whether the request is not run any more.
@@ -41,11 +41,11 @@
 }
 
 // counts reports whether a strike adds an end.
-func (p Poison) counts(c Strike) bool {
+func (p Poison) counts(c Strike, at WallTime) bool {
 	if p.Refused() || slices.Contains(p.Ends, c.End) {
 		return false
 	}
-	return !c.Doubtful || c.Known >= len(p.Ends)
+	return !c.Doubtful || len(p.Ends) == 0 || at-p.At >= StrikesApart
 }
 
 // Poison returns what is known of a fingerprint.
@@ -90,9 +90,9 @@
 	if c.Limit == 0 {
 		p.Limit = PoisonGroups
 	}
-	p.At = m.at
-	if p.counts(c) {
+	if p.counts(c, m.at) {
 		p.Ends = append(slices.Clone(p.Ends), c.End)
+		p.At = m.at
 	}
 	m.struck = m.index
 	m.restorePoison(p)
