Tell that a change is held when the caller's time ends in the middle of a call

Cause: sardctl asks again until its time is over, and a call cut by that moment reports an unknown outcome though an answer before it said that the change is durable and held. On a busy machine the cut meets a call more often. Change: the last such answer is told. TestHeldChangeIsToldWhenTimeIsOver failed before with outcome_unknown (106).

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -149,6 +149,8 @@
 	if request.GetChangeId() != "" {
 		again = repeatChange
 	}
+	var held *wire.SettingsReply
+	var heldErr error
 	for {
 		answer, err := atLeader(ctx, c, again, func(ctx context.Context, s wire.Control) (*wire.SettingsReply, *wire.Fault, error) {
 			ctx, cancel := context.WithTimeout(ctx, settingsMost)
@@ -156,9 +158,17 @@
 			r, err := s.Settings(ctx, request)
 			return r, r.GetFault(), err
 		})
-		if !codes.Is(err, codes.ChangeHeld) || pause(ctx) != nil {
+		switch {
+		case codes.Is(err, codes.ChangeHeld):
+			held, heldErr = answer, err
+		case heldErr != nil && ctx.Err() != nil: // the time was over while it was asked again
+			return held, heldErr
+		default:
 			return answer, err
 		}
+		if pause(ctx) != nil {
+			return held, heldErr
+		}
 	}
 }
 
--- a/ctlapi/client_test.go
+++ b/ctlapi/client_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,3 +69,32 @@
 func host(s *httptest.Server) string {
 	return strings.TrimPrefix(s.URL, "http://")
 }
+
+// holding says once that a change is held, and then falls silent.
+type holding struct {
+	wire.Control
+	asked atomic.Int32
+}
+
+func (h *holding) Settings(ctx context.Context, _ *wire.SettingsRequest) (*wire.SettingsReply, error) {
+	if h.asked.Add(1) == 1 {
+		return &wire.SettingsReply{Version: 3, Fault: FaultOf(codes.New(codes.ChangeHeld, "not yet in force"))}, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a change that is durable and held, and reported as of unknown outcome
+// since the caller's time was over in the middle of a call.
+func TestHeldChangeIsToldWhenTimeIsOver(t *testing.T) {
+	h := &holding{}
+	leader := httptest.NewServer(wire.NewControlServer(h))
+	defer leader.Close()
+	c := New([]string{host(leader)})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := c.Settings(ctx, &wire.SettingsRequest{ChangeId: "c"})
+	require.True(t, codes.Is(err, codes.ChangeHeld), "%v", err)
+	require.Greater(t, h.asked.Load(), int32(1), "it was asked again")
+}
