--- a/entry/checks.go
+++ b/entry/checks.go
@@ -228,10 +228,3 @@
 	_, err := conn.Read(one[:])
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
-
-// lostByTarget reports whether an attempt with the context ended by its target, not
-// by its caller, its deadline or the node.
-func lostByTarget(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	return cause == nil || errors.Is(cause, errStalled) || errors.Is(cause, errGroupLost)
-}
