--- a/ctlapi/client_test.go
+++ b/ctlapi/client_test.go
@@ -32,9 +32,9 @@
 // ends with an unknown outcome, settings are sent again to the next node, and the
 // silent node is not asked first any more.
 func TestSilentNodeIsLeft(t *testing.T) {
-	asked := 0
+	var asked atomic.Int32
 	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		asked++
+		asked.Add(1)
 		_, _ = r.Body.Read(make([]byte, 1<<10))
 		<-r.Context().Done()
 	}))
@@ -56,14 +56,14 @@
 	answer, err := c.Submit(ctx, &wire.SubmitRequest{})
 	require.NoError(t, err)
 	require.EqualValues(t, 7, answer.Index)
-	require.Equal(t, 1, asked)
+	require.EqualValues(t, 1, asked.Load())
 
 	c = client()
 	defer c.Close()
 	settings, err := c.Settings(ctx, &wire.SettingsRequest{})
 	require.NoError(t, err)
 	require.EqualValues(t, 3, settings.Version)
-	require.Equal(t, 2, asked)
+	require.EqualValues(t, 2, asked.Load())
 }
 
 func host(s *httptest.Server) string {
