--- /dev/null
+++ b/standin/spread/cascade_test.go
@@ -0,0 +1,121 @@
+package spread
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/drive"
+	"sardineswitch.dev/sardine/follow"
+	"sardineswitch.dev/sardine/state"
+)
+
+// inForceMost bounds the time in which a change must be in force on every entry
+// node that can reach the control nodes.
+const inForceMost = 2500 * sardine.Millis(1)
+
+// relaySite returns a site whose data centres follow through a root, relays
+// below it and their followers, after all nodes have found their places.
+func relaySite(t *testing.T, seed uint64, cost sardine.Millis) *World {
+	w := New(Options{
+		Seed: seed, Controls: 9, Centres: []int{21, 22, 26}, Operators: 1, Teams: 1,
+		Faults: drive.Faults{Delay: 2}, Steady: true, PollCost: cost,
+	})
+	w.RunFor(15 * sardine.Second)
+	require.True(t, w.settled(), "seed %d", seed)
+	clear(w.askers)
+	return w
+}
+
+// roots returns the nodes that ask the leader for their data centre.
+func (w *World) roots() []sardine.NodeID {
+	var roots []sardine.NodeID
+	for _, n := range w.nodes {
+		if w.role(n.id) == RoleRoot {
+			roots = append(roots, n.id)
+		}
+	}
+	return roots
+}
+
+// slowest puts a layout into the log and returns the time until the last entry
+// node has it.
+func (w *World) slowest(number uint64) sardine.Millis {
+	leader := w.control(w.Leader())
+	leader.w.board.append(leader.term, leader.stamp(), state.PutLayout{Number: number, Packed: []byte{1}})
+	start := w.driver.Now()
+	for w.driver.Now() < start+2*inForceMost {
+		w.RunFor(20)
+		if w.everywhere(number) {
+			break
+		}
+	}
+	return w.driver.Now() - start
+}
+
+func (w *World) everywhere(number uint64) bool {
+	for _, n := range w.nodes {
+		if n.follower.Machine().Layout().Number < number {
+			return false
+		}
+	}
+	return true
+}
+
+// A relay whose own poll got no answer once turned its whole data centre to the
+// leader, though what it knew was a second old.
+func TestLostAnswerOfARelayConcernsNobodyElse(t *testing.T) {
+	for seed := range uint64(10) {
+		w := relaySite(t, seed, 0)
+		roots := w.roots()
+		require.Len(t, roots, 3, "seed %d", seed)
+		w.driver.Cut(w.Leader(), roots[0], follow.Hold+follow.ReplyMargin)
+		w.RunFor(4 * sardine.Second)
+		for _, root := range roots {
+			delete(w.askers, root)
+		}
+		require.Empty(t, w.askers, "seed %d: nodes below a relay asked control nodes", seed)
+	}
+}
+
+// The followers of relays whose poll was late turned to a leader that was busy
+// already, made the next answers late, and changes came seconds late for as long
+// as they went on.
+func TestLateAnswersOfABusyLeaderDoNotSpread(t *testing.T) {
+	const (
+		cost    = 12 * sardine.Millis(1) // of a poll: 69 nodes at once take twice the time of a probe
+		changes = 20
+	)
+	for seed := range uint64(5) {
+		w := relaySite(t, seed, cost)
+		for _, root := range w.roots() {
+			w.driver.Cut(w.Leader(), root, follow.Hold+follow.ReplyMargin)
+		}
+		w.RunFor(sardine.Second)
+		for number := range uint64(changes) {
+			require.LessOrEqual(t, w.slowest(number+1), inForceMost, "seed %d, change %d", seed, number+1)
+		}
+	}
+}
+
+// A relay that is frozen leaves its followers without a word; all of them have
+// other paths to the leader and get changes in time.
+func TestChangesReachTheFollowersOfAFrozenRelayInTime(t *testing.T) {
+	for seed := range uint64(10) {
+		w := relaySite(t, seed, 0)
+		root := w.roots()[0]
+		w.driver.Pause(root, 8*sardine.Second)
+		leader := w.control(w.Leader())
+		leader.w.board.append(leader.term, leader.stamp(), state.PutLayout{Number: 1, Packed: []byte{1}})
+		start := w.driver.Now()
+		for w.driver.Now() < start+inForceMost {
+			w.RunFor(20)
+		}
+		for _, n := range w.nodes {
+			if n.id != root {
+				require.EqualValues(t, 1, n.follower.Machine().Layout().Number, "seed %d, node %s", seed, n.id)
+			}
+		}
+	}
+}
--- a/standin/spread/control.go
+++ b/standin/spread/control.go
@@ -43,6 +43,7 @@
 	nextPoll uint64
 	waits    map[uint64][]caller // index to those who wait for its result
 	held     []heldChange
+	busyTill sardine.Millis // end of the work on the polls that have arrived
 }
 
 // caller is who gets an answer.
@@ -118,6 +119,20 @@
 
 // Receive takes a message.
 func (c *control) Receive(now sardine.Millis, from sardine.NodeID, m Message) {
+	if m.Kind == kindFollow && c.w.options.PollCost > 0 {
+		c.queue(now, from, m)
+		return
+	}
+	c.take(now, from, m)
+}
+
+// queue takes a poll once the polls before it and its own work are done.
+func (c *control) queue(now sardine.Millis, from sardine.NodeID, m Message) {
+	c.busyTill = max(c.busyTill, now) + c.w.options.PollCost
+	c.w.driver.After(c.id, c.busyTill-now, func(now sardine.Millis) { c.take(now, from, m) })
+}
+
+func (c *control) take(now sardine.Millis, from sardine.NodeID, m Message) {
 	c.now = now
 	if m.Term > c.term {
 		c.stepDown(m.Term)
--- a/standin/spread/log.go
+++ b/standin/spread/log.go
@@ -227,6 +227,7 @@
 	to := caller{node: from, call: m.Call}
 	if m.Kind == kindFollow {
 		c.hint()
+		c.w.askers[from]++
 		c.nextPoll++
 		c.polls[c.nextPoll] = to
 		c.server.Arrived(c.now, c.nextPoll, c.w.decodeRequest(m.Body))
--- a/standin/spread/world.go
+++ b/standin/spread/world.go
@@ -41,6 +41,9 @@
 	Workers int
 	// Steady switches off the random publish delays, for measurements.
 	Steady bool
+	// PollCost is the processor time that a control node spends on one poll; polls
+	// wait for one another.
+	PollCost sardine.Millis
 }
 
 // World is a site under simulation.
@@ -58,7 +61,8 @@
 	traffic    map[sardine.NodeID]*Traffic
 	places     map[sardine.NodeID]int // data centre of each node, from 0
 	costs      map[sardine.NodeID]time.Duration
-	ledAt      sardine.Millis // last start of a leader's term
+	ledAt      sardine.Millis         // last start of a leader's term
+	askers     map[sardine.NodeID]int // polls of each entry node at control nodes
 
 	// History is every operation of the operators.
 	History []*Operation
@@ -86,6 +90,7 @@
 		traffic:  make(map[sardine.NodeID]*Traffic),
 		places:   make(map[sardine.NodeID]int),
 		costs:    make(map[sardine.NodeID]time.Duration),
+		askers:   make(map[sardine.NodeID]int),
 	}
 	if o.Link != nil {
 		w.driver.SetLinks(func(from, to sardine.NodeID) sardine.Millis { return o.Link(w.places[from], w.places[to]) })
