Keep the followers of a relay whose own poll fails once

What callers saw: routes and keys served for up to 3.5 s by settings that a confirmed change had overtaken. Cause: a relay whose poll failed once turned away all its followers, which know other relays only through the leader. They all asked the leader, which is late for the next relay then; each came back to a relay that was cut off itself, and so on for 20 s. Class: a fault that is passed on as a failure, so that the load it causes makes it again. Change: followers stay until what the relay knows is 1.6 s old. Replies tell since when a leader has vouched for the state, counted through all levels, so that one bound holds for their sum. Answers to followers leave before a document is parsed. settings_stale, settings_fresh and sardine_settings_age_seconds tell the age.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime"
 	"sync"
 
 	sardine "sardineswitch.dev/sardine"
@@ -80,26 +81,28 @@
 // published is what requests are served by: the view and the lease that was
 // computed with it.
 type published struct {
-	view  *view
-	lease follow.Lease
+	view    *view
+	lease   follow.Lease
+	freshAt sardine.Millis // when a leader last vouched for the view, 0 before the first time
 }
 
 // follower is the shell around the follow core.
 type follower struct {
-	node     *Node
-	core     *follow.Follower
-	events   *ring.Ring[followEvent]
-	wake     chan struct{}
-	client   *http.Client
-	children map[uint64]chan follow.Reply
-	lastFull sardine.Millis
-	serving  bool
-	joining  bool
-	joined   chan error
-	lookup   *paths.Table   // of the newest layout
-	saidAt   sardine.Millis // last line about a loss
-	lostAt   sardine.Millis // since when no poll is answered, 0 while they are
-	running  sync.WaitGroup
+	node       *Node
+	core       *follow.Follower
+	events     *ring.Ring[followEvent]
+	wake       chan struct{}
+	client     *http.Client
+	children   map[uint64]chan follow.Reply
+	lastFull   sardine.Millis
+	serving    bool
+	joining    bool
+	joined     chan error
+	lookup     *paths.Table   // of the newest layout
+	saidAt     sardine.Millis // last line about a loss
+	lostAt     sardine.Millis // since when no poll is answered, 0 while they are
+	staleSince sardine.Millis // last word of a leader, 0 while it is recent
+	running    sync.WaitGroup
 
 	mu     sync.Mutex
 	nextID uint64
@@ -155,6 +158,7 @@
 		}
 		f.answerChildren()
 		f.noteLease(now)
+		f.noteAge(now)
 		select {
 		case <-f.node.tomb.Dying():
 			return nil
@@ -231,6 +235,8 @@
 	if outcome.Superseded {
 		return codes.New(codes.Superseded, "a later incarnation of entry node %s has joined", f.node.id)
 	}
+	f.answerChildren()
+	runtime.Gosched() // the answers leave before this goroutine parses a document
 	if e.reply.Fault == nil {
 		f.node.ackReport(fleet.Ack{Sequence: e.reports, WantFull: outcome.WantFull})
 	}
@@ -251,9 +257,9 @@
 	} else {
 		v = f.newView(m)
 	}
-	f.node.published.Store(&published{view: v, lease: f.core.Lease()})
+	f.node.published.Store(&published{view: v, lease: f.core.Lease(), freshAt: f.core.FreshAt()})
 	f.core.Published(v.index)
-	f.node.published.Store(&published{view: v, lease: f.core.Lease()})
+	f.node.published.Store(&published{view: v, lease: f.core.Lease(), freshAt: f.core.FreshAt()})
 	if old == nil || old.view != v {
 		f.node.gate.update(v)
 		f.node.flights.lose(v)
@@ -315,6 +321,24 @@
 	event.Log(f.node.log, id)
 }
 
+// noteAge logs when what the node serves by becomes older than what it may hand to
+// its followers, and when it is renewed.
+func (f *follower) noteAge(now sardine.Millis) {
+	freshAt := f.core.FreshAt()
+	if freshAt == 0 {
+		return
+	}
+	age := now - freshAt
+	switch stale := age > follow.StaleMost; {
+	case stale && f.staleSince == 0:
+		f.staleSince = freshAt
+		event.Log(f.node.log, event.SettingsStale, slog.Int64("age_ms", int64(age)), slog.Uint64("index", f.core.Machine().Index()))
+	case !stale && f.staleSince != 0:
+		event.Log(f.node.log, event.SettingsFresh, slog.Int64("after_ms", int64(freshAt-f.staleSince)))
+		f.staleSince = 0
+	}
+}
+
 // report queues the home's news for the next request and returns its sequence.
 func (f *follower) report(now sardine.Millis) uint64 {
 	if now-f.lastFull >= fullReportEvery {
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -53,12 +53,21 @@
 		{Name: "sardine_routable", Description: "groups and plain targets that requests may go to", Read: func() float64 { return float64(n.view().routable()) }},
 		{Name: "sardine_layout_number", Description: "number of the layout in force, 0 without one", Read: func() float64 { return float64(n.view().layoutNumber()) }},
 		{Name: "sardine_applied_index", Description: "index of the last entry of the log that was followed", Read: func() float64 { return float64(n.view().index) }},
+		{Name: "sardine_settings_age_seconds", Description: "time since a leader last vouched for what the node serves by, -1 before the first time", Read: n.settingsAge},
 		{Name: "sardine_repeats_left", Description: "repeats that the bound leaves to the service that has fewest", Read: n.repeatsLeft},
 		{Name: "sardine_poison_requests", Description: "requests that are refused since they ended their targets", Read: func() float64 { return float64(n.view().poisons()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
 	}
 }
 
+func (n *Node) settingsAge() float64 {
+	freshAt := n.published.Load().freshAt
+	if freshAt == 0 {
+		return -1
+	}
+	return float64(n.clock.Now()-freshAt) / float64(sardine.Second)
+}
+
 func (n *Node) repeatsLeft() float64 {
 	if n.repeats == nil {
 		return 0
--- a/event/table.go
+++ b/event/table.go
@@ -38,6 +38,8 @@
 	WitnessRegained ID = 310
 	HearingLost     ID = 311
 	HearingRegained ID = 312
+	SettingsStale   ID = 313
+	SettingsFresh   ID = 314
 	TargetSeen      ID = 400
 	TargetLost      ID = 401
 	TargetLeaving   ID = 402
@@ -95,6 +97,8 @@
 	{LayoutInForce, "layout_in_force", slog.LevelInfo, "an entry node serves by a new layout", "nothing"},
 	{FollowLost, "follow_lost", slog.LevelWarn, "the control node or relay that the node follows does not answer or does not lead, another one is asked", "check the control nodes if it is not regained"},
 	{FollowRegained, "follow_regained", slog.LevelInfo, "the node follows the log again", "nothing"},
+	{SettingsStale, "settings_stale", slog.LevelWarn, "no leader has vouched for what the entry node serves by for longer than a relay may hand it on", "check the control nodes if settings_fresh does not follow"},
+	{SettingsFresh, "settings_fresh", slog.LevelInfo, "a leader vouches again for what the entry node serves by", "nothing"},
 	{WitnessLost, "witness_lost", slog.LevelWarn, "the control leader takes no word on what targets answer", "check the control nodes if it is not regained"},
 	{WitnessRegained, "witness_regained", slog.LevelInfo, "the control leader takes word on targets again", "nothing"},
 	{HearingLost, "hearing_lost", slog.LevelWarn, "the leader takes no word on what this control node hears of targets; they are sent to others", "check the control nodes if it is not regained"},
--- a/follow/codec.go
+++ b/follow/codec.go
@@ -87,6 +87,8 @@
 		Relay:    r.Relay,
 		WantSet:  r.WantSet,
 		Term:     r.Term,
+
+		FreshMillis: int64(r.Fresh),
 	}
 	if r.Fault != nil {
 		w.Fault = &wire.Fault{Code: int32(r.Fault.Code), Detail: r.Fault.Detail, Leader: r.Fault.Leader}
@@ -121,6 +123,7 @@
 		Relay:    w.GetRelay(),
 		WantSet:  w.GetWantSet(),
 		Term:     w.GetTerm(),
+		Fresh:    sardine.Millis(w.GetFreshMillis()),
 	}
 	if f := w.GetFault(); f != nil {
 		r.Fault = &Fault{Code: codes.Code(f.GetCode()), Detail: f.GetDetail(), Leader: f.GetLeader()}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -126,6 +126,13 @@
 	return f.holder.lease
 }
 
+// FreshAt returns the instant at which a leader last said, through all relays on
+// the way, that it had nothing newer than what this node knows. It is 0 before
+// the first answer.
+func (f *Follower) FreshAt() sardine.Millis {
+	return f.relay.freshAt
+}
+
 // Control returns the address of the control node to send commands to.
 func (f *Follower) Control() string {
 	return f.route.control()
@@ -264,17 +271,17 @@
 		return Outcome{}
 	}
 	f.route.failed(now, s.ask.Address, s.ask.Relay)
-	f.cutOff(s)
+	f.unanswered(s)
 	return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 }
 
-// cutOff turns the followers away after a request without a useful answer.
-func (f *Follower) cutOff(s *sending) {
+// unanswered notes what a request without a useful answer did not deliver. The
+// followers stay: the next request carries their polls again.
+func (f *Follower) unanswered(s *sending) {
 	for _, r := range s.cover.reports {
 		f.relay.wantFull[r.Home] = true
 	}
 	f.setOwner = ""
-	f.relay.close("this relay is cut off")
 }
 
 // Took takes in the answer to a request. An answer to a request that is no
@@ -297,7 +304,8 @@
 	outcome, err := f.absorb(r)
 	if err != nil {
 		f.route.failed(now, s.ask.Address, s.ask.Relay)
-		f.cutOff(s)
+		f.unanswered(s)
+		f.relay.close("this relay can't read the log")
 		return outcome, err
 	}
 	f.accept(now, r, &outcome)
@@ -321,7 +329,10 @@
 		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 	}
 	f.route.refused(now, s.ask.Address, s.ask.Relay)
-	f.cutOff(s)
+	f.unanswered(s)
+	if fault.Code == codes.Superseded {
+		f.relay.close("this relay is superseded")
+	}
 	return Outcome{
 		Superseded: fault.Code == codes.Superseded,
 		WantFull:   len(s.ask.Request.Reports) > 0,
--- a/follow/gather.go
+++ b/follow/gather.go
@@ -48,6 +48,7 @@
 
 // cover is what one request of the relay's own node says for its followers.
 type cover struct {
+	sent     sardine.Millis
 	set      []NodeRef
 	covered  []bool
 	applied  uint64
@@ -58,7 +59,7 @@
 // gather returns the cover of a request that is sent now, without the polls that
 // an earlier request under way includes.
 func (y *Relay) gather(now sardine.Millis, earlier map[uint64]bool, applied uint64) cover {
-	c := cover{applied: applied, included: make(map[uint64]bool), reports: y.reports}
+	c := cover{sent: now, applied: applied, included: make(map[uint64]bool), reports: y.reports}
 	y.reports = nil
 	for _, child := range y.sorted() {
 		polls := child.late(earlier)
@@ -117,6 +118,7 @@
 func (y *Relay) upstream(now sardine.Millis, c cover, r Reply, main bool) {
 	y.open = true
 	y.term = r.Term
+	y.freshAt = max(y.freshAt, c.sent+r.Fresh)
 	for _, home := range r.WantFull {
 		y.wantFull[home] = true
 	}
@@ -159,6 +161,7 @@
 		reply = *part
 	}
 	reply.Term = y.term
+	reply.Fresh = y.freshAt - p.arrived
 	reply.WantFull = y.takeWantFull(c)
 	news, ok := y.cache.since(p.r.Have)
 	reply.After, reply.Through, reply.News = p.r.Have, max(p.r.Have, y.cache.through), news
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -22,6 +22,7 @@
 	reports  []TargetReport
 	wantFull map[sardine.NodeID]bool
 	term     uint64
+	freshAt  sardine.Millis // when a leader last vouched for what the relay knows
 	snapshot func() ([]byte, uint64, error)
 	answers  []Answer
 }
@@ -110,8 +111,12 @@
 	y.reports = nil
 }
 
-// tick answers polls past their time and forgets followers that went away.
+// tick answers polls past their time, forgets followers that went away, and turns
+// all away once the relay's knowledge is too old.
 func (y *Relay) tick(now sardine.Millis) {
+	if y.open && now >= y.freshAt+StaleMost {
+		y.close("this relay is cut off")
+	}
 	for _, c := range y.sorted() {
 		for _, p := range slices.Clone(c.polls) {
 			if now >= p.until {
@@ -126,6 +131,9 @@
 
 func (y *Relay) wake() sardine.Millis {
 	next := sardine.Millis(math.MaxInt64)
+	if y.open {
+		next = y.freshAt + StaleMost
+	}
 	for _, c := range y.children {
 		if len(c.polls) == 0 {
 			next = min(next, c.seen+ChildTimeout)
--- a/follow/route.go
+++ b/follow/route.go
@@ -79,7 +79,9 @@
 		t.leaveRelay(now, address, t.retry)
 		return
 	}
-	t.block(now, address, ControlRest)
+	if t.failures > 0 { // one late answer is no reason to avoid the only node that leads
+		t.block(now, address, ControlRest)
+	}
 	t.skip(address)
 	t.failures++
 	t.notUntil = now + t.pause(min(BackoffFirst<<min(t.failures, 8), BackoffMost))
--- a/follow/rules.go
+++ b/follow/rules.go
@@ -33,6 +33,10 @@
 	RelaySlack = sardine.Millis(300)
 	// ChildTimeout is when a relay forgets a follower that does not ask.
 	ChildTimeout = 3 * sardine.Second
+	// StaleMost is the age of its knowledge at which a relay turns its followers
+	// away. It leaves time for one poll at a relay and one probe that fail, and it
+	// is the bound for all levels together, since the age adds up on the way.
+	StaleMost = 1600 * sardine.Millis(1)
 	// RelayRetry is how long a follower stays away from a relay that failed.
 	RelayRetry = 10 * sardine.Second
 	// RelayRest is how long a follower stays away from a relay that said it was
--- a/follow/server.go
+++ b/follow/server.go
@@ -249,7 +249,7 @@
 	}
 	for _, p := range s.sorted() {
 		if s.due(now, p) {
-			s.answerNews(p)
+			s.answerNews(now, p)
 		}
 	}
 }
@@ -269,9 +269,10 @@
 }
 
 // answerNews completes the reply of a confirmed poll.
-func (s *Server) answerNews(p *poll) {
+func (s *Server) answerNews(now sardine.Millis, p *poll) {
 	reply := p.reply
 	reply.Term = s.term
+	reply.Fresh = now - p.arrived
 	reply.Relay = s.parents[p.r.From.Node]
 	reply.WantFull = s.takeWantFull(p)
 	news, ok := s.cache.since(p.r.Have)
--- a/follow/types.go
+++ b/follow/types.go
@@ -39,6 +39,9 @@
 	WantSet  bool             // the next request must hold the set
 	WantFull []sardine.NodeID // home nodes whose next report must be full
 	Term     uint64
+	// Fresh is the time from the request's arrival to the instant at which a
+	// leader last said that there is nothing newer; negative if that was before.
+	Fresh sardine.Millis
 }
 
 // Fault says why a request was not answered.
