Remember which targets have left, so that a late word does not bring them back

Cause: the notice was part of the target's entry and went with it (TargetDown); a notice of a target that the log did not know was acknowledged and not kept at all. What a control node had heard before came later and made a new target of it. A later incarnation is another life.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -184,3 +184,35 @@
 	_, live = l.Live(back, "vm-1")
 	require.True(t, live)
 }
+
+// A worker gave notice, was dropped, and what a control node had heard of it
+// before came later than that: it got requests again.
+func TestReportFromBeforeANoticeKeepsATargetOut(t *testing.T) {
+	l, m := NewLeader(), state.NewMachine()
+	index := uint64(0)
+	apply := func(commands ...state.Command) {
+		for _, c := range commands {
+			index++
+			m.Apply(index, 1, c)
+		}
+	}
+	heard := func(now sardine.Millis, home sardine.NodeID, age sardine.Millis) {
+		l.Take(now, Report{Home: home, Incarnation: 1, Sequence: 1, Full: true, Statuses: []Status{{Announcement: announcement("a", 7), Age: age}}})
+		apply(l.Tick(now, m)...)
+	}
+	l.Lead(0, 1)
+	l.Settle(0)
+	heard(1000, "one", 0)
+	known, listed := m.Target("a")
+	require.True(t, listed)
+	require.False(t, known.Leaving)
+	apply(state.TargetLeaving{VM: "a", Incarnation: 7})
+	l.Take(3000, Report{Home: "one", Incarnation: 1, Sequence: 2, Lost: []Ref{{VM: "a", Incarnation: 7}}})
+	apply(l.Tick(3000, m)...)
+	_, listed = m.Target("a")
+	require.False(t, listed, "the log drops it")
+	heard(3500, "two", 2000)
+	known, listed = m.Target("a")
+	require.True(t, listed)
+	require.True(t, known.Leaving)
+}
--- a/state/claims.go
+++ b/state/claims.go
@@ -143,6 +143,7 @@
 			break
 		}
 	}
+	m.left.expire(m.at - leftRetention)
 	for {
 		fingerprint, ok := m.strikes.takeUntil(m.at - PoisonRetention)
 		if !ok {
--- a/state/machine.go
+++ b/state/machine.go
@@ -68,6 +68,7 @@
 	entries    map[sardine.NodeID]JoinEntry
 	teams      map[sardine.Team]*team
 	targets    map[sardine.VMID]Target
+	left       leftTargets
 	groups     map[sardine.GroupID]sardine.Group
 	owners     map[sardine.VMID]Owner
 	claims     map[claimName]Claim
@@ -89,6 +90,7 @@
 		entries:    make(map[sardine.NodeID]JoinEntry),
 		teams:      make(map[sardine.Team]*team),
 		targets:    make(map[sardine.VMID]Target),
+		left:       newLeftTargets(),
 		groups:     make(map[sardine.GroupID]sardine.Group),
 		owners:     make(map[sardine.VMID]Owner),
 		claims:     make(map[claimName]Claim),
@@ -318,9 +320,12 @@
 	if known && old.Incarnation > c.Target.Incarnation {
 		return Result{Err: codes.New(codes.Superseded, "target %s has announced incarnation %d, this is %d", c.Target.VM, old.Incarnation, c.Target.Incarnation)}
 	}
-	if known && old.Incarnation == c.Target.Incarnation && old.Leaving {
+	if known && old.Incarnation == c.Target.Incarnation && old.Leaving || m.left.has(c.Target.VM, c.Target.Incarnation) {
 		c.Target.Leaving = true
 	}
+	if c.Target.Leaving {
+		m.left.note(c.Target.VM, c.Target.Incarnation, m.at)
+	}
 	if known && old.Incarnation < c.Target.Incarnation {
 		m.degradeGroupOf(c.Target.VM)
 	}
@@ -332,6 +337,9 @@
 	old, known := m.targets[c.VM]
 	if known && old.Incarnation == c.Incarnation {
 		delete(m.targets, c.VM)
+		if old.Leaving {
+			m.left.note(c.VM, c.Incarnation, m.at)
+		}
 		m.degradeGroupOf(c.VM)
 	}
 	return Result{}
@@ -339,6 +347,9 @@
 
 func (m *Machine) targetLeaving(c TargetLeaving) Result {
 	old, known := m.targets[c.VM]
+	if c.Incarnation > 0 && (!known || old.Incarnation <= c.Incarnation) {
+		m.left.note(c.VM, c.Incarnation, m.at)
+	}
 	if !known || old.Incarnation != c.Incarnation {
 		return Result{Err: codes.New(codes.UnknownMember, "target %s incarnation %d is not known", c.VM, c.Incarnation)}
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -71,6 +71,7 @@
 	for _, t := range m.Targets() {
 		w.Targets = append(w.Targets, TargetToWire(t))
 	}
+	w.Left = m.left.toWire()
 	for _, g := range m.Groups() {
 		w.Groups = append(w.Groups, groupToWire(g))
 	}
@@ -134,6 +135,7 @@
 	for _, t := range w.GetTargets() {
 		m.targets[sardine.VMID(t.GetVm())] = TargetFromWire(t)
 	}
+	m.left.restore(w.GetLeft())
 	for _, g := range w.GetGroups() {
 		m.groups[sardine.GroupID(g.GetId())] = groupFromWire(g)
 	}
