--- a/follow/follower.go
+++ b/follow/follower.go
@@ -58,6 +58,7 @@
 	setKnown  uint64 // hash of the set that the asked node knows
 	setOwner  string // address of that node
 	readyAt   sardine.Millis
+	promptNot sardine.Millis // earliest instant of the next request beside the held poll
 	reports   []TargetReport
 	left      bool
 }
@@ -270,11 +271,25 @@
 	if s == nil {
 		return Outcome{}
 	}
-	f.route.failed(now, s.ask.Address, s.ask.Relay)
 	f.unanswered(s)
+	if f.besideMain(now, s) {
+		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
+	}
+	f.route.failed(now, s.ask.Address, s.ask.Relay)
 	return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 }
 
+// besideMain reports whether a request that got no useful answer was a prompt one
+// beside a held poll, which has yet to show whether its address answers, and holds
+// the next prompt one back.
+func (f *Follower) besideMain(now sardine.Millis, s *sending) bool {
+	if s.main || f.main == nil {
+		return false
+	}
+	f.promptNot = now + BackoffMost
+	return true
+}
+
 // unanswered notes what a request without a useful answer did not deliver. The
 // followers stay: the next request carries their polls again.
 func (f *Follower) unanswered(s *sending) {
@@ -324,6 +339,10 @@
 }
 
 func (f *Follower) refused(now sardine.Millis, s *sending, fault *Fault) Outcome {
+	if fault.Code != codes.Superseded && f.besideMain(now, s) {
+		f.unanswered(s)
+		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
+	}
 	if fault.Code == codes.NotLeader && !s.ask.Relay {
 		f.route.redirected(now, s.ask.Address, fault.Leader)
 		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
@@ -344,7 +363,7 @@
 // one request.
 func (f *Follower) promptAt() sardine.Millis {
 	if slices.ContainsFunc(f.reports, func(r TargetReport) bool { return r.Urgent }) {
-		return f.main.at
+		return max(f.main.at, f.promptNot)
 	}
-	return f.relay.promptAt(f.main.cover.included)
+	return max(f.relay.promptAt(f.main.cover.included), f.promptNot)
 }
