Tell followers through the relays who leads, and ask that node first when a relay fails

Cause: silence adds up. A follower whose relay was silent for 1.1 s asked control nodes at random, 0.4 s for the first that stood still and 0.8 s for each further one, because it had forgotten who leads; each wait was bounded, their sum was not. Change: a relay's answer names the leader its news come from, and a follower asks that one first. Only probes of a leader get 0.8 s. TestProbesGetLongerWhileNobodyAnswers becomes TestProbesOfTheLeaderGetLongerWhileNobodyAnswers: it demands the longer probe for a leader and now also that no other node gets one, which is what makes the sum grow.

--- a/follow/codec.go
+++ b/follow/codec.go
@@ -89,6 +89,7 @@
 		Term:     r.Term,
 
 		FreshMillis: int64(r.Fresh),
+		Leader:      r.Leader,
 	}
 	if r.Fault != nil {
 		w.Fault = &wire.Fault{Code: int32(r.Fault.Code), Detail: r.Fault.Detail, Leader: r.Fault.Leader}
@@ -124,6 +125,7 @@
 		WantSet:  w.GetWantSet(),
 		Term:     w.GetTerm(),
 		Fresh:    sardine.Millis(w.GetFreshMillis()),
+		Leader:   w.GetLeader(),
 	}
 	if f := w.GetFault(); f != nil {
 		r.Fault = &Fault{Code: codes.Code(f.GetCode()), Detail: f.GetDetail(), Leader: f.GetLeader()}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -35,7 +35,7 @@
 	reply := Reply{
 		Fault: &Fault{Code: codes.NotLeader, Detail: "d", Leader: "c1"}, Grant: &lease.Grant{Sequence: 1, Serving: 2, Holding: 3, Floor: 4},
 		Refused: []Refusal{{Ref: set[0], Code: codes.Superseded}}, After: 5, News: []News{{Index: 6, At: 7, Command: state.DropToken{Hash: []byte{1}}}},
-		Snapshot: []byte{2}, Through: 8, Relay: "r", WantSet: true, WantFull: []sardine.NodeID{"e1"}, Term: 9, Fresh: -10,
+		Snapshot: []byte{2}, Through: 8, Relay: "r", WantSet: true, WantFull: []sardine.NodeID{"e1"}, Term: 9, Fresh: -10, Leader: "c1",
 	}
 	back, err := ReplyFromWire(ReplyToWire(reply))
 	require.NoError(t, err)
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -215,7 +215,7 @@
 	address, relay := f.route.next(now)
 	c := f.relay.gather(now, f.underWay(), f.reportable())
 	s := &sending{at: now, cover: c, main: main}
-	s.ask = Ask{Address: address, Relay: relay, Timeout: f.route.probeTimeout(), Request: Request{
+	s.ask = Ask{Address: address, Relay: relay, Timeout: f.route.probeTimeout(address), Request: Request{
 		From:     f.self,
 		Sequence: f.sequence,
 		Applied:  c.applied,
@@ -311,7 +311,12 @@
 	if r.Fault != nil {
 		return f.refused(now, s, r.Fault), nil
 	}
-	f.route.answered(now, s.ask.Address, s.ask.Relay, r.Relay)
+	if s.ask.Relay {
+		f.route.relayed(now, r.Leader)
+	} else {
+		f.route.answered(now, s.ask.Address, r.Relay)
+	}
+	f.relay.leader = f.route.leader
 	f.setOwner, f.setKnown = s.ask.Address, s.ask.Request.SetHash
 	if r.WantSet {
 		f.setOwner = ""
--- a/follow/gather.go
+++ b/follow/gather.go
@@ -162,6 +162,7 @@
 	}
 	reply.Term = y.term
 	reply.Fresh = y.freshAt - p.arrived
+	reply.Leader = y.leader
 	reply.WantFull = y.takeWantFull(c)
 	news, ok := y.cache.since(p.r.Have)
 	reply.After, reply.Through, reply.News = p.r.Have, max(p.r.Have, y.cache.through), news
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -22,6 +22,7 @@
 	reports  []TargetReport
 	wantFull map[sardine.NodeID]bool
 	term     uint64
+	leader   string         // address of the control node that the news come from
 	freshAt  sardine.Millis // when a leader last vouched for what the relay knows
 	snapshot func() ([]byte, uint64, error)
 	answers  []Answer
--- a/follow/route.go
+++ b/follow/route.go
@@ -46,21 +46,18 @@
 	return t.controls[t.at%len(t.controls)]
 }
 
-// probeTimeout bounds a poll that is not held.
-func (t *route) probeTimeout() sardine.Millis {
-	if t.failures >= SlowAfter {
+// probeTimeout bounds a poll that is not held. Only a leader gets more time.
+func (t *route) probeTimeout(address string) sardine.Millis {
+	if t.failures >= SlowAfter && address == t.leader {
 		return 2 * ProbeTimeout
 	}
 	return ProbeTimeout
 }
 
-// answered notes a success, and the relay that a control node assigned.
-func (t *route) answered(now sardine.Millis, address string, fromRelay bool, assigned string) {
+// answered notes a success of a control node, and the relay that it assigned.
+func (t *route) answered(now sardine.Millis, address, assigned string) {
 	t.failures = 0
 	t.notUntil = now
-	if fromRelay {
-		return
-	}
 	t.leader = address
 	delete(t.blocked, address)
 	t.unblock(now)
@@ -72,6 +69,14 @@
 	}
 }
 
+// relayed notes a success of a relay, and the leader that it follows, which is
+// asked first if the relay fails.
+func (t *route) relayed(now sardine.Millis, leader string) {
+	t.failures = 0
+	t.notUntil = now
+	t.leader = leader
+}
+
 // failed notes a request without an answer and moves on to the next address
 // after a pause.
 func (t *route) failed(now sardine.Millis, address string, fromRelay bool) {
@@ -103,9 +108,8 @@
 		t.relay = ""
 	}
 	t.block(now, address, rest)
-	// The relay may have failed because its leader did, so the leader that this
-	// node knew long ago is forgotten and the first poll is a short one.
-	t.leader = ""
+	// The relay may have failed because its leader did, so the first poll is a
+	// short one.
 	t.at = t.random.IntN(max(len(t.controls), 1))
 	t.failures = max(t.failures, 1)
 	t.notUntil = now
--- a/follow/route_test.go
+++ b/follow/route_test.go
@@ -9,11 +9,61 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
-func TestProbesGetLongerWhileNobodyAnswers(t *testing.T) {
-	r := route{failures: SlowAfter - 1}
-	require.Equal(t, ProbeTimeout, r.probeTimeout())
+// Only a leader may be late because many ask it; another control node that does
+// not answer stands still, and each longer wait for one adds to a change's delay.
+func TestProbesOfTheLeaderGetLongerWhileNobodyAnswers(t *testing.T) {
+	r := route{failures: SlowAfter - 1, leader: "c1"}
+	require.Equal(t, ProbeTimeout, r.probeTimeout("c1"))
 	r.failures++
-	require.Equal(t, 2*ProbeTimeout, r.probeTimeout())
+	require.Equal(t, 2*ProbeTimeout, r.probeTimeout("c1"))
+	require.Equal(t, ProbeTimeout, r.probeTimeout("c2"))
+}
+
+// A follower whose relay failed asked control nodes at random, which may stand
+// still, though its relay had known who leads.
+func TestLeaderThatARelayFollowsIsAskedFirst(t *testing.T) {
+	f := newTestFollower()
+	a, now := ask(t, f, 0)
+	_, err := f.Took(now, a.Request.Sequence, Reply{Relay: "r1"})
+	require.NoError(t, err)
+	a, now = ask(t, f, now)
+	require.Equal(t, "r1", a.Address)
+	_, err = f.Took(now, a.Request.Sequence, Reply{Leader: "c9"})
+	require.NoError(t, err)
+	a, now = ask(t, f, now)
+	now += a.Timeout
+	f.Failed(now, a.Request.Sequence)
+	a, _ = ask(t, f, now)
+	require.Equal(t, "c9", a.Address)
+	require.False(t, a.Relay)
+	require.Zero(t, a.Request.Hold)
+	require.Equal(t, ProbeTimeout, a.Timeout)
+}
+
+// A relay that reported its followers' progress to a busy leader forgot the leader
+// with each answer that was late, though its held poll was still to be answered.
+func TestLateProgressReportLeavesTheLeaderKnown(t *testing.T) {
+	f := newTestFollower()
+	a, now := ask(t, f, 0)
+	leader := a.Address
+	_, err := f.Took(now, a.Request.Sequence, Reply{})
+	require.NoError(t, err)
+	held, now := ask(t, f, now)
+	require.Equal(t, leader, held.Address)
+	f.Relay().Arrived(now, 1, Request{From: NodeRef{Node: "e2", Incarnation: 1}, Sequence: 1, Applied: 5, Hold: Hold})
+	prompt, now := ask(t, f, now)
+	require.Zero(t, prompt.Request.Hold)
+	now += prompt.Timeout
+	f.Failed(now, prompt.Request.Sequence)
+	require.Equal(t, leader, f.Control())
+	f.Relay().Arrived(now, 2, Request{From: NodeRef{Node: "e2", Incarnation: 1}, Sequence: 2, Applied: 6, Hold: Hold})
+	_, early := f.Next(now + BackoffMost - 1)
+	require.False(t, early, "the next report waits")
+	_, err = f.Took(now, held.Request.Sequence, Reply{})
+	require.NoError(t, err)
+	a, _ = ask(t, f, now)
+	require.Equal(t, leader, a.Address)
+	require.Equal(t, Hold, a.Request.Hold)
 }
 
 // TestLeaderThatIsNamedGetsTime is the pattern of a relay that ends while the leader
@@ -27,5 +77,5 @@
 	address, relay := r.next(10)
 	require.Equal(t, "leader", address)
 	require.False(t, relay)
-	require.Equal(t, 2*ProbeTimeout, r.probeTimeout())
+	require.Equal(t, 2*ProbeTimeout, r.probeTimeout(address))
 }
--- a/follow/rules.go
+++ b/follow/rules.go
@@ -14,8 +14,8 @@
 	RelayMargin = sardine.Millis(100)
 	// ProbeTimeout bounds a poll that is not held.
 	ProbeTimeout = sardine.Millis(400)
-	// SlowAfter is the number of failures in a row from which a probe waits twice as
-	// long: that of the relay, and the word of a control node on who leads. A leader
+	// SlowAfter is the number of failures in a row from which a probe of the leader
+	// waits twice as long: that of the relay, and the word of a control node on who leads. A leader
 	// whom many nodes ask at once needs longer, and asking it again would only add to
 	// its work.
 	SlowAfter = 2
--- a/follow/types.go
+++ b/follow/types.go
@@ -42,6 +42,9 @@
 	// Fresh is the time from the request's arrival to the instant at which a
 	// leader last said that there is nothing newer; negative if that was before.
 	Fresh sardine.Millis
+	// Leader is the address of the control node that a relay's news come from. A
+	// control node leaves it empty.
+	Leader string
 }
 
 // Fault says why a request was not answered.
--- a/standin/spread/cascade_test.go
+++ b/standin/spread/cascade_test.go
@@ -107,23 +107,67 @@
 	}
 }
 
-// A relay that is frozen leaves its followers without a word; all of them have
-// other paths to the leader and get changes in time.
-func TestChangesReachTheFollowersOfAFrozenRelayInTime(t *testing.T) {
-	for seed := range uint64(10) {
-		w := relaySite(t, seed, 0)
-		root := w.roots()[0]
-		w.driver.Pause(root, 8*sardine.Second)
-		leader := w.control(w.Leader())
-		leader.w.board.append(leader.term, leader.stamp(), state.PutLayout{Number: 1, Packed: []byte{1}})
-		start := w.driver.Now()
-		for w.driver.Now() < start+inForceMost {
-			w.RunFor(20)
+// frozenCase says which nodes stand still when a change comes.
+type frozenCase struct {
+	name     string
+	roots    int
+	relays   int // below the first root
+	controls int // that do not lead
+}
+
+// freeze holds the nodes of a case up and returns them.
+func (w *World) freeze(c frozenCase) map[sardine.NodeID]bool {
+	frozen := make(map[sardine.NodeID]bool)
+	roots := w.roots()
+	for _, root := range roots[:c.roots] {
+		frozen[root] = true
+	}
+	relays := c.relays
+	for _, n := range w.nodes {
+		if relays > 0 && w.role(n.id) == RoleRelay && n.centre == "dc1" {
+			relays--
+			frozen[n.id] = true
 		}
-		for _, n := range w.nodes {
-			if n.id != root {
-				require.EqualValues(t, 1, n.follower.Machine().Layout().Number, "seed %d, node %s", seed, n.id)
-			}
+	}
+	controls := c.controls
+	for _, id := range w.controlIDs {
+		if controls > 0 && id != w.Leader() {
+			controls--
+			frozen[id] = true
 		}
 	}
+	for id := range frozen {
+		w.driver.Pause(id, 8*sardine.Second)
+	}
+	return frozen
+}
+
+// Nodes below a frozen relay waited for its answer, then for one control node
+// after another that stood still as well: each wait was bounded, their sum was
+// not, and a change came after 3 to 4 s.
+func TestSilenceOfRelaysAndControlNodesDoesNotAddUp(t *testing.T) {
+	for _, c := range []frozenCase{
+		{name: "root", roots: 1},
+		{name: "root and a relay", roots: 1, relays: 1},
+		{name: "two roots, one control node", roots: 2, controls: 1},
+		{name: "root, a relay, two control nodes", roots: 1, relays: 1, controls: 2},
+		{name: "root, three control nodes", roots: 1, controls: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(8) {
+				w := relaySite(t, seed, 0)
+				w.RunFor(100 * sardine.Millis(seed))
+				frozen := w.freeze(c)
+				leader := w.control(w.Leader())
+				leader.w.board.append(leader.term, leader.stamp(), state.PutLayout{Number: 1, Packed: []byte{1}})
+				w.RunFor(inForceMost)
+				for _, n := range w.nodes {
+					if !frozen[n.id] {
+						require.EqualValues(t, 1, n.follower.Machine().Layout().Number, "seed %d, node %s", seed, n.id)
+					}
+				}
+			}
+		})
+	}
 }
