--- a/loss/reader.go
+++ b/loss/reader.go
@@ -108,13 +108,7 @@
 // parse reads a line in JSON, or the same in text, with anything before it.
 func parse(line []byte) (Record, error) {
 	var j lineJSON
-	text := line
-	if at := bytes.IndexByte(line, '{'); at >= 0 {
-		text = line[at:]
-	} else {
-		text = textToJSON(string(line))
-	}
-	if err := json.Unmarshal(text, &j); err != nil {
+	if err := json.Unmarshal(JSON(line), &j); err != nil {
 		return Record{}, err
 	}
 	return Record{
@@ -137,6 +131,15 @@
 	}, nil
 }
 
+// JSON returns the fields of a log line in JSON or text, without what stands
+// before them, as one JSON object.
+func JSON(line []byte) []byte {
+	if at := bytes.IndexByte(line, '{'); at >= 0 {
+		return line[at:]
+	}
+	return textToJSON(string(line))
+}
+
 // textToJSON turns the fields key=value of a line into JSON.
 func textToJSON(line string) []byte {
 	if at := strings.Index(line, "time="); at >= 0 {
--- /dev/null
+++ b/reach/reader.go
@@ -0,0 +1,108 @@
+// Package reach tells from log lines how long settings take to reach every entry
+// node.
+package reach
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"time"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/loss"
+)
+
+// lineMost bounds one log line, in bytes.
+const lineMost = 1 << 20
+
+// record is a line that tells of settings.
+type record struct {
+	at     sardine.Millis
+	node   string
+	event  event.ID
+	number uint64         // of the layout
+	repeat bool           // the change was known already
+	lasted sardine.Millis // how long the node's knowledge was not renewed
+}
+
+// reachEvents are the events that are kept.
+var reachEvents = []event.ID{event.ChangeAccepted, event.LayoutInForce, event.SettingsStale, event.SettingsFresh, event.NodeStarted}
+
+// Reader collects what log lines tell of settings.
+type Reader struct {
+	records []record
+	lines   int
+	bad     int
+}
+
+// NewReader returns a reader that has read nothing.
+func NewReader() *Reader {
+	return &Reader{}
+}
+
+// Lines returns how many lines were read.
+func (r *Reader) Lines() int {
+	return r.lines
+}
+
+// Unread returns how many lines tell of settings but could not be read.
+func (r *Reader) Unread() int {
+	return r.bad
+}
+
+// Read takes all lines of a log. Lines that tell of no settings are passed over.
+// The error is codes.UsageError for a line that is too long.
+func (r *Reader) Read(from io.Reader) error {
+	lines := bufio.NewScanner(from)
+	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
+	for lines.Scan() {
+		r.lines++
+		r.line(lines.Bytes())
+	}
+	if err := lines.Err(); err != nil {
+		return codes.Wrap(codes.UsageError, err, "line "+strconv.Itoa(r.lines+1)+" can't be read")
+	}
+	return nil
+}
+
+func (r *Reader) line(line []byte) {
+	for _, id := range reachEvents {
+		if !bytes.Contains(line, []byte(id.Row().Name)) {
+			continue
+		}
+		found, err := parse(line)
+		switch {
+		case err != nil:
+			r.bad++
+		case found.event == id:
+			r.records = append(r.records, found)
+		}
+		return
+	}
+}
+
+func parse(line []byte) (record, error) {
+	var j struct {
+		Time   time.Time `json:"time"`
+		Node   string    `json:"node"`
+		Event  int       `json:"event"`
+		Number uint64    `json:"number"`
+		Repeat bool      `json:"repeat"`
+		After  int64     `json:"after_ms"`
+	}
+	if err := json.Unmarshal(loss.JSON(line), &j); err != nil {
+		return record{}, err
+	}
+	return record{
+		at:     sardine.Millis(j.Time.UnixMilli()),
+		node:   j.Node,
+		event:  event.ID(j.Event),
+		number: j.Number,
+		repeat: j.Repeat,
+		lasted: sardine.Millis(j.After),
+	}, nil
+}
--- a/sardctl/verbs/losses.go
+++ b/sardctl/verbs/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/csv"
+	"io"
 	"os"
 	"strconv"
 
@@ -43,10 +44,8 @@
 
 func runLosses(c *Call) error {
 	reader := loss.NewReader()
-	for _, name := range c.args {
-		if err := c.readLog(reader, name); err != nil {
-			return err
-		}
+	if err := c.readLogs(reader); err != nil {
+		return err
 	}
 	report := loss.NewReport(reader.Records())
 	if err := plotLosses(report, c.text("plot")); err != nil {
@@ -73,8 +72,23 @@
 	return nil
 }
 
+// logReader takes in one log.
+type logReader interface {
+	Read(from io.Reader) error
+}
+
+// readLogs reads all files that the command names.
+func (c *Call) readLogs(reader logReader) error {
+	for _, name := range c.args {
+		if err := c.readLog(reader, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readLog reads one file, or the standard input for -.
-func (c *Call) readLog(reader *loss.Reader, name string) error {
+func (c *Call) readLog(reader logReader, name string) error {
 	if name == "-" {
 		return reader.Read(c.session.in)
 	}
--- /dev/null
+++ b/sardctl/verbs/spread.go
@@ -0,0 +1,92 @@
+package verbs
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/reach"
+)
+
+func spreadVerb() Verb {
+	return Verb{
+		Use:     "spread LOG...",
+		Section: SectionSite,
+		Short:   "Tell from logs how long layouts took to reach every entry node",
+		Long: `Reads log files of control nodes and entry nodes, - for the standard input, and prints
+for each accepted layout the time in ms until the first, the median and the slowest
+entry node served by it or a later one, and the nodes that never did. Nodes that started
+in between are left out. Then it names the nodes that no leader vouched for during longer
+than a relay may hand its knowledge on. The clocks of the nodes count. It needs no node.`,
+		Examples: []string{
+			"sardctl spread control-*.log entry-*.log",
+			"sardctl spread --over 2500 control-*.log entry-*.log",
+		},
+		Args: cobra.MinimumNArgs(1),
+		Flags: func(f *pflag.FlagSet) {
+			f.Int64("over", 0, "only layouts whose slowest node took longer, in ms")
+		},
+		Run: runSpread,
+	}
+}
+
+func runSpread(c *Call) error {
+	over, err := c.flags.GetInt64("over")
+	if err != nil {
+		return err
+	}
+	reader := reach.NewReader()
+	if err := c.readLogs(reader); err != nil {
+		return err
+	}
+	report := reach.NewReport(reader)
+	c.printf("%d layouts accepted in %d lines\n", len(report.Changes()), reader.Lines())
+	if reader.Unread() > 0 {
+		c.printf("%d lines tell of settings but can't be read\n", reader.Unread())
+	}
+	if slowest, found := report.Slowest(); found {
+		c.printf("slowest: number %d on %s after %d ms\n", slowest.Number(), orNone(slowest.Slowest().Node()), slowest.Slowest().Took())
+	}
+	if rows := changeRows(report.Changes(), sardine.Millis(over)); len(rows) > 0 {
+		c.printf("\n")
+		c.printTable("spread", []string{"number", "nodes", "first", "median", "slowest", "on", "never"}, rows)
+	}
+	if rows := staleRows(report.Stale()); len(rows) > 0 {
+		c.printf("\n")
+		c.printTable("stale", []string{"stale", "ms"}, rows)
+	}
+	return nil
+}
+
+func changeRows(changes []reach.Change, over sardine.Millis) [][]string {
+	var rows [][]string
+	for _, x := range changes {
+		if x.Slowest().Took() <= over && over > 0 && len(x.Missing()) == 0 {
+			continue
+		}
+		rows = append(rows, []string{
+			strconv.FormatUint(x.Number(), 10), strconv.Itoa(x.Nodes()), millis(x.First().Took()), millis(x.Median().Took()),
+			millis(x.Slowest().Took()), orNone(x.Slowest().Node()), orNone(strings.Join(x.Missing(), " ")),
+		})
+	}
+	return rows
+}
+
+func staleRows(spans []reach.Stale) [][]string {
+	var rows [][]string
+	for _, s := range spans {
+		lasted := "not renewed"
+		if s.Lasted() > 0 {
+			lasted = millis(s.Lasted())
+		}
+		rows = append(rows, []string{s.Node(), lasted})
+	}
+	return rows
+}
+
+func millis(d sardine.Millis) string {
+	return strconv.FormatInt(int64(d), 10)
+}
--- a/sardctl/verbs/table.go
+++ b/sardctl/verbs/table.go
@@ -8,6 +8,7 @@
 		targetsVerb(),
 		explainVerb(),
 		lossesVerb(),
+		spreadVerb(),
 		watchVerb(),
 		dumpVerb(),
 		doctorVerb(),
