--- a/follow/codec.go
+++ b/follow/codec.go
@@ -81,13 +81,12 @@
 // ReplyToWire maps a reply to its message.
 func ReplyToWire(r Reply) *wire.FollowReply {
 	w := &wire.FollowReply{
-		After:    r.After,
-		Snapshot: r.Snapshot,
-		Through:  r.Through,
-		Relay:    r.Relay,
-		WantSet:  r.WantSet,
-		Term:     r.Term,
-
+		After:       r.After,
+		Snapshot:    r.Snapshot,
+		Through:     r.Through,
+		Relay:       r.Relay,
+		WantSet:     r.WantSet,
+		Term:        r.Term,
 		FreshMillis: int64(r.Fresh),
 		Leader:      r.Leader,
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -272,10 +272,9 @@
 		return Outcome{}
 	}
 	f.unanswered(s)
-	if f.besideMain(now, s) {
-		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
+	if !f.besideMain(now, s) {
+		f.route.failed(now, s.ask.Address, s.ask.Relay)
 	}
-	f.route.failed(now, s.ask.Address, s.ask.Relay)
 	return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 }
 
--- a/follow/gather.go
+++ b/follow/gather.go
@@ -48,7 +48,7 @@
 
 // cover is what one request of the relay's own node says for its followers.
 type cover struct {
-	sent     sardine.Millis
+	sent     sardine.Millis // when the request was sent
 	set      []NodeRef
 	covered  []bool
 	applied  uint64
