--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -97,6 +97,12 @@
 	return a, now
 }
 
+// answer hands the answer to a request in.
+func answer(t *testing.T, f *Follower, now sardine.Millis, a Ask, r Reply) {
+	_, err := f.Took(now, a.Request.Sequence, r)
+	require.NoError(t, err)
+}
+
 func TestFollowerWalksAroundSilentNodes(t *testing.T) {
 	f := newTestFollower()
 	asked := make(map[string]bool)
@@ -111,20 +117,17 @@
 	require.Len(t, asked, 3)
 	require.Less(t, now, 3*sardine.Second)
 	a, now := ask(t, f, now)
-	_, err := f.Took(now, a.Request.Sequence, Reply{Fault: &Fault{Code: codes.NotLeader, Leader: "c9"}})
-	require.NoError(t, err)
+	answer(t, f, now, a, Reply{Fault: &Fault{Code: codes.NotLeader, Leader: "c9"}})
 	a, now = ask(t, f, now)
 	require.Equal(t, "c9", a.Address)
-	_, err = f.Took(now, a.Request.Sequence, Reply{Relay: "r1"})
-	require.NoError(t, err)
+	answer(t, f, now, a, Reply{Relay: "r1"})
 	a, now = ask(t, f, now)
 	require.True(t, a.Relay)
 	require.Equal(t, "r1", a.Address)
 	f.Failed(now+a.Timeout, a.Request.Sequence)
 	a, now = ask(t, f, now+a.Timeout)
 	require.False(t, a.Relay)
-	_, err = f.Took(now, a.Request.Sequence, Reply{Relay: "r1"})
-	require.NoError(t, err)
+	answer(t, f, now, a, Reply{Relay: "r1"})
 	a, _ = ask(t, f, now)
 	require.False(t, a.Relay, "the relay failed a moment ago")
 }
@@ -156,8 +159,7 @@
 func TestSnapshotThatGoesBackIsRefused(t *testing.T) {
 	f := newTestFollower()
 	a, now := ask(t, f, 0)
-	_, err := f.Took(now, a.Request.Sequence, Reply{News: []News{{Index: 3, Command: state.ChangeSettings{Team: "t", ChangeID: "c"}}}, Through: 3})
-	require.NoError(t, err)
+	answer(t, f, now, a, Reply{News: []News{{Index: 3, Command: state.ChangeSettings{Team: "t", ChangeID: "c"}}}, Through: 3})
 	other := state.NewMachine()
 	other.Skip(9)
 	b, err := other.SpreadSnapshot()
--- a/loss/reader.go
+++ b/loss/reader.go
@@ -31,16 +31,24 @@
 
 // Read takes all lines of a log. Lines that tell of no loss are passed over.
 func (r *Reader) Read(from io.Reader) error {
+	count, err := EachLine(from, r.line)
+	r.lines += count
+	return err
+}
+
+// EachLine calls take with each line of a log, which it must not keep, and returns
+// how many there were. The error is codes.UsageError for a line that is too long.
+func EachLine(from io.Reader, take func(line []byte)) (count int, err error) {
 	lines := bufio.NewScanner(from)
 	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
 	for lines.Scan() {
-		r.lines++
-		r.line(lines.Bytes())
+		count++
+		take(lines.Bytes())
 	}
 	if err := lines.Err(); err != nil {
-		return codes.Wrap(codes.UsageError, err, "line "+strconv.Itoa(r.lines+1)+" can't be read")
+		return count, codes.Wrap(codes.UsageError, err, "line "+strconv.Itoa(count+1)+" can't be read")
 	}
-	return nil
+	return count, nil
 }
 
 // Records returns the losses in the order in which they were read.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -70,6 +70,6 @@
 	require.False(t, found)
 	require.Empty(t, report.Stale())
 	r := NewReader()
-	require.True(t, codes.Is(r.Read(strings.NewReader(strings.Repeat("x", lineMost+1))), codes.UsageError))
+	require.True(t, codes.Is(r.Read(strings.NewReader(strings.Repeat("x", 2<<20))), codes.UsageError))
 	require.NoError(t, NewReader().Read(strings.NewReader(`{"msg":"layout_in_force"`)), "a line that is cut off is counted")
 }
--- a/reach/reader.go
+++ b/reach/reader.go
@@ -3,22 +3,16 @@
 package reach
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
-	"strconv"
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
-	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/loss"
 )
 
-// lineMost bounds one log line, in bytes.
-const lineMost = 1 << 20
-
 // record is a line that tells of settings.
 type record struct {
 	at     sardine.Millis
@@ -57,16 +51,9 @@
 // Read takes all lines of a log. Lines that tell of no settings are passed over.
 // The error is codes.UsageError for a line that is too long.
 func (r *Reader) Read(from io.Reader) error {
-	lines := bufio.NewScanner(from)
-	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
-	for lines.Scan() {
-		r.lines++
-		r.line(lines.Bytes())
-	}
-	if err := lines.Err(); err != nil {
-		return codes.Wrap(codes.UsageError, err, "line "+strconv.Itoa(r.lines+1)+" can't be read")
-	}
-	return nil
+	count, err := loss.EachLine(from, r.line)
+	r.lines += count
+	return err
 }
 
 func (r *Reader) line(line []byte) {
