Name the request beside a held poll for what it is

Cause: besideMain both told and changed something; promptNot needed explaining. Conclusion: one pure question, besideHeld, and promptNotUntil beside route's notUntil.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -58,9 +58,10 @@
 	setKnown  uint64 // hash of the set that the asked node knows
 	setOwner  string // address of that node
 	readyAt   sardine.Millis
-	promptNot sardine.Millis // earliest instant of the next request beside the held poll
-	reports   []TargetReport
-	left      bool
+	// promptNotUntil is the earliest instant of the next request beside the held poll.
+	promptNotUntil sardine.Millis
+	reports        []TargetReport
+	left           bool
 }
 
 // Option changes a follower under construction.
@@ -272,21 +273,18 @@
 		return Outcome{}
 	}
 	f.unanswered(s)
-	if !f.besideMain(now, s) {
+	if f.besideHeld(s) {
+		f.promptNotUntil = now + BackoffMost
+	} else {
 		f.route.failed(now, s.ask.Address, s.ask.Relay)
 	}
 	return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 }
 
-// besideMain reports whether a request that got no useful answer was a prompt one
-// beside a held poll, which has yet to show whether its address answers, and holds
-// the next prompt one back.
-func (f *Follower) besideMain(now sardine.Millis, s *sending) bool {
-	if s.main || f.main == nil {
-		return false
-	}
-	f.promptNot = now + BackoffMost
-	return true
+// besideHeld reports whether a request was a prompt one beside a held poll that
+// is under way: the held poll shows whether the address still answers.
+func (f *Follower) besideHeld(s *sending) bool {
+	return !s.main && f.main != nil
 }
 
 // unanswered notes what a request without a useful answer did not deliver. The
@@ -343,8 +341,9 @@
 }
 
 func (f *Follower) refused(now sardine.Millis, s *sending, fault *Fault) Outcome {
-	if fault.Code != codes.Superseded && f.besideMain(now, s) {
+	if fault.Code != codes.Superseded && f.besideHeld(s) {
 		f.unanswered(s)
+		f.promptNotUntil = now + BackoffMost
 		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 	}
 	if fault.Code == codes.NotLeader && !s.ask.Relay {
@@ -367,7 +366,7 @@
 // one request.
 func (f *Follower) promptAt() sardine.Millis {
 	if slices.ContainsFunc(f.reports, func(r TargetReport) bool { return r.Urgent }) {
-		return max(f.main.at, f.promptNot)
+		return max(f.main.at, f.promptNotUntil)
 	}
-	return max(f.relay.promptAt(f.main.cover.included), f.promptNot)
+	return max(f.relay.promptAt(f.main.cover.included), f.promptNotUntil)
 }
