--- a/standin/spread/cascade_test.go
+++ b/standin/spread/cascade_test.go
@@ -171,3 +171,27 @@
 		})
 	}
 }
+
+// The waits after a relay that stands still and after a leader that is late for
+// the first probe add up: a change came after the bound.
+func TestLateLeaderAfterASilentRelayDoesNotAddUp(t *testing.T) {
+	const (
+		cost    = 12 * sardine.Millis(1)
+		lateAt  = 1050 * sardine.Millis(1) // when followers of a silent relay ask the leader
+		lateFor = 500 * sardine.Millis(1)
+	)
+	for seed := range uint64(12) {
+		w := relaySite(t, seed, cost)
+		w.RunFor(60 * sardine.Millis(seed))
+		frozen := w.freeze(frozenCase{roots: 1, relays: 2})
+		leader := w.control(w.Leader())
+		w.driver.At(lateAt, func(sardine.Millis) { w.driver.Pause(leader.id, lateFor) })
+		leader.w.board.append(leader.term, leader.stamp(), state.PutLayout{Number: 1, Packed: []byte{1}})
+		w.RunFor(inForceMost)
+		for _, n := range w.nodes {
+			if !frozen[n.id] {
+				require.EqualValues(t, 1, n.follower.Machine().Layout().Number, "seed %d, node %s", seed, n.id)
+			}
+		}
+	}
+}
