--- a/call.go
+++ b/call.go
@@ -18,9 +18,37 @@
 	Patience     Millis    // how long the caller waits, 0 if not said
 	Model        ModelName
 	PromptTokens int
+	AnswerTokens int    // at most, 0 if not said
+	AnswerGuess  int    // the caller's own estimate of them, 0 if not said
 	LastEvent    string // the caller goes on after this event, empty for a new stream
 }
 
+// writtenWeight is how many tokens of a prompt one token of an answer counts like.
+const writtenWeight = 10
+
+// Size returns a measure of the work that a request asks for, in tokens of a prompt.
+func (c Call) Size() int {
+	return SizeOf(c.PromptTokens, c.Answer())
+}
+
+// Answer returns the tokens that the answer is expected to have: by the caller's
+// estimate, or the most that it takes.
+func (c Call) Answer() int {
+	switch {
+	case c.AnswerGuess == 0:
+		return c.AnswerTokens
+	case c.AnswerTokens == 0:
+		return c.AnswerGuess
+	default:
+		return min(c.AnswerGuess, c.AnswerTokens)
+	}
+}
+
+// SizeOf returns the size of a request with so many tokens to read and to write.
+func SizeOf(prompt, answer int) int {
+	return prompt + writtenWeight*answer
+}
+
 // Dispatch is what the system tells a target about a request that it passes on.
 type Dispatch struct {
 	Request   RequestID
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"math/bits"
+	"strconv"
+
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/meter"
@@ -18,6 +21,7 @@
 type instruments struct {
 	meter    *meter.Meter
 	requests *meter.Counter
+	sizes    *meter.Counter
 	first    *meter.Durations
 	waits    *meter.Durations
 	gaps     *meter.Durations
@@ -32,6 +36,9 @@
 	if i.requests, err = m.Counter("sardine_requests", "callers' requests by stage and result code"); err != nil {
 		return nil, err
 	}
+	if i.sizes, err = m.Counter("sardine_sizes", "callers' requests to engines by size and outcome"); err != nil {
+		return nil, err
+	}
 	if i.first, err = m.Durations("sardine_first_token", "time from a request's arrival to its first token", firstTokenBounds...); err != nil {
 		return nil, err
 	}
@@ -122,6 +129,21 @@
 	i.count("served", nil)
 }
 
+// sizeClasses is the number of classes of requests by size. A class begins at twice
+// the size of the one below; the last one has no end.
+const sizeClasses = 16
+
+// sized counts the outcome of a request to engines by its route and the least size of
+// its class.
+func (i *instruments) sized(q *routed, outcome string) {
+	size := q.call.Size()
+	if q.route == nil || size == 0 {
+		return
+	}
+	least := 1 << min(bits.Len(uint(size))-1, sizeClasses-1)
+	i.sizes.With(meter.NewLabel("route", q.route.Name), meter.NewLabel("size", strconv.Itoa(least)), meter.NewLabel("outcome", outcome)).Add(1)
+}
+
 // attempted counts what a target did with a request.
 func (i *instruments) attempted(err error) {
 	i.count("attempt", err)
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,7 @@
 	"sardineswitch.dev/sardine/listen"
 	"sardineswitch.dev/sardine/logs"
 	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/place"
 	"sardineswitch.dev/sardine/pool"
 	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/reply"
@@ -74,10 +75,10 @@
 	proxy          *proxy.Client
 	repeats        *repeats
 	vitals         *vitals
-	turns          *turns        // nil without layouts
-	patiences      patiences     // of callers, by route
-	stalls         chan struct{} // wakes the witness duty
-	witnessLost    bool          // the leader takes no reports; the witness duty's
+	turns          *turns          // nil without layouts
+	patiences      place.Patiences // of callers, by route
+	stalls         chan struct{}   // wakes the witness duty
+	witnessLost    bool            // the leader takes no reports; the witness duty's
 	startedAt      sardine.Millis
 	configured     uint64      // number of the layout whose engines are known; the follower's
 	opening        atomic.Bool // a command that opens the traffic is under way
--- a/entry/rend.go
+++ b/entry/rend.go
@@ -20,6 +20,7 @@
 		q.fail(errDrained)
 		return
 	}
+	q.node.meter.sized(q, "left")
 	q.logLeft(context.Cause(ctx))
 	panic(http.ErrAbortHandler) // nobody reads an answer any more
 }
@@ -30,6 +31,7 @@
 	q.losses.failed()
 	event.Log(q.node.log, event.RequestFailed, append(q.timeAttrs(), codeAttr(err), ranAttr(q.ran), slog.Bool("began", q.began))...)
 	q.node.meter.failed(err)
+	q.node.meter.sized(q, "failed")
 	if q.began {
 		panic(http.ErrAbortHandler)
 	}
@@ -57,13 +59,14 @@
 	if q.route != nil {
 		name = q.route.Name
 	}
-	attrs := []slog.Attr{requestAttr(q.call.ID), codeAttr(err), slog.String("route", name)}
+	attrs := append([]slog.Attr{requestAttr(q.call.ID), codeAttr(err), slog.String("route", name)}, q.sizeAttrs()...)
 	if codes.Is(err, codes.PoisonRequest) {
 		event.Log(q.node.log, event.RequestPoison, append(attrs, ranAttr(sardine.RanNo), poisonAttr(q.losses.poison))...)
 	} else {
 		event.Log(q.node.log, event.RequestRefused, attrs...)
 	}
 	q.node.meter.refused(err)
+	q.node.meter.sized(q, "refused")
 	if closesConnection(err) {
 		q.w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -61,7 +61,7 @@
 	if number := v.table.Layout().Number; number != n.configured {
 		n.configured = number
 		n.configureEngines(v.table.Layout())
-		n.patiences.keep(v.table.Layout())
+		n.patiences.Keep(v.table.Layout())
 	}
 	for key, all := range v.candidates {
 		s := v.table.Service(plan.ServiceOf(key.service))
--- a/entry/rlate.go
+++ b/entry/rlate.go
@@ -17,6 +17,7 @@
 	firstAt  sardine.Millis // the first event, or the head of an answer without events
 	pause    sardine.Millis // the longest between two events
 	pausedAt sardine.Millis // when that one began
+	events   int            // that were passed on, over all attempts
 	choice   *route.Choice
 }
 
@@ -41,6 +42,11 @@
 		slog.Bool("in_time", q.node.clock.Now() < q.deadline), slog.Bool("began", q.began))...)
 }
 
+// sizeAttrs are the tokens to read and to write.
+func (q *routed) sizeAttrs() []slog.Attr {
+	return []slog.Attr{slog.Int("prompt", q.call.PromptTokens), slog.Int("answer", q.call.Answer())}
+}
+
 // timeAttrs are milliseconds since the request arrived, -1 for what did not come.
 func (q *routed) timeAttrs() []slog.Attr {
 	t := q.times
@@ -55,8 +61,10 @@
 		slog.Int64("picked_ms", since(t.pickedAt)), slog.Int64("sent_ms", since(t.sentAt)),
 		slog.Int64("head_ms", since(t.headAt)), slog.Int64("first_ms", since(t.firstAt)),
 		slog.Int64("pause_ms", int64(t.pause)), slog.Int64("pause_at_ms", since(t.pausedAt)),
-		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Int("prompt", q.call.PromptTokens),
+		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Int("events", q.times.events),
+		slog.Int64("waited_ms", int64(q.waited)), slog.Int64("patience_ms", int64(q.call.Patience)),
 	}
+	attrs = append(attrs, q.sizeAttrs()...)
 	if t.choice == nil {
 		return attrs
 	}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -100,7 +100,7 @@
 		return err
 	}
 	q.deadline = q.arrived + q.route.Timeout
-	q.waited = n.patiences.waited(q.route.Name, q.call.Patience)
+	q.waited = n.patiences.Waited(q.route.Name, q.call.Patience)
 	if q.call.Patience > 0 {
 		q.deadline = min(q.deadline, q.arrived+q.call.Patience)
 	}
@@ -175,15 +175,22 @@
 func (q *routed) served() {
 	q.node.meter.served()
 	if q.late() {
+		q.node.meter.sized(q, "late")
 		q.logLate()
 		return
 	}
+	q.node.meter.sized(q, "served")
 	if xxhash.Sum64String(string(q.call.ID))%servedShare != 0 {
 		return
 	}
-	event.Log(q.node.log, event.RequestServed, requestAttr(q.call.ID), slog.String("route", q.route.Name),
+	attrs := []slog.Attr{
+		requestAttr(q.call.ID), slog.String("route", q.route.Name), slog.Int("of", servedShare),
 		slog.String("target", q.tried[len(q.tried)-1].String()), slog.Int("attempts", q.attempts),
-		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Uint64("layout", q.node.view().table.Layout().Number))
+		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Int("events", q.times.events),
+		slog.Int("rank", q.rank), slog.Int64("waited_ms", int64(q.waited)), slog.Int64("patience_ms", int64(q.call.Patience)),
+		slog.Uint64("layout", q.node.view().table.Layout().Number),
+	}
+	event.Log(q.node.log, event.RequestServed, append(attrs, q.sizeAttrs()...)...)
 }
 
 // mayRepeat reports whether another target may try: the request has not run, or
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -10,6 +10,7 @@
 	"sardineswitch.dev/sardine/clock"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/paths"
+	"sardineswitch.dev/sardine/place"
 )
 
 // routedNode returns a node that only decides on repeats and places, and a layout
@@ -78,13 +79,13 @@
 		rank     int
 		placed   bool
 	}{
-		{0, "", 1000, rankPrompt, true},
-		{23, "", 1000, rankPrompt, true},
-		{24, "", 1000, rankLate, true},
-		{10, "", 1300, rankLate, true},
-		{10, "7", 1300, rankResumed, true},
-		{49, "", 1000, rankLate, true},
-		{50, "", 1000, rankLate, false},
+		{0, "", 1000, place.RankPrompt, true},
+		{23, "", 1000, place.RankPrompt, true},
+		{24, "", 1000, place.RankLate, true},
+		{10, "", 1300, place.RankLate, true},
+		{10, "7", 1300, place.RankResumed, true},
+		{49, "", 1000, place.RankLate, true},
+		{50, "", 1000, place.RankLate, false},
 	} {
 		n := routedNode()
 		n.clock = clock.NewVirtual(c.now)
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -141,6 +141,7 @@
 	if q.eventAt > 0 {
 		q.node.meter.gap(now - q.eventAt)
 	}
+	q.times.events++
 	if pause := now - q.eventAt; q.eventAt > 0 && pause > q.times.pause {
 		q.times.pause, q.times.pausedAt = pause, q.eventAt
 	}
--- a/entry/rplace.go
+++ b/entry/rplace.go
@@ -2,6 +2,7 @@
 
 import (
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/place"
 	"sardineswitch.dev/sardine/route"
 )
 
@@ -31,40 +32,22 @@
 	return choice, nil
 }
 
-// Ranks of requests at an engine, which takes lower ones first.
-const (
-	rankPrompt  = 3 // can still begin in time
-	rankResumed = 5 // goes on after a break
-	rankLate    = 7 // begins late anyhow: served when nothing else waits
-)
-
-// Parts of an engine's batch that may wait before it.
-const (
-	// promptShare is how many may wait so that the last of them still begins
-	// within usual objectives: a batch turns over in about a second.
-	promptShare = 0.2
-	// waitingShare is how many may wait at all. Engines take a little more.
-	waitingShare = 1.5
-)
-
 // placeIn ranks the request by the requests at its target, and reports whether it
 // may go there at all.
 func (q *routed) placeIn(requests float64) bool {
 	q.rank = -1
-	slots := float64(q.slots())
+	slots := q.slots()
 	if slots == 0 {
 		return true
 	}
-	late := q.waited+q.node.clock.Now()-q.arrived > q.route.Objective
-	switch {
-	case q.last != "":
-		q.rank = rankResumed
-	case late || requests >= slots*(1+promptShare):
-		q.rank = rankLate
-	default:
-		q.rank = rankPrompt
-	}
-	return requests < slots*(1+waitingShare)
+	rank, ok := place.Rank(place.Request{
+		Requests: requests,
+		Slots:    slots,
+		Late:     q.waited+q.node.clock.Now()-q.arrived > q.route.Objective,
+		Resumed:  q.last != "",
+	})
+	q.rank = rank
+	return ok
 }
 
 // slots returns the batch of the service's engines, 0 if it is not known.
--- a/entry/rwait_test.go
+++ b/entry/rwait_test.go
@@ -11,20 +11,6 @@
 	"sardineswitch.dev/sardine/codes"
 )
 
-// TestACallerThatComesBackHasWaited is the pattern of callers that were refused
-// elsewhere: their deadline tells that they can't be answered in time any more.
-func TestACallerThatComesBackHasWaited(t *testing.T) {
-	var p patiences
-	require.Zero(t, p.waited("letters", 8000))
-	require.Equal(t, sardine.Millis(1100), p.waited("letters", 6900))
-	require.Zero(t, p.waited("letters", 8000))
-	require.Zero(t, p.waited("checks", 6000), "each route has its own")
-	require.Zero(t, p.waited("checks", 0), "this one does not say")
-	p.keep(sardine.Layout{Routes: []sardine.Route{{Name: "checks"}}})
-	require.Zero(t, p.waited("letters", 6900), "a route that was away is new")
-	require.Equal(t, sardine.Millis(1000), p.waited("checks", 5000))
-}
-
 // TestCallersOfAStartedNodeComeBackLater is the pattern of a site whose nodes all
 // lost power: callers that come back before the layout is known are refused again,
 // and those that come back together crowd the engines.
--- a/loss/loss_test.go
+++ b/loss/loss_test.go
@@ -34,3 +34,17 @@
 	require.Contains(t, out.String(), string(RefusedNoGroup))
 	require.Equal(t, 2*2+2, strings.Count(out.String(), "<rect"), "two seconds with two causes, and the legend")
 }
+
+// TestSizes prints what became of each part of a route's requests.
+func TestSizes(t *testing.T) {
+	datadriven.RunTest(t, "testdata/sizes", func(t *testing.T, d *datadriven.TestData) string {
+		r := NewReader()
+		require.NoError(t, r.Read(strings.NewReader(d.Input)))
+		var out strings.Builder
+		for _, p := range BySize(r.Records(), r.Served()) {
+			fmt.Fprintf(&out, "%s %s: asked %.0f, in time %.0f, late %.0f, refused %.0f, served %.2f\n",
+				p.Route(), p.Name(), p.Asked(), p.InTime(), p.Late(), p.Refused(), p.Served())
+		}
+		return out.String()
+	})
+}
--- a/loss/reader.go
+++ b/loss/reader.go
@@ -17,11 +17,12 @@
 // lineMost bounds one log line, in bytes.
 const lineMost = 1 << 20
 
-// Reader collects the losses that log lines tell of.
+// Reader collects what log lines tell of the ends of requests.
 type Reader struct {
 	records []Record
+	served  []Record
 	lines   int
-	bad     int // lines of losses that could not be read
+	bad     int // lines of outcomes that could not be read
 }
 
 // NewReader returns a reader that has read nothing.
@@ -56,6 +57,12 @@
 	return r.records
 }
 
+// Served returns the lines of requests that were answered in time, in the order in
+// which they were read.
+func (r *Reader) Served() []Record {
+	return r.served
+}
+
 // Lines returns how many lines were read.
 func (r *Reader) Lines() int {
 	return r.lines
@@ -66,11 +73,11 @@
 	return r.bad
 }
 
-// lossEvents are the events that tell of a loss.
-var lossEvents = []event.ID{event.RequestRefused, event.RequestFailed, event.RequestLate, event.RequestLeft}
+// outcomes are the events that tell how a request ended.
+var outcomes = []event.ID{event.RequestRefused, event.RequestFailed, event.RequestLate, event.RequestLeft, event.RequestServed}
 
 func (r *Reader) line(line []byte) {
-	if !tellsOfLoss(line) {
+	if !tellsOutcome(line) {
 		return
 	}
 	record, err := parse(line)
@@ -78,12 +85,16 @@
 		r.bad++
 		return
 	}
+	if record.event == event.RequestServed {
+		r.served = append(r.served, record)
+		return
+	}
 	r.records = append(r.records, record)
 }
 
-// tellsOfLoss looks for an event's name, which is cheaper than to parse all lines.
-func tellsOfLoss(line []byte) bool {
-	for _, id := range lossEvents {
+// tellsOutcome looks for an event's name, which is cheaper than to parse all lines.
+func tellsOutcome(line []byte) bool {
+	for _, id := range outcomes {
 		if bytes.Contains(line, []byte(id.Row().Name)) {
 			return true
 		}
@@ -108,6 +119,9 @@
 	Gap       int64     `json:"gap_ms"`
 	Requests  float64   `json:"requests"`
 	Slots     float64   `json:"slots"`
+	Prompt    int       `json:"prompt"`
+	Answer    int       `json:"answer"`
+	Of        float64   `json:"of"`
 	Error     struct {
 		Code int `json:"code"`
 	} `json:"error"`
@@ -136,6 +150,9 @@
 		gap:       sardine.Millis(j.Gap),
 		requests:  j.Requests,
 		slots:     j.Slots,
+		prompt:    j.Prompt,
+		answer:    j.Answer,
+		of:        j.Of,
 	}, nil
 }
 
--- a/loss/record.go
+++ b/loss/record.go
@@ -1,5 +1,5 @@
 // Package loss tells from the log lines of entry nodes which requests were lost,
-// when and why.
+// when and why, and whether large ones are served less often than others.
 package loss
 
 import (
@@ -26,6 +26,9 @@
 	gap       sardine.Millis
 	requests  float64 // at the target when it was chosen
 	slots     float64 // of the target, 0 if not known
+	prompt    int     // tokens to read
+	answer    int     // tokens to write, as far as its caller knows
+	of        float64 // how many requests a line of a served one stands for
 }
 
 // At returns the instant of the log line.
--- a/entry/rwait.go
+++ b/place/patience.go
@@ -1,4 +1,4 @@
-package entry
+package place
 
 import (
 	"sync"
@@ -6,16 +6,17 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
-// patiences knows how long the callers of each route wait at most. One with less
-// time left has been refused before, or has waited elsewhere.
-type patiences struct {
+// Patiences knows how long the callers of each route wait at most. One with less
+// time left has been refused before, or has waited elsewhere. It is safe for
+// concurrent use.
+type Patiences struct {
 	mu   sync.Mutex
 	most map[string]sardine.Millis // by route
 }
 
-// waited returns how long a caller has waited before it came here, by the time that
+// Waited returns how long a caller has waited before it came here, by the time that
 // it has left. It is 0 for a caller that does not say.
-func (p *patiences) waited(route string, left sardine.Millis) sardine.Millis {
+func (p *Patiences) Waited(route string, left sardine.Millis) sardine.Millis {
 	if left <= 0 {
 		return 0
 	}
@@ -28,8 +29,8 @@
 	return p.most[route] - left
 }
 
-// keep forgets the routes that a layout does not have.
-func (p *patiences) keep(l sardine.Layout) {
+// Keep forgets the routes that a layout does not have.
+func (p *Patiences) Keep(l sardine.Layout) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := make(map[string]sardine.Millis, len(p.most))
--- a/sardctl/verbs/losses.go
+++ b/sardctl/verbs/losses.go
@@ -20,8 +20,10 @@
 		Short:   "Tell from entry nodes' logs where requests were lost",
 		Long: `Reads log files of any number of entry nodes, - for the standard input, and counts
 the requests that were refused, failed or left, or answered late: by route, by second
-and by target, with the cause of each. A caller's repeat counts as a request of its
-own. It needs no node.`,
+and by target, with the cause of each. Where requests name their tokens, a table by size
+tells for each route what became of its largest tenth, of the fifth below and of the
+rest; served requests are logged in part, so that it estimates their number. A caller's
+repeat counts as a request of its own. It needs no node.`,
 		Examples: []string{
 			"sardctl losses entry-1.log entry-2.log",
 			"sardctl losses --plot losses.svg entry-*.log",
@@ -69,9 +71,30 @@
 		c.printf("\n")
 		c.printTable("losses", lossHeader(t.name, report.Causes()), lossRows(t.counts, report.Causes()))
 	}
+	c.printSizes(loss.BySize(reader.Records(), reader.Served()))
 	return nil
 }
 
+// printSizes prints what became of large and of small requests.
+func (c *Call) printSizes(parts []loss.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	whole := func(n float64) string { return strconv.FormatFloat(n, 'f', 0, 64) }
+	var rows [][]string
+	for _, p := range parts {
+		if p.Asked() == 0 {
+			continue
+		}
+		rows = append(rows, []string{
+			p.Route(), p.Name(), whole(p.Asked()), whole(p.InTime()), whole(p.Late()), whole(p.Refused()),
+			whole(p.Failed()), whole(p.Left()), strconv.FormatFloat(p.Served(), 'f', 2, 64),
+		})
+	}
+	c.printf("\n")
+	c.printTable("sizes", []string{"route", "size", "asked", "in_time", "late", "refused", "failed", "left", "served"}, rows)
+}
+
 // logReader takes in one log.
 type logReader interface {
 	Read(from io.Reader) error
--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -25,6 +25,7 @@
 	return []Measure{
 		routing(),
 		admission(),
+		loadMeasure(),
 		claims(),
 		limits(),
 		groupsMeasure(),
