Answer 503 for a route or key that settings lack which no leader has vouched for lately

Cause: a node that had not heard of the change denied the route as if it knew that there is none. How long a node may be behind is the sum of waits that are bounded one by one (relay, probe, leader), so that no bound of one step keeps it below 2.5 s.

Change: the age of what a node knows is known at its end, over all levels.

Class: bounds that hold for each step and not for their sum; a lack of knowledge told as knowledge.

TestOldSettingsDenyNobody fails before (102 unknown_service for 204 no_lease).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -86,6 +86,15 @@
 	freshAt sardine.Millis // when a leader last vouched for the view, 0 before the first time
 }
 
+// denial returns the error for a request that the settings do not allow. Settings that
+// no leader has vouched for lately may have been overtaken by ones that do.
+func (p *published) denial(now sardine.Millis, err error) error {
+	if age := now - p.freshAt; age > follow.StaleMost {
+		return codes.New(codes.NoLease, "%v, by settings that are %d ms old", err, age)
+	}
+	return err
+}
+
 // follower is the shell around the follow core.
 type follower struct {
 	node       *Node
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -89,15 +89,16 @@
 	if q.call, err = n.callers.Call(r); err != nil {
 		return err
 	}
-	table := n.view().table
+	known := n.published.Load()
+	table := known.view.table
 	if table == nil {
 		return codes.New(codes.NoLease, "this entry node knows no layout yet")
 	}
 	if q.route, err = table.Route(q.call.Host, q.call.Path); err != nil {
-		return err
+		return known.denial(q.arrived, err)
 	}
 	if q.tenant, err = table.Tenant(q.route, q.call.Key); err != nil {
-		return err
+		return known.denial(q.arrived, err)
 	}
 	q.deadline = q.arrived + q.route.Timeout
 	q.waited = n.patiences.Waited(q.route.Name, q.call.Patience)
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,6 +10,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/clock"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/place"
 )
@@ -132,3 +134,43 @@
 		require.NotEqual(t, http.StatusServiceUnavailable, status, "may have run: %s", row.Name)
 	}
 }
+
+// TestOldSettingsDenyNobody guards against the incident CONFIG: a node that had not
+// heard of a change answered 404 for the route that it added.
+func TestOldSettingsDenyNobody(t *testing.T) {
+	layout := sardine.Layout{
+		Number: 1, Tenants: []sardine.KeyTenant{{Name: "w", Keys: []string{"key"}}},
+		Routes: []sardine.Route{{Name: "r", Host: "h", Prefix: "/r/", Split: []sardine.Share{{Service: "app", Weight: 1}}}},
+	}
+	const freshAt = 1000
+	for _, c := range []struct {
+		path, key string
+		age       sardine.Millis
+		code      codes.Code
+	}{
+		{"/other/", "key", 0, codes.UnknownService},
+		{"/other/", "key", follow.StaleMost, codes.UnknownService},
+		{"/other/", "key", follow.StaleMost + 1, codes.NoLease},
+		{"/r/", "other", follow.StaleMost, codes.KeyRefused},
+		{"/r/", "other", follow.StaleMost + 1, codes.NoLease},
+		{"/other/", "key", 60 * sardine.Second, codes.NoLease},
+	} {
+		n := &Node{clock: clock.NewVirtual(freshAt + c.age), callers: namedCall{path: c.path, key: c.key}}
+		v := emptyView()
+		v.table = paths.New(layout)
+		n.published.Store(&published{view: v, freshAt: freshAt})
+		q := &routed{node: n, arrived: n.clock.Now(), losses: losses{node: n}}
+		err := q.read(httptest.NewRequest(http.MethodGet, "/", nil))
+		require.Equal(t, c.code, codes.Of(err), "%+v", c)
+	}
+}
+
+// namedCall is a port to callers whose every call has one host, path and key.
+type namedCall struct {
+	sardine.CallerPort
+	path, key string
+}
+
+func (c namedCall) Call(*http.Request) (sardine.Call, error) {
+	return sardine.Call{ID: "q", Host: "h", Path: c.path, Key: c.key}, nil
+}
