Draw targets by their load where many nodes hold the same reports

Cause: each of 69 nodes drew two of the five groups and took the less loaded by a report of half a second ago, so that this one got two fifths of all prompts until the next report: 46,000 tokens a second where a group reads 50,700. Its passes read a full chunk in each of their seven steps, 341 ms by the layout's figures.

Change: a target is drawn with a chance by its requests and by the reading that this node gave it lately, relative to the mean; all get some.

TestPromptsOfManyNodesAreLevelled: the least loaded of five groups got 0.41 of all prompts before, 0.26 now, the fullest 0.00 and 0.14.

--- a/route/crowd_test.go
+++ b/route/crowd_test.go
@@ -53,6 +53,37 @@
 	require.Equal(t, 9, crowd(t, 9, 8)[0])
 }
 
+// TestPromptsOfManyNodesAreLevelled guards against the incident SHORT: few groups of
+// which each of 69 nodes took the least loaded by the same reports. It got two fifths of
+// all prompts, which its passes could not read in time.
+func TestPromptsOfManyNodesAreLevelled(t *testing.T) {
+	const nodes, picks = 69, 100
+	groups := engines(5)
+	came := make(map[Ref]float64)
+	for n := range nodes {
+		r := New(rand.New(rand.NewPCG(1, uint64(n))), WithPolicy(Batch), WithHints(0))
+		r.SetPosition(n, nodes)
+		r.SetEngine("surtitle", Engine{Slots: 30, Read: 20})
+		r.Update(0, groups)
+		for i, g := range groups {
+			r.Load(1, g.Ref, sardine.Load{Running: 10 + 4*i})
+		}
+		for i := range sardine.Millis(picks) {
+			c, err := r.Pick(2000*i, Request{Service: "surtitle", PromptTokens: 1500})
+			require.NoError(t, err)
+			came[c.Candidate.Ref] += 1.0 / (nodes * picks)
+		}
+	}
+	for i, g := range groups {
+		t.Logf("group %d: %.3f", i, came[g.Ref])
+	}
+	least, most := came[groups[0].Ref], came[groups[4].Ref]
+	require.Less(t, least, 0.3, "the least loaded")
+	require.Greater(t, least, 0.22)
+	require.Less(t, most, 0.18, "the most loaded")
+	require.Greater(t, most, 0.1)
+}
+
 // batchNode is one entry node of a small site with groups that read 1,000 prompt
 // tokens in 18 ms.
 func batchNode(seed uint64, groups []Candidate) *Router {
--- a/route/policy.go
+++ b/route/policy.go
@@ -27,8 +27,7 @@
 	case Hints:
 		return r.hinted(now, s, q)
 	case Batch:
-		r.thinOut()
-		return r.choice(now, s, q, r.least(func(t *target) float64 { return r.batchLoad(now, s, t) }), noRank)
+		return r.batched(now, s, q)
 	default:
 		return r.mixed(now, s, q)
 	}
--- a/route/router.go
+++ b/route/router.go
@@ -34,6 +34,7 @@
 	nodes    int       // entry nodes, 0 if not known
 	near     []*target // scratch of Pick: the usable ones in reach
 	scratch  []place   // scratch of Pick
+	chances  []float64 // scratch of Pick: of the usable ones
 	counts   Counts
 }
 
--- a/standin/gauge/load.go
+++ b/standin/gauge/load.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
 )
 
 // LoadResult is the load measurement's last line.
@@ -106,6 +107,7 @@
 
 type loadFlags struct {
 	seed    uint64
+	pattern string
 	seconds int
 	groups  int
 	every   int
@@ -121,6 +123,7 @@
 		Build: func(c *cobra.Command) func(io.Writer) (any, error) {
 			f := &loadFlags{}
 			c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of arrivals, lengths and delays")
+			c.Flags().StringVar(&f.pattern, "pattern", "long", "load: long or short prompts")
 			c.Flags().IntVar(&f.seconds, "seconds", 40, "seconds of virtual time")
 			c.Flags().IntVar(&f.groups, "groups", 6, "groups that serve the model at first")
 			c.Flags().IntVar(&f.every, "every", 3000, "milliseconds from one loss of a group to the next, 0 for none")
@@ -131,21 +134,38 @@
 	}
 }
 
-// longPrompts is a load of long prompts and streams of any length, such as sites with
-// large groups have.
+// loadPatterns are the loads by name.
+var loadPatterns = map[string]func(f *loadFlags) loadPattern{"long": longPrompts, "short": shortPrompts}
+
+// longPrompts is a load of long prompts and streams of any length on few groups.
 func longPrompts(f *loadFlags) loadPattern {
+	p := batchGroups(f)
+	p.pace = 1
+	p.kinds = []loadKind{
+		{name: "draft", rate: 43 * f.rate, prompt: newLengths(1420, 1, 4030), events: newLengths(24.6, 0.89, 78), objective: 300, gap: 300, timeout: 8000},
+		{name: "check", rate: 28 * f.rate, prompt: newLengths(1960, 1.3, 5880), events: newLengths(3.2, 0.9, 36), objective: 400, gap: 300, timeout: 5000},
+	}
+	return p
+}
+
+// shortPrompts is a load of many shorter prompts on many groups of a faster model.
+func shortPrompts(f *loadFlags) loadPattern {
+	p := batchGroups(f)
+	p.pace = 0.6
+	p.kinds = []loadKind{
+		{name: "revise", rate: 433 * f.rate, prompt: newLengths(674, 0.89, 2340), events: newLengths(31.4, 0.7, 78), objective: 200, gap: 200, timeout: 5000},
+	}
+	return p
+}
+
+// batchGroups are groups with batches of 30 that many entry nodes send to.
+func batchGroups(f *loadFlags) loadPattern {
 	return loadPattern{
-		name:   "long_prompts",
-		nodes:  69,
-		groups: f.groups,
-		slots:  30,
-		queue:  60,
-		pace:   1,
-		times:  sardine.PassTimes{Steps: 7, Step: 5.95, PerRequest: 0.0445, PerContext: 0.00813, ReadPerTime: 50.7, Chunk: 2048},
-		kinds: []loadKind{
-			{name: "draft", rate: 43 * f.rate, prompt: newLengths(1420, 1, 4030), events: newLengths(24.6, 0.89, 78), objective: 300, gap: 300, timeout: 8000},
-			{name: "check", rate: 28 * f.rate, prompt: newLengths(1960, 1.3, 5880), events: newLengths(3.2, 0.9, 36), objective: 400, gap: 300, timeout: 5000},
-		},
+		nodes:     69,
+		groups:    f.groups,
+		slots:     30,
+		queue:     60,
+		times:     sardine.PassTimes{Steps: 7, Step: 5.95, PerRequest: 0.0445, PerContext: 0.00813, ReadPerTime: 50.7, Chunk: 2048},
 		hurry:     0.15,
 		lossEach:  sardine.Millis(f.every),
 		lossFor:   sardine.Millis(f.away),
@@ -155,7 +175,11 @@
 }
 
 func measureLoad(out io.Writer, f *loadFlags) (any, error) {
-	run := newLoadRun(longPrompts(f), f.seed)
+	pattern, known := loadPatterns[f.pattern]
+	if !known {
+		return nil, codes.New(codes.UsageError, "no pattern is named %q, known are long and short", f.pattern)
+	}
+	run := newLoadRun(pattern(f), f.seed)
 	run.run(sardine.Millis(f.seconds) * sardine.Second)
 	result := run.result()
 	fmt.Fprintf(out, "%-8s %6s %7s %8s %7s %14s %12s\n", "kind", "asked", "served", "in time", "refused", "largest tenth", "fifth below")
