--- a/standin/gauge/load.go
+++ b/standin/gauge/load.go
@@ -91,7 +91,6 @@
 
 // loadPattern is a load on one model's groups and what happens to these.
 type loadPattern struct {
-	name                string
 	nodes               int
 	groups              int
 	slots               int
