--- a/standin/gauge/load.go
+++ b/standin/gauge/load.go
@@ -108,6 +108,7 @@
 	seed    uint64
 	pattern string
 	seconds int
+	nodes   int
 	groups  int
 	every   int
 	away    int
@@ -124,6 +125,7 @@
 			c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of arrivals, lengths and delays")
 			c.Flags().StringVar(&f.pattern, "pattern", "long", "load: long or short prompts")
 			c.Flags().IntVar(&f.seconds, "seconds", 40, "seconds of virtual time")
+			c.Flags().IntVar(&f.nodes, "nodes", 69, "entry nodes")
 			c.Flags().IntVar(&f.groups, "groups", 6, "groups that serve the model at first")
 			c.Flags().IntVar(&f.every, "every", 3000, "milliseconds from one loss of a group to the next, 0 for none")
 			c.Flags().IntVar(&f.away, "away", 8000, "milliseconds until another group has formed in its place")
@@ -160,7 +162,7 @@
 // batchGroups are groups with batches of 30 that many entry nodes send to.
 func batchGroups(f *loadFlags) loadPattern {
 	return loadPattern{
-		nodes:     69,
+		nodes:     f.nodes,
 		groups:    f.groups,
 		slots:     30,
 		queue:     60,
--- a/standin/gauge/load_test.go
+++ b/standin/gauge/load_test.go
@@ -38,8 +38,8 @@
 // runLoads prints for each load of a file which kinds are starved.
 func runLoads(t *testing.T, file string) {
 	datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
-		f := &loadFlags{pattern: "long", seconds: 40, groups: 6, every: 3000, away: 8000, rate: 1}
-		for name, field := range map[string]*int{"groups": &f.groups, "every": &f.every, "away": &f.away} {
+		f := &loadFlags{pattern: "long", seconds: 40, nodes: 69, groups: 6, every: 3000, away: 8000, rate: 1}
+		for name, field := range map[string]*int{"nodes": &f.nodes, "groups": &f.groups, "every": &f.every, "away": &f.away} {
 			if d.HasArg(name) {
 				d.ScanArgs(t, name, field)
 			}
