--- a/standin/start/vary.go
+++ b/standin/start/vary.go
@@ -10,29 +10,35 @@
 )
 
 func newVary() *cobra.Command {
-	f := vary.Factors{Engines: 1, Load: 1, Times: 1}
+	f := vary.Factors{Engines: 1, Load: 1, Times: 1, Shares: 1}
 	c := &cobra.Command{
 		Use:   "vary SITE",
-		Short: "Print a site file with other engines, load and objectives",
+		Short: "Print a site file with other engines, load, objectives and shares",
 		Long: `Prints a site file of the users' bench with figures multiplied: the times of engines,
-the requests, and the objectives, pauses, deadlines and timeouts of streams.`,
+the requests, the objectives, pauses, deadlines and timeouts of streams, and the share of
+the work that is announced for the first model.`,
 		Example: `  standin vary site.toml --engines 3 --load 0.3 --times 3`,
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if f.Engines <= 0 || f.Load <= 0 || f.Times <= 0 {
+			if f.Engines <= 0 || f.Load <= 0 || f.Times <= 0 || f.Shares <= 0 {
 				return codes.New(codes.UsageError, "factors must be above 0")
 			}
 			text, err := os.ReadFile(args[0])
 			if err != nil {
 				return codes.Wrap(codes.UsageError, err, "the site file can't be read")
 			}
-			c.Print(vary.Site(string(text), f))
+			site, err := vary.Site(string(text), f)
+			if err != nil {
+				return err
+			}
+			c.Print(site)
 			return nil
 		},
 	}
 	flags := c.Flags()
 	flags.Float64Var(&f.Engines, "engines", 1, "factor on the times of engines")
 	flags.Float64Var(&f.Load, "load", 1, "factor on the requests")
+	flags.Float64Var(&f.Shares, "shares", 1, "factor on the announced share of the first model, the others share the rest")
 	flags.Float64Var(&f.Times, "times", 1, "factor on objectives, pauses, deadlines and timeouts of streams")
 	return c
 }
--- /dev/null
+++ b/standin/vary/shares.go
@@ -0,0 +1,55 @@
+package vary
+
+import (
+	"regexp"
+	"strconv"
+
+	"sardineswitch.dev/sardine/codes"
+)
+
+// modelLine is a model of the site, on a line of its own.
+var modelLine = regexp.MustCompile(`^\s*\{ name = "[^"]*", size = .*\bshare = ([0-9.]+)`)
+
+// shareField is a model's announced share of the work.
+var shareField = regexp.MustCompile(`\bshare = [0-9.]+`)
+
+// announce multiplies the share of the work that is announced for the first model. Those
+// of the others change so that the sum stays; the requests are the same. An error carries
+// codes.UsageError.
+func announce(lines []string, factor float64) error {
+	if factor == 1 {
+		return nil
+	}
+	var places []int
+	var shares []float64
+	sum := 0.0
+	for i, line := range lines {
+		found := modelLine.FindStringSubmatch(line)
+		if found == nil {
+			continue
+		}
+		share, err := strconv.ParseFloat(found[1], 64)
+		if err != nil {
+			continue // no number
+		}
+		places = append(places, i)
+		shares = append(shares, share)
+		sum += share
+	}
+	if len(shares) < 2 {
+		return codes.New(codes.UsageError, "the site has %d models with a share on lines of their own, it takes two", len(shares))
+	}
+	if shares[0]*factor >= sum {
+		return codes.New(codes.UsageError, "%g times the share %g of the first model leaves nothing of %g to the others", factor, shares[0], sum)
+	}
+	first := shares[0] * factor
+	others := (sum - first) / (sum - shares[0])
+	for k, i := range places {
+		share := first
+		if k > 0 {
+			share = shares[k] * others
+		}
+		lines[i] = shareField.ReplaceAllString(lines[i], "share = "+strconv.FormatFloat(share, 'g', 6, 64))
+	}
+	return nil
+}
--- a/standin/vary/vary.go
+++ b/standin/vary/vary.go
@@ -1,5 +1,5 @@
 // Package vary makes other sites of a site file: with slower or faster engines,
-// another load and other objectives. It shows which constants of the product hold
+// another load, other objectives and other announced shares. It shows which constants of the product hold
 // figures of one site.
 package vary
 
@@ -14,6 +14,7 @@
 	Engines float64 // times of the engines' steps and reading
 	Load    float64 // requests
 	Times   float64 // objectives, pauses, deadlines and timeouts of streams
+	Shares  float64 // announced share of the first model; the others share the rest
 }
 
 // rule multiplies the fields of the lines that it is for.
@@ -47,8 +48,8 @@
 }
 
 // Site returns the text of a site file with its figures changed. What it does not
-// know stays as it is.
-func Site(text string, f Factors) string {
+// know stays as it is. An error carries codes.UsageError.
+func Site(text string, f Factors) (string, error) {
 	lines := strings.Split(text, "\n")
 	for i, line := range lines {
 		for _, r := range rules {
@@ -58,7 +59,10 @@
 		}
 		lines[i] = line
 	}
-	return strings.Join(lines, "\n")
+	if err := announce(lines, f.Shares); err != nil {
+		return "", err
+	}
+	return strings.Join(lines, "\n"), nil
 }
 
 // multiply changes the numbers of the named fields in a line.
