--- a/standin/gauge/loadengine.go
+++ b/standin/gauge/loadengine.go
@@ -29,7 +29,7 @@
 	context float64 // thousands of tokens
 	events  int     // that are left to write
 	gone    bool
-	quiet   int             // counts up with each event, so that an older gap does not end
+	quiet   int             // counts up with each event, so that an older wait of the caller is void
 	event   func(last bool) // an event was written
 	moved   func()          // its group is lost
 }
