Tell from logs what the bound on repeats holds, and add it up over all nodes and restarts

On-call could not tell who had spent the repeats of a window: the account was a gauge of one process. Each node writes a line for each second whose window holds repeats (repeats_counted: requests, repeats, denials, the window, its part of the slack), all at its end, and one when its part changes (repeats_shared); request_failed says whether the bound denied another attempt. 'sardctl repeats LOG...' adds the lines up over nodes and incarnations. What a killed process did in its last second is in no line.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -39,6 +39,7 @@
 	n.guards.drain()
 	n.checks.drain()
 	n.strikes.drain()
+	n.tellRepeats(true)
 	event.Log(n.log, event.DrainEnded, slog.Bool("whole", err == nil))
 	n.quit()
 	n.tomb.Kill(nil)
@@ -71,6 +72,7 @@
 	n.claims.drain()
 	n.guards.drain()
 	n.checks.drain()
+	n.tellRepeats(true)
 	event.Log(n.log, event.NodeStopped)
 	return err
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -312,6 +312,7 @@
 		if n.vitals != nil {
 			n.tickVitals()
 		}
+		n.tellRepeats(false)
 	}
 }
 
--- a/entry/rend.go
+++ b/entry/rend.go
@@ -29,7 +29,8 @@
 // nothing; a head that is out can only be followed by the connection's end.
 func (q *routed) fail(err error) {
 	q.losses.failed()
-	event.Log(q.node.log, event.RequestFailed, append(q.timeAttrs(), codeAttr(err), ranAttr(q.ran), slog.Bool("began", q.began))...)
+	event.Log(q.node.log, event.RequestFailed, append(q.timeAttrs(), codeAttr(err), ranAttr(q.ran), slog.Bool("began", q.began),
+		slog.Bool("repeat_denied", q.repeatDenied))...)
 	q.node.meter.failed(err)
 	q.node.meter.sized(q, "failed")
 	if q.began {
--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"log/slog"
 	"sync"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/retry"
 	"sardineswitch.dev/sardine/route"
@@ -43,10 +45,42 @@
 	return r.window.Left(now)
 }
 
-func (r *repeats) setNodes(n int) {
+// share tells among how many nodes the slack is shared. It returns the node's part of
+// it as attributes, and whether that has changed.
+func (r *repeats) share(nodes int) (part []slog.Attr, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.window.SetNodes(n)
+	before := r.window.Part()
+	r.window.SetNodes(nodes)
+	return r.partAttrs(), r.window.Part() != before
+}
+
+// account returns the seconds that no line has told yet, with the attributes of the
+// node's part of the slack.
+func (r *repeats) account(now sardine.Millis, all bool) ([]retry.Second, []slog.Attr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window.Seconds(now, all), r.partAttrs()
+}
+
+func (r *repeats) partAttrs() []slog.Attr {
+	return []slog.Attr{slog.Int("nodes", r.window.Nodes()), slog.Float64("part", r.window.Part())}
+}
+
+// tellRepeats logs the seconds of the account of repeats that have ended, or all of
+// them when the node stops.
+func (n *Node) tellRepeats(all bool) {
+	if n.repeats == nil {
+		return
+	}
+	seconds, part := n.repeats.account(n.clock.Now(), all)
+	for _, s := range seconds {
+		event.Log(n.log, event.RepeatsCounted, append([]slog.Attr{
+			slog.String("service", string(s.Service())),
+			slog.Int("firsts", s.Firsts()), slog.Int("repeats", s.Repeats()), slog.Int("denied", s.Denied()),
+			slog.Int("window_firsts", s.Window().Firsts()), slog.Int("window_repeats", s.Window().Repeats()),
+		}, part...)...)
+	}
 }
 
 // configureRouted takes over what a new view says about routed requests.
@@ -54,7 +88,9 @@
 	if !n.byLayout {
 		return
 	}
-	n.repeats.setNodes(v.nodes)
+	if part, changed := n.repeats.share(v.nodes); changed {
+		event.Log(n.log, event.RepeatsShared, part...)
+	}
 	if v.table == nil {
 		return
 	}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -39,13 +39,15 @@
 	counted  bool        // the attempt under way is one of them
 	ran      sardine.Ran // over all attempts
 	unsent   int         // attempts of which nothing left this node
-	tried    []route.Ref
-	began    bool           // the caller has the answer's head
-	last     string         // id of the last event that was passed on
-	eventAt  sardine.Millis // when an event came last, 0 before the first
-	flight   *vital.Flight  // of the attempt
-	rank     int            // of the attempt at its engine, negative for none
-	times    answerTimes
+	// repeatDenied tells that the bound on repeats forbade another attempt.
+	repeatDenied bool
+	tried        []route.Ref
+	began        bool           // the caller has the answer's head
+	last         string         // id of the last event that was passed on
+	eventAt      sardine.Millis // when an event came last, 0 before the first
+	flight       *vital.Flight  // of the attempt
+	rank         int            // of the attempt at its engine, negative for none
+	times        answerTimes
 }
 
 // routedMux serves callers by the layout's routes.
@@ -210,7 +212,8 @@
 	if q.attempts >= max(q.route.Attempts, 1) {
 		return false
 	}
-	return n.repeats.take(n.clock.Now(), q.name)
+	q.repeatDenied = !n.repeats.take(n.clock.Now(), q.name)
+	return !q.repeatDenied
 }
 
 // unsentMost bounds the targets that are tried in vain before anything is sent.
--- a/event/table.go
+++ b/event/table.go
@@ -63,6 +63,8 @@
 	RequestStruck   ID = 508
 	RequestCleared  ID = 509
 	RequestTried    ID = 510
+	RepeatsCounted  ID = 511
+	RepeatsShared   ID = 512
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -126,6 +128,8 @@
 	{RequestStruck, "request_struck", slog.LevelWarn, "a target ended while it ran the request, which did not run to its end anywhere else", "see the known attribute and sardctl poison"},
 	{RequestCleared, "request_cleared", slog.LevelInfo, "a request with strikes has run to its end, they are taken back", "nothing"},
 	{RequestTried, "request_tried", slog.LevelInfo, "a refused request is run once more, to see whether it was refused wrongly", "nothing"},
+	{RepeatsCounted, "repeats_counted", slog.LevelInfo, "a second of what counts for the bound on a service's repeats on this node; one line a second as long as its window holds any", "sum them over the nodes with sardctl repeats"},
+	{RepeatsShared, "repeats_shared", slog.LevelInfo, "the node's part of the slack of repeats that all entry nodes share has changed", "nothing"},
 	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
 	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -27,6 +27,8 @@
 	at      int64 // bucket of the newest
 	firsts  []int
 	repeats []int
+	denied  []int // for want of repeats
+	told    int64 // bucket that Second has told last
 }
 
 // NewWindow returns a bound of ratio repeats for each first request and a slack
@@ -54,10 +56,11 @@
 
 // Take reports whether a request may be repeated now, and counts it if so.
 func (w *Window) Take(now sardine.Millis, s sardine.ServiceName) bool {
+	c := w.counts(now, s)
 	if !w.Room(now, s) {
+		c.denied[len(c.denied)-1]++
 		return false
 	}
-	c := w.counts(now, s)
 	c.repeats[len(c.repeats)-1]++
 	return true
 }
@@ -72,7 +75,7 @@
 func (w *Window) left(now sardine.Millis, s sardine.ServiceName) float64 {
 	c := w.counts(now, s)
 	firsts := sum(c.firsts[1:]) // the oldest bucket may lie outside of the window
-	return caution*(w.ratio*float64(firsts)+w.slack/float64(w.nodes)) - float64(sum(c.repeats))
+	return caution*(w.ratio*float64(firsts)+w.Part()) - float64(sum(c.repeats))
 }
 
 // Left returns how many repeats are left to the service that has fewest of them.
@@ -84,23 +87,38 @@
 	return max(least, 0)
 }
 
+// Nodes returns how many entry nodes share the bound.
+func (w *Window) Nodes() int {
+	return w.nodes
+}
+
+// Part returns the node's part of the slack, in repeats.
+func (w *Window) Part() float64 {
+	return w.slack / float64(w.nodes)
+}
+
 // counts moves a service's buckets on. They cover one bucket more than the
 // window, so that repeats count for as long as any window may hold them.
 func (w *Window) counts(now sardine.Millis, s sardine.ServiceName) *counts {
 	at := int64(now / bucket)
 	c := w.services[s]
 	if c == nil {
-		c = &counts{at: at, firsts: make([]int, w.length+1), repeats: make([]int, w.length+1)}
+		c = newCounts(at, w.length+1)
 		w.services[s] = c
 	}
 	for range min(at-c.at, int64(w.length)+1) {
 		c.firsts = append(c.firsts[1:], 0)
 		c.repeats = append(c.repeats[1:], 0)
+		c.denied = append(c.denied[1:], 0)
 	}
 	c.at = max(c.at, at)
 	return c
 }
 
+func newCounts(at int64, buckets int) *counts {
+	return &counts{at: at, told: at - 1, firsts: make([]int, buckets), repeats: make([]int, buckets), denied: make([]int, buckets)}
+}
+
 func sum(numbers []int) int {
 	total := 0
 	for _, n := range numbers {
--- a/sardctl/verbs/table.go
+++ b/sardctl/verbs/table.go
@@ -9,6 +9,7 @@
 		explainVerb(),
 		lossesVerb(),
 		spreadVerb(),
+		repeatsVerb(),
 		watchVerb(),
 		dumpVerb(),
 		doctorVerb(),
