Refuse announcements whose figures are out of range, and words that outbid a target for good

Cause: the platform's decoder had checks of its own, weaker than those of the own interface; and a number that only rises was believed whatever it said. annc.Check is the one check of both now: port, names, rank, epoch, serial. A serial within range that is too high no longer silences a target that goes on to say the same.

TestOddTargetOfAnOlderLogCostsNoOther passes before and after: a view of a log that holds such targets is made. Left: a log written by an older program may remember such a departure until an hour is over. A forged entry with another plausible address under a worker's id costs calls until it lapses.

--- a/annc/annc.go
+++ b/annc/annc.go
@@ -21,6 +21,7 @@
 	MaxNameBytes    = 200       // of each name
 	MaxLoadable     = 1000      // models
 	MaxAccelerators = 1024      // of one VM
+	MaxWhole        = 1 << 53   // of epochs and serials: what every JSON reader holds exactly
 	maxCount        = 1_000_000 // running or queued requests
 	maxTokens       = 1e9       // tokens per second
 	maxStepMillis   = 600000    // of one token
@@ -114,10 +115,17 @@
 	if err := json.Unmarshal(text, &m); err != nil {
 		return sardine.Announcement{}, codes.Wrap(codes.BadRequest, err, "announcement")
 	}
-	if err := m.check(); err != nil {
+	if kinds(m.Kind) == 0 {
+		return sardine.Announcement{}, refuse("kind", m.Kind, "engine or plain")
+	}
+	if _, known := states(m.Holding.State); !known {
+		return sardine.Announcement{}, refuse("holding.state", m.Holding.State, "idle, loading, ready or failed")
+	}
+	if err := m.checkLoad(); err != nil {
 		return sardine.Announcement{}, err
 	}
-	return m.domain(), nil
+	a := m.domain()
+	return a, Check(a)
 }
 
 func encodeHolding(h sardine.Holding) holding {
--- a/annc/check.go
+++ b/annc/check.go
@@ -3,75 +3,74 @@
 import (
 	"unicode/utf8"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 )
 
-// check returns the first field that is out of range.
-func (m message) check() error {
-	checks := []func() error{
-		m.checkIdentity, m.checkKind, m.checkLoadable, m.checkHolding, m.checkLoad,
-	}
+// Check returns the first field of an announcement that is out of range, whichever
+// protocol it came by. Errors carry codes.BadRequest.
+func Check(a sardine.Announcement) error {
+	checks := []func(sardine.Announcement) error{checkIdentity, checkKind, checkModels, checkHolding}
 	for _, check := range checks {
-		if err := check(); err != nil {
+		if err := check(a); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (m message) checkIdentity() error {
-	if err := checkName("vm", m.VM, true); err != nil {
+func checkIdentity(a sardine.Announcement) error {
+	if err := checkName("vm", string(a.VM), true); err != nil {
 		return err
 	}
-	if m.Incarnation == 0 {
+	if a.Incarnation == 0 {
 		return refuse("incarnation", "0", "1 or more, rising with each start")
 	}
-	if !validAddress(m.Address) {
-		return refuse("address", m.Address, "IP number and port, such as 10.0.0.7:8000")
+	if !validAddress(a.Address) {
+		return refuse("address", a.Address, "IP number and port, such as 10.0.0.7:8000")
+	}
+	if a.Serial > MaxWhole {
+		return codes.New(codes.BadRequest, "announcement: serial: found %d, expected at most %d", a.Serial, uint64(MaxWhole))
 	}
-	if err := checkName("data_centre", m.DataCentre, true); err != nil {
+	return checkName("data_centre", string(a.DataCentre), true)
+}
+
+func checkKind(a sardine.Announcement) error {
+	if a.Kind == sardine.KindPlain {
+		return checkName("service", string(a.Service), true)
+	}
+	if err := checkName("domain", string(a.Domain), true); err != nil {
 		return err
 	}
+	if a.Accelerators < 0 || a.Accelerators > MaxAccelerators {
+		return codes.New(codes.BadRequest, "announcement: accelerators: found %d, expected 0 to %d", a.Accelerators, MaxAccelerators)
+	}
 	return nil
 }
 
-func (m message) checkKind() error {
-	switch m.Kind {
-	case "engine":
-		if err := checkName("domain", m.Domain, true); err != nil {
-			return err
-		}
-		if m.Accelerators < 0 || m.Accelerators > MaxAccelerators {
-			return codes.New(codes.BadRequest, "announcement: accelerators: found %d, expected 0 to %d", m.Accelerators, MaxAccelerators)
-		}
-		return nil
-	case "plain":
-		return checkName("service", m.Service, true)
-	default:
-		return refuse("kind", m.Kind, "engine or plain")
+func checkModels(a sardine.Announcement) error {
+	if err := checkNames("loadable", a.Loadable); err != nil {
+		return err
 	}
+	return checkNames("staged", a.Staged)
 }
 
-func (m message) checkLoadable() error {
-	if len(m.Loadable) > MaxLoadable {
-		return codes.New(codes.BadRequest, "announcement: loadable: found %d models, expected at most %d", len(m.Loadable), MaxLoadable)
+func checkNames(field string, names []sardine.ModelName) error {
+	if len(names) > MaxLoadable {
+		return codes.New(codes.BadRequest, "announcement: %s: found %d models, expected at most %d", field, len(names), MaxLoadable)
 	}
-	for _, name := range m.Loadable {
-		if err := checkName("loadable", name, true); err != nil {
+	for _, name := range names {
+		if err := checkName(field, string(name), true); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (m message) checkHolding() error {
-	h := m.Holding
-	state, known := states(h.State)
-	if !known {
-		return refuse("holding.state", h.State, "idle, loading, ready or failed")
-	}
+func checkHolding(a sardine.Announcement) error {
+	h := a.Holding
 	for _, f := range []struct{ field, value string }{
-		{"holding.group", h.Group}, {"holding.model", h.Model}, {"holding.version", h.Version},
+		{"holding.group", string(h.Group)}, {"holding.model", string(h.Model)}, {"holding.version", h.Version},
 	} {
 		if err := checkName(f.field, f.value, false); err != nil {
 			return err
@@ -80,8 +79,11 @@
 	if h.Rank < 0 || h.Rank >= MaxAccelerators {
 		return codes.New(codes.BadRequest, "announcement: holding.rank: found %d, expected 0 to %d", h.Rank, MaxAccelerators-1)
 	}
-	if state != 0 && (h.Group == "" || h.Epoch == 0) {
-		return refuse("holding.group", h.Group, "a group and an epoch with state "+h.State)
+	if h.Epoch > MaxWhole {
+		return codes.New(codes.BadRequest, "announcement: holding.epoch: found %d, expected at most %d", h.Epoch, uint64(MaxWhole))
+	}
+	if h.State != sardine.MemberIdle && (h.Group == "" || h.Epoch == 0) {
+		return refuse("holding.group", string(h.Group), "a group and an epoch with state "+h.State.String())
 	}
 	return nil
 }
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/state"
 )
@@ -44,3 +46,31 @@
 	require.False(t, current)
 	require.True(t, lost)
 }
+
+// TestOddTargetOfAnOlderLogCostsNoOther guards against a view that one target with
+// figures out of range keeps from being made: the log may hold some that an older
+// program took in.
+func TestOddTargetOfAnOlderLogCostsNoOther(t *testing.T) {
+	m := state.NewMachine()
+	layout := sardine.Layout{Number: 1, Services: []sardine.Service{{Name: "app"}}}
+	for i, target := range []state.Target{
+		{VM: "sound", Incarnation: 1, Kind: sardine.KindPlain, Address: "10.0.0.1:80", Service: "app"},
+		{VM: "odd", Incarnation: math.MaxUint64, Kind: sardine.KindPlain, Address: "10.0.0.1:70000", Service: "app"},
+		{VM: "none", Incarnation: 2, Kind: sardine.TargetKind(77), Address: "nowhere"},
+	} {
+		m.Apply(uint64(i+1), 1, state.TargetUp{Target: target})
+	}
+	b, err := m.SpreadSnapshot()
+	require.NoError(t, err)
+	restored, err := state.RestoreMachine(b)
+	require.NoError(t, err)
+	v, failed := newView(restored, "e1", paths.New(layout), nil)
+	require.Empty(t, failed)
+	var known []sardine.VMID
+	for _, all := range v.candidates {
+		for _, c := range all {
+			known = append(known, c.VM)
+		}
+	}
+	require.Contains(t, known, sardine.VMID("sound"))
+}
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -91,6 +91,9 @@
 		h.targets[a.VM] = e
 		delete(h.lost, a.VM)
 	} else if a.Incarnation < e.latest.Incarnation || overtaken(e.latest, a) {
+		if sameFacts(e.latest, a) {
+			e.heard = now // a serial that was too high must not silence a target that lives
+		}
 		return codes.New(codes.Superseded, "target %s has announced incarnation %d, this is %d", a.VM, e.latest.Incarnation, a.Incarnation)
 	} else if !sameFacts(e.latest, a) {
 		e.news = true
