Send a request that a target has refused to it over another connection only

Another operator's report: a faulty worker wrote an earlier refusal once more on a kept connection, and callers were told "not run" for a request that ran, or it ran twice.

Tried here: a copy for another request, behind an interim answer, to a HEAD request, two exchanges later, before the next request is sent, and plain services that name no request. Each was skipped, or taken as "may have run", before this change too (proxy/testdata/refusals). Not so the same request on the same connection: the copy names it. That happens where a request comes back to a target: chats of the own interface try all targets anew once none is left, and a group formed again under a new epoch has the same head. The test got "ran no" for a request that its target answered with 200.

A connection now remembers the requests that were refused on it, 64 at most, and is not used for them again.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -30,6 +30,7 @@
 	reader     *bufio.Reader  // of answers
 	current    string         // name of the exchange under way
 	before     string         // name of the one before it
+	refused    []string       // requests that the target refused on it
 	idleFrom   sardine.Millis // of a connection in the pool
 	targetIdle sardine.Millis // the target's own limit, 0 if it did not say
 	sending    chan error     // the end of a long body's write, nil without one
@@ -102,6 +103,11 @@
 	c.before, c.current = c.current, name
 }
 
+// Refused notes that the target refused the exchange under way.
+func (c *Conn) Refused() {
+	c.refused = append(c.refused, c.current)
+}
+
 // Before returns the name of the exchange before the one under way.
 func (c *Conn) Before() string {
 	return c.before
@@ -142,7 +148,7 @@
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return false
 	}
-	if c.frames.ambiguous() || c.reader.Buffered() > 0 || c.source.Buffered() > 0 {
+	if len(c.refused) >= refusedMost || c.frames.ambiguous() || c.reader.Buffered() > 0 || c.source.Buffered() > 0 {
 		return false
 	}
 	if c.sending == nil {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	// idleEach bounds the unused connections to one target.
 	idleEach = 8
 	readSize = 4 << 10 // bytes, holds an event and a head
+	// refusedMost bounds the refusals on one connection, whose requests are remembered.
+	refusedMost = 64
 )
 
 // Pool keeps the connections of one entry node. It is safe for concurrent use.
@@ -91,11 +94,11 @@
 	p.limit[address] = most
 }
 
-// Get returns an unused connection to a target, or a new one. An error means
-// that nothing was sent; it carries codes.NoTarget.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns an unused connection to a target for a request, or a new one. An error
+// means that nothing was sent; it carries codes.NoTarget.
+func (p *Pool) Get(ctx context.Context, address, name string) (*Conn, error) {
 	for {
-		c := p.take(address)
+		c := p.take(address, name)
 		if c == nil {
 			return p.connect(ctx, address)
 		}
@@ -106,17 +109,19 @@
 	}
 }
 
-// take returns the connection to a target that was used last.
-func (p *Pool) take(address string) *Conn {
+// take returns the connection to a target that was used last, of those on which the
+// target has not refused the request before: it may write that refusal once more.
+func (p *Pool) take(address, name string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	free := p.free[address]
-	if len(free) == 0 {
-		return nil
+	for i, c := range slices.Backward(free) {
+		if !slices.Contains(c.refused, name) {
+			p.free[address] = slices.Delete(free, i, i+1)
+			return c
+		}
 	}
-	c := free[len(free)-1]
-	p.free[address] = free[:len(free)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -65,7 +65,7 @@
 // Open sends the request and returns the answer's head. Without an answer the
 // Failure tells whether the target may have run the request.
 func (c *Client) Open(ctx context.Context, x Exchange) (*Answer, *Failure) {
-	conn, err := c.pool.Get(ctx, x.Address)
+	conn, err := c.pool.Get(ctx, x.Address, string(x.Dispatch.Request))
 	if err != nil {
 		return nil, newFailure(sardine.RanNo, err)
 	}
@@ -114,6 +114,7 @@
 		case reply.Ran == sardine.RanNo && reply.Request == "" && conn.Used():
 			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s refused without saying which request", x.Address))
 		case reply.Ran == sardine.RanNo && (x.answeredBy(reply, conn.Used()) || reply.Request == ""):
+			conn.Refused()
 			return answer, refused(x, resp, reply)
 		case x.answeredBy(reply, conn.Used()):
 			return answer, invalid(x, reply)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -41,7 +41,8 @@
 // scriptTarget answers each request on a connection with the next text. The text
 // RESET breaks the connection off, and one that ends with CLOSE ends it after it.
 // FILL=n stands for n bytes, and what follows ENDLESS is sent over and over until
-// the other side closes.
+// the other side closes. Of a text with FRESH, what follows that is for a connection
+// that has carried no request.
 type scriptTarget struct {
 	listener net.Listener
 	mu       sync.Mutex
@@ -84,7 +85,7 @@
 func (s *scriptTarget) serve(c net.Conn) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
-	for {
+	for used := false; ; used = true {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -97,6 +98,11 @@
 		if !more {
 			return
 		}
+		if old, fresh, both := strings.Cut(text, "FRESH"); both && used {
+			text = old
+		} else if both {
+			text = fresh
+		}
 		if text == "RESET" {
 			_ = c.(*net.TCPConn).SetLinger(0)
 			return
@@ -144,12 +150,14 @@
 			if d.HasArg("method") {
 				d.ScanArgs(t, "method", &method)
 			}
-			return exchange(target, method, calls, !d.HasArg("unnamed"))
+			return exchange(target, method, calls, !d.HasArg("unnamed"), d.HasArg("again"))
 		})
 	})
 }
 
-func exchange(target *scriptTarget, method string, calls int, named bool) string {
+// exchange sends requests one after the other. With again, each other one is the first
+// one once more.
+func exchange(target *scriptTarget, method string, calls int, named, again bool) string {
 	k := clock.NewReal()
 	p := pool.New(k)
 	defer p.Close()
@@ -159,11 +167,15 @@
 		if i > 0 {
 			time.Sleep(50 * time.Millisecond) // what follows an answer arrives
 		}
+		id := fmt.Sprintf("r%d", i+1)
+		if again && i%2 == 0 {
+			id = "r1"
+		}
 		x := Exchange{
 			Named:    named,
 			Address:  target.listener.Addr().String(),
 			Request:  pool.Request{Method: method, Path: "/p", Host: "h", Header: http.Header{}, Body: []byte("body")},
-			Dispatch: sardine.Dispatch{Request: sardine.RequestID(fmt.Sprintf("r%d", i+1)), Target: "vm-1"},
+			Dispatch: sardine.Dispatch{Request: sardine.RequestID(id), Target: "vm-1"},
 			Until:    k.Now() + 2*sardine.Second,
 		}
 		answer, failed := client.Open(context.Background(), x)
@@ -228,10 +240,10 @@
 	defer p.Close()
 	p.SetLimit(address, 2)
 	for range 2 {
-		_, err := p.Get(context.Background(), address)
+		_, err := p.Get(context.Background(), address, "r")
 		require.NoError(t, err)
 	}
-	_, err := p.Get(context.Background(), address)
+	_, err := p.Get(context.Background(), address, "r")
 	require.Equal(t, codes.NoTarget, codes.Of(err))
 }
 
