Check an announcement's identity first again, so that its error stays what it was

An empty announcement was refused for its kind since annc.Check is shared, in place of its VM: TestRawRequests of standin/site failed.

--- a/annc/annc.go
+++ b/annc/annc.go
@@ -115,17 +115,28 @@
 	if err := json.Unmarshal(text, &m); err != nil {
 		return sardine.Announcement{}, codes.Wrap(codes.BadRequest, err, "announcement")
 	}
-	if kinds(m.Kind) == 0 {
-		return sardine.Announcement{}, refuse("kind", m.Kind, "engine or plain")
+	a := m.domain()
+	if err := checkIdentity(a); err != nil {
+		return sardine.Announcement{}, err
 	}
-	if _, known := states(m.Holding.State); !known {
-		return sardine.Announcement{}, refuse("holding.state", m.Holding.State, "idle, loading, ready or failed")
+	if err := m.checkWords(); err != nil {
+		return sardine.Announcement{}, err
 	}
-	if err := m.checkLoad(); err != nil {
+	if err := Check(a); err != nil {
 		return sardine.Announcement{}, err
 	}
-	a := m.domain()
-	return a, Check(a)
+	return a, m.checkLoad()
+}
+
+// checkWords refuses what domain could not translate.
+func (m message) checkWords() error {
+	if kinds(m.Kind) == 0 {
+		return refuse("kind", m.Kind, "engine or plain")
+	}
+	if _, known := states(m.Holding.State); !known {
+		return refuse("holding.state", m.Holding.State, "idle, loading, ready or failed")
+	}
+	return nil
 }
 
 func encodeHolding(h sardine.Holding) holding {
