Let a second target go on with a stream by nothing but the events that follow

Another operator's report: a stream broke off, the next target answered with an error, and callers found the error's text in their stream, or the stream ended as if it were whole.

Cause: any bytes up to an empty line were an event of the stream and any end of the body was its end, whoever had sent them.

proxy.Sequence is the rule now. A first answer is the target's own and passed on as it is. One that goes on with it may hold fields only, each event with the next number (the step is learnt from the first answer), and must bring one before it ends: a stream whose events the caller has all, but not its end, stays cut, as nothing tells it from one that lacks more. A stream with an event without a number can't go on elsewhere. The head of a stream carries no length. The own interface checks tokens by index, request and finish reason already.

Test data of exchanges moved into a folder of their own.

--- a/entry/routed.go
+++ b/entry/routed.go
@@ -43,7 +43,7 @@
 	repeatDenied bool
 	tried        []route.Ref
 	began        bool           // the caller has the answer's head
-	last         string         // id of the last event that was passed on
+	events       proxy.Sequence // of a stream, over all attempts
 	eventAt      sardine.Millis // when an event came last, 0 before the first
 	flight       *vital.Flight  // of the attempt
 	rank         int            // of the attempt at its engine, negative for none
@@ -209,7 +209,7 @@
 	if codes.Is(err, codes.NoTarget) { // nothing was sent
 		return q.unsent > 0 && q.unsent < unsentMost
 	}
-	if q.attempts >= max(q.route.Attempts, 1) {
+	if q.attempts >= max(q.route.Attempts, 1) || !q.events.MayResume() {
 		return false
 	}
 	q.repeatDenied = !n.repeats.take(n.clock.Now(), q.name)
@@ -285,7 +285,7 @@
 // a silent target may well be at work.
 func (q *routed) mayMove() bool {
 	n := q.node
-	return q.route.Repeatable() && q.attempts+q.flying() < max(q.route.Attempts, 1) && n.repeats.room(n.clock.Now(), q.name)
+	return q.route.Repeatable() && q.events.MayResume() && q.attempts+q.flying() < max(q.route.Attempts, 1) && n.repeats.room(n.clock.Now(), q.name)
 }
 
 // flying is 1 while the attempt under way is not counted yet.
@@ -327,8 +327,8 @@
 func (q *routed) exchange(choice *route.Choice) proxy.Exchange {
 	c := choice.Candidate
 	last := q.call.LastEvent
-	if q.last != "" {
-		last = q.last
+	if passed := q.events.Last(); passed != "" {
+		last = passed
 	}
 	d := sardine.Dispatch{
 		Request:   q.call.ID,
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -13,6 +13,7 @@
 	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/place"
+	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/retry"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/state"
@@ -105,7 +106,10 @@
 		n := routedNode()
 		n.clock = clock.NewVirtual(c.now)
 		q := routedRequest(n, sardine.RouteStream)
-		q.last = c.last
+		if c.last != "" {
+			_, err := q.events.Take(proxy.Event{ID: c.last, Data: true})
+			require.NoError(t, err)
+		}
 		require.Equal(t, c.placed, q.placeIn(&route.Choice{Requests: c.requests, Standing: c.standing}), "%+v", c)
 		require.Equal(t, c.rank, q.rank, "%+v", c)
 	}
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -93,13 +93,18 @@
 // passStream passes events on one by one. The head waits for the first event:
 // until then another target can answer instead.
 func (q *routed) passStream(a *proxy.Answer) (bool, error) {
+	a.Response.ContentLength = -1 // another target may have to go on with the answer
 	events := proxy.NewEvents(a.Response.Body)
 	control := http.NewResponseController(q.w)
+	q.events.Begin()
 	next := q.eventBy()
 	for {
 		a.Expire(next)
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if err := q.events.End(); err != nil {
+				return false, err
+			}
 			if !q.began {
 				q.head(a.Response)
 			}
@@ -108,24 +113,24 @@
 		if err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the stream broke off")
 		}
-		repeated := e.ID != "" && q.passed(e.ID)
-		if e.Data && !repeated {
+		passes, err := q.events.Take(e)
+		if err != nil {
+			return false, err
+		}
+		if !passes {
+			continue
+		}
+		if e.Data {
 			q.node.vitals.progress(q.flight, true)
 			q.noteGap()
 			next = q.eventBy()
 		}
-		if repeated {
-			continue
-		}
 		if !q.began {
 			q.head(a.Response)
 		}
 		if _, err := q.w.Write(e.Raw); err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the caller is gone")
 		}
-		if e.ID != "" {
-			q.last = e.ID
-		}
 		if events.Buffered() {
 			continue
 		}
@@ -167,14 +172,3 @@
 func (q *routed) patience() sardine.Millis {
 	return max(patienceLeast, patienceObjectives*q.route.Objective, patienceGaps*q.route.Gap)
 }
-
-// passed reports whether the caller has the event already: a target may repeat
-// those from where the stream goes on.
-func (q *routed) passed(id string) bool {
-	if q.last == "" {
-		return false
-	}
-	next, err := strconv.ParseUint(id, 10, 64)
-	last, lastErr := strconv.ParseUint(q.last, 10, 64)
-	return err == nil && lastErr == nil && next <= last
-}
--- a/entry/rplace.go
+++ b/entry/rplace.go
@@ -45,7 +45,7 @@
 		Slots:    slots,
 		Standing: c.Standing,
 		Late:     q.waited+q.node.clock.Now()-q.arrived > q.route.Objective,
-		Resumed:  q.last != "",
+		Resumed:  q.events.Last() != "",
 	})
 	q.rank = rank
 	return ok
--- a/proxy/events.go
+++ b/proxy/events.go
@@ -20,7 +20,9 @@
 type Event struct {
 	ID   string // empty if it has none
 	Data bool   // it has content, unlike a comment or an empty event
-	Raw  []byte
+	// Foreign tells that a line is neither a field nor a comment.
+	Foreign bool
+	Raw     []byte
 }
 
 // Events reads a stream event by event. A part of an event is never returned, so
@@ -85,6 +87,21 @@
 		e.ID = string(bytes.TrimSpace(id))
 	}
 	e.Data = e.Data || bytes.HasPrefix(line, []byte("data"))
+	e.Foreign = e.Foreign || !isField(line)
+}
+
+// isField reports whether a line of a stream begins with a field's name in lower case,
+// or is empty, or a comment.
+func isField(line []byte) bool {
+	for _, c := range line {
+		switch {
+		case c == ':' || c == '\r' || c == '\n':
+			return true
+		case c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9'):
+			return false
+		}
+	}
+	return true
 }
 
 func blank(line []byte) bool {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -135,7 +135,7 @@
 
 // TestExchanges plays targets that answer well, not at all and too much.
 func TestExchanges(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/exchanges", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var texts []string
 			for _, line := range strings.Split(d.Input, "\n") {
