Give a started node no retries that no success has earned, and share connections by seats

The node's balance starts empty; a workspace's does not, so that a small one gets a retry that the node has earned. A target's connections were shared among the nodes of the log, which get fewer while nodes restart; they are shared by seats.

--- a/entry/repeat.go
+++ b/entry/repeat.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		for _, c := range all {
-			n.pool.SetLimit(c.Address, max(s.Connections/max(v.nodes, 1), 1))
+			n.pool.SetLimit(c.Address, max(s.Connections/max(v.seats, 1), 1))
 		}
 	}
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,8 +9,16 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
+// earn fills the balance of the node.
+func earn(b *Budget) {
+	for b.node < b.options.node {
+		b.Succeeded(0, "other")
+	}
+}
+
 func TestNeverTwiceUnlessIdempotent(t *testing.T) {
 	b := New(rand.New(rand.NewPCG(1, 1)))
+	earn(b)
 	for _, ran := range []sardine.Ran{sardine.RanUnknown, sardine.RanYes} {
 		require.Equal(t, NotTwice, b.MayRetry(0, "w", ran, false, 1).Reason)
 		require.True(t, b.MayRetry(0, "w", ran, true, 1).Retry)
@@ -51,8 +59,28 @@
 	require.Greater(t, callsPerRequest(defect, 0.5, random), 1.1)
 }
 
+// TestRetriesNeverStormOverRestarts guards against a node that is given retries anew by
+// each start: every dispatch fails, and the process ends again and again.
+func TestRetriesNeverStormOverRestarts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 5))
+	calls, requests := 0, 0
+	for range 200 {
+		b := New(random)
+		for i := range 50 {
+			w := sardine.Workspace(rune('a' + i%10))
+			requests++
+			calls++
+			for attempt := 1; b.MayRetry(0, w, sardine.RanNo, true, attempt).Retry; attempt++ {
+				calls++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(calls)/float64(requests), 1.1)
+}
+
 func TestBackoffIsBounded(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 4)), WithAttempts(1000), WithBalances(1e9, 1e9), WithBackoff(10, 300))
+	b := New(rand.New(rand.NewPCG(1, 4)), WithAttempts(1000), WithBalances(1000, 1000), WithBackoff(10, 300))
+	earn(b)
 	for attempts := range 100 {
 		require.LessOrEqual(t, b.MayRetry(0, "w", sardine.RanNo, true, attempts).After, sardine.Millis(300))
 	}
