--- a/retry/share.go
+++ b/retry/share.go
@@ -1,8 +1,6 @@
 package retry
 
 import (
-	"math"
-
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/state"
 )
@@ -71,5 +69,5 @@
 	if s.seats == 0 {
 		return 0
 	}
-	return min(max(s.from-now, 0), math.MaxInt32)
+	return max(s.from-now, 0)
 }
