Follow the pace of events with the bound on fresh requests, so that the longest answers can end

Cause: batches were filled by the number of requests, whatever the pace. A full batch that also reads writes an event each 113 ms; the longest answers have 78 and their callers 7 to 8 s.

place.Pace compares the mean time between a deployment's events with what the longest answers asked for bear, by the callers' estimates and the routes' timeouts, and lowers the part of a batch up to which fresh requests are taken while events come slower. What can't be served is refused at once.

--- a/entry/node.go
+++ b/entry/node.go
@@ -78,6 +78,7 @@
 	vitals         *vitals
 	turns          *turns           // nil without layouts
 	patiences      *place.Patiences // of callers, by route
+	paces          *place.Pace      // of deployments, by their events
 	stalls         chan struct{}    // wakes the witness duty
 	witnessLost    bool             // the leader takes no reports; the witness duty's
 	startedAt      sardine.Millis
@@ -172,6 +173,7 @@
 	}
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
 	n.patiences = place.NewPatiences()
+	n.paces = place.NewPace()
 	n.limiter = limit.NewLimiter(n.id, n.random)
 	n.claims = newClaims(n)
 	n.guards = newGuards(n)
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -80,6 +80,7 @@
 	ctx, cancel := n.callerContext(r.Context())
 	defer cancel(nil)
 	n.repeats.first(q.arrived, q.name)
+	q.askPace()
 	n.openTraffic()
 	q.serve(ctx)
 }
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -23,7 +23,7 @@
 // with one engine service of 20 slots.
 func routedNode() *Node {
 	layout := sardine.Layout{Number: 1, Services: []sardine.Service{{Name: "s", Engine: &sardine.EngineSpec{Slots: 20}}, {Name: "app"}}}
-	n := &Node{clock: clock.NewVirtual(1000), repeats: newRepeats(1, 0, retry.NewWindow(0.5, 10, 10*sardine.Second))}
+	n := &Node{clock: clock.NewVirtual(1000), paces: place.NewPace(), repeats: newRepeats(1, 0, retry.NewWindow(0.5, 10, 10*sardine.Second))}
 	v := emptyView()
 	v.table = paths.New(layout)
 	v.trafficOpen, v.seats, v.seat = true, 1, state.Seat{Incarnation: 1, Arrival: state.Founded}
--- a/entry/rpass.go
+++ b/entry/rpass.go
@@ -145,6 +145,7 @@
 	now := q.node.clock.Now()
 	if q.eventAt > 0 {
 		q.node.meter.gap(now - q.eventAt)
+		q.node.paces.Paused(now, q.service.routed(), now-q.eventAt)
 	}
 	q.times.events++
 	if pause := now - q.eventAt; q.eventAt > 0 && pause > q.times.pause {
--- a/entry/rplace.go
+++ b/entry/rplace.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/place"
 	"sardineswitch.dev/sardine/route"
@@ -40,26 +41,44 @@
 	if slots == 0 {
 		return true
 	}
+	now := q.node.clock.Now()
 	rank, ok := place.Rank(place.Request{
 		Requests: c.Requests,
 		Slots:    slots,
 		Standing: c.Standing,
-		Late:     q.waited+q.node.clock.Now()-q.arrived > q.route.Objective,
+		Late:     q.waited+now-q.arrived > q.route.Objective,
 		Resumed:  q.events.Last() != "",
+		Bound:    q.node.paces.Bound(now, q.service.routed()),
 	})
 	q.rank = rank
 	return ok
 }
 
-// slots returns the batch of the service's engines, 0 if it is not known.
-func (q *routed) slots() int {
+// engine returns how the service's engines work, nil if it has none.
+func (q *routed) engine() *sardine.EngineSpec {
 	table := q.node.view().table
 	if table == nil {
-		return 0
+		return nil
 	}
 	service := table.Service(q.name)
-	if service == nil || service.Engine == nil {
-		return 0
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+// slots returns the batch of the service's engines, 0 if it is not known.
+func (q *routed) slots() int {
+	if engine := q.engine(); engine != nil {
+		return engine.Slots
+	}
+	return 0
+}
+
+// askPace tells how many events the caller expects in the time that the route gives it.
+func (q *routed) askPace() {
+	if engine := q.engine(); engine != nil && engine.Passes.Steps > 0 && q.route.Kind == sardine.RouteStream {
+		events := float64(q.call.Answer()) / float64(engine.Passes.Steps)
+		q.node.paces.Asked(q.arrived, q.service.routed(), events, q.route.Timeout)
 	}
-	return service.Engine.Slots
 }
--- a/place/place.go
+++ b/place/place.go
@@ -29,12 +29,15 @@
 	Standing bool    // requests have been waiting at the engines for long
 	Late     bool    // its objective is over
 	Resumed  bool    // it goes on after a break
+	Bound    float64 // part of the batch up to which fresh requests are taken, by the pace of events; 0 for any
 }
 
 // Rank returns the request's rank at the engine, and whether it may go there at all.
 func Rank(q Request) (rank int, ok bool) {
 	filled := q.Requests / float64(q.Slots)
 	switch {
+	case !q.Resumed && q.Bound > 0 && q.Bound < promptShare && filled >= q.Bound:
+		return RankLate, false
 	case q.Resumed:
 		return RankResumed, filled < q.most(resumedShare)
 	case q.Late:
--- a/standin/gauge/loadrun.go
+++ b/standin/gauge/loadrun.go
@@ -40,6 +40,7 @@
 type loadNode struct {
 	router    *route.Router
 	patiences *place.Patiences
+	pace      *place.Pace
 	flying    map[route.Ref]int
 }
 
@@ -76,7 +77,7 @@
 		router := route.New(rand.New(rand.NewPCG(seed, uint64(100+i))), route.WithPolicy(route.Batch), route.WithHints(0))
 		router.SetPosition(i, p.nodes)
 		router.SetEngine("model", route.Engine{Slots: p.slots, Read: 1000 / p.times.ReadPerTime * p.pace})
-		r.nodes = append(r.nodes, &loadNode{router: router, patiences: place.NewPatiences(), flying: make(map[route.Ref]int)})
+		r.nodes = append(r.nodes, &loadNode{router: router, patiences: place.NewPatiences(), pace: place.NewPace(), flying: make(map[route.Ref]int)})
 	}
 	r.tellGroups()
 	return r
@@ -212,12 +213,16 @@
 		return c, 0, false
 	}
 	waited := n.patiences.Waited(a.kind.name, sardine.Millis(a.patience-(a.came-a.at)))
+	if a.sent == 0 {
+		n.pace.Asked(sardine.Millis(r.now), "model", float64(a.events), a.kind.timeout)
+	}
 	rank, ok = place.Rank(place.Request{
 		Requests: c.Requests,
 		Slots:    r.pattern.slots,
 		Late:     waited+sardine.Millis(r.now-a.came) > a.kind.objective,
 		Standing: c.Standing,
 		Resumed:  a.wrote > 0,
+		Bound:    n.pace.Bound(sardine.Millis(r.now), "model"),
 	})
 	return c, rank, ok
 }
@@ -263,6 +268,9 @@
 		y.node.router.FirstToken(y.choice, now, route.UnknownCached)
 		y.node.router.Load(now, ref, r.groups[ref].load())
 	}
+	if y.ask.wrote > 0 {
+		y.node.pace.Paused(now, "model", sardine.Millis(r.now-y.ask.eventAt))
+	}
 	y.ask.heard(r.now)
 	if last {
 		y.ask.ended, y.ask.served = true, true
