--- a/loss/reader.go
+++ b/loss/reader.go
@@ -17,12 +17,40 @@
 // lineMost bounds one log line, in bytes.
 const lineMost = 1 << 20
 
+// Tally counts the lines of logs, for readers of some of their events.
+type Tally struct {
+	lines int
+	bad   int // lines of the events that could not be read
+}
+
+// Lines returns how many lines were read.
+func (t *Tally) Lines() int {
+	return t.lines
+}
+
+// Unread returns how many lines tell of the reader's events but could not be read.
+func (t *Tally) Unread() int {
+	return t.bad
+}
+
+// Each calls take with each line of a log, which it must not keep. A line for which it
+// returns an error counts as unread. The error is codes.UsageError for a line that is
+// too long.
+func (t *Tally) Each(from io.Reader, take func(line []byte) error) error {
+	count, err := eachLine(from, func(line []byte) {
+		if take(line) != nil {
+			t.bad++
+		}
+	})
+	t.lines += count
+	return err
+}
+
 // Reader collects what log lines tell of the ends of requests.
 type Reader struct {
+	Tally
 	records []Record
 	served  []Record
-	lines   int
-	bad     int // lines of outcomes that could not be read
 }
 
 // NewReader returns a reader that has read nothing.
@@ -32,14 +60,11 @@
 
 // Read takes all lines of a log. Lines that tell of no loss are passed over.
 func (r *Reader) Read(from io.Reader) error {
-	count, err := EachLine(from, r.line)
-	r.lines += count
-	return err
+	return r.Each(from, r.line)
 }
 
-// EachLine calls take with each line of a log, which it must not keep, and returns
-// how many there were. The error is codes.UsageError for a line that is too long.
-func EachLine(from io.Reader, take func(line []byte)) (count int, err error) {
+// eachLine calls take with each line of a log and returns how many there were.
+func eachLine(from io.Reader, take func(line []byte)) (count int, err error) {
 	lines := bufio.NewScanner(from)
 	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
 	for lines.Scan() {
@@ -63,33 +88,23 @@
 	return r.served
 }
 
-// Lines returns how many lines were read.
-func (r *Reader) Lines() int {
-	return r.lines
-}
-
-// Unread returns how many lines tell of a loss but could not be read.
-func (r *Reader) Unread() int {
-	return r.bad
-}
-
 // outcomes are the events that tell how a request ended.
 var outcomes = []event.ID{event.RequestRefused, event.RequestFailed, event.RequestLate, event.RequestLeft, event.RequestServed}
 
-func (r *Reader) line(line []byte) {
+func (r *Reader) line(line []byte) error {
 	if !tellsOutcome(line) {
-		return
+		return nil
 	}
 	record, err := parse(line)
-	if err != nil {
-		r.bad++
-		return
-	}
-	if record.event == event.RequestServed {
+	switch {
+	case err != nil:
+		return err
+	case record.event == event.RequestServed:
 		r.served = append(r.served, record)
-		return
+	default:
+		r.records = append(r.records, record)
 	}
-	r.records = append(r.records, record)
+	return nil
 }
 
 // tellsOutcome looks for an event's name, which is cheaper than to parse all lines.
--- a/reach/reader.go
+++ b/reach/reader.go
@@ -28,9 +28,8 @@
 
 // Reader collects what log lines tell of settings.
 type Reader struct {
+	loss.Tally
 	records []record
-	lines   int
-	bad     int
 }
 
 // NewReader returns a reader that has read nothing.
@@ -38,38 +37,24 @@
 	return &Reader{}
 }
 
-// Lines returns how many lines were read.
-func (r *Reader) Lines() int {
-	return r.lines
-}
-
-// Unread returns how many lines tell of settings but could not be read.
-func (r *Reader) Unread() int {
-	return r.bad
-}
-
 // Read takes all lines of a log. Lines that tell of no settings are passed over.
 // The error is codes.UsageError for a line that is too long.
 func (r *Reader) Read(from io.Reader) error {
-	count, err := loss.EachLine(from, r.line)
-	r.lines += count
-	return err
+	return r.Each(from, r.line)
 }
 
-func (r *Reader) line(line []byte) {
+func (r *Reader) line(line []byte) error {
 	for _, id := range reachEvents {
 		if !bytes.Contains(line, []byte(id.Row().Name)) {
 			continue
 		}
 		found, err := parse(line)
-		switch {
-		case err != nil:
-			r.bad++
-		case found.event == id:
+		if err == nil && found.event == id {
 			r.records = append(r.records, found)
 		}
-		return
+		return err
 	}
+	return nil
 }
 
 func parse(line []byte) (record, error) {
--- a/spend/reader.go
+++ b/spend/reader.go
@@ -24,9 +24,8 @@
 
 // Reader collects what log lines tell of repeats.
 type Reader struct {
+	loss.Tally
 	seconds []second
-	lines   int
-	bad     int
 }
 
 // NewReader returns a reader that has read nothing.
@@ -34,27 +33,15 @@
 	return &Reader{}
 }
 
-// Lines returns how many lines were read.
-func (r *Reader) Lines() int {
-	return r.lines
-}
-
-// Unread returns how many lines tell of repeats but could not be read.
-func (r *Reader) Unread() int {
-	return r.bad
-}
-
 // Read takes all lines of a log. Lines that tell of no repeats are passed over. The
 // error is codes.UsageError for a line that is too long.
 func (r *Reader) Read(from io.Reader) error {
-	count, err := loss.EachLine(from, r.line)
-	r.lines += count
-	return err
+	return r.Each(from, r.line)
 }
 
-func (r *Reader) line(line []byte) {
+func (r *Reader) line(line []byte) error {
 	if !bytes.Contains(line, []byte(event.RepeatsCounted.Row().Name)) {
-		return
+		return nil
 	}
 	var j struct {
 		Time    time.Time `json:"time"`
@@ -66,11 +53,10 @@
 		Denied  int       `json:"denied"`
 	}
 	if err := json.Unmarshal(loss.JSON(line), &j); err != nil {
-		r.bad++
-		return
+		return err
 	}
 	if event.ID(j.Event) != event.RepeatsCounted {
-		return
+		return nil
 	}
 	r.seconds = append(r.seconds, second{
 		at:      sardine.Millis(j.Time.UnixMilli()),
@@ -80,4 +66,5 @@
 		repeats: j.Repeats,
 		denied:  j.Denied,
 	})
+	return nil
 }
