Let no slack that was spent before a restart count as if the node had earned it

Found by reading the change once more, no caller saw it: the slack that a node inherits stood among its own, which also says how many repeats need no slack. In the first quarter of a second after a start it could spend its predecessor's last quarter again. It stands apart now. TestInheritedSlackAllowsNothing failed before with its first repeat.

--- a/retry/counts.go
+++ b/retry/counts.go
@@ -13,6 +13,7 @@
 	repeats []int
 	denied  []int     // for want of repeats
 	slack   []float64 // that repeats have taken
+	before  []float64 // that repeats of the incarnation before have taken
 	told    int64     // newest bucket that Seconds has told
 }
 
@@ -23,6 +24,7 @@
 		repeats: make([]int, window+1),
 		denied:  make([]int, window+1),
 		slack:   make([]float64, window+1),
+		before:  make([]float64, window+1),
 		told:    at - 1,
 	}
 }
@@ -40,6 +42,7 @@
 		shift(c.repeats, passed)
 		shift(c.denied, passed)
 		shift(c.slack, passed)
+		shift(c.before, passed)
 		c.at = at
 	}
 	return c
--- a/retry/second.go
+++ b/retry/second.go
@@ -69,7 +69,7 @@
 			firsts:  span(c.firsts, since, until),
 			repeats: span(c.repeats, since, until),
 			denied:  span(c.denied, since, until),
-			window:  Totals{firsts: span(c.firsts, w.length, until), repeats: sum(c.repeats), slack: sum(c.slack)},
+			window:  Totals{firsts: span(c.firsts, w.length, until), repeats: sum(c.repeats), slack: sum(c.slack) + sum(c.before)},
 		})
 	}
 	return seconds
--- a/retry/window.go
+++ b/retry/window.go
@@ -84,7 +84,7 @@
 // left returns how many repeats the bound still allows.
 func (w *Window) left(now sardine.Millis, s sardine.ServiceName) float64 {
 	c := w.counts(now, s)
-	return w.free(c) + max(w.Part(now)-sum(c.slack), 0)
+	return w.free(c) + max(w.Part(now)-sum(c.slack)-sum(c.before), 0)
 }
 
 // free returns how many repeats the requests allow without slack: the least over all
@@ -130,10 +130,10 @@
 func (w *Window) Inherit(at sardine.Millis, s state.Spent) {
 	for _, service := range s.Services {
 		c := w.counts(at, service.Service)
-		to := len(c.slack) - len(service.Slack)
+		to := len(c.before) - len(service.Slack)
 		for i, n := range service.Slack {
 			if to+i >= 0 {
-				c.slack[to+i] += float64(n) / thousandths
+				c.before[to+i] += float64(n) / thousandths
 			}
 		}
 	}
@@ -149,12 +149,12 @@
 	spent := state.Spent{Known: true}
 	for _, s := range w.names() {
 		c := w.counts(now, s)
-		if sum(c.slack) == 0 {
+		if sum(c.slack)+sum(c.before) == 0 {
 			continue
 		}
 		one := state.ServiceSlack{Service: s}
-		for _, n := range c.slack {
-			one.Slack = append(one.Slack, uint32(math.Ceil(n*thousandths)))
+		for i, n := range c.slack {
+			one.Slack = append(one.Slack, uint32(math.Ceil((n+c.before[i])*thousandths)))
 		}
 		spent.Services = append(spent.Services, one)
 	}
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -49,6 +49,27 @@
 	w.Share().Vouched(3600 * sardine.Second)
 }
 
+// TestInheritedSlackAllowsNothing guards against a node that is stopped and started in
+// order, and spends the slack of its last moment again.
+func TestInheritedSlackAllowsNothing(t *testing.T) {
+	const slack = 5
+	old := NewWindow(0, slack, 10*sardine.Second)
+	seat(old, 1)
+	for range slack {
+		require.True(t, old.Take(sardine.Second, "s"))
+	}
+	next := NewWindow(0, slack, 10*sardine.Second)
+	seat(next, 1)
+	next.Inherit(0, old.Close(sardine.Second))
+	require.False(t, old.Take(sardine.Second, "s"), "it has ended")
+	for now := sardine.Millis(0); now < 10*sardine.Second; now += 50 {
+		require.False(t, next.Take(now, "s"), "at %d", now)
+	}
+	last := next.Close(10 * sardine.Second)
+	require.Len(t, last.Services, 1, "a third one must count it too")
+	require.True(t, last.Known)
+}
+
 func between(all []sardine.Millis, from, to sardine.Millis) int {
 	count := 0
 	for _, at := range all {
