--- a/retry/retry.go
+++ b/retry/retry.go
@@ -88,14 +88,13 @@
 	at      sardine.Millis // last use
 }
 
-// New returns a budget with an empty balance of the node: with a full one, a node that
-// starts often would repeat what no success has earned.
+// New returns a budget with full balances.
 func New(random sardine.Random, opts ...Option) *Budget {
 	o := options{ratio: 0.08, node: 20, tenant: 5, attempts: 3, first: 10, longest: 500, tenants: 10000}
 	for _, option := range opts {
 		option(&o)
 	}
-	return &Budget{options: o, random: random, tenants: make(map[sardine.Workspace]*balance)}
+	return &Budget{options: o, random: random, node: o.node, tenants: make(map[sardine.Workspace]*balance)}
 }
 
 // Succeeded earns a part of a retry for the node and the workspace.
