Let a node without streams forget the pace of those that it had

Found by reading the change once more: a node whose own streams have ended hears no event, so that its bound on fresh requests stayed where it was, and it would refuse what the engines could take, as other nodes' requests fill them. After 2 s without an event, the longest pause that callers bear, the bound rises by 0.01 each 250 ms.

--- a/place/pace.go
+++ b/place/pace.go
@@ -13,6 +13,12 @@
 	// paceGain is by how much a bound changes in a step, for each part by which the
 	// pauses between events differ from what the longest answers bear.
 	paceGain = 0.1
+	// paceSilent is after which time without an event a node has no streams, whose
+	// callers wait no longer for one.
+	paceSilent = 2 * sardine.Second
+	// paceUnheard is by how much a bound rises in a step then, so that the node does not
+	// keep to the pace of the streams that it had.
+	paceUnheard = 0.01
 	// paceLeast is the least part of a batch up to which requests are taken.
 	paceLeast = 0.2
 	// pauseGain is the weight of the newest pause in their mean.
@@ -33,8 +39,9 @@
 // pace is what is known of one deployment. A target that is slow for another reason
 // writes few events, and so moves the mean little.
 type pace struct {
-	pause float64 // mean time between events in ms, 0 before the first one
-	bears float64 // that the longest answers bear, in ms
+	pause float64        // mean time between events in ms, 0 before the first one
+	bears float64        // that the longest answers bear, in ms
+	heard sardine.Millis // when the newest event came
 	bound float64
 	at    sardine.Millis
 }
@@ -58,10 +65,11 @@
 }
 
 func (p *pace) step() {
-	if p.pause > 0 {
-		p.bound += paceGain * min(max(1-p.pause/p.bears, -1), 1)
-		p.bound = min(max(p.bound, paceLeast), promptShare)
+	change := paceUnheard
+	if p.pause > 0 && p.at <= p.heard+paceSilent {
+		change = paceGain * min(max(1-p.pause/p.bears, -1), 1)
 	}
+	p.bound = min(max(p.bound+change, paceLeast), promptShare)
 	p.bears *= 1 + relaxEach
 }
 
@@ -85,6 +93,7 @@
 		one.pause = float64(pause)
 	}
 	one.pause += pauseGain * (float64(pause) - one.pause)
+	one.heard = now
 }
 
 // Bound returns the part of a batch up to which fresh requests are taken.
--- a/place/pace_test.go
+++ b/place/pace_test.go
@@ -50,6 +50,15 @@
 	require.InDelta(t, promptShare, p.Bound(20*sardine.Second, "s"), 1e-9)
 }
 
+// TestNodeWithoutStreamsForgetsTheirPace guards against a node that goes on to refuse
+// what the engines could take, since its own streams have ended.
+func TestNodeWithoutStreamsForgetsTheirPace(t *testing.T) {
+	p := NewPace()
+	now := p.play(0, 30, 400, rand.New(rand.NewPCG(1, 2)))
+	require.InDelta(t, paceLeast, p.Bound(now, "s"), 1e-9)
+	require.InDelta(t, promptShare, p.Bound(now+30*sardine.Second, "s"), 1e-9)
+}
+
 // TestFreshRequestsKeepToTheBound checks who is refused by it.
 func TestFreshRequestsKeepToTheBound(t *testing.T) {
 	for _, c := range []struct {
