Tell in request_struck which prompt segments a failed target was working on

The lines of a struck request named neither the request, the epoch of its group, the progress of its answer nor the parts of its prompt, so that logs could not tell a part that crashes workers from the parts that were beside it.

--- a/call.go
+++ b/call.go
@@ -21,6 +21,9 @@
 	AnswerTokens   int    // maximum length of the answer, 0 if not given
 	AnswerEstimate int    // caller's estimate of the length of the answer, 0 if not given
 	LastEvent      string // event after which a stream is resumed, empty for a new stream
+	// Segments holds the segments of the prompt that other requests may share, in
+	// order. The last segment of a prompt belongs to the request alone.
+	Segments []SegmentID
 }
 
 // answerTokenWeight is the cost of an answer token in prompt tokens.
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/state"
 )
@@ -12,9 +13,11 @@
 // losses tracks the attempts of one request whose targets may have crashed
 // while they ran it.
 type losses struct {
-	node   *Node
-	poison guard.Fingerprint
-	all    []lostAttempt
+	node     *Node
+	request  sardine.RequestID
+	segments []sardine.SegmentID
+	poison   guard.Fingerprint
+	all      []lostAttempt
 }
 
 // lostAttempt is an attempt that its target did not complete.
@@ -41,16 +44,19 @@
 	return failures
 }
 
-// recordLoss starts a check of the target whose attempt failed with err. An
-// attempt whose ctx was canceled by the caller, by its deadline or by the node
-// says nothing about the target.
-func (l *losses) recordLoss(ctx context.Context, d dispatched, err error) {
+// recordLoss starts a check of the target whose attempt failed with err after the
+// given number of events. An attempt whose ctx was canceled by the caller, by its
+// deadline or by the node says nothing about the target.
+func (l *losses) recordLoss(ctx context.Context, d dispatched, events int, err error) {
 	if !lostByTarget(ctx) {
 		return
 	}
 	now := l.node.clock.Now()
 	k := l.node.checks.begin(d, !errors.Is(err, os.ErrDeadlineExceeded))
-	l.all = append(l.all, lostAttempt{check: k, loss: guard.Loss{Fingerprint: l.poison, Failure: state.TargetFailure(d.candidate.Ref), At: now}})
+	l.all = append(l.all, lostAttempt{check: k, loss: guard.Loss{
+		Request: l.request, Segments: l.segments, Events: events,
+		Fingerprint: l.poison, Failure: state.TargetFailure(d.candidate.Ref), At: now,
+	}})
 }
 
 // failed counts the targets that exited, or are found to have exited later,
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -66,7 +66,7 @@
 	}
 	defer b.cancel(nil)
 	run := &plainRun{node: n, request: b.request, service: b.service, sink: b.sink, ran: sardine.RanNo}
-	run.losses = losses{node: n, poison: guard.FingerprintOf(b.request.body, string(b.request.workspace), string(b.request.service), b.request.method, b.request.path)}
+	run.losses = losses{node: n, request: b.request.id, poison: guard.FingerprintOf(b.request.body, string(b.request.workspace), string(b.request.service), b.request.method, b.request.path)}
 	run.repeatable = repeatable(n.view().deployments[b.service], b.request.method)
 	timer := n.startDeadline(b.request, b.cancel)
 	defer timer.Stop()
@@ -281,7 +281,7 @@
 	if failed != nil {
 		p.ran = combine(p.ran, failed.Ran())
 		if failed.Ran() != sardine.RanNo {
-			p.losses.recordLoss(ctx, p.target, failed)
+			p.losses.recordLoss(ctx, p.target, 0, failed)
 		}
 		return nil, failed
 	}
@@ -289,7 +289,7 @@
 	p.node.recordLoad(choice.Candidate.Ref, answer.Reply)
 	buffered, err := buffer(answer)
 	if err != nil {
-		p.losses.recordLoss(ctx, p.target, err)
+		p.losses.recordLoss(ctx, p.target, 0, err)
 		answer.Close(false)
 		return nil, err
 	}
@@ -327,7 +327,7 @@
 		p.losses.survived()
 	} else {
 		err = codes.Wrap(codes.StreamBroken, err, "answer broke off")
-		p.losses.recordLoss(context.Background(), p.target, err)
+		p.losses.recordLoss(context.Background(), p.target, 0, err)
 		p.losses.failed()
 		event.Log(p.node.log, event.RequestFailed, requestAttr(p.request.id), codeAttr(err), ranAttr(sardine.RanYes))
 		p.node.endTrace(p.request.trace, err, sardine.RanYes, 0)
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -37,9 +37,11 @@
 	w        http.ResponseWriter
 
 	attempts int
-	counted  bool        // the current attempt is included in attempts
-	ran      sardine.Ran // over all attempts
-	unsent   int         // attempts that failed before anything was sent
+	counted  bool // the current attempt is included in attempts
+	// attemptEvents counts the events of the answer in the current attempt.
+	attemptEvents int
+	ran           sardine.Ran // over all attempts
+	unsent        int         // attempts that failed before anything was sent
 	// retryDenied records that the retry limit prevented another attempt.
 	retryDenied  bool
 	tried        []route.Ref
@@ -122,6 +124,7 @@
 		return err
 	}
 	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
+	q.losses.request, q.losses.segments = q.call.ID, q.call.Segments
 	q.losses.poison = guard.FingerprintOf(body, q.call.Host, r.Method, r.RequestURI, q.workspace())
 	return nil
 }
@@ -199,6 +202,7 @@
 		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Int("events", q.times.events),
 		slog.Int("rank", q.rank), slog.Int64("waited_ms", int64(q.waited)), slog.Int64("patience_ms", int64(q.call.Timeout)),
 		slog.Uint64("layout", q.node.view().table.Layout().Number),
+		slog.Any("segments", q.call.Segments),
 	}
 	event.Log(q.node.log, event.RequestServed, append(attrs, q.sizeAttrs()...)...)
 }
@@ -256,7 +260,7 @@
 		done.Canceled = failed.Ran() == sardine.RanNo
 		q.logAttempt(choice, failed)
 		if failed.Ran() != sardine.RanNo {
-			q.losses.recordLoss(ctx, target, failed)
+			q.losses.recordLoss(ctx, target, 0, failed)
 		}
 		return q.causeOf(ctx, failed)
 	}
@@ -267,7 +271,7 @@
 	if err != nil {
 		q.logAttempt(choice, err)
 		if !errors.Is(err, errTargetError) {
-			q.losses.recordLoss(ctx, target, err)
+			q.losses.recordLoss(ctx, target, q.attemptEvents, err)
 		}
 		return q.causeOf(ctx, err)
 	}
@@ -309,7 +313,7 @@
 func (q *routedRun) registerAttempt(ctx context.Context, choice *route.Choice) (context.Context, func()) {
 	n := q.node
 	q.healthRecord = n.health.begin(choice.Candidate)
-	q.counted = false
+	q.counted, q.attemptEvents = false, 0
 	if !q.mayMove() {
 		return ctx, func() { n.health.end(q.healthRecord) }
 	}
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -124,6 +124,7 @@
 			continue
 		}
 		if e.HasData {
+			q.attemptEvents++
 			q.node.health.progress(q.healthRecord, true)
 			q.recordGap()
 			next = q.nextEventDeadline()
--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -82,7 +82,8 @@
 	strike, counts := s.counter.CountLoss(n.clock.Now(), l)
 	known := s.counter.Count(l.Fingerprint)
 	s.mu.Unlock()
-	event.Log(n.log, event.RequestStruck, poisonAttr(l.Fingerprint), slog.String("target", l.Failure.Target()),
+	event.Log(n.log, event.RequestStruck, requestAttr(l.Request), poisonAttr(l.Fingerprint), slog.String("target", l.Failure.Target()),
+		slog.Uint64("epoch", uint64(l.Failure.Epoch)), slog.Int("events", l.Events), slog.Any("segments", l.Segments),
 		slog.Bool("counts", counts), slog.Int("known", known))
 	if counts {
 		s.push(strike)
--- a/guard/failurecounter.go
+++ b/guard/failurecounter.go
@@ -50,6 +50,9 @@
 
 // Loss is an attempt that ended because its target failed.
 type Loss struct {
+	Request     sardine.RequestID
+	Segments    []sardine.SegmentID // shared segments of the prompt
+	Events      int                 // events of the answer that arrived from the target
 	Fingerprint Fingerprint
 	Failure     state.TargetFailure
 	At          sardine.Millis // when the answer broke off
--- a/names.go
+++ b/names.go
@@ -31,6 +31,9 @@
 // service.
 type ServiceName string
 
+// SegmentID identifies a segment of a prompt that several requests share.
+type SegmentID string
+
 // RequestID identifies a caller's request.
 type RequestID string
 
