Refuse requests with a prompt segment that crashes the targets that run it

Cause: failures were counted by the hash of a whole request. No two of these requests are alike, so each began without a strike. A safeguard keyed by more than what does the harm never adds up. Besides, a lost request was sent to a second group before the check of the first had ended, so that one request took two groups.

Change: guard.SegmentCounter counts the failures of targets by prompt segment, in the same log as those of requests. A target that ends before it has begun an answer is a strike against the segments of that request that are not known to work; one that has begun it clears them. Strikes less than a second apart count as one (rack, domain). A segment of most requests that works is never judged; one that was only in the company of a refused one is probed once. A lost request waits for the check of its target (0.1 s at most) before it is sent on.

--- a/codes/table.go
+++ b/codes/table.go
@@ -16,14 +16,15 @@
 	SlowRequest      Code = 107
 	MethodNotAllowed Code = 108
 
-	LimitReached  Code = 200
-	QueueFull     Code = 201
-	DeadlineTight Code = 202
-	Draining      Code = 203
-	NoLease       Code = 204
-	PoisonRequest Code = 205
-	RetryBudget   Code = 206
-	ClaimsFull    Code = 207
+	LimitReached     Code = 200
+	QueueFull        Code = 201
+	DeadlineTight    Code = 202
+	Draining         Code = 203
+	NoLease          Code = 204
+	PoisonRequest    Code = 205
+	RetryBudget      Code = 206
+	ClaimsFull       Code = 207
+	SegmentSuspected Code = 208
 
 	NoTarget      Code = 300
 	TargetFailed  Code = 301
@@ -79,6 +80,7 @@
 	{PoisonRequest, "poison_request", 422, "the request crashed the targets that ran it", "change the request, or release it with sardctl"},
 	{RetryBudget, "retry_budget", 503, "too many retries are under way", "send again after the time in the Retry-After header"},
 	{ClaimsFull, "claims_full", 503, "the idempotency key can't be stored because too many are kept; the request was not run", "use fewer keys a day; keys are kept for 24 hours"},
+	{SegmentSuspected, "segment_suspected", 503, "a target failed while it ran a request with the same prompt segment, and no other has begun one since", "send again after the time in the Retry-After header"},
 
 	{NoTarget, "no_target", 503, "no target is available for the request", "send again after the time in the Retry-After header"},
 	{TargetFailed, "target_failed", 502, "the target failed before it answered", "send again if the request is idempotent"},
--- a/entry/checks.go
+++ b/entry/checks.go
@@ -35,6 +35,9 @@
 	// checkRetention is how long a target is remembered as exited. By then
 	// every request that lost its answer has failed.
 	checkRetention = 30 * sardine.Second
+	// settleTimeout bounds how long a request waits for the result of a probe before
+	// it is sent again.
+	settleTimeout = 100 * sardine.Millis(1)
 	// maxPendingLosses bounds the losses that wait for the result of one check.
 	maxPendingLosses = 256
 )
@@ -55,6 +58,8 @@
 	exitedAt sardine.Millis // 0 unless it has exited
 	requests int            // number of requests that the target lost
 	pending  []guard.Loss   // losses that count once the target has exited
+	suspects []guard.Loss   // losses whose segments count once the target has exited
+	probed   chan struct{}  // closed when the last probe has ended
 }
 
 // checks runs a check on each target that lost requests, one at a time per
@@ -84,7 +89,7 @@
 	k.requests++
 	k.deadline = c.node.clock.Now() + checkTimeout
 	if probe && k.exitedAt == 0 && !k.probing {
-		k.probing = true
+		k.probing, k.probed = true, make(chan struct{})
 		c.running.Go(func() { c.probe(k) })
 	}
 	return k
@@ -94,32 +99,58 @@
 func (c *checks) probe(k *check) {
 	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address)
 	c.mu.Lock()
+	defer close(k.probed)
 	k.probing = false
-	pending := []guard.Loss(nil)
+	var found exitLosses
 	if exited && k.exitedAt == 0 && !c.wasLeaving(c.node.view(), k) {
-		pending = c.markExited(k, "nobody listens")
+		found = c.markExited(k, "nobody listens")
 	}
 	c.mu.Unlock()
-	c.countLosses(pending)
+	c.count(found)
+}
+
+// settle waits until the probe of the target has ended, at most for settleTimeout.
+func (c *checks) settle(ctx context.Context, k *check) {
+	c.mu.Lock()
+	probed := k.probed
+	c.mu.Unlock()
+	if probed == nil {
+		return
+	}
+	select {
+	case <-probed:
+	case <-ctx.Done():
+	case <-c.node.clock.After(settleTimeout):
+	}
+}
+
+// exitLosses holds the losses that count now that their target has exited.
+type exitLosses struct {
+	requests []guard.Loss
+	suspects []guard.Loss
+}
+
+// count counts losses against their requests and their segments.
+func (c *checks) count(l exitLosses) {
+	for _, one := range l.requests {
+		c.node.strikes.recordFailure(one)
+	}
+	for _, one := range l.suspects {
+		c.node.strikes.recordSuspects(one)
+	}
 }
 
 // markExited records that a target has exited and returns the losses that count
 // now. The caller holds the lock.
-func (c *checks) markExited(k *check, why string) []guard.Loss {
+func (c *checks) markExited(k *check, why string) exitLosses {
 	n := c.node
 	k.exitedAt = n.clock.Now()
 	n.meter.targetExited()
 	event.Log(n.log, event.TargetEnded, slog.String("target", k.target.candidate.String()), slog.String("address", k.target.candidate.Address),
 		slog.String("why", why), slog.Int("requests", k.requests))
-	pending := k.pending
-	k.pending = nil
-	return pending
-}
-
-func (c *checks) countLosses(all []guard.Loss) {
-	for _, l := range all {
-		c.node.strikes.recordFailure(l)
-	}
+	found := exitLosses{requests: k.pending, suspects: k.suspects}
+	k.pending, k.suspects = nil, nil
+	return found
 }
 
 // hasExited reports whether the target is known to have exited.
@@ -129,25 +160,39 @@
 	return k.exitedAt > 0
 }
 
-// addLoss counts a loss at once if the target has exited, or else when the
-// check finds that it has.
+// addLoss counts a loss against its request at once if the target has exited, or
+// else when the check finds that it has.
 func (c *checks) addLoss(k *check, l guard.Loss) {
-	c.mu.Lock()
-	exited := k.exitedAt > 0
-	if !exited && len(k.pending) < maxPendingLosses {
-		k.pending = append(k.pending, l)
+	if c.postpone(k, &k.pending, l) {
+		return
 	}
-	c.mu.Unlock()
-	if exited {
-		c.countLosses([]guard.Loss{l})
+	c.count(exitLosses{requests: []guard.Loss{l}})
+}
+
+// addSuspect does the same for the segments of a loss.
+func (c *checks) addSuspect(k *check, l guard.Loss) {
+	if c.postpone(k, &k.suspects, l) {
+		return
 	}
+	c.count(exitLosses{suspects: []guard.Loss{l}})
+}
+
+// postpone adds a loss to those that wait for the check, and reports whether it has
+// to wait.
+func (c *checks) postpone(k *check, pending *[]guard.Loss, l guard.Loss) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.exitedAt == 0 && len(*pending) < maxPendingLosses {
+		*pending = append(*pending, l)
+	}
+	return k.exitedAt == 0
 }
 
 // tick looks up targets that did not respond or still listen in the followed
 // state, and removes checks of targets that exited long ago or are healthy.
 func (c *checks) tick() {
 	v, now := c.node.view(), c.node.clock.Now()
-	var pending []guard.Loss
+	var found []exitLosses
 	c.mu.Lock()
 	for ref, k := range c.all {
 		switch {
@@ -157,11 +202,13 @@
 		case c.wasLeaving(v, k) || now > k.deadline:
 			delete(c.all, ref)
 		case slices.ContainsFunc(k.target.processes, v.removed):
-			pending = append(pending, c.markExited(k, "the log has dropped it")...)
+			found = append(found, c.markExited(k, "the log has dropped it"))
 		}
 	}
 	c.mu.Unlock()
-	c.countLosses(pending)
+	for _, l := range found {
+		c.count(l)
+	}
 }
 
 // wasLeaving reports whether a process of the target had announced that it
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -69,6 +69,11 @@
 	return r.node.view().strikes[string(fingerprint)]
 }
 
+// Time returns the leader's time of the last entry in the published view.
+func (r publishedStrikes) Time() state.WallTime {
+	return r.node.view().at
+}
+
 // Index returns the log index of the published view.
 func (r publishedStrikes) Index() uint64 {
 	return r.node.view().index
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -15,7 +15,9 @@
 type losses struct {
 	node     *Node
 	request  sardine.RequestID
-	segments []sardine.SegmentID
+	service  sardine.ServiceName // deployment
+	segments []guard.Segment
+	proven   bool // a target has begun to answer
 	poison   guard.Fingerprint
 	all      []lostAttempt
 }
@@ -53,10 +55,14 @@
 	}
 	now := l.node.clock.Now()
 	k := l.node.checks.begin(d, !errors.Is(err, os.ErrDeadlineExceeded))
-	l.all = append(l.all, lostAttempt{check: k, loss: guard.Loss{
-		Request: l.request, Segments: l.segments, Events: events,
+	loss := guard.Loss{
+		Request: l.request, Service: l.service, Segments: l.segments, Events: events,
 		Fingerprint: l.poison, Failure: state.TargetFailure(d.candidate.Ref), At: now,
-	}})
+	}
+	l.all = append(l.all, lostAttempt{check: k, loss: loss})
+	if len(l.segments) > 0 {
+		l.node.checks.addSuspect(k, loss)
+	}
 }
 
 // failed counts the targets that exited, or are found to have exited later,
@@ -72,6 +78,27 @@
 func (l *losses) survived() {
 	l.all = nil
 	l.node.strikes.survived(l.poison)
+	l.began()
+}
+
+// began records that a target has begun to answer the request.
+func (l *losses) began() {
+	if !l.proven {
+		l.proven = true
+		l.node.strikes.proven(l.service, l.segments)
+	}
+}
+
+// settle waits for the check of the last lost target if a segment may have made it
+// fail: the request would otherwise be sent to another one at once.
+func (l *losses) settle(ctx context.Context) {
+	if len(l.all) == 0 {
+		return
+	}
+	last := l.all[len(l.all)-1]
+	if last.loss.Events < guard.ProvenEvents && l.node.strikes.hasSuspects(l.service, l.segments) {
+		l.node.checks.settle(ctx, last.check)
+	}
 }
 
 // lostByTarget reports whether an attempt with this context was ended by its
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -88,6 +88,7 @@
 	defer cancel(nil)
 	n.retries.countFirst(q.arrived, q.name)
 	q.recordDemand()
+	n.strikes.arrived(q.service, q.losses.segments)
 	n.openTraffic()
 	q.serve(ctx)
 }
@@ -124,7 +125,8 @@
 		return err
 	}
 	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
-	q.losses.request, q.losses.segments = q.call.ID, q.call.Segments
+	q.losses.request, q.losses.service = q.call.ID, q.service.routeName()
+	q.losses.segments = guard.SegmentsOf(q.losses.service, q.call.Segments)
 	q.losses.poison = guard.FingerprintOf(body, q.call.Host, r.Method, r.RequestURI, q.workspace())
 	return nil
 }
@@ -160,6 +162,10 @@
 		q.refuse(err)
 		return
 	}
+	if err := q.awaitSegments(ctx); err != nil {
+		q.endUnanswered(ctx, q.refuse, err)
+		return
+	}
 	for {
 		err := q.attempt(ctx)
 		if err == nil {
@@ -171,14 +177,25 @@
 			q.abandon(ctx)
 			return
 		}
-		if q.losses.allow() != nil || !q.mayRetry(err) {
-			q.fail(err)
+		q.losses.settle(ctx)
+		if q.losses.allow() != nil || q.awaitSegments(ctx) != nil || !q.mayRetry(err) {
+			q.endUnanswered(ctx, q.fail, err)
 			return
 		}
 		q.delayMove(ctx)
 	}
 }
 
+// endUnanswered ends a request with an error by the given function, unless its caller
+// has disconnected or its time is up.
+func (q *routedRun) endUnanswered(ctx context.Context, end func(error), err error) {
+	if ctx.Err() != nil {
+		q.abandon(ctx)
+		return
+	}
+	end(err)
+}
+
 // servedSampling is the number of served requests per logged one. The request
 // id decides, so every node logs either all lines of a request or none.
 const servedSampling = 64
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -8,6 +8,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/proxy"
 )
 
@@ -124,7 +125,9 @@
 			continue
 		}
 		if e.HasData {
-			q.attemptEvents++
+			if q.attemptEvents++; q.attemptEvents == guard.ProvenEvents {
+				q.losses.began()
+			}
 			q.node.health.progress(q.healthRecord, true)
 			q.recordGap()
 			next = q.nextEventDeadline()
--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -30,6 +30,7 @@
 	commands *ring.Ring[state.Command]
 	mu       sync.Mutex
 	counter  *guard.FailureCounter
+	segments *guard.SegmentCounter
 	waiting  atomic.Int64 // commands that are not in the log yet
 }
 
@@ -38,6 +39,7 @@
 		node:     n,
 		commands: ring.New[state.Command](strikeQueue, ring.Reject),
 		counter:  guard.NewFailureCounter(publishedStrikes{n}),
+		segments: guard.NewSegmentCounter(publishedStrikes{n}),
 	}
 }
 
@@ -83,7 +85,7 @@
 	known := s.counter.Count(l.Fingerprint)
 	s.mu.Unlock()
 	event.Log(n.log, event.RequestStruck, requestAttr(l.Request), poisonAttr(l.Fingerprint), slog.String("target", l.Failure.Target()),
-		slog.Uint64("epoch", uint64(l.Failure.Epoch)), slog.Int("events", l.Events), slog.Any("segments", l.Segments),
+		slog.Uint64("epoch", uint64(l.Failure.Epoch)), slog.Int("events", l.Events), segmentsAttr(l.Segments),
 		slog.Bool("counts", counts), slog.Int("known", known))
 	if counts {
 		s.push(strike)
@@ -155,8 +157,10 @@
 	switch c := c.(type) {
 	case state.Strike:
 		s.counter.StrikeCommitted(c, result.Index)
+		s.segments.StrikeCommitted(c, result.Index)
 	case state.ReleasePoison:
 		s.counter.ReleaseCommitted(c, result.Index)
+		s.segments.ReleaseCommitted(c, result.Index)
 	}
 }
 
@@ -165,6 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counter.Prune()
+	s.segments.Prune()
 }
 
 // drain waits until the log contains all strikes, at most for strikeWait.
--- a/entry/view.go
+++ b/entry/view.go
@@ -37,6 +37,7 @@
 // immutable once published.
 type view struct {
 	index        uint64
+	at           state.WallTime // leader's time of the last log entry
 	versions     map[sardine.Team]sardine.Version
 	tenancies    map[sardine.Workspace]tenancy
 	deployments  map[serviceKey]sardine.Deployment
@@ -71,7 +72,7 @@
 // Unchanged parts are reused from the view before.
 func newView(m *state.Machine, self sardine.NodeID, table *paths.Table, before *view) (*view, []error) {
 	v := emptyView()
-	v.index = m.Index()
+	v.index, v.at = m.Index(), m.Time()
 	for i, e := range m.Entries() {
 		v.nodes++
 		if e.Node == self {
--- a/event/table.go
+++ b/event/table.go
@@ -65,6 +65,9 @@
 	RequestTried    ID = 510
 	RepeatsCounted  ID = 511
 	RepeatsShared   ID = 512
+	SegmentStruck   ID = 513
+	SegmentCleared  ID = 514
+	SegmentProbed   ID = 515
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -130,6 +133,9 @@
 	{RequestTried, "request_tried", slog.LevelInfo, "a refused request is run once more to check whether it was refused wrongly", "nothing"},
 	{RepeatsCounted, "repeats_counted", slog.LevelInfo, "the requests and retries of a service on this node in one second, as the retry limit counts them; one line a second while the limit's window contains retries or denied ones", "sum them over the nodes with sardctl repeats"},
 	{RepeatsShared, "repeats_shared", slog.LevelInfo, "the node's share of the retry allowance of all entry nodes has changed", "nothing"},
+	{SegmentStruck, "segment_struck", slog.LevelWarn, "a target failed before it began to answer a request with the prompt segment, which is not known to work", "see the known attribute; requests with the segment are refused after three failures"},
+	{SegmentCleared, "segment_cleared", slog.LevelInfo, "a target has begun to answer a request with a struck segment; its strikes are withdrawn", "nothing"},
+	{SegmentProbed, "segment_probed", slog.LevelInfo, "a request is sent to find out whether a struck segment makes targets fail; others with the segment wait", "nothing"},
 	{KeyRefused, "key_refused", slog.LevelWarn, "a token was refused", "see the reason attribute"},
 	{KeysReloaded, "keys_reloaded", slog.LevelInfo, "certificates and tokens were read again", "nothing"},
 }
--- a/guard/failurecounter.go
+++ b/guard/failurecounter.go
@@ -36,6 +36,8 @@
 	Poison(fingerprint []byte) state.Poison
 	// Index returns the index of the last log entry that Poison reflects.
 	Index() uint64
+	// Time returns the highest timestamp applied, by the leader's clock.
+	Time() state.WallTime
 }
 
 // Verdict says whether a request may be sent to a target.
@@ -46,13 +48,16 @@
 	Allowed Verdict = iota + 1
 	Refused
 	Trial // may be sent once, by the node that the log grants the trial to
+	Probe // may be sent by the node that the log grants the probe to
+	Wait  // may not be sent yet: the verdict depends on a probe
 )
 
 // Loss is an attempt that ended because its target failed.
 type Loss struct {
 	Request     sardine.RequestID
-	Segments    []sardine.SegmentID // shared segments of the prompt
-	Events      int                 // events of the answer that arrived from the target
+	Service     sardine.ServiceName
+	Segments    []Segment // shared segments of the prompt
+	Events      int       // events of the answer that arrived from the target
 	Fingerprint Fingerprint
 	Failure     state.TargetFailure
 	At          sardine.Millis // when the answer broke off
--- a/guard/failurecounter_test.go
+++ b/guard/failurecounter_test.go
@@ -17,6 +17,7 @@
 type entryNode struct {
 	view     *state.Machine
 	counter  *FailureCounter
+	segments *SegmentCounter
 	proposed []state.Strike // strikes that may not be committed yet
 }
 
@@ -25,6 +26,7 @@
 	now         sardine.Millis
 	leader      *state.Machine
 	log         []state.Command
+	times       []state.WallTime // of the log's entries, by the leader's clock
 	nodes       map[string]*entryNode
 	uncommitted []func()
 }
@@ -41,12 +43,12 @@
 // start gives a node a new failure counter, as a restart does, and applies the whole log.
 func (w *cluster) start(name string) {
 	view := state.NewMachine()
-	w.nodes[name] = &entryNode{view: view, counter: NewFailureCounter(view)}
+	w.nodes[name] = &entryNode{view: view, counter: NewFailureCounter(view), segments: NewSegmentCounter(view)}
 	w.follow(name)
 }
 
 func (w *cluster) apply(c state.Command) state.Result {
-	w.log = append(w.log, c)
+	w.log, w.times = append(w.log, c), append(w.times, state.WallTime(w.now))
 	return w.leader.Apply(uint64(len(w.log)), state.WallTime(w.now), c)
 }
 
@@ -54,12 +56,13 @@
 	d := w.nodes[name]
 	for i := d.view.Index(); i < uint64(len(w.log)); i++ {
 		if state.SentToEntries(w.log[i]) {
-			d.view.Apply(i+1, state.WallTime(w.now), w.log[i])
+			d.view.Apply(i+1, w.times[i], w.log[i])
 		} else {
 			d.view.Skip(i + 1)
 		}
 	}
 	d.counter.Prune()
+	d.segments.Prune()
 }
 
 func fingerprintOf(name string) Fingerprint {
