Send probes of a segment first, and blame it for exits just after a disconnect

Probes have rank 0 now and are accepted up to what an engine takes. Attempts of callers that disconnected less than 0.5 s before their target exited count against segments like those that were cut off.

--- a/entry/checks.go
+++ b/entry/checks.go
@@ -38,6 +38,9 @@
 	// settleTimeout bounds how long a request waits for the result of a probe before
 	// it is sent again.
 	settleTimeout = 100 * sardine.Millis(1)
+	// abandonedWindow is how long a target may still work on a request after its
+	// caller has disconnected.
+	abandonedWindow = 500 * sardine.Millis(1)
 	// maxPendingLosses bounds the losses that wait for the result of one check.
 	maxPendingLosses = 256
 )
@@ -65,14 +68,17 @@
 // checks runs a check on each target that lost requests, one at a time per
 // target.
 type checks struct {
-	node    *Node
-	mu      sync.Mutex
-	all     map[route.Ref]*check
-	running sync.WaitGroup
+	node *Node
+	mu   sync.Mutex
+	all  map[route.Ref]*check
+	// abandoned holds the attempts of callers that disconnected before the answer
+	// began, for abandonedWindow.
+	abandoned map[route.Ref][]guard.Loss
+	running   sync.WaitGroup
 }
 
 func newChecks(n *Node) *checks {
-	return &checks{node: n, all: make(map[route.Ref]*check)}
+	return &checks{node: n, all: make(map[route.Ref]*check), abandoned: make(map[route.Ref][]guard.Loss)}
 }
 
 // begin returns the check of a target that has just lost a request, starting it
@@ -149,6 +155,11 @@
 	event.Log(n.log, event.TargetEnded, slog.String("target", k.target.candidate.String()), slog.String("address", k.target.candidate.Address),
 		slog.String("why", why), slog.Int("requests", k.requests))
 	found := exitLosses{requests: k.pending, suspects: k.suspects}
+	for _, l := range c.abandoned[k.target.candidate.Ref] {
+		if k.exitedAt-l.At < abandonedWindow {
+			found.suspects = append(found.suspects, l)
+		}
+	}
 	k.pending, k.suspects = nil, nil
 	return found
 }
@@ -177,6 +188,30 @@
 	c.count(exitLosses{suspects: []guard.Loss{l}})
 }
 
+// addAbandoned notes an attempt whose caller has disconnected. Its segments count if
+// the target exits soon.
+func (c *checks) addAbandoned(d dispatched, l guard.Loss) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ref := d.candidate.Ref
+	if all := c.abandoned[ref]; len(all) < maxPendingLosses {
+		c.abandoned[ref] = append(all, l)
+	}
+}
+
+// pruneAbandoned drops the attempts whose targets have stopped working on them. The
+// caller holds the lock.
+func (c *checks) pruneAbandoned(now sardine.Millis) {
+	for ref, all := range c.abandoned {
+		all = slices.DeleteFunc(all, func(l guard.Loss) bool { return now-l.At >= abandonedWindow })
+		if len(all) == 0 {
+			delete(c.abandoned, ref)
+			continue
+		}
+		c.abandoned[ref] = all
+	}
+}
+
 // postpone adds a loss to those that wait for the check, and reports whether it has
 // to wait.
 func (c *checks) postpone(k *check, pending *[]guard.Loss, l guard.Loss) bool {
@@ -194,6 +229,7 @@
 	v, now := c.node.view(), c.node.clock.Now()
 	var found []exitLosses
 	c.mu.Lock()
+	c.pruneAbandoned(now)
 	for ref, k := range c.all {
 		switch {
 		case k.exitedAt > 0 && now > k.exitedAt+checkRetention:
--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -55,3 +55,34 @@
 		})
 	}
 }
+
+// Guards against segments that are not blamed since the caller disconnected some
+// milliseconds before the target exited under its request.
+func TestExitCountsForRequestsAbandonedShortlyBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		after sardine.Millis // from the disconnect to the exit
+		want  int
+	}{
+		"exits at once":           {80, 1},
+		"exits when it has ended": {abandonedWindow, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := clock.NewVirtual(1000)
+			n := &Node{clock: k, log: logs.Discard(), id: "e1"}
+			n.published.Store(&published{view: emptyView()})
+			var err error
+			n.meter, err = newInstruments(n)
+			require.NoError(t, err)
+			n.checks, n.strikes = newChecks(n), newStrikes(n)
+			ref := route.Ref{Group: "g", Epoch: 3}
+			target := dispatched{candidate: route.Candidate{Ref: ref}, processes: []sardine.Member{{VM: "vm-1", Incarnation: 1}}}
+			segments := guard.SegmentsOf("team/model", []sardine.SegmentID{"d"})
+			n.checks.addAbandoned(target, guard.Loss{Service: "team/model", Segments: segments, Failure: state.TargetFailure(ref), At: k.Now()})
+			k.Advance(c.after)
+			n.checks.begin(target, false) // another request broke off
+			n.checks.tick()               // the view does not have the target
+			require.Equal(t, c.want, n.strikes.segments.Count(segments[0]))
+			require.LessOrEqual(t, len(n.checks.abandoned), c.want, "it is forgotten")
+		})
+	}
+}
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -48,17 +48,21 @@
 
 // recordLoss starts a check of the target whose attempt failed with err after the
 // given number of events. An attempt whose ctx was canceled by the caller, by its
-// deadline or by the node says nothing about the target.
+// deadline or by the node says nothing about the target, but the target may still
+// fail for it.
 func (l *losses) recordLoss(ctx context.Context, d dispatched, events int, err error) {
-	if !lostByTarget(ctx) {
-		return
-	}
 	now := l.node.clock.Now()
-	k := l.node.checks.begin(d, !errors.Is(err, os.ErrDeadlineExceeded))
 	loss := guard.Loss{
 		Request: l.request, Service: l.service, Segments: l.segments, Events: events,
 		Fingerprint: l.poison, Failure: state.TargetFailure(d.candidate.Ref), At: now,
 	}
+	if !lostByTarget(ctx) {
+		if len(l.segments) > 0 && events < guard.ProvenEvents {
+			l.node.checks.addAbandoned(d, loss)
+		}
+		return
+	}
+	k := l.node.checks.begin(d, !errors.Is(err, os.ErrDeadlineExceeded))
 	l.all = append(l.all, lostAttempt{check: k, loss: loss})
 	if len(l.segments) > 0 {
 		l.node.checks.addSuspect(k, loss)
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -38,6 +38,7 @@
 
 	attempts int
 	counted  bool // the current attempt is included in attempts
+	probing  bool // the next attempt finds out whether a segment makes targets fail
 	// attemptEvents counts the events of the answer in the current attempt.
 	attemptEvents int
 	ran           sardine.Ran // over all attempts
--- a/entry/routed_pick.go
+++ b/entry/routed_pick.go
@@ -46,6 +46,7 @@
 		TargetRequests: c.TargetRequests,
 		Slots:          slots,
 		Saturated:      c.Saturated,
+		Probe:          q.probing,
 		Late:           q.waited+now-q.arrived > q.route.Objective,
 		Resumed:        q.events.Last() != "",
 		Bound:          q.node.batchBounds.Bound(now, q.service.routeName()),
--- a/entry/segments.go
+++ b/entry/segments.go
@@ -106,6 +106,7 @@
 	if len(q.losses.segments) == 0 {
 		return nil
 	}
+	q.probing = false
 	until := min(q.deadline, n.clock.Now()+sardine.Millis(segmentHoldShare*float64(q.disconnectGap())))
 	for {
 		v := n.strikes.checkSegments(q.losses.service, q.losses.segments)
@@ -116,6 +117,7 @@
 			return codes.New(codes.PoisonRequest, "segment %s of the prompt crashed the targets that ran it", v.Segment.ID)
 		case guard.Trial, guard.Probe:
 			if n.strikes.claim(v.Claims) {
+				q.probing = true
 				event.Log(n.log, event.SegmentProbed, requestAttr(q.call.ID), segmentAttr(v.Segment), poisonAttr(v.Segment.Fingerprint))
 				return nil
 			}
--- a/guard/segments.go
+++ b/guard/segments.go
@@ -244,6 +244,11 @@
 	return strikes
 }
 
+// Count returns the number of strikes of a segment.
+func (c *SegmentCounter) Count(s Segment) int {
+	return c.failures.Count(s.Fingerprint)
+}
+
 // Proven records that a target has begun to answer a request with the segments. It
 // returns the commands that remove their strikes.
 func (c *SegmentCounter) Proven(now sardine.Millis, service sardine.ServiceName, segments []Segment) []state.ReleasePoison {
--- a/place/place.go
+++ b/place/place.go
@@ -2,6 +2,7 @@
 
 // Ranks of requests at an engine, which serves lower ones first.
 const (
+	RankProbe   = 0 // others wait until it has begun
 	RankOnTime  = 3 // can still start in time
 	RankResumed = 5 // continues after an interruption
 	RankLate    = 7 // starts late in any case: served when nothing else waits
@@ -28,6 +29,7 @@
 	TargetRequests float64 // at the engine, without this one
 	Slots          int     // of the engine's batch
 	Saturated      bool    // requests have been waiting at the engines for longer than a burst
+	Probe          bool    // other requests wait for its outcome
 	Late           bool    // its objective has passed
 	Resumed        bool    // it continues after an interruption
 	Bound          float64 // share of a batch up to which fresh requests are accepted, see BatchLimiter; 0 is no limit
@@ -38,6 +40,8 @@
 func Rank(q Request) (rank int, ok bool) {
 	utilization := q.TargetRequests / float64(q.Slots)
 	switch {
+	case q.Probe:
+		return RankProbe, utilization < burstShare
 	case !q.Resumed && q.Bound > 0 && q.Bound < onTimeShare && utilization >= q.Bound:
 		return RankLate, false
 	case q.Resumed:
