Take an answer that ends with its connection for whole only if its target runs

An answer may come with neither a length nor chunks and end with its connection. The own interface refused all such answers.

Change: where such an answer ends, the entry node looks whether its target still listens, as it does after an answer that broke off; if not, the answer is broken. A short one is read whole before it is forwarded, so that a read can go on elsewhere. Plain services of the own interface may answer so too, and an engine's answer is judged by its content, which shows its end.

TestAnswersThatEndWithTheirConnection of standin/site for the own interface.

A stream cut at the end of an event by a target that goes on to listen is not found: nothing in it tells its last event.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -288,6 +288,9 @@
 	p.ran = sardine.RanYes
 	p.node.recordLoad(choice.Candidate.Ref, answer.Reply)
 	buffered, err := buffer(answer)
+	if err == nil && buffered.whole {
+		err = p.node.checkEnd(serve.Delimited(answer.Response), choice.Candidate)
+	}
 	if err != nil {
 		p.losses.recordLoss(ctx, p.target, 0, err)
 		answer.Close(false)
@@ -299,9 +302,6 @@
 // buffer reads an answer to its end if it is short enough.
 func buffer(answer *proxy.Answer) (*plainAnswer, error) {
 	resp := answer.Response
-	if !serve.Delimited(resp) {
-		return nil, codes.New(codes.AnswerInvalid, "answer has no length")
-	}
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedPlainBytes+1))
 	if err != nil {
 		return nil, codes.New(codes.StreamBroken, "answer broke off after %d bytes: %v", len(head), err)
@@ -322,6 +322,9 @@
 		return err
 	}
 	_, err := io.Copy(deadlineWriter{p.sink}, a.response.Body)
+	if err == nil {
+		err = p.node.checkEnd(serve.Delimited(a.response), p.target.candidate)
+	}
 	a.ended = err == nil
 	if err == nil {
 		p.losses.survived()
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -10,6 +11,8 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/serve"
 )
 
 // maxBufferedBytes bounds an answer that is read completely before any of it is
@@ -49,6 +52,9 @@
 	if resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedBytes {
 		return q.forwardBuffered(a)
 	}
+	if !serve.Delimited(resp) && q.request.Method != http.MethodHead {
+		return q.forwardUndelimited(a)
+	}
 	return q.forwardUnbuffered(a)
 }
 
@@ -94,9 +100,43 @@
 	return true, nil
 }
 
+// forwardUndelimited forwards an answer that ends with its connection. It reads a short
+// one completely before it forwards it.
+func (q *routedRun) forwardUndelimited(a *proxy.Answer) (bool, error) {
+	head, err := io.ReadAll(io.LimitReader(a.Response.Body, maxBufferedBytes+1))
+	if err != nil {
+		return false, codes.Wrap(codes.StreamBroken, err, "the answer broke off")
+	}
+	if len(head) > maxBufferedBytes {
+		q.sendHead(a.Response)
+		if _, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(head), a.Response.Body)); err != nil {
+			return false, codes.Wrap(codes.StreamBroken, err, "the answer broke off")
+		}
+	}
+	if err := q.node.checkEnd(false, q.times.choice.Candidate); err != nil {
+		return false, err
+	}
+	if len(head) <= maxBufferedBytes {
+		a.Response.ContentLength = int64(len(head))
+		q.sendHead(a.Response)
+		_, _ = q.w.Write(head) // a caller that has disconnected needs no answer
+	}
+	return true, nil
+}
+
+// checkEnd returns an error if an answer may have broken off where it ended. If it is
+// not delimited, it ended with its connection, as those of a process that exits do.
+func (n *Node) checkEnd(delimited bool, c route.Candidate) error {
+	if !delimited && n.exited(n.baseCtx, c.Address) {
+		return codes.New(codes.StreamBroken, "the target exited at the end of an answer without a length")
+	}
+	return nil
+}
+
 // forwardStream forwards events one by one. The header is sent with the first
 // event; until then another target can answer instead.
 func (q *routedRun) forwardStream(a *proxy.Answer) (bool, error) {
+	delimited := serve.Delimited(a.Response)
 	a.Response.ContentLength = -1 // another target may have to continue the answer
 	events := proxy.NewEvents(a.Response.Body)
 	control := http.NewResponseController(q.w)
@@ -109,6 +149,9 @@
 			if err := q.events.End(); err != nil {
 				return false, err
 			}
+			if err := q.node.checkEnd(delimited, q.times.choice.Candidate); err != nil {
+				return false, err
+			}
 			if !q.headSent {
 				q.sendHead(a.Response)
 			}
--- a/serve/whole.go
+++ b/serve/whole.go
@@ -9,14 +9,9 @@
 	"sardineswitch.dev/sardine/codes"
 )
 
-// ReadWhole reads an answer of at most limit bytes to its end.
-//
-// It rejects an answer with neither a length nor chunks: such an answer ends with
-// its connection, so that a truncated one can't be distinguished from a whole one.
+// ReadWhole reads an answer of at most limit bytes to its end. If it is not Delimited,
+// only its content shows whether it is whole, see CheckWhole.
 func ReadWhole(resp *http.Response, limit int64) ([]byte, error) {
-	if !Delimited(resp) {
-		return nil, codes.New(codes.AnswerInvalid, "answer has no length")
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, codes.New(codes.StreamBroken, "answer broke off after %d bytes: %v", len(body), err)
@@ -28,7 +23,7 @@
 }
 
 // Delimited reports whether a truncated answer can be distinguished from a whole
-// one.
+// one. One with neither a length nor chunks ends with its connection.
 func Delimited(resp *http.Response) bool {
 	if resp.ContentLength >= 0 || resp.ProtoMajor >= 2 {
 		return true
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -30,10 +30,12 @@
 
 // The faults.
 const (
-	FaultNone       Fault = iota
-	FaultBeforeRun        // the connection breaks before the request runs
-	FaultAfterRun         // the request runs, then the connection breaks
-	FaultHalfAnswer       // the request runs, and the connection breaks after half of the answer
+	FaultNone         Fault = iota
+	FaultBeforeRun          // the connection breaks before the request runs
+	FaultAfterRun           // the request runs, then the connection breaks
+	FaultHalfAnswer         // the request runs, and the connection breaks after half of the answer
+	FaultNoLength           // the answer has neither a length nor chunks and ends with its connection
+	FaultNoLengthExit       // the same, and the service exits after half of the answer
 )
 
 // Service is one plain service VM. Start and Stop may alternate; each start is a
@@ -199,6 +201,10 @@
 	answer := Expect(r.Method, r.URL.Path, string(body))
 	w.Header().Set(reply.HeaderRequest, r.Header.Get(reply.HeaderRequest))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if fault == FaultNoLength || fault == FaultNoLengthExit {
+		p.answerUndelimited(w, answer, fault)
+		return
+	}
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 	if fault == FaultHalfAnswer {
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
@@ -208,6 +214,26 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// answerUndelimited sends an answer that ends with its connection.
+func (p *Service) answerUndelimited(w http.ResponseWriter, answer string, fault Fault) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if fault == FaultNoLengthExit {
+		answer = answer[:len(answer)/2]
+		p.mu.Lock()
+		defer p.server.Close()
+		p.mu.Unlock()
+		defer func() { go p.Stop() }() // waits for the handlers
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = buffered.WriteString("\r\n" + answer)
+	_ = buffered.Flush()
+}
+
 // admit admits a request unless the service leaves, and returns the fault that
 // affects it and the time of its run.
 func (p *Service) admit(w http.ResponseWriter) (Fault, sardine.Millis, bool) {
--- a/standin/site/once_test.go
+++ b/standin/site/once_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// TestAnswersThatEndWithTheirConnection guards against answers without a length that are
+// refused, and against truncated ones that look whole.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	s := startWithoutEngines(t)
+	target, address := s.PlainServices()[0], s.Entries()[0].Node().PublicAddress()
+	for _, key := range []string{"", "key"} {
+		seat := "whole " + key
+		target.InjectFault(plain.FaultNoLength, 1)
+		status, text, _ := book(t, address, key, seat)
+		require.Equal(t, http.StatusOK, status, text)
+		require.Equal(t, plain.Expect(http.MethodPost, "/bookings", seat), text)
+	}
+	target.InjectFault(plain.FaultNoLengthExit, 1)
+	status, text, ran := book(t, address, "", "half")
+	require.NotEqual(t, http.StatusOK, status, text)
+	require.NotEqual(t, "no", ran)
+}
+
 // TestConcurrentRequestsWithOneKey sends one booking with one key through all
 // entry nodes concurrently, several times each. It must run once.
 func TestConcurrentRequestsWithOneKey(t *testing.T) {
