Bound the memory of the whole answers that an entry node holds for engines

A faulty engine that sends an answer's body without end (own interface, not a stream) made the entry node keep up to 4 MB for each request at the same moment: with 100 of them 400 MB, more than the node has, so that the requests of all callers on it would end with it.

Cause: the bound was one of a single answer; none held for all of them. Change: serve.Budget.

--- a/entry/model.go
+++ b/entry/model.go
@@ -23,6 +23,9 @@
 // forwarded.
 const maxAnswerBytes = 4 << 20
 
+// heldAnswerBytes bounds all such answers of a node together, as far as they are long.
+const heldAnswerBytes = 32 << 20
+
 const (
 	// maxResumes bounds how often one stream is resumed at the group that runs
 	// it.
--- a/entry/model_forward.go
+++ b/entry/model_forward.go
@@ -44,10 +44,11 @@
 
 // forwardWhole forwards an answer that is not a stream.
 func (m *modelRun) forwardWhole(resp *http.Response, choice *route.Choice, started sardine.Millis) error {
-	body, err := serve.ReadWhole(resp, maxAnswerBytes)
+	body, release, err := serve.ReadWhole(resp, maxAnswerBytes, m.node.answers)
 	if err != nil {
 		return err
 	}
+	defer release()
 	if err := serve.CheckWhole(body, m.request.id); err != nil {
 		return err
 	}
@@ -60,10 +61,11 @@
 // server error, or any status once the answer has started, counts as a failed
 // dispatch. Any other status is the fault of the request and is forwarded.
 func (m *modelRun) forwardStatus(resp *http.Response) error {
-	body, err := serve.ReadWhole(resp, maxAnswerBytes)
+	body, release, err := serve.ReadWhole(resp, maxAnswerBytes, m.node.answers)
 	if err != nil {
 		return err
 	}
+	defer release()
 	if resp.StatusCode >= http.StatusInternalServerError || m.sink.started {
 		return codes.New(codes.TargetFailed, "engine answered %s", resp.Status)
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -90,6 +90,7 @@
 	guards            *guards
 	checks            *checks
 	strikes           *strikes
+	answers           *serve.Budget // of answers that are held until they are whole
 	follower          *follower
 	meter             *instruments
 	traces            *trace.Ring
@@ -180,6 +181,7 @@
 	n.guards = newGuards(n)
 	n.checks = newChecks(n)
 	n.strikes = newStrikes(n)
+	n.answers = serve.NewBudget(heldAnswerBytes)
 	n.follower = newFollower(n)
 	return nil
 }
--- a/serve/whole.go
+++ b/serve/whole.go
@@ -2,24 +2,31 @@
 
 import (
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
+	"strconv"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 )
 
-// ReadWhole reads an answer of at most limit bytes to its end. If it is not Delimited,
+// ReadWhole reads an answer of at most limit bytes to its end, within the budget. The
+// caller calls release when it has no more use for the answer. If it is not Delimited,
 // only its content shows whether it is whole, see CheckWhole.
-func ReadWhole(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, codes.New(codes.StreamBroken, "answer broke off after %d bytes: %v", len(body), err)
+func ReadWhole(resp *http.Response, limit int64, budget *Budget) (body []byte, release func(), err error) {
+	body, release, err = budget.read(resp.Body, limit+1)
+	switch {
+	case errors.Is(err, errBudget):
+		err = codes.Wrap(codes.AnswerInvalid, err, "answer of more than "+strconv.Itoa(len(body))+" bytes")
+	case err != nil:
+		err = codes.New(codes.StreamBroken, "answer broke off after %d bytes: %v", len(body), err)
+	case int64(len(body)) > limit:
+		err = codes.New(codes.AnswerInvalid, "answer of more than %d bytes", limit)
+	default:
+		return body, release, nil
 	}
-	if int64(len(body)) > limit {
-		return nil, codes.New(codes.AnswerInvalid, "answer of more than %d bytes", limit)
-	}
-	return body, nil
+	release()
+	return nil, nil, err
 }
 
 // Delimited reports whether a truncated answer can be distinguished from a whole
