Judge the prompt prefixes of chats of the own interface as well

Change: a chat's segments are its prefixes of whole blocks, which the router has hashed anyway; losses, strikes, probes and refusals are those of the routes.

A text that crashes engines wherever it stands in a prompt is found only where it comes after the same text.

--- a/entry/losses.go
+++ b/entry/losses.go
@@ -7,6 +7,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/guard"
+	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/state"
 )
 
@@ -51,11 +52,7 @@
 // deadline or by the node says nothing about the target, but the target may still
 // fail for it.
 func (l *losses) recordLoss(ctx context.Context, d dispatched, events int, err error) {
-	now := l.node.clock.Now()
-	loss := guard.Loss{
-		Request: l.request, Service: l.service, Segments: l.segments, Events: events,
-		Fingerprint: l.poison, Failure: state.TargetFailure(d.candidate.Ref), At: now,
-	}
+	loss := l.lossOf(d.candidate, events)
 	if !lostByTarget(ctx) {
 		if len(l.segments) > 0 && events < guard.ProvenEvents {
 			l.node.checks.addAbandoned(d, loss)
@@ -69,6 +66,14 @@
 	}
 }
 
+// lossOf returns the loss of an attempt that ended now.
+func (l *losses) lossOf(c route.Candidate, events int) guard.Loss {
+	return guard.Loss{
+		Request: l.request, Service: l.service, Segments: l.segments, Events: events,
+		Fingerprint: l.poison, Failure: state.TargetFailure(c.Ref), At: l.node.clock.Now(),
+	}
+}
+
 // failed counts the targets that exited, or are found to have exited later,
 // against the request, since it did not complete on another one.
 func (l *losses) failed() {
--- a/entry/model.go
+++ b/entry/model.go
@@ -38,6 +38,7 @@
 type modelRun struct {
 	node            *Node
 	request         *request
+	losses          losses
 	service         serviceKey
 	ticket          admit.Ticket
 	sink            *sink
@@ -62,6 +63,9 @@
 	}
 	defer b.cancel(nil)
 	run := &modelRun{node: n, request: b.request, service: b.service, ticket: b.ticket, sink: b.sink, ran: sardine.RanNo}
+	segments := prefixSegments(b.service.routeName(), b.request.prefixes)
+	run.losses = losses{node: n, request: b.request.id, service: b.service.routeName(), segments: segments, poison: b.request.poison}
+	n.strikes.arrived(b.service, segments)
 	run.deadline = n.startDeadline(b.request, b.cancel)
 	defer run.deadline.Stop()
 	outcome := admit.Abandoned
@@ -92,6 +96,9 @@
 // dispatch is allowed.
 func (m *modelRun) serve(ctx context.Context) error {
 	for {
+		if _, err := m.losses.awaitSegments(ctx, m.node.clock.Now()+modelSegmentHold); err != nil {
+			return m.preferEarlier(err)
+		}
 		id, allowed, err := m.node.guards.offer(ctx, m.request)
 		if err != nil {
 			return m.preferEarlier(err)
@@ -102,10 +109,15 @@
 			return m.preferEarlier(err)
 		}
 		m.node.guards.placed(id, choice.Candidate.Group)
+		before := m.tokens
 		err = m.attempt(ctx, choice)
 		outcome := m.node.groupOutcome(ctx, choice.Candidate, err)
+		if outcome == guard.OutcomeCrashed {
+			m.node.strikes.recordSuspects(m.losses.lossOf(choice.Candidate, m.tokens-before))
+		}
 		known := m.node.guards.ended(id, choice.Candidate, outcome)
 		if err == nil {
+			m.losses.began()
 			m.node.gate.succeeded(m.request.workspace)
 			return nil
 		}
--- a/entry/model_forward.go
+++ b/entry/model_forward.go
@@ -6,6 +6,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/serve"
 )
@@ -25,7 +26,9 @@
 		if err := m.sink.event(e.Raw(), !stream.Buffered()); err != nil {
 			return codes.Wrap(codes.StreamBroken, err, "the caller disconnected")
 		}
-		m.tokens = stream.NextToken()
+		if m.tokens = stream.NextToken(); m.tokens >= guard.ProvenEvents {
+			m.losses.began()
+		}
 		if e.Done() {
 			return nil
 		}
--- a/entry/segments.go
+++ b/entry/segments.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -15,6 +16,8 @@
 	// segmentHoldShare is the part of a caller's disconnect gap that a request waits
 	// for the verdict on one of its segments. Its target needs the rest.
 	segmentHoldShare = 0.6
+	// modelSegmentHold is how long a request to a model of the own interface waits for it.
+	modelSegmentHold = 2 * sardine.Second
 	// segmentPollInterval is the time between two checks of the verdict.
 	segmentPollInterval = 20 * sardine.Millis(1)
 )
@@ -101,32 +104,47 @@
 // awaitSegments waits until the request may be sent as far as its segments are
 // concerned. The error is one of codes.PoisonRequest, codes.SegmentSuspected and the
 // cause of ctx's cancellation.
-func (q *routedRun) awaitSegments(ctx context.Context) error {
-	n := q.node
-	if len(q.losses.segments) == 0 {
-		return nil
+func (q *routedRun) awaitSegments(ctx context.Context) (err error) {
+	hold := sardine.Millis(segmentHoldShare * float64(q.disconnectGap()))
+	q.probing, err = q.losses.awaitSegments(ctx, min(q.deadline, q.node.clock.Now()+hold))
+	return err
+}
+
+// awaitSegments waits, at most until the given instant, until the request may be sent,
+// and reports whether it is a probe or a trial of one of its segments.
+func (l *losses) awaitSegments(ctx context.Context, until sardine.Millis) (probing bool, err error) {
+	n := l.node
+	if len(l.segments) == 0 {
+		return false, nil
 	}
-	q.probing = false
-	until := min(q.deadline, n.clock.Now()+sardine.Millis(segmentHoldShare*float64(q.disconnectGap())))
 	for {
-		v := n.strikes.checkSegments(q.losses.service, q.losses.segments)
+		v := n.strikes.checkSegments(l.service, l.segments)
 		switch v.Verdict {
 		case guard.Allowed:
-			return nil
+			return false, nil
 		case guard.Refused:
-			return codes.New(codes.PoisonRequest, "segment %s of the prompt crashed the targets that ran it", v.Segment.ID)
+			return false, codes.New(codes.PoisonRequest, "segment %s of the prompt crashed the targets that ran it", v.Segment.ID)
 		case guard.Trial, guard.Probe:
 			if n.strikes.claim(v.Claims) {
-				q.probing = true
-				event.Log(n.log, event.SegmentProbed, requestAttr(q.call.ID), segmentAttr(v.Segment), poisonAttr(v.Segment.Fingerprint))
-				return nil
+				event.Log(n.log, event.SegmentProbed, requestAttr(l.request), segmentAttr(v.Segment), poisonAttr(v.Segment.Fingerprint))
+				return true, nil
 			}
 		}
 		if n.clock.Now() >= until {
-			return codes.New(codes.SegmentSuspected, "segment %s of the prompt is tested with another request", v.Segment.ID)
+			return false, codes.New(codes.SegmentSuspected, "segment %s of the prompt is tested with another request", v.Segment.ID)
 		}
 		if err := n.sleep(ctx, segmentPollInterval); err != nil {
-			return err
+			return false, err
 		}
 	}
 }
+
+// prefixSegments returns the segments of a prompt of the own interface: its prefixes
+// of whole blocks.
+func prefixSegments(service sardine.ServiceName, prefixes []uint64) []guard.Segment {
+	ids := make([]sardine.SegmentID, 0, len(prefixes))
+	for _, hash := range prefixes {
+		ids = append(ids, sardine.SegmentID(strconv.FormatUint(hash, 16)))
+	}
+	return guard.SegmentsOf(service, ids)
+}
--- a/standin/site/streams_test.go
+++ b/standin/site/streams_test.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +113,34 @@
 	c := sendChat(t, s.Entries()[0].Node().PublicAddress(), good)
 	require.Equal(t, expectedAnswer(t, good), c.text)
 }
+
+// TestPoisonPrefixCrashesFewGroups guards against chats that differ but begin with the
+// same text, which crashes the engines that run it: each of them crashed two groups.
+func TestPoisonPrefixCrashesFewGroups(t *testing.T) {
+	const maxCrashes = 6 // three until the prefix is refused, three more of requests sent at the same moment
+	s := startSite(t, 3, 1, WithEngines(8, 1), WithPlainServices(0))
+	prefix := engine.PoisonMarker + strings.Repeat(" the rules of this house", 20)
+	poisoned, crashed := 0, 0
+	for i := range 24 {
+		c := sendChat(t, s.Entries()[i%3].Node().PublicAddress(), chatBody(fmt.Sprintf("%s, question %d", prefix, i), 5, false))
+		require.NotEqual(t, http.StatusOK, c.status)
+		if c.problem.Name == "poison_request" {
+			poisoned++
+		}
+		for _, e := range s.Engines() {
+			if !e.Running() {
+				crashed++
+				require.NoError(t, e.Start())
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	t.Logf("%d engines crashed, %d of 24 requests were refused", crashed, poisoned)
+	require.LessOrEqual(t, crashed, maxCrashes)
+	require.GreaterOrEqual(t, poisoned, 12)
+	_, err := s.AwaitServing(testLimit, 1, 0)
+	require.NoError(t, err)
+	good := chatBody("a good line", 5, false)
+	c := sendChat(t, s.Entries()[0].Node().PublicAddress(), good)
+	require.Equal(t, expectedAnswer(t, good), c.text)
+}
