Clear sound segments that were refused in the company of several others

Segments that are struck at the same moment are probed at the same moment, so that some met the deadly one's probes three times on the same groups; the one probe that such a segment got met a failing group, and with two deadly segments neither explained all its strikes.

--- a/guard/segments.go
+++ b/guard/segments.go
@@ -19,6 +19,11 @@
 	// The log counts failures less than state.MinStrikeInterval apart as one, so an
 	// earlier probe could crash a target without adding a strike.
 	probeInterval = sardine.Millis(state.MinStrikeInterval)
+	// maxClearing is the number of probes of a refused segment that may have got its
+	// strikes for another one: the first may meet a target that fails for another cause.
+	maxClearing = 2
+	// clearingInterval is the time between these probes.
+	clearingInterval = 2 * sardine.Second
 	// maxBlamed bounds the segments of one request that get a strike.
 	maxBlamed = 16
 )
@@ -50,16 +55,18 @@
 
 // ClaimRequest identifies a trial or a probe of a segment.
 type ClaimRequest struct {
-	Segment Segment
-	Trial   bool
-	key     string
+	Segment  Segment
+	Trial    bool
+	clearing bool // a probe of a refused segment
+	key      string
 }
 
 // suspicion is the state of a segment with strikes that has not worked on this node.
 type suspicion struct {
 	strikes int
 	since   sardine.Millis // when this node learned of the last strike
-	probed  int            // number of probes claimed by this node since then
+	probed  int            // round of the last probe that this node claimed since then
+	cleared int            // probes that this node claimed since it is refused, see explained
 }
 
 // SegmentCounter finds segments of prompts that make their targets fail, whichever
@@ -126,8 +133,8 @@
 	switch verdict := c.failures.Check(now, s.Fingerprint); {
 	case verdict == Trial:
 		return Trial, ClaimRequest{Segment: s, Trial: true}
-	case verdict == Refused && p.probed == 0 && c.explained(s, segments):
-		return Probe, ClaimRequest{Segment: s, key: "explained"}
+	case verdict == Refused && p.cleared < maxClearing && now >= p.since+sardine.Millis(p.cleared)*clearingInterval && c.explained(s, segments):
+		return Probe, ClaimRequest{Segment: s, clearing: true, key: "explained/" + strconv.Itoa(p.cleared)}
 	case verdict == Refused:
 		return Refused, ClaimRequest{}
 	case c.failures.completed.has(now, s.Fingerprint):
@@ -140,27 +147,22 @@
 	return Probe, ClaimRequest{Segment: s, key: strconv.Itoa(p.strikes) + "/" + strconv.Itoa(round)}
 }
 
-// explained reports whether a refused segment got its strikes in the company of
-// another refused one that this request does not have. Without this, a segment that
-// comes with each occurrence of one that makes targets fail would be refused as well.
+// explained reports whether a refused segment got its strikes in the company of other
+// refused ones that this request does not have. Without this, a segment that comes with
+// each occurrence of one that makes targets fail would be refused as well.
 func (c *SegmentCounter) explained(s Segment, segments []Segment) bool {
-	own := c.failures.reader.Poison(s.Fingerprint[:]).Failures
+	unexplained := slices.Clone(c.failures.reader.Poison(s.Fingerprint[:]).Failures)
+	if len(unexplained) < MaxFailures { // the log does not have all of them yet
+		return false
+	}
 	for f := range c.failures.refused {
 		if slices.ContainsFunc(segments, func(o Segment) bool { return o.Fingerprint == f }) {
 			continue
 		}
-		other := c.failures.reader.Poison(f[:]).Failures
-		shared := 0
-		for _, e := range own {
-			if slices.Contains(other, e) {
-				shared++
-			}
-		}
-		if shared >= MaxFailures-1 { // of failures at almost the same moment the log may have counted another one
-			return true
-		}
+		others := c.failures.reader.Poison(f[:]).Failures
+		unexplained = slices.DeleteFunc(unexplained, func(e state.TargetFailure) bool { return slices.Contains(others, e) })
 	}
-	return false
+	return len(unexplained) <= 1 // of failures at almost the same moment the log may have counted another one
 }
 
 // suspicionOf returns the suspicion of a segment, anew for each strike.
@@ -189,10 +191,14 @@
 // has asked for it. The log grants it to the first node.
 func (c *SegmentCounter) Claim(now sardine.Millis, node sardine.NodeID, i sardine.Incarnation, r ClaimRequest) state.ClaimKey {
 	claim := c.failures.TrialClaim(node, i, r.Segment.Fingerprint)
-	if !r.Trial {
-		p := c.suspicionOf(now, r.Segment.Fingerprint)
-		p.probed = max(c.round(now, r.Segment.Fingerprint), 1)
-		claim.Key += "/probe/" + r.key
+	if r.Trial {
+		return claim
+	}
+	claim.Key += "/probe/" + r.key
+	if p := c.suspicionOf(now, r.Segment.Fingerprint); r.clearing {
+		p.cleared++
+	} else {
+		p.probed = c.round(now, r.Segment.Fingerprint)
 	}
 	return claim
 }
