Send chats with a poison prefix in the soak

Chats that differ but begin with a text that crashes engines now come while entry and control nodes are killed, stopped, paused and cut off. They are a sequence of faults of their own, so that the faults of kept seeds stay as they were.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"time"
+
+	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/standin/engine"
+	"sardineswitch.dev/sardine/standin/site"
 )
 
 // Durations of a fault and of the pause after it.
@@ -51,6 +58,9 @@
 		{"engine dies", crashEngine},
 		{"service dies", crashService},
 	},
+	{
+		{"chats with a poison prefix", poisonPrefix},
+	},
 }
 
 func pick[T any](random *rand.Rand, choices []T) T {
@@ -131,6 +141,35 @@
 	}
 }
 
+// poisonChats is the number of chats of one fault with a poison prefix.
+const poisonChats = 4
+
+// poisonPrefix sends chats that differ but begin with one of a few texts that crash the
+// engines that run them, each through some entry node, and restarts the engines.
+func poisonPrefix(r *run, random *rand.Rand) {
+	client := &http.Client{Timeout: longestFault, Transport: &http.Transport{DisableKeepAlives: true}}
+	prefix := fmt.Sprintf("%s rules of house %d%s", engine.PoisonMarker, random.IntN(3), strings.Repeat(" and so on", 30))
+	for range poisonChats {
+		body := fmt.Sprintf(`{"model":"surtitles","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"%s %x"}]}`, prefix, random.Uint64())
+		request, err := http.NewRequest(http.MethodPost, "http://"+pick(random, r.site.entries).public.listener.Addr().String()+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			r.load.RecordViolation("chat with a poison prefix: %v", err)
+			return
+		}
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set(reply.HeaderWorkspace, string(site.Workspace))
+		if response, err := client.Do(request); err == nil {
+			_ = response.Body.Close() // any answer will do
+		}
+	}
+	for _, e := range r.site.engines {
+		if err := e.Start(); err != nil { // no effect if it is running
+			r.load.RecordViolation("engine %s did not restart: %v", e.VM(), err)
+		}
+	}
+	holdFault(random)
+}
+
 // emptyDataFolder empties a control node's data folder, which loses accepted
 // settings.
 func emptyDataFolder(n *node) error {
