--- a/guard/segments.go
+++ b/guard/segments.go
@@ -55,9 +55,9 @@
 
 // ClaimRequest identifies a trial or a probe of a segment.
 type ClaimRequest struct {
-	Segment  Segment
-	Trial    bool
-	clearing bool // a probe of a refused segment
+	segment  Segment
+	trial    bool
+	clearing bool // a probe of a refused segment, see explained
 	key      string
 }
 
@@ -66,7 +66,13 @@
 	strikes int
 	since   sardine.Millis // when this node learned of the last strike
 	probed  int            // round of the last probe that this node claimed since then
-	cleared int            // probes that this node claimed since it is refused, see explained
+	// clearings is the number of clearing probes that this node claimed.
+	clearings int
+}
+
+// clearingDue reports whether this node may claim another clearing probe.
+func (p *suspicion) clearingDue(now sardine.Millis) bool {
+	return p.clearings < maxClearing && now >= p.since+sardine.Millis(p.clearings)*clearingInterval
 }
 
 // SegmentCounter finds segments of prompts that make their targets fail, whichever
@@ -132,9 +138,9 @@
 	p := c.suspicionOf(now, s.Fingerprint)
 	switch verdict := c.failures.Check(now, s.Fingerprint); {
 	case verdict == Trial:
-		return Trial, ClaimRequest{Segment: s, Trial: true}
-	case verdict == Refused && p.cleared < maxClearing && now >= p.since+sardine.Millis(p.cleared)*clearingInterval && c.explained(s, segments):
-		return Probe, ClaimRequest{Segment: s, clearing: true, key: "explained/" + strconv.Itoa(p.cleared)}
+		return Trial, ClaimRequest{segment: s, trial: true}
+	case verdict == Refused && p.clearingDue(now) && c.explained(s, segments):
+		return Probe, ClaimRequest{segment: s, clearing: true, key: "explained/" + strconv.Itoa(p.clearings)}
 	case verdict == Refused:
 		return Refused, ClaimRequest{}
 	case c.failures.completed.has(now, s.Fingerprint):
@@ -144,7 +150,7 @@
 	if round <= p.probed {
 		return Wait, ClaimRequest{}
 	}
-	return Probe, ClaimRequest{Segment: s, key: strconv.Itoa(p.strikes) + "/" + strconv.Itoa(round)}
+	return Probe, ClaimRequest{segment: s, key: strconv.Itoa(p.strikes) + "/" + strconv.Itoa(round)}
 }
 
 // explained reports whether a refused segment got its strikes in the company of other
@@ -190,15 +196,15 @@
 // Claim returns the command that claims a trial or a probe, and notes that this node
 // has asked for it. The log grants it to the first node.
 func (c *SegmentCounter) Claim(now sardine.Millis, node sardine.NodeID, i sardine.Incarnation, r ClaimRequest) state.ClaimKey {
-	claim := c.failures.TrialClaim(node, i, r.Segment.Fingerprint)
-	if r.Trial {
+	claim := c.failures.TrialClaim(node, i, r.segment.Fingerprint)
+	if r.trial {
 		return claim
 	}
 	claim.Key += "/probe/" + r.key
-	if p := c.suspicionOf(now, r.Segment.Fingerprint); r.clearing {
-		p.cleared++
+	if p := c.suspicionOf(now, r.segment.Fingerprint); r.clearing {
+		p.clearings++
 	} else {
-		p.probed = c.round(now, r.Segment.Fingerprint)
+		p.probed = c.round(now, r.segment.Fingerprint)
 	}
 	return claim
 }
--- a/guard/segments_test.go
+++ b/guard/segments_test.go
@@ -61,7 +61,7 @@
 	}
 	for _, c := range v.Claims {
 		if w.apply(d.segments.Claim(w.now, sardine.NodeID(name), 1, c)).Verdict != state.ClaimGranted {
-			return fmt.Sprintf("waits for %s, which another node probes", c.Segment.ID)
+			return fmt.Sprintf("waits for %s, which another node probes", c.segment.ID)
 		}
 	}
 	if v.Verdict == Trial {
