Judge a segment for all deployments together as well

A segment was judged for each deployment by itself, so that a new layout that sends a part of its route's requests to another service would have let it fail three targets there anew.

--- a/entry/segments.go
+++ b/entry/segments.go
@@ -22,14 +22,17 @@
 	segmentPollInterval = 20 * sardine.Millis(1)
 )
 
+// segmentAttr identifies a segment and the deployment for which it is judged, "" for all.
 func segmentAttr(s guard.Segment) slog.Attr {
-	return slog.String("segment", string(s.ID))
+	return slog.Group("", slog.String("segment", string(s.ID)), slog.String("service", string(s.Service)))
 }
 
 func segmentsAttr(all []guard.Segment) slog.Attr {
 	ids := make([]sardine.SegmentID, 0, len(all))
 	for _, s := range all {
-		ids = append(ids, s.ID)
+		if s.Service != "" {
+			ids = append(ids, s.ID)
+		}
 	}
 	return slog.Any("segments", ids)
 }
--- a/guard/segments.go
+++ b/guard/segments.go
@@ -24,25 +24,32 @@
 	maxClearing = 2
 	// clearingInterval is the time between these probes.
 	clearingInterval = 2 * sardine.Second
-	// maxBlamed bounds the segments of one request that get a strike.
-	maxBlamed = 16
+	// maxBlamed bounds the strikes for one request.
+	maxBlamed = 32
 )
 
-// Segment is a segment of a prompt that several requests to a deployment may share.
+// Segment is a segment of a prompt that several requests may share.
 type Segment struct {
 	ID          sardine.SegmentID
+	Service     sardine.ServiceName // deployment that is judged with it, empty for all together
 	Fingerprint Fingerprint
 }
 
-// SegmentsOf returns the segments of a request to a deployment.
+// SegmentsOf returns the segments of a request to a deployment. Each is judged twice:
+// for the deployment, since it may work at another one, and for all deployments
+// together, so that it need not be judged anew where a route sends it next.
 func SegmentsOf(service sardine.ServiceName, ids []sardine.SegmentID) []Segment {
-	all := make([]Segment, 0, len(ids))
+	all := make([]Segment, 0, 2*len(ids))
 	for _, id := range ids {
-		all = append(all, Segment{ID: id, Fingerprint: FingerprintOf(nil, "segment", string(service), string(id))})
+		all = append(all, newSegment(service, id), newSegment("", id))
 	}
 	return all
 }
 
+func newSegment(service sardine.ServiceName, id sardine.SegmentID) Segment {
+	return Segment{ID: id, Service: service, Fingerprint: FingerprintOf(nil, "segment", string(service), string(id))}
+}
+
 // SegmentVerdict is the decision on a request by its segments.
 type SegmentVerdict struct {
 	Verdict Verdict
@@ -63,6 +70,7 @@
 
 // suspicion is the state of a segment with strikes that has not worked on this node.
 type suspicion struct {
+	id      sardine.SegmentID
 	strikes int
 	since   sardine.Millis // when this node learned of the last strike
 	probed  int            // round of the last probe that this node claimed since then
@@ -135,7 +143,7 @@
 
 // check decides by one segment with strikes. The claim belongs to a trial or a probe.
 func (c *SegmentCounter) check(now sardine.Millis, s Segment, segments []Segment) (Verdict, ClaimRequest) {
-	p := c.suspicionOf(now, s.Fingerprint)
+	p := c.suspicionOf(now, s)
 	switch verdict := c.failures.Check(now, s.Fingerprint); {
 	case verdict == Trial:
 		return Trial, ClaimRequest{segment: s, trial: true}
@@ -146,7 +154,7 @@
 	case c.failures.completed.has(now, s.Fingerprint):
 		return Allowed, ClaimRequest{}
 	}
-	round := c.round(now, s.Fingerprint)
+	round := c.round(now, s)
 	if round <= p.probed {
 		return Wait, ClaimRequest{}
 	}
@@ -162,7 +170,7 @@
 		return false
 	}
 	for f := range c.failures.refused {
-		if slices.ContainsFunc(segments, func(o Segment) bool { return o.Fingerprint == f }) {
+		if p := c.suspects[f]; p == nil || slices.ContainsFunc(segments, func(o Segment) bool { return o.ID == p.id }) {
 			continue
 		}
 		others := c.failures.reader.Poison(f[:]).Failures
@@ -172,22 +180,22 @@
 }
 
 // suspicionOf returns the suspicion of a segment, anew for each strike.
-func (c *SegmentCounter) suspicionOf(now sardine.Millis, f Fingerprint) *suspicion {
-	strikes := min(c.failures.Count(f), MaxFailures)
-	p := c.suspects[f]
+func (c *SegmentCounter) suspicionOf(now sardine.Millis, s Segment) *suspicion {
+	strikes := min(c.failures.Count(s.Fingerprint), MaxFailures)
+	p := c.suspects[s.Fingerprint]
 	if p == nil || p.strikes != strikes {
-		p = &suspicion{strikes: strikes, since: now}
-		c.suspects[f] = p
+		p = &suspicion{id: s.ID, strikes: strikes, since: now}
+		c.suspects[s.Fingerprint] = p
 	}
 	return p
 }
 
 // round returns the number of the current probe since the last strike, 0 before the
 // first.
-func (c *SegmentCounter) round(now sardine.Millis, f Fingerprint) int {
-	p := c.suspicionOf(now, f)
+func (c *SegmentCounter) round(now sardine.Millis, s Segment) int {
+	p := c.suspicionOf(now, s)
 	age := now - p.since
-	if recorded := c.failures.reader.Poison(f[:]); len(recorded.Failures) == p.strikes {
+	if recorded := c.failures.reader.Poison(s.Fingerprint[:]); len(recorded.Failures) == p.strikes {
 		age = max(age, sardine.Millis(c.failures.reader.Time()-recorded.At)) // this node may learn of a strike late
 	}
 	return int(age / probeInterval)
@@ -201,10 +209,10 @@
 		return claim
 	}
 	claim.Key += "/probe/" + r.key
-	if p := c.suspicionOf(now, r.segment.Fingerprint); r.clearing {
+	if p := c.suspicionOf(now, r.segment); r.clearing {
 		p.clearings++
 	} else {
-		p.probed = c.round(now, r.segment.Fingerprint)
+		p.probed = c.round(now, r.segment)
 	}
 	return claim
 }
@@ -248,7 +256,7 @@
 			continue
 		}
 		if strike, counts := c.failures.CountLoss(now, Loss{Fingerprint: s.Fingerprint, Failure: l.Failure, At: l.At}); counts {
-			c.suspicionOf(now, s.Fingerprint)
+			c.suspicionOf(now, s)
 			strike.Doubtful = true // other causes make several targets fail at the same moment
 			strikes = append(strikes, SegmentStrike{Segment: s, Strike: strike, Known: c.failures.Count(s.Fingerprint)})
 		}
--- a/guard/segments_test.go
+++ b/guard/segments_test.go
@@ -14,12 +14,20 @@
 
 const testService sardine.ServiceName = "team/model"
 
+// segmentsOf returns the segments of a list like "a,d" at one deployment. A list like
+// "a,d@NAME" is of a request to the deployment NAME, with all that is judged for it.
 func segmentsOf(list string) []Segment {
+	list, service, named := strings.Cut(list, "@")
 	var ids []sardine.SegmentID
+	var all []Segment
 	for id := range strings.SplitSeq(list, ",") {
 		ids = append(ids, sardine.SegmentID(id))
+		all = append(all, newSegment(testService, sardine.SegmentID(id)))
 	}
-	return SegmentsOf(testService, ids)
+	if named {
+		return SegmentsOf(sardine.ServiceName(service), ids)
+	}
+	return all
 }
 
 // segmentStep runs one line, "NODE VERB SEGMENT,SEGMENT" or a line of step.
