Rename and correct what stopped a newcomer

The bytes of a short answer, the record that an answer has begun, and the verdicts in TestSegmentRuns by whole words. No behaviour changes.

--- a/entry/losses.go
+++ b/entry/losses.go
@@ -18,7 +18,7 @@
 	request  sardine.RequestID
 	service  sardine.ServiceName // deployment
 	segments []guard.Segment
-	proven   bool // a target has begun to answer
+	begun    bool // a target has begun to answer
 	poison   guard.Fingerprint
 	all      []lostAttempt
 }
@@ -92,9 +92,9 @@
 
 // began records that a target has begun to answer the request.
 func (l *losses) began() {
-	if !l.proven {
-		l.proven = true
-		l.node.strikes.proven(l.service, l.segments)
+	if !l.begun {
+		l.begun = true
+		l.node.strikes.segmentsProven(l.service, l.segments)
 	}
 }
 
--- a/entry/segments.go
+++ b/entry/segments.go
@@ -27,6 +27,7 @@
 	return slog.Group("", slog.String("segment", string(s.ID)), slog.String("service", string(s.Service)))
 }
 
+// segmentsAttr lists the segments of a prompt, each once.
 func segmentsAttr(all []guard.Segment) slog.Attr {
 	ids := make([]sardine.SegmentID, 0, len(all))
 	for _, s := range all {
@@ -90,8 +91,8 @@
 	}
 }
 
-// proven records that a target has begun to answer a request with the segments.
-func (s *strikes) proven(service sardine.ServiceName, segments []guard.Segment) {
+// segmentsProven records that a target has begun to answer a request with the segments.
+func (s *strikes) segmentsProven(service sardine.ServiceName, segments []guard.Segment) {
 	if len(segments) == 0 {
 		return
 	}
--- a/guard/segmentsim_test.go
+++ b/guard/segmentsim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -115,9 +116,10 @@
 // dispatch sends a waiting request if it may be sent, and reports whether it still waits.
 func (s *segmentSim) dispatch(r *simRequest) (waits bool) {
 	now, node := s.cluster.now, s.node(r.node)
-	switch s.cluster.askSegments(fmt.Sprintf("e%d", r.node+1), node, r.segments)[:4] {
-	case "allo", "prob", "tria":
-	case "refu":
+	verdict, _, _ := strings.Cut(s.cluster.askSegments(fmt.Sprintf("e%d", r.node+1), node, r.segments), " ")
+	switch verdict {
+	case "allowed", "probe", "trial":
+	case "refused":
 		s.countRefusal(r)
 		return false
 	default:
--- a/serve/budget.go
+++ b/serve/budget.go
@@ -6,9 +6,9 @@
 	"sync"
 )
 
-// pieceBytes is the size of the pieces in which an answer is read. The first piece
-// of an answer is not taken from the budget, so that short answers are never rejected.
-const pieceBytes = 32 << 10
+// shortBytes is the size up to which an answer is not taken from the budget, so that
+// short answers are never rejected.
+const shortBytes = 32 << 10
 
 // errBudget reports that other answers use the whole budget.
 var errBudget = errors.New("too many bytes of long answers are held")
@@ -42,12 +42,12 @@
 	b.free += bytes
 }
 
-// read reads at most limit bytes. The caller calls release when it has no more use
+// read reads at most limit bytes into a buffer that doubles as needed. The caller calls release when it has no more use
 // for them.
 func (b *Budget) read(r io.Reader, limit int64) (body []byte, release func(), err error) {
 	taken := int64(0)
 	release = func() { b.release(taken) }
-	body = make([]byte, 0, min(pieceBytes, limit))
+	body = make([]byte, 0, min(shortBytes, limit))
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -66,7 +66,7 @@
 			return body, release, errBudget
 		}
 		body = append(make([]byte, 0, grown), body...)
-		b.release(taken) // of the shorter copy
+		b.release(taken) // the shorter buffer is garbage now
 		taken = grown
 	}
 }
--- a/serve/whole_test.go
+++ b/serve/whole_test.go
@@ -59,7 +59,7 @@
 		require.LessOrEqual(t, len(held), limit)
 		releases = append(releases, release)
 	}
-	require.LessOrEqual(t, read.Load(), int64(total+requests*pieceBytes), "bytes held by all")
+	require.LessOrEqual(t, read.Load(), int64(total+requests*shortBytes), "bytes held by all")
 	_, release, err := budget.read(strings.NewReader("short"), limit)
 	require.NoError(t, err, "a short answer is still read")
 	releases = append(releases, release)
@@ -77,7 +77,7 @@
 // Guards against a truncated answer that is taken for whole when it is read in pieces.
 func TestTruncatedAnswerIsNeverWhole(t *testing.T) {
 	for _, head := range []string{"Content-Length: 100000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"} {
-		for _, sent := range []int{0, 1, pieceBytes - 1, pieceBytes, pieceBytes + 1, 99_999} {
+		for _, sent := range []int{0, 1, shortBytes - 1, shortBytes, shortBytes + 1, 99_999} {
 			text := "HTTP/1.1 200 OK\r\n" + head + strings.Repeat("x", sent)
 			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
 			require.NoError(t, err)
