--- a/review/platform/spoiled.go
+++ b/review/platform/spoiled.go
@@ -19,7 +19,7 @@
 	streamsEach     = 50
 )
 
-// Parts of answers that arrive before they break off: bytes that are no stream, and a
+// Parts of answers that arrive before they break off: bytes that are no events, and a
 // failure of the worker's own.
 const (
 	spoiledText = "upstream is being restarted, please wait"
@@ -79,11 +79,15 @@
 func answerStream(w http.ResponseWriter, one *run, spoils bool) {
 	control := http.NewResponseController(w)
 	if spoils && one.number%spoilEach == 0 {
-		if one.number%(2*spoilEach) == 0 {
+		switch one.number / spoilEach % 3 {
+		case 0:
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, spoiledText+"\n\n")
+		case 1:
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			fmt.Fprint(w, brokenError)
-		} else {
+		default:
 			w.Header().Set("Content-Type", "text/plain")
 			fmt.Fprint(w, spoiledText)
 		}
