--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -20,8 +20,10 @@
 
 // cases maps a case's name to the function that plays it.
 var cases = map[string]func(*rig) (verdict, error){
+	"left":    playLeft,
 	"long":    playLong,
 	"spoiled": playSpoiled,
+	"slow":    playSlow,
 }
 
 func main() {
--- a/review/platform/rig.go
+++ b/review/platform/rig.go
@@ -243,9 +243,14 @@
 
 // post sends a call to the control nodes, one after the other, until one acknowledges it.
 func (r *rig) post(ctx context.Context, path, body string) error {
+	return r.postTo(ctx, r.controlAddresses(), path, body)
+}
+
+// postTo is post with the addresses of the control nodes.
+func (r *rig) postTo(ctx context.Context, addresses []string, path, body string) error {
 	last := fmt.Errorf("no control node")
 	for range 20 {
-		for _, a := range r.controlAddresses() {
+		for _, a := range addresses {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -266,6 +271,7 @@
 		return err
 	}
 	q.Header.Set("Content-Type", "application/json")
+	q.Close = true
 	resp, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return err
--- a/review/platform/worker.go
+++ b/review/platform/worker.go
@@ -24,6 +24,8 @@
 	handle  func(w http.ResponseWriter, r *http.Request, run *run)
 
 	mu       sync.Mutex
+	via      []string // addresses of its paths to the control nodes, none for the nodes' own
+	silent   bool     // sends no more heartbeats
 	sequence int
 	runs     []*run
 }
@@ -64,12 +66,16 @@
 func (w *worker) announce() {
 	for {
 		w.mu.Lock()
+		if w.silent {
+			w.mu.Unlock()
+			return
+		}
 		w.sequence++
 		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"recife","version":"v1","slots":26,"state":"ready","coldLeftMs":0,"sequence":%d,"born":%d}`,
 			w.service, w.address, w.sequence, w.born)
 		w.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		_ = w.rig.post(ctx, "/api/instances/"+w.id+"/heartbeat", body) // the next one repeats it
+		_ = w.rig.postTo(ctx, w.addresses(), "/api/instances/"+w.id+"/heartbeat", body) // the next one repeats it
 		cancel()
 		select {
 		case <-w.done:
@@ -79,6 +85,30 @@
 	}
 }
 
+// setVia sets the addresses of the worker's paths to the control nodes.
+func (w *worker) setVia(addresses []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.via = addresses
+}
+
+// addresses returns the addresses at which the worker calls the control nodes.
+func (w *worker) addresses() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.via) == 0 {
+		return w.rig.controlAddresses()
+	}
+	return w.via
+}
+
+// silence stops the heartbeats.
+func (w *worker) silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = true
+}
+
 // serve answers one request as the platform's pages say, and hands it to the case.
 func (w *worker) serve(out http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Sardineswitch-Request-Id")
