--- a/review/platform/rig.go
+++ b/review/platform/rig.go
@@ -42,7 +42,6 @@
 	record  io.Writer
 	nodes   []*node
 	workers []*worker
-	stopped bool
 
 	net   int // second and third number of the nodes' loopback addresses
 	ports map[string]int
