--- a/review/platform/left.go
+++ b/review/platform/left.go
@@ -124,18 +124,15 @@
 		}
 	}
 	w := r.workers[leftWorkers-1]
-	var links []*link
-	var via []string
-	for _, a := range r.controlAddresses() {
-		k, err := newLink(r.ip(200), a)
-		if err != nil {
-			return unable, err
-		}
-		defer func() { _ = k.listener.Close() }()
-		links = append(links, k)
-		via = append(via, k.listener.Addr().String())
+	links, err := w.connectByLinks()
+	if err != nil {
+		return unable, err
 	}
-	w.setVia(via)
+	defer func() {
+		for _, k := range links {
+			_ = k.listener.Close() // the case is over
+		}
+	}()
 	if err := r.putLong(7, oldTimeout); err != nil {
 		return unable, err
 	}
@@ -152,28 +149,56 @@
 		}
 	}
 	time.Sleep(cutLength)
+	left, err := w.leave(links)
+	if err != nil {
+		return unable, err
+	}
+	answers := r.sendOrders()
+	mu.Lock()
+	defer mu.Unlock()
+	return r.judgeLeft(answers, began, left), nil
+}
+
+// connectByLinks makes the worker call the control nodes by links of its own.
+func (w *worker) connectByLinks() ([]*link, error) {
+	var links []*link
+	var via []string
+	for _, a := range w.rig.controlAddresses() {
+		k, err := newLink(w.rig.ip(200), a)
+		if err != nil {
+			return links, err
+		}
+		links = append(links, k)
+		via = append(via, k.listener.Addr().String())
+	}
+	w.setVia(via)
+	return links, nil
+}
+
+// leave ends the partition and deregisters the worker, which exits some time later. What
+// the partition held up arrives soon after the acknowledgement, whose time it returns.
+func (w *worker) leave(links []*link) (time.Time, error) {
 	for _, k := range links {
 		k.setCut(false)
 	}
 	w.silence()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if err := r.postTo(ctx, w.addresses(), "/api/instances/"+w.id+"/deregister", ""); err != nil {
-		return unable, err
+	if err := w.rig.postTo(ctx, w.addresses(), "/api/instances/"+w.id+"/deregister", ""); err != nil {
+		return time.Time{}, err
 	}
 	left := time.Now()
-	r.log("the partition is over, and the leave of %s is acknowledged", w.id)
+	w.rig.log("the partition is over, and the leave of %s is acknowledged", w.id)
 	time.AfterFunc(lateBy, func() {
 		for _, k := range links {
-			r.log("%d late pings arrive at %s", k.deliver(), k.to)
+			w.rig.log("%d late pings arrive at %s", k.deliver(), k.to)
 		}
 	})
 	time.AfterFunc(drainTime+stillServes, func() {
 		w.stop()
-		r.log("%s exits", w.id)
+		w.rig.log("%s exits", w.id)
 	})
-	answers := r.sendOrders()
-	return r.judgeLeft(answers, began, left), nil
+	return left, nil
 }
 
 // awaitRun waits until a worker has run a request.
