Let only numbered events be continued by another worker

Callers saw: a stream whose worker broke off before its first event had a number (text that is no event, a truncated 422, an answer of another type, a comment) was continued with the whole stream of a second worker and ended as complete, with the first worker's status and stamp (MIXED).

Cause: mayRetry asked whether the events so far allow a resumption, and "no event so far" counted as yes, though bytes of a comment, of no event, or of an answer that is no stream had been forwarded. Nothing asked whether the head had been sent.

Change: acceptsAnswer decides it in one place, for retries and for moves: the caller has nothing yet, or a stream that can be resumed, i.e. numbered events and no other data (Sequence.MayResume). Comments and events without data are held until the first event with data as long as another attempt may follow, and bytes that are no event make the attempt fail, so that such requests are served by the other worker. On the own interface a whole answer could be written into a stream that another engine had begun; it fails.

The case of testdata/streams/resumed that took a second answer after a forwarded comment as right is replaced; the script now shows after each answer whether another one may follow, and stops where not.

--- a/entry/model_forward.go
+++ b/entry/model_forward.go
@@ -47,6 +47,9 @@
 
 // forwardWhole forwards an answer that is not a stream.
 func (m *modelRun) forwardWhole(resp *http.Response, choice *route.Choice, started sardine.Millis) error {
+	if m.sink.started {
+		return codes.New(codes.StreamBroken, "the engine resumed a stream with an answer that is none")
+	}
 	body, release, err := serve.ReadWhole(resp, maxAnswerBytes, m.node.answers)
 	if err != nil {
 		return err
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -239,7 +239,7 @@
 	if codes.Is(err, codes.NoTarget) { // nothing was sent
 		return q.unsent > 0 && q.unsent < maxUnsent
 	}
-	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.events.MayResume() {
+	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.acceptsAnswer() {
 		return false
 	}
 	q.retryDenied = !n.retries.take(n.clock.Now(), q.name)
@@ -315,7 +315,13 @@
 // because a silent target may still be working on it.
 func (q *routedRun) mayMove() bool {
 	n := q.node
-	return q.route.Idempotent() && q.events.MayResume() && q.attempts+q.uncounted() < max(q.route.MaxAttempts, 1) && n.retries.available(n.clock.Now(), q.name)
+	return q.route.Idempotent() && q.acceptsAnswer() && q.attempts+q.uncounted() < max(q.route.MaxAttempts, 1) && n.retries.available(n.clock.Now(), q.name)
+}
+
+// acceptsAnswer reports whether another target's answer may follow what the caller has
+// received: nothing yet, or a stream that can be resumed.
+func (q *routedRun) acceptsAnswer() bool {
+	return !q.headSent || q.events.MayResume()
 }
 
 // uncounted returns 1 while the current attempt is not included in attempts.
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -133,8 +133,8 @@
 	return nil
 }
 
-// forwardStream forwards events one by one. The header is sent with the first
-// event; until then another target can answer instead.
+// forwardStream forwards events one by one. The header is sent with the first event
+// that has data; until then another target can answer instead.
 func (q *routedRun) forwardStream(a *proxy.Answer) (bool, error) {
 	delimited := serve.Delimited(a.Response)
 	a.Response.ContentLength = -1 // another target may have to continue the answer
@@ -142,6 +142,7 @@
 	control := http.NewResponseController(q.w)
 	q.events.Begin()
 	next := q.nextEventDeadline()
+	var held []byte // comments and empty events before the first one with data
 	for {
 		a.SetExpiry(next)
 		e, err := events.Next()
@@ -154,12 +155,20 @@
 			}
 			if !q.headSent {
 				q.sendHead(a.Response)
+				_, _ = q.w.Write(held) // a caller that has disconnected needs no answer
 			}
 			return true, nil
 		}
 		if err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the stream broke off")
 		}
+		if e.Malformed && q.mayMove() {
+			return false, codes.New(codes.AnswerInvalid, "the target sent bytes that are no event")
+		}
+		if !q.headSent && !e.HasData && q.mayMove() {
+			held = append(held, e.Raw...)
+			continue
+		}
 		forwardable, err := q.events.ShouldForward(e)
 		if err != nil {
 			return false, err
@@ -177,6 +186,7 @@
 		}
 		if !q.headSent {
 			q.sendHead(a.Response)
+			e.Raw = append(held, e.Raw...)
 		}
 		if _, err := q.w.Write(e.Raw); err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the caller disconnected")
--- a/proxy/sequence.go
+++ b/proxy/sequence.go
@@ -16,7 +16,7 @@
 	number     uint64 // last as a number
 	step       uint64 // difference between consecutive numbers, 0 while unknown
 	uneven     bool   // the differences vary
-	unnumbered bool   // an event with data but without a number was forwarded
+	unnumbered bool   // data without a number, or bytes that are no event, were forwarded
 	resumed    bool   // the current answer resumes an earlier one
 	progress   bool   // an event with data of the current answer was forwarded
 	delivered  bool   // an event with a number was forwarded
@@ -35,10 +35,10 @@
 	s.progress = false
 }
 
-// MayResume reports whether another answer can resume the stream: all forwarded
-// events with data had numbers.
+// MayResume reports whether another answer can resume the stream: numbered events were
+// forwarded, and neither other data nor bytes that are no event.
 func (s *Sequence) MayResume() bool {
-	return !s.unnumbered
+	return s.delivered && !s.unnumbered
 }
 
 // ShouldForward reports whether to forward an event. It skips one that the caller already
@@ -50,7 +50,7 @@
 	case numbered && s.delivered && number <= s.number:
 		return false, nil
 	case !s.resumed:
-		s.unnumbered = s.unnumbered || e.HasData && !numbered
+		s.unnumbered = s.unnumbered || e.Malformed || e.HasData && !numbered
 	case e.Malformed || e.HasData && !numbered:
 		return false, codes.New(codes.AnswerInvalid, "the data after event %s is not an event of the stream", s.last)
 	case !numbered || !e.HasData:
--- a/proxy/sequence_test.go
+++ b/proxy/sequence_test.go
@@ -11,8 +11,9 @@
 )
 
 // The text of a second target's error, or its early end, must not become part of a
-// caller's stream. Each input line is one answer; the output is the part of it that
-// is forwarded to the caller and how it ends.
+// caller's stream, and no second answer may follow bytes that are no numbered events.
+// Each input line is one answer; the output is the part of it that is forwarded to the
+// caller, how it ends, and whether the next one may follow.
 func TestResumedStreamsContainOnlyTheirEvents(t *testing.T) {
 	datadriven.RunTest(t, "testdata/streams/resumed", func(t *testing.T, d *datadriven.TestData) string {
 		var s Sequence
@@ -20,9 +21,11 @@
 		for line := range strings.Lines(d.Input) {
 			s.Begin()
 			events := NewEvents(strings.NewReader(unescape(strings.TrimSuffix(line, "\n"))))
-			fmt.Fprintf(&out, "%s\n", strings.TrimSpace(forwarded(t, &s, events)))
+			fmt.Fprintf(&out, "%s\nmay resume: %t\n", strings.TrimSpace(forwarded(t, &s, events)), s.MayResume())
+			if !s.MayResume() {
+				break
+			}
 		}
-		fmt.Fprintf(&out, "may resume: %t\n", s.MayResume())
 		return out.String()
 	})
 }
