Record a departure that names no start of its target

Callers saw: after a worker had deregistered, orders went to it again (DRAIN) when announcements arrived that a partition had held up; those that it was running when it exited were lost.

Cause: a deregister call names no start (`born`), so the leader looked it up among the targets in the log. The log had dropped the worker, which was out of contact and idle, so the look-up gave 0, and for 0 the state machine recorded nothing and said "unknown member", which the caller of the log took for success.

Change: the state machine finds the incarnation itself, in the order of the log: the newest of the target in the routes, of one that was dropped (recorded now for as long as a departure, an hour, bounded to 8,192 VMs) and of an earlier departure. If none is known the departure is recorded without one, and the first announcement on that VM within 30 s is taken for the one that left.

Known limits: a target that is not known, leaves without a start, and starts again under its id within 30 s without any late announcement is not used until its next start. A deregister call that itself arrives after the target's next start marks that one as leaving, as before: nothing in the call distinguishes the two.

--- a/ctrl/portbackend.go
+++ b/ctrl/portbackend.go
@@ -180,18 +180,13 @@
 	return listed && known.Leaving && (i == 0 || known.Incarnation == i)
 }
 
-// proposeLeaving proposes that a target accepts no new work. An unknown target gets
-// none anyway, so it is not an error.
+// proposeLeaving proposes that a target accepts no new work. Without an incarnation, the
+// state machine finds the one that leaves. An unknown target is not an error: the log
+// records its departure for reports that arrive later.
 func (n *Node) proposeLeaving(ctx context.Context, vm sardine.VMID, i sardine.Incarnation) error {
 	if n.hasLeft(vm, i) {
 		return nil
 	}
-	if i == 0 {
-		n.log.View(func(m *state.Machine) {
-			known, _ := m.Target(vm)
-			i = known.Incarnation
-		})
-	}
 	result, err := n.propose(ctx, state.TargetLeaving{VM: vm, Incarnation: i})
 	if err != nil {
 		return n.redirect(err)
--- a/state/claims.go
+++ b/state/claims.go
@@ -144,6 +144,7 @@
 		}
 	}
 	m.departed.expire(m.at - departureRetention)
+	m.dropped.expire(m.at - departureRetention)
 	m.slots.expire(m.at - BudgetSlotRetention)
 	for {
 		fingerprint, ok := m.poisonExpiry.popExpired(m.at - PoisonRetention)
--- a/state/departed_test.go
+++ b/state/departed_test.go
@@ -33,6 +33,20 @@
 		"not known when it gave notice": {
 			TargetLeaving{VM: "vm1", Incarnation: 7},
 		},
+		"out of contact when it gave notice": {
+			TargetUp{Target: plainTarget("vm1", 7)},
+			TargetDown{VM: "vm1", Incarnation: 7},
+			TargetLeaving{VM: "vm1"},
+		},
+		"not known when it gave notice, names no incarnation": {
+			TargetLeaving{VM: "vm1"},
+		},
+		"gave notice twice, the second names no incarnation": {
+			TargetUp{Target: plainTarget("vm1", 7)},
+			TargetLeaving{VM: "vm1", Incarnation: 7},
+			TargetDown{VM: "vm1", Incarnation: 7},
+			TargetLeaving{VM: "vm1"},
+		},
 		"known by an earlier start only": {
 			TargetUp{Target: plainTarget("vm1", 6)},
 			TargetLeaving{VM: "vm1", Incarnation: 7},
@@ -49,8 +63,12 @@
 				apply(c)
 			}
 			m = restored(t, m)
-			require.NoError(t, apply(TargetUp{Target: plainTarget("vm1", 7)}).Err)
-			require.True(t, isLeaving(t, m, "vm1"), "a late report restored the departed target")
+			entry := entryMachine(t, m)
+			for _, m := range []*Machine{m, entry} {
+				require.NoError(t, m.Apply(index+1, 1000, TargetUp{Target: plainTarget("vm1", 7)}).Err)
+				require.True(t, isLeaving(t, m, "vm1"), "a late report restored the departed target")
+			}
+			index++
 			require.NoError(t, apply(TargetUp{Target: plainTarget("vm1", 8)}).Err)
 			require.False(t, isLeaving(t, m, "vm1"), "the VM has started again")
 			require.True(t, codes.Is(apply(TargetUp{Target: plainTarget("vm1", 7)}).Err, codes.Superseded))
@@ -58,6 +76,24 @@
 	}
 }
 
+// entryMachine returns the state of an entry node that follows m from a snapshot.
+func entryMachine(t *testing.T, m *Machine) *Machine {
+	b, err := m.EntrySnapshot()
+	require.NoError(t, err)
+	other, err := RestoreMachine(b)
+	require.NoError(t, err)
+	return other
+}
+
+// A departure of a VM of which nothing was known concerns the reports that come soon
+// after it, and not a target that starts there much later.
+func TestDepartureOfUnknownTargetExpires(t *testing.T) {
+	m := NewMachine()
+	m.Apply(1, 1000, TargetLeaving{VM: "vm1"})
+	m.Apply(2, 1001+unknownDepartureTime, TargetUp{Target: plainTarget("vm1", 7)})
+	require.False(t, isLeaving(t, m, "vm1"))
+}
+
 // TestEntrySnapshotIncludesDepartedTargets checks that an entry node restored from a
 // snapshot still rejects late reports on departed targets.
 func TestEntrySnapshotIncludesDepartedTargets(t *testing.T) {
@@ -82,3 +118,15 @@
 	require.Zero(t, m.departed.recordedAt.len())
 	require.Empty(t, m.departed.incarnations)
 }
+
+func TestDroppedTargetsAreBounded(t *testing.T) {
+	m := NewMachine()
+	for i := range uint64(maxDeparted + 10) {
+		vm := sardine.VMID(fmt.Sprint("vm", i))
+		m.Apply(2*i+1, 1000, TargetUp{Target: plainTarget(vm, 1)})
+		m.Apply(2*i+2, 1000, TargetDown{VM: vm, Incarnation: 1})
+	}
+	require.Equal(t, maxDeparted, m.dropped.recordedAt.len())
+	m.Apply(3*maxDeparted, 1000+departureRetention, OpenTraffic{})
+	require.Empty(t, m.dropped.incarnations)
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -70,7 +70,8 @@
 	slots        budgetSlots
 	teams        map[sardine.Team]*team
 	targets      map[sardine.VMID]Target
-	departed     departedTargets
+	departed     pastTargets
+	dropped      pastTargets // known once, out of contact now
 	groups       map[sardine.GroupID]sardine.Group
 	owners       map[sardine.VMID]Owner
 	claims       map[claimName]Claim
@@ -93,7 +94,8 @@
 		slots:        newBudgetSlots(),
 		teams:        make(map[sardine.Team]*team),
 		targets:      make(map[sardine.VMID]Target),
-		departed:     newDepartedTargets(),
+		departed:     newPastTargets(),
+		dropped:      newPastTargets(),
 		groups:       make(map[sardine.GroupID]sardine.Group),
 		owners:       make(map[sardine.VMID]Owner),
 		claims:       make(map[claimName]Claim),
@@ -327,6 +329,7 @@
 	if known && old.Incarnation > c.Target.Incarnation {
 		return Result{Err: codes.New(codes.Superseded, "target %s has announced incarnation %d, this is %d", c.Target.VM, old.Incarnation, c.Target.Incarnation)}
 	}
+	m.departed.resolve(c.Target.VM, c.Target.Incarnation, m.at)
 	if known && old.Incarnation == c.Target.Incarnation && old.Leaving || m.departed.has(c.Target.VM, c.Target.Incarnation) {
 		c.Target.Leaving = true
 	}
@@ -346,6 +349,8 @@
 		delete(m.targets, c.VM)
 		if old.Leaving {
 			m.departed.record(c.VM, c.Incarnation, m.at)
+		} else {
+			m.dropped.record(c.VM, c.Incarnation, m.at)
 		}
 		m.degradeGroupOf(c.VM)
 	}
@@ -354,13 +359,22 @@
 
 func (m *Machine) targetLeaving(c TargetLeaving) Result {
 	old, known := m.targets[c.VM]
-	if c.Incarnation > 0 && (!known || old.Incarnation <= c.Incarnation) {
-		m.departed.record(c.VM, c.Incarnation, m.at)
+	i := c.Incarnation
+	if i == 0 { // the caller names none
+		i = m.newestIncarnation(c.VM)
 	}
-	if !known || old.Incarnation != c.Incarnation {
-		return Result{Err: codes.New(codes.UnknownMember, "target %s incarnation %d is not known", c.VM, c.Incarnation)}
+	if !known || old.Incarnation <= i {
+		m.departed.record(c.VM, i, m.at)
+	}
+	if !known || old.Incarnation != i {
+		return Result{Err: codes.New(codes.UnknownMember, "target %s incarnation %d is not known", c.VM, i)}
 	}
 	old.Leaving = true
 	m.targets[c.VM] = old
 	return Result{}
 }
+
+// newestIncarnation returns the newest known incarnation of a VM, 0 if none is known.
+func (m *Machine) newestIncarnation(vm sardine.VMID) sardine.Incarnation {
+	return max(m.targets[vm].Incarnation, m.dropped.incarnations[vm], m.departed.incarnations[vm])
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -75,6 +75,7 @@
 		w.Targets = append(w.Targets, TargetToWire(t))
 	}
 	w.Left = m.departed.toWire()
+	w.Dropped = m.dropped.toWire()
 	for _, g := range m.Groups() {
 		w.Groups = append(w.Groups, groupToWire(g))
 	}
@@ -140,6 +141,7 @@
 		m.targets[sardine.VMID(t.GetVm())] = TargetFromWire(t)
 	}
 	m.departed.restore(w.GetLeft())
+	m.dropped.restore(w.GetDropped())
 	for _, g := range w.GetGroups() {
 		m.groups[sardine.GroupID(g.GetId())] = groupFromWire(g)
 	}
