Let requests leave a stalled target only for another one

Callers saw: reads of a service whose only worker, or each worker, takes longer than half a second to answer got 502 although the worker was sound and at work.

Cause: a target that is silent for longer than its limit had all its dispatches canceled that might move when they began. Whether another target could take them, and whether the retry limit still allowed for it, was not asked at that moment: with nowhere to go the request ended, and of many requests of one target only as many were served as retries were left.

Change: mayMove asks for a target that was not tried. A stalled target's dispatch is canceled only if a target that is neither tried nor suspected exists, and its retry is counted then and not after the cut. A request that stays is looked at again in each tick as long as its target is suspected, so that it leaves once another target responds.

--- a/entry/health.go
+++ b/entry/health.go
@@ -86,8 +86,8 @@
 	for _, ref := range stalled {
 		event.Log(n.log, event.TargetStalled, slog.String("target", ref.String()))
 		n.meter.stalled()
-		n.inFlight.cancelStalled(ref)
 	}
+	n.inFlight.cancelStalled(stalled, n.health.suspects())
 	if len(stalled) == 0 {
 		return
 	}
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"sardineswitch.dev/sardine/codes"
@@ -26,26 +27,29 @@
 type inFlight struct {
 	mu     sync.Mutex
 	nextID uint64
-	all    map[uint64]inFlightDispatch
+	all    map[uint64]*inFlightDispatch
 }
 
 type inFlightDispatch struct {
 	candidate route.Candidate
 	cancel    context.CancelCauseFunc
+	leave     func(suspects []route.Ref) bool // whether its request leaves a target that has stalled; nil if it always does
+	stalled   bool                            // its target has stalled, and it stayed
 }
 
 func newInFlight() *inFlight {
-	return &inFlight{all: make(map[uint64]inFlightDispatch)}
+	return &inFlight{all: make(map[uint64]*inFlightDispatch)}
 }
 
-// begin registers a dispatch. The returned function ends it.
-func (f *inFlight) begin(ctx context.Context, c route.Candidate) (context.Context, context.CancelCauseFunc, func()) {
+// begin registers a dispatch. The returned function ends it. leave decides, once the target
+// has stalled, whether the request leaves it; nil stands for always.
+func (f *inFlight) begin(ctx context.Context, c route.Candidate, leave func(suspects []route.Ref) bool) (context.Context, context.CancelCauseFunc, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := f.nextID
 	f.nextID++
-	f.all[id] = inFlightDispatch{candidate: c, cancel: cancel}
+	f.all[id] = &inFlightDispatch{candidate: c, cancel: cancel, leave: leave}
 	return ctx, cancel, func() {
 		cancel(nil)
 		f.mu.Lock()
@@ -65,12 +69,21 @@
 	}
 }
 
-// cancelStalled cancels the dispatches to a target that has stalled.
-func (f *inFlight) cancelStalled(ref route.Ref) {
+// cancelStalled cancels the dispatches to targets that have stalled whose requests leave
+// them, now or when a later call finds the target among the suspects still.
+func (f *inFlight) cancelStalled(stalled, suspects []route.Ref) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range f.all {
-		if d.candidate.Ref == ref {
+		if slices.Contains(stalled, d.candidate.Ref) {
+			d.stalled = true
+		}
+		if !d.stalled {
+			continue
+		}
+		d.stalled = slices.Contains(suspects, d.candidate.Ref)
+		if d.stalled && (d.leave == nil || d.leave(suspects)) {
+			d.stalled = false
 			d.cancel(errStalled)
 		}
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -252,7 +252,7 @@
 // attempt runs one dispatch up to the answer's head, or to its end if it is
 // short.
 func (p *plainRun) attempt(ctx context.Context, choice *route.Choice) (*plainAnswer, func(), error) {
-	ctx, cancel, endFlight := p.node.inFlight.begin(ctx, choice.Candidate)
+	ctx, cancel, endFlight := p.node.inFlight.begin(ctx, choice.Candidate, nil)
 	p.target = dispatched{candidate: choice.Candidate, processes: p.node.view().processes(choice.Candidate)}
 	watch := newWatchdog(cancel, p.node.timing.PlainAnswer, p.node.timing.PlainAnswer)
 	started := p.node.clock.Now()
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -5,6 +5,8 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -45,6 +47,7 @@
 	unsent        int         // attempts that failed before anything was sent
 	// retryDenied records that the retry limit prevented another attempt.
 	retryDenied  bool
+	retryTaken   atomic.Bool // the retry limit counts the next attempt already
 	tried        []route.Ref
 	headSent     bool                  // the status and header were sent to the caller
 	events       proxy.Sequence        // position in the stream, over all attempts
@@ -242,7 +245,7 @@
 	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.acceptsAnswer() {
 		return false
 	}
-	q.retryDenied = !n.retries.take(n.clock.Now(), q.name)
+	q.retryDenied = !q.retryTaken.Swap(false) && !n.retries.take(n.clock.Now(), q.name)
 	return !q.retryDenied
 }
 
@@ -311,11 +314,11 @@
 }
 
 // mayMove reports whether the request may continue at another target if its
-// current one becomes silent. A request that may not move keeps waiting,
-// because a silent target may still be working on it.
+// current one becomes silent. A request that may not move, or has nowhere to go, keeps
+// waiting, because a silent target may still be working on it.
 func (q *routedRun) mayMove() bool {
 	n := q.node
-	return q.route.Idempotent() && q.acceptsAnswer() && q.attempts+q.uncounted() < max(q.route.MaxAttempts, 1) && n.retries.available(n.clock.Now(), q.name)
+	return n.view().hasOther(q.service, q.tried, nil) && q.route.Idempotent() && q.acceptsAnswer() && q.attempts+q.uncounted() < max(q.route.MaxAttempts, 1) && n.retries.available(n.clock.Now(), q.name)
 }
 
 // acceptsAnswer reports whether another target's answer may follow what the caller has
@@ -341,7 +344,7 @@
 	if !q.mayMove() {
 		return ctx, func() { n.health.end(q.healthRecord) }
 	}
-	ctx, cancel, end := n.inFlight.begin(ctx, choice.Candidate)
+	ctx, cancel, end := n.inFlight.begin(ctx, choice.Candidate, q.leaver())
 	return ctx, func() {
 		cancel(nil)
 		end()
@@ -349,6 +352,20 @@
 	}
 }
 
+// leaver returns a function that decides whether the request leaves a target that has
+// stalled: only if another one that is not suspected can take it, and if the retry limit
+// allows for that, which it counts at once.
+func (q *routedRun) leaver() func(suspects []route.Ref) bool {
+	n, service, name, tried := q.node, q.service, q.name, slices.Clone(q.tried)
+	return func(suspects []route.Ref) bool {
+		if !n.view().hasOther(service, tried, suspects) || !n.retries.take(n.clock.Now(), name) {
+			return false
+		}
+		q.retryTaken.Store(true)
+		return true
+	}
+}
+
 // causeOf returns the cause of a cancellation or timeout in preference to the
 // I/O error that it led to.
 func (q *routedRun) causeOf(ctx context.Context, err error) error {
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,6 +14,7 @@
 	"sardineswitch.dev/sardine/follow"
 	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/place"
+	"sardineswitch.dev/sardine/plan"
 	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/retry"
 	"sardineswitch.dev/sardine/route"
@@ -26,6 +28,9 @@
 	n := &Node{clock: clock.NewVirtual(1000), batchBounds: place.NewBatchLimiter(), retries: newRetryLimit(1, 0, retry.NewWindow(0.5, 10, 10*sardine.Second))}
 	v := emptyView()
 	v.table = paths.New(layout)
+	for _, vm := range []sardine.VMID{"vm1", "vm2"} {
+		v.candidates[routedService] = append(v.candidates[routedService], route.Candidate{Ref: route.Ref{VM: vm, Incarnation: 1}})
+	}
 	v.trafficOpen, v.budgetSlots, v.budgetSlot = true, 1, state.BudgetSlot{Incarnation: 1, Origin: state.SlotInitial}
 	n.retries.applyView(1000, v)
 	n.retries.confirmed(1000)
@@ -33,9 +38,11 @@
 	return n
 }
 
+var routedService = serviceKey{plan.LayoutTeam, "s"}
+
 func newRoutedRun(n *Node, kind sardine.RouteKind) *routedRun {
 	r := &sardine.Route{Kind: kind, Resumable: true, MaxAttempts: 2, Objective: 200, Timeout: 5000}
-	return &routedRun{node: n, route: r, name: "s", arrived: 1000, deadline: 6000, ran: sardine.RanNo}
+	return &routedRun{node: n, route: r, name: "s", service: routedService, arrived: 1000, deadline: 6000, ran: sardine.RanNo}
 }
 
 func TestMayRetry(t *testing.T) {
@@ -137,6 +144,39 @@
 	require.False(t, newRoutedRun(n, sardine.RouteStream).mayMove(), "the retry limit is used up")
 }
 
+// Guards against requests that are cut off because their target is silent, though no
+// other target can take them, or though the retry limit does not allow for it.
+func TestRequestsLeaveStalledTargetOnlyForAnother(t *testing.T) {
+	n := routedNode()
+	first, second := route.Ref{VM: "vm1", Incarnation: 1}, route.Ref{VM: "vm2", Incarnation: 1}
+	q := newRoutedRun(n, sardine.RouteSafe)
+	q.tried = []route.Ref{first}
+	leaves := q.leaver()
+	require.False(t, leaves([]route.Ref{first, second}), "both are silent")
+	require.True(t, leaves([]route.Ref{first}))
+	for n.retries.take(n.clock.Now(), "s") {
+		continue
+	}
+	require.True(t, q.mayRetry(errStalled), "the retry was counted when it left")
+	require.False(t, q.mayRetry(errStalled))
+	require.False(t, leaves([]route.Ref{first}), "the retry limit is used up")
+	q = newRoutedRun(routedNode(), sardine.RouteSafe)
+	q.tried = []route.Ref{first, second}
+	require.False(t, q.mayMove(), "no target is left")
+}
+
+// A request that could not leave a stalled target does so once another target responds.
+func TestStalledDispatchesLeaveOnceAnotherTargetResponds(t *testing.T) {
+	first, second := route.Ref{VM: "vm1", Incarnation: 1}, route.Ref{VM: "vm2", Incarnation: 1}
+	f := newInFlight()
+	ctx, _, end := f.begin(context.Background(), route.Candidate{Ref: first}, func(suspects []route.Ref) bool { return len(suspects) == 1 })
+	defer end()
+	f.cancelStalled([]route.Ref{first, second}, []route.Ref{first, second})
+	require.NoError(t, ctx.Err())
+	f.cancelStalled(nil, []route.Ref{first})
+	require.ErrorIs(t, context.Cause(ctx), errStalled)
+}
+
 // Callers take 429 and 503 as a promise that the request did not run, and any
 // other 4xx as their own error. This checks the status of all codes.
 func TestFinalErrorPromisesNotRunOnlyIfCertain(t *testing.T) {
--- a/entry/view.go
+++ b/entry/view.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -279,6 +280,16 @@
 	return known && incarnation == c.Incarnation
 }
 
+// hasOther reports whether a service has a candidate that is neither tried nor suspected.
+func (v *view) hasOther(service serviceKey, tried, suspects []route.Ref) bool {
+	for _, c := range v.candidates[service] {
+		if !slices.Contains(tried, c.Ref) && !slices.Contains(suspects, c.Ref) {
+			return true
+		}
+	}
+	return false
+}
+
 // lost reports whether a dispatch to the candidate can no longer succeed.
 func (v *view) lost(c route.Candidate) bool {
 	return c.Group != "" && v.intact[c.Group] != c.Epoch
