End the time limit for reading a request once it is read

Callers saw: requests without a body were cut off ten seconds after they arrived, with no answer, whatever their route's time limit and though a worker was at work on them (LOST); on the own interface as well.

Cause: the read deadline for the body (body_timeout_ms) was set on the caller's connection and never removed. net/http goes on reading while the handler runs, to notice a caller that disconnects; the deadline ended that read, which canceled the request's context, and that counts as a caller that has left. A request with a body was not hit.

Change: limitRead sets the deadline at the start of a request and returns what removes it, which all three readers of bodies call once the body is read (routes, own interface, announcements). No deadline of the node's own is left on the connection while a request runs, so a canceled context means a caller that has left or the drain's end. A request that is refused unread keeps its limit. The write deadline that a refusal leaves on a kept connection is removed when the next request begins, and renewed after a long plain answer's last piece.

TestSiteServesLongerThanItReads (read limit 300 ms, work 1.2 s): before, 3 of 6 kinds cut off (read, booking and stream without a body); now all whole, two in a row on one connection.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -18,12 +18,13 @@
 // address so that the target keeps announcing here; otherwise its changes would
 // reach the control leader through every entry node in turn.
 func (n *Node) handleAnnounce(w http.ResponseWriter, r *http.Request) {
-	n.extendRead(w)
+	unlimit := n.limitRead(w)
 	body, err := io.ReadAll(io.LimitReader(r.Body, annc.MaxBytes+1))
 	if err != nil {
 		n.refuseOperator(w, codes.New(codes.BadRequest, "announcement ended after %d bytes", len(body)))
 		return
 	}
+	unlimit()
 	if n.targetTokens {
 		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), oper.RequireScope(keys.TargetScope()), n.view().tokens); err != nil {
 			n.refuseOperator(w, err)
--- a/entry/begin.go
+++ b/entry/begin.go
@@ -22,12 +22,13 @@
 // refused, the refusal has been sent and admitted is false.
 func (n *Node) begin(w http.ResponseWriter, r *http.Request, read func(sardine.CallerPort, *http.Request, int64) (*request, error)) (b *admittedRequest, admitted bool) {
 	k := n.beginTrace()
-	n.extendRead(w)
+	unlimit := n.limitRead(w)
 	q, err := read(n.callers, r, n.limits.BodyBytes)
 	if err != nil {
 		n.refuseTraced(w, k, err)
 		return nil, false
 	}
+	unlimit()
 	q.id, q.trace = k.ID(), k
 	q.arrived = n.clock.Now()
 	ctx, cancel := n.callerContext(r.Context())
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -78,9 +78,14 @@
 	k.Finish(n.clock.Now(), trace.Outcome{Code: codes.Of(err), Ran: ran, Tokens: tokens, CallerLeft: errors.Is(err, context.Canceled)})
 }
 
-// extendRead sets the read deadline for the body to the full read timeout.
-func (n *Node) extendRead(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(n.timing.Read.Duration())) // httptest recorders have no deadlines
+// limitRead limits the time until a request's body is read. The returned function ends
+// that once it is: net/http goes on reading to notice a caller that disconnects, and
+// would take a timeout for that. A request that was not read is refused within the limit.
+func (n *Node) limitRead(w http.ResponseWriter) (unlimit func()) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Time{}) // of the connection's previous request; httptest recorders have no deadlines
+	_ = control.SetReadDeadline(time.Now().Add(n.timing.Read.Duration()))
+	return func() { _ = control.SetReadDeadline(time.Time{}) }
 }
 
 // callerContext returns a context that is canceled with parent, or with the
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -327,6 +327,7 @@
 	}
 	a.ended = err == nil
 	if err == nil {
+		p.sink.extend() // the last bytes may still be in the writer's buffer
 		p.losses.survived()
 	} else {
 		err = codes.Wrap(codes.StreamBroken, err, "answer broke off")
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -100,6 +100,7 @@
 // read finds the route and the workspace, and reads the body.
 func (q *routedRun) read(r *http.Request) error {
 	n := q.node
+	unlimit := n.limitRead(q.w)
 	var err error
 	if q.call, err = n.callers.Call(r); err != nil {
 		return err
@@ -123,11 +124,11 @@
 	if err := q.findService(table); err != nil {
 		return err
 	}
-	n.extendRead(q.w)
 	body, err := readBody(r, table.Layout().Limits.BodyBytes)
 	if err != nil {
 		return err
 	}
+	unlimit()
 	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
 	q.losses.request, q.losses.service = q.call.ID, q.service.routeName()
 	q.losses.segments = guard.SegmentsOf(q.losses.service, q.call.Segments)
