Confirm settings only as of what a leader's updates hold

Cause: a leader's reply to a held poll said "nothing newer up to now". Two things were not part of that word. The updates come from a cache that a loop of its own fills from the log: on a control node with much to do a change is acknowledged while the cache lacks it. And the proof that it leads is the quorum round at the poll's arrival, up to 0.7 s before: a leader that another one has replaced meanwhile confirmed what it could not know.

Change: a reply confirms as of the newest quorum round whose committed entries the cache holds (Confirmation, with the round's start and its commit index); a poll whose round knows of newer entries waits for them. A poll without updates gets another round 30 ms before the end of its hold time unless another poll's is as recent; the reply waits at most 150 ms longer for it.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -131,12 +131,14 @@
 func (n *Node) confirmPolls(ids []uint64) {
 	ctx, cancel := context.WithTimeout(n.runCtx, n.timing.ProposeTimeout.Duration())
 	defer cancel()
-	_, term, err := n.log.ConfirmLeadership(ctx)
+	confirmed := follow.Confirmation{At: n.clock.Now()}
+	index, term, err := n.log.ConfirmLeadership(ctx)
 	if err != nil {
 		n.leadership.pollsFailed(ids, err)
 	} else {
+		confirmed.Index = index
 		n.log.View(func(m *state.Machine) {
-			n.leadership.pollsConfirmed(n.clock.Now(), term, m, ids)
+			n.leadership.pollsConfirmed(n.clock.Now(), term, m, confirmed, ids)
 		})
 		n.leasesGranted.notify()
 	}
@@ -146,7 +148,7 @@
 func (l *leadership) pump(now sardine.Millis) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ids := l.polls.server.TakeUnconfirmed()
+	ids := l.polls.server.TakeUnconfirmed(now)
 	l.polls.server.Tick(now)
 	for _, a := range l.polls.server.TakeReplies() {
 		if ready := l.polls.waiting[a.ID]; ready != nil {
@@ -163,7 +165,7 @@
 	l.polls.server.FailPolls(ids, codes.Of(err), err.Error())
 }
 
-func (l *leadership) pollsConfirmed(now sardine.Millis, term uint64, m *state.Machine, ids []uint64) {
+func (l *leadership) pollsConfirmed(now sardine.Millis, term uint64, m *state.Machine, c follow.Confirmation, ids []uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term != term {
@@ -171,7 +173,7 @@
 		return
 	}
 	l.catchUp(m, cutPolicyOf)
-	l.polls.server.ConfirmPolls(now, ids)
+	l.polls.server.ConfirmPolls(now, c, ids)
 	for _, ref := range l.polls.server.TakeGranted() {
 		if ack := l.fleet.RecordContact(now, ref.Node, ref.Incarnation); ack.WantFull {
 			l.polls.server.WantFull(ref.Node)
--- a/follow/server.go
+++ b/follow/server.go
@@ -22,9 +22,19 @@
 	until        sardine.Millis // end of its hold time
 	roundStarted bool           // a quorum round for it was started
 	confirmed    bool           // the round succeeded
+	refreshed    bool           // it was decided whether it needs another round at the end of its hold time
+	refreshing   bool           // that round is in progress
+	index        uint64         // of the newest entry that was committed when it was confirmed
 	reply        Reply
 }
 
+// Confirmation is the result of a quorum round: this node led at the instant At, and
+// every entry committed until then has an index of at most Index.
+type Confirmation struct {
+	At    sardine.Millis // no later than the start of the round
+	Index uint64
+}
+
 // Server is the side of the leader: it keeps the polls of the nodes that poll a
 // control node, grants their leases and replies with updates. It is not safe for
 // concurrent use.
@@ -37,13 +47,17 @@
 	term     uint64
 	leader   string
 	cache    cache
-	polls    map[uint64]*poll
-	sets     map[sardine.NodeID][]NodeRef // nodes below each node that polls
-	wantFull map[sardine.NodeID]bool      // home nodes whose next report must be full
-	parents  map[sardine.NodeID]string    // address of the relay assigned to each node
-	granted  []NodeRef                    // granted a lease since the last call of TakeGranted
-	assignAt sardine.Millis
-	replies  []PollReply
+	// currentAt is the newest instant as of which the cache is known to hold every
+	// committed update, 0 before the first.
+	currentAt sardine.Millis
+	ahead     []Confirmation // of entries that the cache does not hold yet
+	polls     map[uint64]*poll
+	sets      map[sardine.NodeID][]NodeRef // nodes below each node that polls
+	wantFull  map[sardine.NodeID]bool      // home nodes whose next report must be full
+	parents   map[sardine.NodeID]string    // address of the relay assigned to each node
+	granted   []NodeRef                    // granted a lease since the last call of TakeGranted
+	assignAt  sardine.Millis
+	replies   []PollReply
 }
 
 // ServerOption configures a Server.
@@ -85,6 +99,8 @@
 	s.parents = nil
 	s.granted = nil
 	s.assignAt = 0
+	s.currentAt = 0
+	s.ahead = nil
 }
 
 // Lead starts a term. The ledger must have started it before.
@@ -98,6 +114,7 @@
 // snapshot of the given index. It is also called at the start.
 func (s *Server) Restored(index uint64) {
 	s.cache.reset(index)
+	s.confirmCache()
 }
 
 // Resign ends the term and answers every poll with codes.NotLeader. leader is the
@@ -124,9 +141,21 @@
 func (s *Server) Applied(index uint64, at state.WallTime, c state.Command) {
 	if c == nil || !state.SentToEntries(c) {
 		s.cache.advanceTo(index)
-		return
+	} else {
+		s.cache.add(Update{Index: index, At: at, Command: c})
 	}
-	s.cache.add(Update{Index: index, At: at, Command: c})
+	s.confirmCache()
+}
+
+// confirmCache applies the confirmations whose entries the cache holds.
+func (s *Server) confirmCache() {
+	s.ahead = slices.DeleteFunc(s.ahead, func(c Confirmation) bool {
+		if c.Index > s.cache.through {
+			return false
+		}
+		s.currentAt = max(s.currentAt, c.At)
+		return true
+	})
 }
 
 // WantFull makes the next reply to a home node request a full target report.
@@ -148,29 +177,61 @@
 	s.polls[id] = p
 	if s.defect == DefectNoRound {
 		p.roundStarted = true
-		s.ConfirmPolls(now, []uint64{id})
+		s.ConfirmPolls(now, Confirmation{At: now, Index: s.cache.through}, []uint64{id})
 	}
 }
 
+const (
+	// refreshLead is how long before the end of its hold time a poll gets another quorum
+	// round if the newest one is older: the reply says as of when the leader has
+	// confirmed it.
+	refreshLead = 30 * sardine.Millis(1)
+	// refreshWait is how long after its hold time a reply waits for that round. It is
+	// half of ReplyMargin.
+	refreshWait = ReplyMargin / 2
+)
+
 // TakeUnconfirmed returns the ids of the polls that need a quorum round. The caller
 // starts one now and passes the ids to ConfirmPolls or FailPolls.
-func (s *Server) TakeUnconfirmed() []uint64 {
+func (s *Server) TakeUnconfirmed(now sardine.Millis) []uint64 {
 	var ids []uint64
 	for id, p := range s.polls {
-		if !p.roundStarted {
+		switch {
+		case !p.roundStarted:
 			p.roundStarted = true
-			ids = append(ids, id)
+		case s.mayRefresh(now, p):
+			p.refreshed = true
+			if s.currentAt >= now-refreshLead {
+				continue
+			}
+			p.refreshing = true
+		default:
+			continue
 		}
+		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	return ids
 }
 
+// mayRefresh reports whether a poll is about to be answered without an update.
+func (s *Server) mayRefresh(now sardine.Millis, p *poll) bool {
+	return s.defect != DefectNoRound && p.confirmed && !p.refreshed && now >= p.until-refreshLead && now < p.until
+}
+
 // ConfirmPolls grants leases to the polls for which a quorum round was started
-// after their arrival and has ended.
-func (s *Server) ConfirmPolls(now sardine.Millis, ids []uint64) {
+// after their arrival and has ended. They are answered once the cache holds what was
+// committed then.
+func (s *Server) ConfirmPolls(now sardine.Millis, c Confirmation, ids []uint64) {
+	s.ahead = append(s.ahead, c)
+	s.confirmCache()
 	for _, id := range ids {
-		if p, pending := s.polls[id]; pending && !p.confirmed {
+		p, pending := s.polls[id]
+		if !pending {
+			continue
+		}
+		p.index, p.refreshing = max(p.index, c.Index), false
+		if !p.confirmed {
 			p.confirmed = true
 			s.grant(now, p)
 		}
@@ -250,16 +311,24 @@
 	}
 	for _, p := range s.sorted() {
 		if s.due(now, p) {
-			s.answerWithUpdates(now, p)
+			s.answerWithUpdates(p)
 		}
 	}
 }
 
 func (s *Server) due(now sardine.Millis, p *poll) bool {
-	if !p.confirmed {
+	if !p.confirmed || p.index > s.cache.through {
 		return false
 	}
-	return now >= p.until || s.cache.hasNewer(p.r.Have) || p.reply.WantSet || len(p.reply.Refused) > 0 || s.wantsFull(p)
+	return now >= p.answerAt() || s.cache.hasNewer(p.r.Have) || p.reply.WantSet || len(p.reply.Refused) > 0 || s.wantsFull(p)
+}
+
+// answerAt returns when to answer a poll without updates.
+func (p *poll) answerAt() sardine.Millis {
+	if p.refreshing {
+		return p.until + refreshWait
+	}
+	return p.until
 }
 
 func (s *Server) wantsFull(p *poll) bool {
@@ -270,10 +339,10 @@
 }
 
 // answerWithUpdates completes and queues the reply to a confirmed poll.
-func (s *Server) answerWithUpdates(now sardine.Millis, p *poll) {
+func (s *Server) answerWithUpdates(p *poll) {
 	reply := p.reply
 	reply.Term = s.term
-	reply.ConfirmedOffset = now - p.arrived
+	reply.ConfirmedOffset = s.currentAt - p.arrived
 	reply.Relay = s.parents[p.r.From.Node]
 	reply.WantFull = s.takeWantFull(p)
 	updates, ok := s.cache.since(p.r.Have)
@@ -320,8 +389,12 @@
 func (s *Server) Wake() sardine.Millis {
 	next := sardine.Millis(math.MaxInt64)
 	for _, p := range s.polls {
-		if p.confirmed {
-			next = min(next, p.until)
+		switch {
+		case !p.confirmed:
+		case p.refreshed:
+			next = min(next, p.answerAt())
+		default:
+			next = min(next, p.until-refreshLead)
 		}
 	}
 	return next
--- a/standin/spread/control.go
+++ b/standin/spread/control.go
@@ -57,6 +57,7 @@
 	acks  map[sardine.NodeID]bool
 	polls []uint64
 	reads []pendingRead
+	began follow.Confirmation
 	until sardine.Millis
 }
 
@@ -191,7 +192,7 @@
 // flush starts the quorum rounds and sends the replies that are ready.
 func (c *control) flush() {
 	if c.ready {
-		if ids := c.server.TakeUnconfirmed(); len(ids) > 0 {
+		if ids := c.server.TakeUnconfirmed(c.now); len(ids) > 0 {
 			c.startRound(&round{polls: ids})
 		}
 		c.answerInForce()
@@ -210,6 +211,7 @@
 	c.lastRound++
 	r.acks = map[sardine.NodeID]bool{c.id: true}
 	r.until = c.now + roundTimeout
+	r.began = follow.Confirmation{At: c.now, Index: c.machine.Index()}
 	c.rounds[c.lastRound] = r
 	for _, other := range c.w.controlIDs {
 		if other != c.id {
@@ -229,7 +231,7 @@
 		return
 	}
 	delete(c.rounds, m.Round)
-	c.server.ConfirmPolls(c.now, r.polls)
+	c.server.ConfirmPolls(c.now, r.began, r.polls)
 	for _, q := range r.reads {
 		current, _ := c.machine.Current(q.team)
 		c.reply(q.caller, result{Version: current.Version, Change: current.ChangeID})
--- a/standin/spread/denial_test.go
+++ b/standin/spread/denial_test.go
@@ -90,3 +90,66 @@
 	}
 	require.Positive(t, denied)
 }
+
+// Guards against a leader that confirms a state as current although it lacks a change that
+// was accepted before that instant, as a leader may that another one has replaced: an
+// entry node would then reject requests by settings that it takes for current.
+func TestConfirmedStateHoldsWhatWasAcceptedBefore(t *testing.T) {
+	const (
+		seeds    = 6
+		step     = 10 * sardine.Millis(1)
+		interval = 2 * sardine.Second // between the losses of leaders
+		length   = 1200 * sardine.Millis(1)
+		until    = 12 * sardine.Second
+	)
+	for seed := range uint64(seeds) {
+		w := relaySite(t, seed, 0)
+		accepted := []sardine.Millis{0} // by layout number
+		waiting := uint64(0)            // index of the layout that is not committed yet
+		start := w.driver.Now()
+		for at := sardine.Millis(0); at < until; at += step {
+			if at%interval == 0 && w.Leader() != "" {
+				w.cutFromControls(w.Leader(), length)
+			}
+			if waiting == 0 && w.Leader() != "" {
+				leader := w.control(w.Leader())
+				waiting = leader.w.log.append(leader.term, leader.wallTime(), state.PutLayout{Number: uint64(len(accepted)), Packed: []byte{1}})
+			}
+			w.RunFor(start + at + step - w.driver.Now())
+			if waiting > 0 && w.committed(waiting) {
+				accepted, waiting = append(accepted, w.driver.Now()), 0
+			}
+			for _, n := range w.nodes {
+				if n.follower.ConfirmedAt() == 0 {
+					continue
+				}
+				confirmed := w.driver.Now() - (w.driver.Local(n.id) - n.follower.ConfirmedAt())
+				next := n.follower.Machine().Layout().Number + 1
+				if next < uint64(len(accepted)) {
+					require.GreaterOrEqual(t, accepted[next], confirmed, "seed %d: node %s lacks layout %d, and a leader has confirmed its state as of a later instant", seed, n.id, next)
+				}
+			}
+		}
+		require.Greater(t, len(accepted), 50)
+	}
+}
+
+// cutFromControls cuts a control node off from all others. Entry nodes still reach it.
+func (w *World) cutFromControls(id sardine.NodeID, length sardine.Millis) {
+	for _, other := range w.controlIDs {
+		if other != id {
+			w.driver.Cut(id, other, length)
+			w.driver.Cut(other, id, length)
+		}
+	}
+}
+
+// committed reports whether some control node knows that an entry is committed.
+func (w *World) committed(index uint64) bool {
+	for _, id := range w.controlIDs {
+		if w.control(id).commit >= index {
+			return true
+		}
+	}
+	return false
+}
