Acknowledge layouts and departures once entry nodes have them

Callers saw: for up to some hundred milliseconds after an acknowledgement, and longer while many nodes follow late, 404 for routes that it had added and requests at workers that it had taken out. Each bound on the time after an acknowledgement (CONFIG, DRAIN) had to hold for all of that.

Cause: an acknowledgement came once a quorum had the change, whatever the entry nodes had.

Change: the leader waits until the change is in force on every entry node that holds a lease, as the own interface does for settings, but at most until 0.5 s after the call arrived; the change is durable by then.

--- a/ctrl/inforce.go
+++ b/ctrl/inforce.go
@@ -13,10 +13,32 @@
 // triggers one.
 const inForcePollInterval = 100 * sardine.Millis(1)
 
+// maxAckDelay bounds how long the acknowledgement of a layout or of a departure waits
+// for entry nodes, from the arrival of the call on. Callers wait for one second, and the
+// call may have been forwarded.
+const maxAckDelay = 500 * sardine.Millis(1)
+
+// awaitEntries waits until the change at index is in force on every entry node that may
+// serve, at most until maxAckDelay after the call arrived. An entry node that is cut off
+// or paused delays the acknowledgement, but does not prevent it: the change is durable.
+func (n *Node) awaitEntries(ctx context.Context, arrived sardine.Millis, index uint64) {
+	left := arrived + maxAckDelay - n.clock.Now()
+	if left <= 0 {
+		return
+	}
+	if n.awaitInForceFor(ctx, "", index, left) == nil {
+		n.instruments.changesInForce.Record(n.clock.Now() - arrived)
+	}
+}
+
 // awaitInForce waits until the change at index is in force on every entry node that
 // may serve, at most for Timing.InForceTimeout.
 func (n *Node) awaitInForce(ctx context.Context, name sardine.Team, index uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, n.timing.InForceTimeout.Duration())
+	return n.awaitInForceFor(ctx, name, index, n.timing.InForceTimeout)
+}
+
+func (n *Node) awaitInForceFor(ctx context.Context, name sardine.Team, index uint64, most sardine.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, most.Duration())
 	defer cancel()
 	for {
 		granted := n.leasesGranted.wait()
--- a/ctrl/portbackend.go
+++ b/ctrl/portbackend.go
@@ -100,6 +100,7 @@
 	if err != nil {
 		return err
 	}
+	arrived := n.clock.Now()
 	result, err := n.propose(ctx, put)
 	if err != nil {
 		return n.redirect(err)
@@ -109,6 +110,7 @@
 		return result.Err
 	}
 	event.Log(n.logger, event.ChangeAccepted, numberAttr(layout.Number), slog.Bool("repeat", result.Repeat))
+	n.awaitEntries(ctx, arrived, result.Index)
 	return nil
 }
 
@@ -187,6 +189,7 @@
 	if n.hasLeft(vm, i) {
 		return nil
 	}
+	arrived := n.clock.Now()
 	result, err := n.propose(ctx, state.TargetLeaving{VM: vm, Incarnation: i})
 	if err != nil {
 		return n.redirect(err)
@@ -196,5 +199,6 @@
 	}
 	event.Log(n.logger, event.TargetLeaving, vmAttr(vm))
 	n.wakeLeader()
+	n.awaitEntries(ctx, arrived, result.Index)
 	return nil
 }
