Take the state's lock before the leadership's everywhere

An entry that waits to be applied lets no new reader in, which closes the circle.

TestSnapshotsAndViewsNeverDeadlock: before, 3 of 3 runs hung ("the view has not ended after 10s"), held in place by the test; now it passes. TestControlNodeAnswersUnderMixedLoad is new; both pass three times under the race detector.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -118,7 +118,10 @@
 // pump starts a quorum round for new polls and sends the follow server's answers
 // that are ready.
 func (n *Node) pump() {
-	ids := n.leadership.pump(n.clock.Now())
+	var ids []uint64
+	n.log.View(func(m *state.Machine) {
+		ids = n.leadership.pump(n.clock.Now(), m)
+	})
 	if len(ids) == 0 {
 		return
 	}
@@ -145,9 +148,11 @@
 	n.pump()
 }
 
-func (l *leadership) pump(now sardine.Millis) []uint64 {
+func (l *leadership) pump(now sardine.Millis, m *state.Machine) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.viewed = m
+	defer func() { l.viewed = nil }()
 	ids := l.polls.server.TakeUnconfirmed(now)
 	l.polls.server.Tick(now)
 	for _, a := range l.polls.server.TakeReplies() {
@@ -159,6 +164,13 @@
 	return ids
 }
 
+// entrySnapshot returns a snapshot for an entry node. The follow server calls it within
+// pump, whose caller holds the lock of the state.
+func (l *leadership) entrySnapshot() ([]byte, uint64, error) {
+	b, err := l.viewed.EntrySnapshot()
+	return b, l.viewed.Index(), err
+}
+
 func (l *leadership) pollsFailed(ids []uint64, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -20,11 +20,16 @@
 
 // leadership is the node's unreplicated state as the leader. Follow requests and the
 // leader loop share it under mu.
+//
+// Order of locks: that of the replicated state (repl.Node.View) before mu. Nothing that
+// takes the former may be called while mu is held: a reader waits for a writer that waits
+// for a reader that waits for mu.
 type leadership struct {
 	self        sardine.NodeID
 	mu          sync.Mutex
-	term        uint64 // 0 while the node does not lead
-	ledgerIndex uint64 // log index up to which the ledger is up to date
+	viewed      *state.Machine // within pump, the replicated state
+	term        uint64         // 0 while the node does not lead
+	ledgerIndex uint64         // log index up to which the ledger is up to date
 	ledger      *lease.Ledger
 	fleet       *fleet.Leader
 	planner     *plan.Planner
@@ -34,15 +39,16 @@
 	planError   error
 }
 
-func newLeadership(self sardine.NodeID, t Timing, planner *plan.Planner, snapshot func() ([]byte, uint64, error)) *leadership {
+func newLeadership(self sardine.NodeID, t Timing, planner *plan.Planner) *leadership {
 	ledger := lease.New(lease.WithServing(t.ServingLease), lease.WithHolding(t.HoldingLease))
-	return &leadership{
+	l := &leadership{
 		self:    self,
 		ledger:  ledger,
-		polls:   newPolls(follow.NewServer(ledger, follow.WithSnapshot(snapshot))),
 		fleet:   fleet.NewLeader(fleet.WithGrace(t.TargetGrace), fleet.WithOverdue(t.AnnouncementOverdue)),
 		planner: planner,
 	}
+	l.polls = newPolls(follow.NewServer(ledger, follow.WithSnapshot(l.entrySnapshot)))
+	return l
 }
 
 // emptySiteGrace replaces the grace time in a site without targets: no earlier leader
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -154,7 +154,7 @@
 	}
 	client, scheme := n.keys.Client(maxIdlePerControl)
 	n.controlClient = ctlapi.New(nil, ctlapi.WithHTTP(client, scheme))
-	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)), n.log.EntrySnapshot)
+	n.leadership = newLeadership(n.id, n.timing, plan.New(plan.WithPolicy(n.policy), plan.WithLimits(n.limits)))
 	if n.port != nil {
 		// Higher than at an earlier start; if not, the leader's reply corrects it.
 		started := sardine.Incarnation(time.Now().UnixMilli())
--- a/repl/node.go
+++ b/repl/node.go
@@ -222,15 +222,6 @@
 	return n.applied.updates(after, limit)
 }
 
-// EntrySnapshot returns the part of the state that entry nodes need, encoded,
-// and its index.
-func (n *Node) EntrySnapshot() (data []byte, index uint64, err error) {
-	n.applied.view(func(m *state.Machine) {
-		index = m.Index()
-		data, err = m.EntrySnapshot()
-	})
-	return data, index, err
-}
 
 // Changed returns a channel that is closed when the applied index next advances.
 func (n *Node) Changed() <-chan struct{} {
