--- a/repl/node.go
+++ b/repl/node.go
@@ -222,7 +222,6 @@
 	return n.applied.updates(after, limit)
 }
 
-
 // Changed returns a channel that is closed when the applied index next advances.
 func (n *Node) Changed() <-chan struct{} {
 	return n.applied.changed()
