--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -194,7 +194,6 @@
 	delimited := serve.Delimited(a.Response)
 	a.Response.ContentLength = -1 // another target may have to continue the answer
 	events := proxy.NewEvents(a.Response.Body)
-	control := http.NewResponseController(q.w)
 	q.events.Begin()
 	next := q.nextEventDeadline()
 	var held []byte // comments and empty events before the first one with data
@@ -202,17 +201,8 @@
 		a.SetExpiry(next)
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if err := q.events.End(); err != nil {
-				return false, err
-			}
-			if err := q.node.checkEnd(delimited, q.times.choice.Candidate); err != nil {
-				return false, err
-			}
-			if !q.headSent {
-				q.sendHead(a.Response)
-				_, _ = q.w.Write(held) // a caller that has disconnected needs no answer
-			}
-			return true, nil
+			err := q.endStream(a.Response, delimited, held)
+			return err == nil, err
 		}
 		if err != nil {
 			return false, codes.Wrap(codes.StreamBroken, err, "the stream broke off")
@@ -232,33 +222,63 @@
 			continue
 		}
 		if e.HasData {
-			if q.attemptEvents++; q.attemptEvents == guard.ProvenEvents {
-				q.losses.began()
-			}
-			q.node.health.progress(q.healthRecord, true)
-			q.recordGap()
+			q.recordEvent()
 		}
 		if !q.headSent {
 			q.sendHead(a.Response)
 			e.Raw = append(held, e.Raw...)
 		}
-		q.settled.Store(!q.events.MayResume())
-		q.node.health.suspend(q.healthRecord)
-		if _, err := q.w.Write(e.Raw); err != nil {
-			return false, errCallerLeft
-		}
-		if !events.Buffered() {
-			if err := control.Flush(); err != nil {
-				return false, errCallerLeft
-			}
+		if err := q.writeEvent(e.Raw, !events.Buffered()); err != nil {
+			return false, err
 		}
-		q.node.health.resume(q.healthRecord)
 		if e.HasData {
 			next = q.nextEventDeadline()
 		}
 	}
 }
 
+// endStream ends a stream at its answer's end. held is what was not forwarded yet of an
+// answer without data.
+func (q *routedRun) endStream(resp *http.Response, delimited bool, held []byte) error {
+	if err := q.events.End(); err != nil {
+		return err
+	}
+	if err := q.node.checkEnd(delimited, q.times.choice.Candidate); err != nil {
+		return err
+	}
+	if !q.headSent {
+		q.sendHead(resp)
+		_, _ = q.w.Write(held) // a caller that has disconnected needs no answer
+	}
+	return nil
+}
+
+// writeEvent sends an event to the caller. The target is not waited for meanwhile.
+func (q *routedRun) writeEvent(raw []byte, flush bool) error {
+	q.settled.Store(!q.events.MayResume())
+	q.node.health.suspend(q.healthRecord)
+	defer q.node.health.resume(q.healthRecord)
+	if _, err := q.w.Write(raw); err != nil {
+		return errCallerLeft
+	}
+	if !flush {
+		return nil
+	}
+	if err := http.NewResponseController(q.w).Flush(); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
+// recordEvent records an event that has data.
+func (q *routedRun) recordEvent() {
+	if q.attemptEvents++; q.attemptEvents == guard.ProvenEvents {
+		q.losses.began()
+	}
+	q.node.health.progress(q.healthRecord, true)
+	q.recordGap()
+}
+
 // recordGap records the pause between two events.
 func (q *routedRun) recordGap() {
 	now := q.node.clock.Now()
