Give late answers a second to be written, and share quorum rounds longer

A read answer whose deadline passes while it is written was cut off. Polls asked for a further quorum round when the newest one was 30 ms old: at 36 polls a second that is half a round more for each; now from 100 ms on.

--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -31,6 +31,10 @@
 	moveShare = 0.6
 )
 
+// writeSlack is how long after a request's deadline its caller may take what has been read
+// in time.
+const writeSlack = sardine.Second
+
 // Callers disconnect when a stream pauses for the longest of these times.
 const (
 	minDisconnectGap          = 2 * sardine.Second
@@ -103,7 +107,7 @@
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // net/http would guess one otherwise
 	}
-	left := q.deadline - q.node.clock.Now()
+	left := max(q.deadline-q.node.clock.Now(), 0) + writeSlack
 	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(left.Duration())) // httptest recorders have no deadlines
 	q.w.WriteHeader(resp.StatusCode)
 	q.headSent = true
--- a/follow/server.go
+++ b/follow/server.go
@@ -183,9 +183,12 @@
 
 const (
 	// refreshLead is how long before the end of its hold time a poll gets another quorum
-	// round if the newest one is older: the reply says as of when the leader has
-	// confirmed it.
+	// round if the newest one is older than refreshAge: the reply says as of when the
+	// leader has confirmed it.
 	refreshLead = 30 * sardine.Millis(1)
+	// refreshAge is below the time between the rounds of a few entry nodes, and above that
+	// of many, whose polls need no further rounds.
+	refreshAge = 100 * sardine.Millis(1)
 	// refreshWait is how long after its hold time a reply waits for that round. It is
 	// half of ReplyMargin.
 	refreshWait = ReplyMargin / 2
@@ -201,7 +204,7 @@
 			p.roundStarted = true
 		case s.mayRefresh(now, p):
 			p.refreshed = true
-			if s.currentAt >= now-refreshLead {
+			if s.currentAt >= now-refreshAge {
 				continue
 			}
 			p.refreshing = true
