Tell nodes the leader's address once they know the members

Cause: publish worked out LeaderInfo when the leadership changed, not when the member list did. An added member hears from its leader before it has the list, so the address stayed empty; an address that changed within a term stayed old.

Class: a derived value that is refreshed on changes of one of its two inputs. Change: it is compared as a whole.

--- a/repl/info.go
+++ b/repl/info.go
@@ -30,10 +30,6 @@
 	return info
 }
 
-func (i LeaderInfo) same(l quorum.Leadership) bool {
-	return i.ID == l.Leader && i.Term == l.Term && i.Since == l.Since
-}
-
 // Leader returns the leader, as far as this node knows.
 func (n *Node) Leader() LeaderInfo {
 	return *n.info.Load()
--- a/repl/loop.go
+++ b/repl/loop.go
@@ -250,12 +250,11 @@
 			w.SetMembers(members)
 		}
 	}
-	next := n.core.Leadership()
+	info := newLeaderInfo(n.settings.id, n.core.Leadership(), members)
 	old := n.info.Load()
-	if old != nil && old.same(next) {
+	if old != nil && *old == info {
 		return
 	}
-	info := newLeaderInfo(n.settings.id, next, members)
 	n.info.Store(&info)
 	n.updateLeadership(info.IsLeader)
 	if info.ID != "" && (old == nil || old.ID != info.ID || old.Term != info.Term) {
