Show what each control node takes, refuses and does

Cause: no line and no metric told that six of nine control nodes refused everything, nor how announcements, health reports, polls and rounds were distributed: hearing_lost needed a first acknowledgement, which never came.

Change: sardine_control_work_total, sardine_leader_ack_age_seconds, control_load each 10 s; hearing_lost also 5 s after a start without an acknowledgement.

Test: ctrl.TestLostContactIsLoggedBeforeTheFirstAcknowledgement.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -36,6 +36,7 @@
 	}
 	select {
 	case reply := <-ready:
+		n.instruments.load.count(taskPoll, faultOf(reply))
 		return follow.ReplyToWire(reply), nil
 	case <-ctx.Done():
 		n.leadership.cancelPoll(id)
@@ -47,6 +48,14 @@
 	}
 }
 
+// faultOf returns the fault of a reply as an error, nil for none.
+func faultOf(r follow.Reply) error {
+	if r.Fault == nil {
+		return nil
+	}
+	return codes.New(r.Fault.Code, "%s", r.Fault.Detail)
+}
+
 func (l *leadership) addPoll(now sardine.Millis, r follow.Request) (uint64, chan follow.Reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,6 +134,7 @@
 	if len(ids) == 0 {
 		return
 	}
+	n.instruments.load.count(taskQuorumRound, nil)
 	n.quorumRounds.Go(func() { n.confirmPolls(ids) })
 }
 
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -219,6 +219,7 @@
 	n.log.View(func(m *state.Machine) {
 		todo, err = n.leadership.round(n.clock.Now(), m, settings)
 	})
+	n.instruments.load.count(taskPlanningRound, err)
 	if err != nil {
 		// Planning stops; leases, settings and the log go on. Stopping the node
 		// would not help, because the next leader may find the same violation.
--- a/ctrl/meter.go
+++ b/ctrl/meter.go
@@ -22,6 +22,7 @@
 	syncs          *meter.Durations
 	orders         *meter.Counter
 	leaders        *meter.Counter
+	load           *load
 }
 
 // newInstruments creates the instruments. The gauges are added later, once what they
@@ -44,6 +45,9 @@
 	if i.orders, err = m.Counter("sardine_orders", "orders to engines by what they ask for and result code"); err != nil {
 		return nil, err
 	}
+	if i.load, err = newLoad(m); err != nil {
+		return nil, err
+	}
 	i.leaders, err = m.Counter("sardine_terms_led", "terms that this node has led since its start")
 	return i, err
 }
@@ -74,6 +78,12 @@
 		{Name: "sardine_targets", Description: "targets in the log", Read: n.countTargets},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
 	}
+	if n.collector != nil {
+		gauges = append(gauges, meter.Gauge{
+			Name: "sardine_leader_ack_age_seconds", Description: "time since the leader last acknowledged this node's report on targets, since the start if it never has",
+			Read: func() float64 { return n.collector.ackAge(n.clock.Now()).Duration().Seconds() },
+		})
+	}
 	for s := sardine.GroupAssigned; s <= sardine.GroupReleased; s++ {
 		gauges = append(gauges, meter.Gauge{
 			Name: "sardine_groups", Description: "groups in the log by state", Labels: []meter.Label{meter.NewLabel("state", s.String())},
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -158,7 +158,7 @@
 	if n.port != nil {
 		// Higher than at an earlier start; if not, the leader's reply corrects it.
 		started := sardine.Incarnation(time.Now().UnixMilli())
-		n.collector = newTargetCollector(n.id, started, n.timing)
+		n.collector = newTargetCollector(n.clock.Now(), n.id, started, n.timing)
 	}
 	return n.instruments.meter.Gauges(n.gauges())
 }
@@ -272,6 +272,7 @@
 	}
 	n.tomb.Go(n.watchLog)
 	n.tomb.Go(n.historyLoop)
+	n.tomb.Go(n.loadLoop)
 	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.logger) })
 	n.tomb.Go(n.close)
 	event.Log(n.logger, event.NodeStarted,
--- a/ctrl/observations.go
+++ b/ctrl/observations.go
@@ -16,6 +16,7 @@
 		return &wire.WitnessReply{Fault: ctlapi.FaultOf(codes.New(codes.BadRequest, "this control node does not collect reports on targets"))}, nil
 	}
 	crowds, err := n.collector.observe(n.clock.Now(), sardine.NodeID(r.GetNode()), observationsFromWire(r.GetSigns()))
+	n.instruments.load.count(taskHealthReport, err)
 	return &wire.WitnessReply{Fault: ctlapi.FaultOf(err), Crowds: inFlightToWire(crowds)}, nil
 }
 
--- a/ctrl/portbackend.go
+++ b/ctrl/portbackend.go
@@ -133,7 +133,9 @@
 		return n.portServer.Address(), nil // no route uses the service, so there is nothing to record
 	}
 	a.Loadable = models
-	if err := n.collector.announce(n.clock.Now(), a); err != nil {
+	err := n.collector.announce(n.clock.Now(), a)
+	n.instruments.load.count(taskAnnouncement, err)
+	if err != nil {
 		return "", err
 	}
 	return n.portServer.Address(), nil
--- a/ctrl/targetcollector.go
+++ b/ctrl/targetcollector.go
@@ -28,6 +28,10 @@
 	// nodes. It is below the second after which their calls time out, and long
 	// enough to tolerate one lost report.
 	maxAckAge = 900 * sardine.Millis(1)
+	// firstAckTimeout is the time from the start after which a node that has never had
+	// an acknowledgement logs that it has no contact with the leader. It exceeds the
+	// time in which the nodes of a new site find each other and elect a leader.
+	firstAckTimeout = 5 * sardine.Second
 )
 
 // targetCollector collects what a control node receives about targets: their own
@@ -42,14 +46,16 @@
 	observers   *fleet.Observations
 	inFlight    []fleet.InFlightCount // as of the leader's last reply
 	lastAck     sardine.Millis        // time of the leader's last acknowledgement, 0 for none
-	contactLost bool                  // the loss of contact with the leader was logged
+	started     sardine.Millis
+	contactLost bool // the loss of contact with the leader was logged
 	wakeup      chan struct{}
 }
 
-func newTargetCollector(self sardine.NodeID, started sardine.Incarnation, t Timing) *targetCollector {
+func newTargetCollector(now sardine.Millis, self sardine.NodeID, i sardine.Incarnation, t Timing) *targetCollector {
 	return &targetCollector{
 		overdue:   t.AnnouncementOverdue,
-		home:      fleet.NewHome(self, started, fleet.WithLease(t.TargetLease)),
+		started:   now,
+		home:      fleet.NewHome(self, i, fleet.WithLease(t.TargetLease)),
 		observers: fleet.NewObservations(),
 		wakeup:    make(chan struct{}, 1),
 	}
@@ -162,12 +168,20 @@
 func (c *targetCollector) updateContact(now sardine.Millis) (lost, changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lost = c.lastAck != 0 && c.checkLeaderContact(now) != nil
+	lost = c.checkLeaderContact(now) != nil && (c.lastAck != 0 || now-c.started > firstAckTimeout)
 	changed = lost != c.contactLost
 	c.contactLost = lost
 	return lost, changed
 }
 
+// ackAge returns the time since the leader's last acknowledgement, since the start if
+// there was none.
+func (c *targetCollector) ackAge(now sardine.Millis) sardine.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now - max(c.lastAck, c.started)
+}
+
 // reportLoop sends the leader what this node receives about targets, until the node
 // stops.
 func (n *Node) reportLoop() error {
@@ -221,6 +235,7 @@
 // Collected handles the report of another control node.
 func (n *Node) Collected(_ context.Context, r *wire.CollectedRequest) (*wire.CollectedReply, error) {
 	a, err := n.handleReport(leaderReportFromWire(r))
+	n.instruments.load.count(taskReport, err)
 	return leaderReplyToWire(a, ctlapi.FaultOf(err)), nil
 }
 
--- a/ctrl/targetcollector_test.go
+++ b/ctrl/targetcollector_test.go
@@ -13,7 +13,7 @@
 func testCollector() *targetCollector {
 	t := DefaultTiming()
 	t.AnnouncementOverdue = 1500
-	return newTargetCollector("c1", 5, t)
+	return newTargetCollector(0, "c1", 5, t)
 }
 
 // TestCollectorRejectsWithoutLeaderContact guards against acknowledged announcements
@@ -94,3 +94,18 @@
 	a := leaderReply{ack: fleet.Ack{Sequence: 3, WantFull: true}, incarnation: 6, inFlight: []fleet.InFlightCount{{VM: "a", Incarnation: 1, Count: 2}}}
 	require.Equal(t, a, leaderReplyFromWire(leaderReplyToWire(a, nil)))
 }
+
+// TestLostContactIsLoggedBeforeTheFirstAcknowledgement guards against control nodes that
+// refuse everything from their start on without a line in their log.
+func TestLostContactIsLoggedBeforeTheFirstAcknowledgement(t *testing.T) {
+	c := testCollector()
+	lost, changed := c.updateContact(firstAckTimeout)
+	require.False(t, lost || changed, "the site may be starting")
+	lost, changed = c.updateContact(firstAckTimeout + 1)
+	require.True(t, lost && changed)
+	require.Equal(t, firstAckTimeout+1, c.ackAge(firstAckTimeout+1))
+	c.handleReply(firstAckTimeout+2, leaderReply{})
+	lost, changed = c.updateContact(firstAckTimeout + 2)
+	require.True(t, !lost && changed)
+	require.Zero(t, c.ackAge(firstAckTimeout+2))
+}
--- a/event/table.go
+++ b/event/table.go
@@ -40,6 +40,7 @@
 	HearingRegained ID = 312
 	SettingsStale   ID = 313
 	SettingsFresh   ID = 314
+	ControlLoad     ID = 315
 	TargetSeen      ID = 400
 	TargetLost      ID = 401
 	TargetLeaving   ID = 402
@@ -106,8 +107,9 @@
 	{SettingsFresh, "settings_fresh", slog.LevelInfo, "a leader has confirmed the entry node's copy of the control state as current again", "nothing"},
 	{WitnessLost, "witness_lost", slog.LevelWarn, "the control leader does not accept the entry node's reports on target health", "check the control nodes if witness_regained does not follow"},
 	{WitnessRegained, "witness_regained", slog.LevelInfo, "the control leader accepts the reports on target health again", "nothing"},
-	{HearingLost, "hearing_lost", slog.LevelWarn, "the leader does not acknowledge this control node's reports on targets; the targets are redirected to other control nodes", "check the control nodes if hearing_regained does not follow"},
+	{HearingLost, "hearing_lost", slog.LevelWarn, "the leader does not acknowledge this control node's reports on targets, or has not done so within 5 s of the start; the targets are redirected to other control nodes", "check the control nodes if hearing_regained does not follow"},
 	{HearingRegained, "hearing_regained", slog.LevelInfo, "the leader acknowledges the reports on targets again", "nothing"},
+	{ControlLoad, "control_load", slog.LevelInfo, "what this control node has taken and done in the last 10 s; a node that refuses what others take has no contact with the leader", "see hearing_lost and docs/OPERATIONS.md if the control nodes differ by much"},
 	{TargetSeen, "target_seen", slog.LevelInfo, "a target announced itself", "nothing"},
 	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
 	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
