Distribute targets and health reports over all control nodes but the leader

Cause: the answer to an announcement named the node that took it, and failures of health reports only moved reports on.

The leader's answers to reports name the control nodes in contact; a target is sent to its own node of these, at once if it is new, else after 5 s, so that one that can't reach its node tries it seldom. Health reports go to the first node of the entry node's order that has not failed in the last 2 to 16 s, the leader last. A refused one goes to the next at once.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -35,11 +33,12 @@
 	readTimeout time.Duration // timeout of one node's reply to a read, 0 for callTimeout
 	callTimeout time.Duration // timeout of one call to one node
 
-	mu            sync.Mutex
-	leader        string // the last address that replied as leader or was named as leader
-	lastFailed    string // the last address at which a call failed, tried after the others
-	failedReports uint64 // number of failed reports; selects the control node for the next
-	stubs         map[string]wire.Control
+	reports *reportRoute
+
+	mu         sync.Mutex
+	leader     string // the last address that replied as leader or was named as leader
+	lastFailed string // the last address at which a call failed, tried after the others
+	stubs      map[string]wire.Control
 }
 
 // Option sets a property of a Client.
@@ -74,6 +73,7 @@
 		scheme:      "http",
 		addresses:   append([]string(nil), addresses...),
 		callTimeout: maxAttempt,
+		reports:     newReportRoute(),
 		stubs:       make(map[string]wire.Control),
 	}
 	for _, o := range options {
@@ -116,6 +116,7 @@
 	for _, m := range answer.GetMembers() {
 		all = append(all, m.GetAddress())
 	}
+	c.reports.setLeader(answer.GetLeader(), all)
 	return all, ErrorOf(answer.GetFault())
 }
 
@@ -186,30 +187,6 @@
 	})
 }
 
-// Witness reports what an entry node observes of targets. The report goes to one
-// control node only, since the next report follows soon. The node is selected by a
-// hash of the entry node's name; each failure selects the next one.
-func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) ([]*wire.Crowd, error) {
-	answer, err := c.Stub(c.reportAddress(request.GetNode())).Witness(ctx, request)
-	if err == nil {
-		err = ErrorOf(answer.GetFault())
-	}
-	if err != nil {
-		c.mu.Lock()
-		c.failedReports++
-		c.mu.Unlock()
-		return nil, err
-	}
-	return answer.GetCrowds(), nil
-}
-
-// reportAddress returns the control node to which an entry node reports.
-func (c *Client) reportAddress(node string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.addresses[(xxhash.Sum64String(node)+c.failedReports)%uint64(len(c.addresses))]
-}
-
 // retryable reports whether err means that nothing was proposed and that another
 // control node, or the same one later, may succeed.
 func retryable(err error) bool {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -35,6 +35,7 @@
 	planner     *plan.Planner
 	polls       *polls
 	allocator   *limit.Allocator // of this term
+	homes       *homes
 	waits       []plan.Wait
 	planError   error
 }
@@ -46,6 +47,7 @@
 		ledger:  ledger,
 		fleet:   fleet.NewLeader(fleet.WithGrace(t.TargetGrace), fleet.WithOverdue(t.AnnouncementOverdue)),
 		planner: planner,
+		homes:   newHomes(self),
 	}
 	l.polls = newPolls(follow.NewServer(ledger, follow.WithSnapshot(l.entrySnapshot)))
 	return l
@@ -72,6 +74,7 @@
 		l.fleet.SetSettleTime(now + emptySiteGrace)
 	}
 	l.planner.Lead(now, term, m)
+	l.homes.lead(now)
 	l.polls.server.Lead(term)
 	l.allocator = limit.NewAllocator(now, term)
 }
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -158,7 +158,7 @@
 	if n.port != nil {
 		// Higher than at an earlier start; if not, the leader's reply corrects it.
 		started := sardine.Incarnation(time.Now().UnixMilli())
-		n.collector = newTargetCollector(n.clock.Now(), n.id, started, n.timing)
+		n.collector = newTargetCollector(n.clock.Now(), n.id, n.portServer.Address(), started, n.timing)
 	}
 	return n.instruments.meter.Gauges(n.gauges())
 }
--- a/ctrl/portbackend.go
+++ b/ctrl/portbackend.go
@@ -133,12 +133,21 @@
 		return n.portServer.Address(), nil // no route uses the service, so there is nothing to record
 	}
 	a.Loadable = models
-	err := n.collector.announce(n.clock.Now(), a)
+	address, err := n.collector.announce(n.clock.Now(), a, n.isRecorded(a.VM, a.Incarnation))
 	n.instruments.load.count(taskAnnouncement, err)
-	if err != nil {
-		return "", err
-	}
-	return n.portServer.Address(), nil
+	return address, err
+}
+
+// isRecorded reports whether the log contains the target's incarnation.
+func (n *Node) isRecorded(vm sardine.VMID, i sardine.Incarnation) bool {
+	known, listed := n.target(vm)
+	return listed && known.Incarnation == i
+}
+
+// target returns a target as the log records it.
+func (n *Node) target(vm sardine.VMID) (t state.Target, listed bool) {
+	n.log.View(func(m *state.Machine) { t, listed = m.Target(vm) })
+	return t, listed
 }
 
 // Leave records that a target leaves.
@@ -178,9 +187,7 @@
 // hasLeft reports whether the log already records that the incarnation leaves, any
 // incarnation if i is 0. The log never reverts that.
 func (n *Node) hasLeft(vm sardine.VMID, i sardine.Incarnation) bool {
-	var known state.Target
-	var listed bool
-	n.log.View(func(m *state.Machine) { known, listed = m.Target(vm) })
+	known, listed := n.target(vm)
 	return listed && known.Leaving && (i == 0 || known.Incarnation == i)
 }
 
--- a/ctrl/targetcollector.go
+++ b/ctrl/targetcollector.go
@@ -44,6 +44,7 @@
 	mu          sync.Mutex
 	home        *fleet.Home
 	observers   *fleet.Observations
+	arrivals    *arrivals
 	inFlight    []fleet.InFlightCount // as of the leader's last reply
 	lastAck     sardine.Millis        // time of the leader's last acknowledgement, 0 for none
 	started     sardine.Millis
@@ -51,12 +52,15 @@
 	wakeup      chan struct{}
 }
 
-func newTargetCollector(now sardine.Millis, self sardine.NodeID, i sardine.Incarnation, t Timing) *targetCollector {
+// newTargetCollector returns the collector of a node to which targets announce
+// themselves at address.
+func newTargetCollector(now sardine.Millis, self sardine.NodeID, address string, i sardine.Incarnation, t Timing) *targetCollector {
 	return &targetCollector{
 		overdue:   t.AnnouncementOverdue,
 		started:   now,
 		home:      fleet.NewHome(self, i, fleet.WithLease(t.TargetLease)),
 		observers: fleet.NewObservations(),
+		arrivals:  newArrivals(address, t.TargetLease),
 		wakeup:    make(chan struct{}, 1),
 	}
 }
@@ -70,25 +74,26 @@
 	return nil
 }
 
-// announce records a target's announcement. One that arrives after a newer one is
-// ignored.
-func (c *targetCollector) announce(now sardine.Millis, a sardine.Announcement) error {
+// announce records a target's announcement and returns the address for the next one.
+// An announcement that arrives after a newer one is ignored. moved is true for a target
+// that has announced itself to another control node before.
+func (c *targetCollector) announce(now sardine.Millis, a sardine.Announcement, moved bool) (string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.checkLeaderContact(now); err != nil {
-		return err
+		return "", err
 	}
 	err := c.home.Announce(now, a)
 	if codes.Is(err, codes.Superseded) {
-		return nil
+		return c.arrivals.own, nil
 	}
 	if err != nil {
-		return err
+		return "", err
 	}
 	if c.home.HasChanges(now) {
 		c.wake()
 	}
-	return nil
+	return c.arrivals.next(now, a.VM, moved), nil
 }
 
 // observe records the observations of an entry node and returns the in-flight counts
@@ -119,6 +124,7 @@
 type leaderReport struct {
 	home         sardine.NodeID
 	incarnation  sardine.Incarnation
+	address      string        // where targets announce themselves to the node
 	report       *fleet.Report // nil if nothing has changed
 	overdue      []fleet.Ref
 	observations []fleet.Observation
@@ -129,6 +135,7 @@
 	ack         fleet.Ack
 	incarnation sardine.Incarnation // of the reporting node as the leader knows it, higher if the node's own is outdated
 	inFlight    []fleet.InFlightCount
+	homes       []string // addresses that share the targets, empty if the leader does not know them yet
 }
 
 // nextReport returns the next report to the leader.
@@ -136,7 +143,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.home.Expire(now)
-	out := leaderReport{observations: c.observers.Merged(now)}
+	c.arrivals.expire(now)
+	out := leaderReport{address: c.arrivals.own, observations: c.observers.Merged(now)}
 	out.home, out.incarnation = c.home.ID()
 	if r, pending := c.home.Report(now); pending {
 		out.report = &r
@@ -153,6 +161,9 @@
 	defer c.mu.Unlock()
 	c.lastAck = now
 	c.inFlight = a.inFlight
+	if len(a.homes) > 0 {
+		c.arrivals.nodes = a.homes
+	}
 	if _, own := c.home.ID(); a.incarnation > own {
 		c.home.SetIncarnation(a.incarnation + 1) // the clock from which the incarnation came was set back
 	} else {
@@ -263,6 +274,8 @@
 	} else {
 		a.ack = l.fleet.RecordContact(now, x.home, x.incarnation)
 	}
+	l.homes.record(now, x.home, x.address)
+	a.homes = l.homes.addresses(now)
 	a.incarnation = l.fleet.Incarnation(x.home)
 	if a.incarnation == x.incarnation {
 		l.fleet.Overdue(x.home, x.overdue)
@@ -277,7 +290,7 @@
 }
 
 func leaderReportToWire(x leaderReport) *wire.CollectedRequest {
-	r := &wire.CollectedRequest{Node: string(x.home), Incarnation: uint64(x.incarnation)}
+	r := &wire.CollectedRequest{Node: string(x.home), Incarnation: uint64(x.incarnation), AnnounceAddress: x.address}
 	if x.report != nil {
 		r.Report = follow.ReportToWire(follow.ReportOf(*x.report, true))
 	}
@@ -294,6 +307,7 @@
 	x := leaderReport{
 		home:         sardine.NodeID(r.GetNode()),
 		incarnation:  sardine.Incarnation(r.GetIncarnation()),
+		address:      r.GetAnnounceAddress(),
 		observations: observationsFromWire(r.GetSigns()),
 	}
 	if r.GetReport() != nil {
@@ -308,11 +322,12 @@
 
 func leaderReplyToWire(a leaderReply, fault *wire.Fault) *wire.CollectedReply {
 	return &wire.CollectedReply{
-		Fault:       fault,
-		Sequence:    a.ack.Sequence,
-		WantFull:    a.ack.WantFull,
-		Incarnation: uint64(a.incarnation),
-		Crowds:      inFlightToWire(a.inFlight),
+		Fault:             fault,
+		Sequence:          a.ack.Sequence,
+		WantFull:          a.ack.WantFull,
+		Incarnation:       uint64(a.incarnation),
+		Crowds:            inFlightToWire(a.inFlight),
+		AnnounceAddresses: a.homes,
 	}
 }
 
@@ -321,5 +336,6 @@
 		ack:         fleet.Ack{Sequence: r.GetSequence(), WantFull: r.GetWantFull()},
 		incarnation: sardine.Incarnation(r.GetIncarnation()),
 		inFlight:    inFlightFromWire(r.GetCrowds()),
+		homes:       r.GetAnnounceAddresses(),
 	}
 }
--- a/ctrl/targetcollector_test.go
+++ b/ctrl/targetcollector_test.go
@@ -13,7 +13,12 @@
 func testCollector() *targetCollector {
 	t := DefaultTiming()
 	t.AnnouncementOverdue = 1500
-	return newTargetCollector(0, "c1", 5, t)
+	return newTargetCollector(0, "c1", "c1:1", 5, t)
+}
+
+func announceTo(c *targetCollector, now sardine.Millis, a sardine.Announcement) error {
+	_, err := c.announce(now, a, false)
+	return err
 }
 
 // TestCollectorRejectsWithoutLeaderContact guards against acknowledged announcements
@@ -22,13 +27,13 @@
 func TestCollectorRejectsWithoutLeaderContact(t *testing.T) {
 	c := testCollector()
 	a := sardine.Announcement{VM: "vm", Incarnation: 1, Address: "vm:80"}
-	require.Equal(t, codes.NoQuorum, codes.Of(c.announce(1000, a)), "before the first report")
+	require.Equal(t, codes.NoQuorum, codes.Of(announceTo(c, 1000, a)), "before the first report")
 	c.handleReply(1000, leaderReply{inFlight: []fleet.InFlightCount{{VM: "vm", Count: 3}}})
-	require.NoError(t, c.announce(1000+maxAckAge, a))
+	require.NoError(t, announceTo(c, 1000+maxAckAge, a))
 	crowds, err := c.observe(1000+maxAckAge, "e1", nil)
 	require.NoError(t, err)
 	require.Len(t, crowds, 1)
-	require.Equal(t, codes.NoQuorum, codes.Of(c.announce(1001+maxAckAge, a)))
+	require.Equal(t, codes.NoQuorum, codes.Of(announceTo(c, 1001+maxAckAge, a)))
 	_, err = c.observe(1001+maxAckAge, "e1", nil)
 	require.Equal(t, codes.NoQuorum, codes.Of(err))
 	lost, changed := c.updateContact(1001 + maxAckAge)
@@ -43,7 +48,7 @@
 	c := testCollector()
 	c.handleReply(1000, leaderReply{})
 	for _, vm := range []sardine.VMID{"a", "b"} {
-		require.NoError(t, c.announce(1000, sardine.Announcement{VM: vm, Incarnation: 1, Address: "x:80"}))
+		require.NoError(t, announceTo(c, 1000, sardine.Announcement{VM: vm, Incarnation: 1, Address: "x:80"}))
 	}
 	for term := uint64(1); term < 4; term++ {
 		l := fleet.NewLeader()
@@ -71,7 +76,7 @@
 func TestIncarnationAfterClockSetBack(t *testing.T) {
 	c := testCollector()
 	c.handleReply(1000, leaderReply{incarnation: 5})
-	require.NoError(t, c.announce(1000, sardine.Announcement{VM: "a", Incarnation: 1, Address: "x:80"}))
+	require.NoError(t, announceTo(c, 1000, sardine.Announcement{VM: "a", Incarnation: 1, Address: "x:80"}))
 	c.nextReport(1000)
 	c.handleReply(1000, leaderReply{incarnation: 900})
 	x := c.nextReport(1100)
@@ -83,7 +88,7 @@
 func TestLeaderReportRoundTripsThroughCodec(t *testing.T) {
 	c := testCollector()
 	c.handleReply(1000, leaderReply{})
-	require.NoError(t, c.announce(1000, sardine.Announcement{VM: "a", Incarnation: 1, Kind: sardine.KindPlain, Address: "x:80", Sequence: 4}))
+	require.NoError(t, announceTo(c, 1000, sardine.Announcement{VM: "a", Incarnation: 1, Kind: sardine.KindPlain, Address: "x:80", Sequence: 4}))
 	_, err := c.observe(1000, "e1", []fleet.Observation{{VM: "a", Incarnation: 1, InFlight: 2, ProgressAge: 30}})
 	require.NoError(t, err)
 	x := c.nextReport(1000 + c.overdue)
@@ -91,7 +96,7 @@
 	require.Len(t, x.overdue, 1)
 	require.Len(t, x.observations, 1)
 	require.Equal(t, x, leaderReportFromWire(leaderReportToWire(x)))
-	a := leaderReply{ack: fleet.Ack{Sequence: 3, WantFull: true}, incarnation: 6, inFlight: []fleet.InFlightCount{{VM: "a", Incarnation: 1, Count: 2}}}
+	a := leaderReply{ack: fleet.Ack{Sequence: 3, WantFull: true}, incarnation: 6, inFlight: []fleet.InFlightCount{{VM: "a", Incarnation: 1, Count: 2}}, homes: []string{"c1:1", "c2:1"}}
 	require.Equal(t, a, leaderReplyFromWire(leaderReplyToWire(a, nil)))
 }
 
