Send answers to peer messages in the reply to their call

Cause: each answer of a member to its leader was a call of its own.

Change: a call waits up to 20 ms for the answers to its messages, which go out in its reply with their sender's name; later ones go by a call, as before. A member of an earlier release does not set takes_replies and gets its answers by calls.

--- a/peer/link.go
+++ b/peer/link.go
@@ -11,11 +11,11 @@
 	tomb "gopkg.in/tomb.v2"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/clock"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/ring"
 	"sardineswitch.dev/sardine/wire"
-	"sardineswitch.dev/sardine/wirequ"
 )
 
 const (
@@ -44,9 +44,12 @@
 	client  *http.Client
 	timeout sardine.Millis
 	logger  *slog.Logger
+	clock   sardine.Clock
+	answers *answers
 	tomb    tomb.Tomb
 
 	mu        sync.Mutex
+	receiver  Receiver // handles the messages in the acks of calls, nil until there is a server
 	addresses map[sardine.NodeID]string
 	senders   map[sardine.NodeID]*sender
 }
@@ -85,6 +88,8 @@
 		client:    &http.Client{Transport: NewTransport()},
 		timeout:   defaultTimeout,
 		logger:    slog.New(slog.DiscardHandler),
+		clock:     clock.NewReal(),
+		answers:   newAnswers(),
 		addresses: make(map[sardine.NodeID]string),
 		senders:   make(map[sardine.NodeID]*sender),
 	}
@@ -141,8 +146,12 @@
 	}
 }
 
-// Send queues messages for a member and never blocks.
+// Send queues messages for a member and never blocks. Answers to a call of the member
+// that waits for them go out in its reply.
 func (l *Link) Send(to sardine.NodeID, batch []quorum.Message) {
+	if l.answers.offer(to, batch) {
+		return
+	}
 	l.mu.Lock()
 	s := l.senders[to]
 	if s == nil && l.tomb.Alive() {
@@ -164,6 +173,19 @@
 	return err
 }
 
+// setReceiver sets the receiver of the messages in the acks of calls.
+func (l *Link) setReceiver(r Receiver) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.receiver = r
+}
+
+func (l *Link) currentReceiver() Receiver {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.receiver
+}
+
 func (l *Link) addressOf(n sardine.NodeID) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -219,8 +241,7 @@
 	if m.Kind != quorum.Heartbeat && m.Kind != quorum.HeartbeatReply {
 		w.Address = s.link.address
 	}
-	m.From = ""
-	w.Messages = append(w.Messages, wirequ.MessageToWire(m))
+	w.Messages = append(w.Messages, messageToWire(m))
 }
 
 func (s *sender) send(w *wire.PeerBatch) {
@@ -234,8 +255,13 @@
 	}
 	ctx, cancel := context.WithTimeout(s.link.tomb.Context(context.Background()), s.link.timeout.Duration())
 	defer cancel()
-	_, err := s.client.Deliver(ctx, w)
+	receiver := s.link.currentReceiver()
+	w.TakesReplies = receiver != nil
+	ack, err := s.client.Deliver(ctx, w)
 	s.recordResult(err)
+	if receiver != nil && len(ack.GetMessages()) > 0 {
+		receiver.Deliver(messagesFromWire(sardine.NodeID(ack.GetFrom()), ack.GetMessages()))
+	}
 }
 
 // recordResult logs the first failure after a success.
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/twitchtv/twirp"
 
@@ -25,8 +26,12 @@
 }
 
 // NewServer returns a server of a site that passes messages to receiver. It
-// records the senders' addresses in link, which may be nil.
+// records the senders' addresses in link, which may be nil, and sends answers in the
+// replies to the calls that they answer.
 func NewServer(site string, receiver Receiver, link *Link) *Server {
+	if link != nil {
+		link.setReceiver(receiver)
+	}
 	return &Server{site: site, receiver: receiver, link: link}
 }
 
@@ -38,19 +43,41 @@
 
 // Deliver passes a batch of messages to the receiver. It rejects batches of other
 // sites.
-func (s *Server) Deliver(_ context.Context, w *wire.PeerBatch) (*wire.PeerAck, error) {
+func (s *Server) Deliver(ctx context.Context, w *wire.PeerBatch) (*wire.PeerAck, error) {
 	if w.GetSite() != s.site {
 		return nil, twirp.InvalidArgumentError("site", "this is site "+s.site)
 	}
 	if s.link != nil && w.GetAddress() != "" {
 		s.link.AddAddress(sardine.NodeID(w.GetFrom()), w.GetAddress())
 	}
-	batch := make([]quorum.Message, 0, len(w.GetMessages()))
-	for _, m := range w.GetMessages() {
+	from := sardine.NodeID(w.GetFrom())
+	batch := messagesFromWire(from, w.GetMessages())
+	if s.link == nil || !w.GetTakesReplies() || !slices.ContainsFunc(batch, expectsAnswer) {
+		s.receiver.Deliver(batch)
+		return &wire.PeerAck{}, nil
+	}
+	call := s.link.answers.expect(from)
+	s.receiver.Deliver(batch)
+	ack := &wire.PeerAck{From: string(s.link.self)}
+	for _, m := range s.link.answers.wait(ctx, s.link.clock, from, call) {
+		ack.Messages = append(ack.Messages, messageToWire(m))
+	}
+	return ack, nil
+}
+
+// messageToWire encodes a message without its sender, which the batch or the call
+// names.
+func messageToWire(m quorum.Message) *wire.PeerMessage {
+	m.From = ""
+	return wirequ.MessageToWire(m)
+}
+
+func messagesFromWire(from sardine.NodeID, all []*wire.PeerMessage) []quorum.Message {
+	batch := make([]quorum.Message, 0, len(all))
+	for _, m := range all {
 		message := wirequ.MessageFromWire(m)
-		message.From = sardine.NodeID(w.GetFrom())
+		message.From = from
 		batch = append(batch, message)
 	}
-	s.receiver.Deliver(batch)
-	return &wire.PeerAck{}, nil
+	return batch
 }
