Let polls share quorum rounds that are 40 ms apart

Cause: each poll that reached the leader started a quorum round at once, 70 a second after a start of all processes. The leader's work rose with what it was asked, when it had least to give.

Change: follow.RoundInterval bounds the rounds; polls that arrive meanwhile share the next one.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -30,7 +30,9 @@
 func (n *Node) Follow(ctx context.Context, w *wire.FollowRequest) (*wire.FollowReply, error) {
 	r := follow.RequestFromWire(w)
 	id, ready := n.leadership.addPoll(n.clock.Now(), r)
-	n.pump()
+	if n.pump() {
+		n.wakeFollowLoop()
+	}
 	if len(r.Reports) > 0 {
 		n.wakeLeader()
 	}
@@ -125,17 +127,25 @@
 }
 
 // pump starts a quorum round for new polls and sends the follow server's answers
-// that are ready.
-func (n *Node) pump() {
+// that are ready. It reports whether polls wait for a later round.
+func (n *Node) pump() (waiting bool) {
 	var ids []uint64
 	n.log.View(func(m *state.Machine) {
-		ids = n.leadership.pump(n.clock.Now(), m)
+		ids, waiting = n.leadership.pump(n.clock.Now(), m)
 	})
-	if len(ids) == 0 {
-		return
+	if len(ids) > 0 {
+		n.instruments.load.count(taskQuorumRound, nil)
+		n.quorumRounds.Go(func() { n.confirmPolls(ids) })
+	}
+	return waiting
+}
+
+// wakeFollowLoop makes the follow loop check when the polls are due.
+func (n *Node) wakeFollowLoop() {
+	select {
+	case n.pollsWake <- struct{}{}:
+	default: // a check is already pending
 	}
-	n.instruments.load.count(taskQuorumRound, nil)
-	n.quorumRounds.Go(func() { n.confirmPolls(ids) })
 }
 
 // confirmPolls runs a quorum round and then grants the leases that the polls request.
@@ -158,12 +168,12 @@
 	n.pump()
 }
 
-func (l *leadership) pump(now sardine.Millis, m *state.Machine) []uint64 {
+func (l *leadership) pump(now sardine.Millis, m *state.Machine) (ids []uint64, waiting bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.viewed = m
 	defer func() { l.viewed = nil }()
-	ids := l.polls.server.TakeUnconfirmed(now)
+	ids = l.polls.server.TakeUnconfirmed(now)
 	l.polls.server.Tick(now)
 	for _, a := range l.polls.server.TakeReplies() {
 		if ready := l.polls.waiting[a.ID]; ready != nil {
@@ -171,7 +181,7 @@
 			ready <- a.Reply
 		}
 	}
-	return ids
+	return ids, l.polls.server.HasUnconfirmed()
 }
 
 // entrySnapshot returns a snapshot for an entry node. The follow server calls it within
@@ -214,6 +224,7 @@
 		case <-n.tomb.Dying():
 			return nil
 		case <-changed:
+		case <-n.pollsWake:
 		case <-n.clock.After(n.leadership.pollWait(n.clock.Now())):
 		}
 	}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -65,7 +65,8 @@
 	collector      *targetCollector // nil without a port
 	settingsCache  *settingsCache
 	leasesGranted  *broadcast
-	wake           chan struct{}
+	wake           chan struct{} // triggers a round of the leader loop
+	pollsWake      chan struct{} // makes the follow loop check when polls are due
 	orders         *ring.Ring[plan.SendOrder]
 	internalServer *listen.Server
 	operatorServer *listen.Server
@@ -103,6 +104,7 @@
 		linesDropped: func() int { return 0 },
 		keys:         keys.Plain(),
 		wake:         make(chan struct{}, 1),
+		pollsWake:    make(chan struct{}, 1),
 		orders:       ring.New[plan.SendOrder](orderQueue, ring.Block),
 	}
 	for _, o := range options {
--- a/follow/rules.go
+++ b/follow/rules.go
@@ -63,6 +63,9 @@
 	FanOut = 8
 	// MaxFollowers is the number of followers at which a relay rejects more.
 	MaxFollowers = 3 * FanOut
+	// RoundInterval is the least time between two quorum rounds for polls. It bounds what
+	// the rounds cost the control nodes, however many polls arrive.
+	RoundInterval = sardine.Millis(40)
 	// MaxPolls is the maximum number of polls pending at a server.
 	MaxPolls = 2048
 )
--- a/follow/server.go
+++ b/follow/server.go
@@ -56,6 +56,7 @@
 	wantFull  map[sardine.NodeID]bool      // home nodes whose next report must be full
 	parents   map[sardine.NodeID]string    // address of the relay assigned to each node
 	granted   []NodeRef                    // granted a lease since the last call of TakeGranted
+	roundAt   sardine.Millis               // earliest instant of the next quorum round
 	assignAt  sardine.Millis
 	replies   []PollReply
 }
@@ -100,6 +101,7 @@
 	s.granted = nil
 	s.assignAt = 0
 	s.currentAt = 0
+	s.roundAt = 0
 	s.ahead = nil
 }
 
@@ -195,28 +197,40 @@
 )
 
 // TakeUnconfirmed returns the ids of the polls that need a quorum round. The caller
-// starts one now and passes the ids to ConfirmPolls or FailPolls.
+// starts one now and passes the ids to ConfirmPolls or FailPolls. Polls that arrive
+// within RoundInterval of a round share the next one.
 func (s *Server) TakeUnconfirmed(now sardine.Millis) []uint64 {
 	var ids []uint64
 	for id, p := range s.polls {
-		switch {
-		case !p.roundStarted:
-			p.roundStarted = true
-		case s.mayRefresh(now, p):
+		refresh := s.mayRefresh(now, p)
+		if refresh && s.currentAt >= now-refreshAge {
 			p.refreshed = true
-			if s.currentAt >= now-refreshAge {
-				continue
-			}
-			p.refreshing = true
-		default:
 			continue
 		}
+		if p.roundStarted && !refresh || now < s.roundAt {
+			continue
+		}
+		p.roundStarted = true
+		p.refreshed, p.refreshing = refresh, refresh
 		ids = append(ids, id)
 	}
+	if len(ids) > 0 {
+		s.roundAt = now + RoundInterval
+	}
 	slices.Sort(ids)
 	return ids
 }
 
+// HasUnconfirmed reports whether polls wait for the next quorum round.
+func (s *Server) HasUnconfirmed() bool {
+	for _, p := range s.polls {
+		if !p.roundStarted {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRefresh reports whether a poll is about to be answered without an update.
 func (s *Server) mayRefresh(now sardine.Millis, p *poll) bool {
 	return s.defect != DefectNoRound && p.confirmed && !p.refreshed && now >= p.until-refreshLead && now < p.until
@@ -393,11 +407,13 @@
 	next := sardine.Millis(math.MaxInt64)
 	for _, p := range s.polls {
 		switch {
+		case !p.roundStarted:
+			next = min(next, s.roundAt)
 		case !p.confirmed:
 		case p.refreshed:
 			next = min(next, p.answerAt())
 		default:
-			next = min(next, p.until-refreshLead)
+			next = min(next, max(p.until-refreshLead, s.roundAt))
 		}
 	}
 	return next
--- a/follow/server_test.go
+++ b/follow/server_test.go
@@ -74,3 +74,24 @@
 	require.Empty(t, s.TakeUnconfirmed(DefaultPollHold-refreshLead+1))
 	require.Equal(t, DefaultPollHold, s.Wake())
 }
+
+// TestRoundsAreBoundedUnderManyPolls guards against a quorum round for each poll, which
+// on a leader with many followers costs more than the polls themselves.
+func TestRoundsAreBoundedUnderManyPolls(t *testing.T) {
+	s := leadingServer()
+	const length = sardine.Second
+	rounds, confirmed := 0, 0
+	for now := sardine.Millis(0); now < length; now++ {
+		s.HandleRequest(now, uint64(now)+1, Request{From: NodeRef{Node: "e1", Incarnation: 1}, Sequence: uint64(now) + 1})
+		require.GreaterOrEqual(t, s.Wake(), now)
+		if ids := s.TakeUnconfirmed(now); len(ids) > 0 {
+			rounds++
+			s.ConfirmPolls(now, Confirmation{At: now}, ids)
+		}
+		s.Tick(now)
+		confirmed += len(s.TakeReplies())
+	}
+	require.LessOrEqual(t, rounds, int(length/RoundInterval))
+	require.GreaterOrEqual(t, confirmed, int(length-RoundInterval))
+	require.Equal(t, length-length%RoundInterval, s.Wake(), "the last polls wait for the next round alone")
+}
