Plan at a bounded pace, and report a stall at once only when it is new

Change: a stall that some node has reported in the last second waits for the regular report. A round of planning is followed by three times its length, 10 to 100 ms, in which none begins.

--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -196,7 +196,9 @@
 func (n *Node) leaderLoop() error {
 	for {
 		changed := n.log.Changed()
-		n.leadOnce()
+		if n.sleep(planningPause(n.leadOnce())) != nil {
+			return nil
+		}
 		select {
 		case <-n.tomb.Dying():
 			return nil
@@ -207,29 +209,44 @@
 	}
 }
 
-func (n *Node) leadOnce() {
+// planningPause returns the least time between the end of a round that took the time d
+// and the next one, so that planning leaves most of the time to what others wait for,
+// however often it is woken.
+func planningPause(d sardine.Millis) sardine.Millis {
+	return min(max(planningPauseFactor*d, minPlanningPause), maxPlanningPause)
+}
+
+// leadOnce performs a round if the node leads, and returns how long it planned.
+func (n *Node) leadOnce() (planned sardine.Millis) {
 	info := n.log.Leader()
 	if !info.IsLeader {
 		n.leadership.resign(info.Address)
-		return
+		return 0
 	}
 	if !n.leadership.leads(info.Term) && !n.beginTerm(info.Term) {
-		return
+		return 0
 	}
-	var todo work
-	var err error
-	settings := append(n.allSettings(), n.layoutSettings()...)
-	n.log.View(func(m *state.Machine) {
-		todo, err = n.leadership.round(n.clock.Now(), m, settings)
-	})
+	began := n.clock.Now()
+	todo, err := n.plan()
+	planned = n.clock.Now() - began
 	n.instruments.load.count(taskPlanningRound, err)
 	if err != nil {
 		// Planning stops; leases, settings and the log go on. Stopping the node
 		// would not help, because the next leader may find the same violation.
 		event.Log(n.logger, event.InvariantBroken, errorAttr(err))
-		return
+		return planned
 	}
 	n.execute(todo)
+	return planned
+}
+
+// plan evaluates the fleet and plans groups.
+func (n *Node) plan() (todo work, err error) {
+	settings := append(n.allSettings(), n.layoutSettings()...)
+	n.log.View(func(m *state.Machine) {
+		todo, err = n.leadership.round(n.clock.Now(), m, settings)
+	})
+	return todo, err
 }
 
 // beginTerm begins a term once a quorum has confirmed it. All entries of earlier
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// Bounds on the pace of the leader's planner.
+const (
+	planningPauseFactor = 3 // pause after a round, in its durations
+	minPlanningPause    = 10 * sardine.Millis(1)
+	maxPlanningPause    = 100 * sardine.Millis(1)
+)
+
 // Bounds on concurrent and queued work.
 const (
 	maxProposals = 32
--- a/ctrl/targetcollector.go
+++ b/ctrl/targetcollector.go
@@ -104,11 +104,8 @@
 	if err := c.checkLeaderContact(now); err != nil {
 		return nil, err
 	}
-	c.observers.Merge(now, node, signs)
-	for _, s := range signs {
-		if s.Stalled {
-			c.wake()
-		}
+	if c.observers.Merge(now, node, signs) {
+		c.wake()
 	}
 	return c.inFlight, nil
 }
@@ -280,13 +277,9 @@
 	if a.incarnation == x.incarnation {
 		l.fleet.Overdue(x.home, x.overdue)
 	}
-	l.fleet.Observe(now, x.home, x.observations)
+	newStall := l.fleet.Observe(now, x.home, x.observations)
 	a.inFlight = l.fleet.InFlightCounts()
-	needsRound = x.report != nil
-	for _, s := range x.observations {
-		needsRound = needsRound || s.Stalled
-	}
-	return a, needsRound, nil
+	return a, newStall || x.report != nil, nil
 }
 
 func leaderReportToWire(x leaderReport) *wire.CollectedRequest {
--- a/fleet/observation.go
+++ b/fleet/observation.go
@@ -15,6 +15,9 @@
 	observationLease = 2 * sardine.Second
 	// stallLease is how long the report of a stall counts.
 	stallLease = 3 * sardine.Second
+	// stallRepeat is the time within which further reports of a stall are expected from
+	// the nodes that have requests there. It exceeds the interval of their reports.
+	stallRepeat = 1 * sardine.Second
 )
 
 // Observation is an observation of a group or a plain target through the requests in
@@ -81,8 +84,9 @@
 	return &Observations{all: make(map[observedKey]*observed)}
 }
 
-// Merge merges a node's observations.
-func (s *Observations) Merge(now sardine.Millis, node sardine.NodeID, observations []Observation) {
+// Merge merges a node's observations. It reports whether one of them is of a stall that
+// no node has reported in the last stallRepeat.
+func (s *Observations) Merge(now sardine.Millis, node sardine.NodeID, observations []Observation) (newStall bool) {
 	for _, observation := range observations {
 		key := observedKey{group: observation.Group, epoch: observation.Epoch, vm: observation.VM, incarnation: observation.Incarnation}
 		w := s.all[key]
@@ -96,10 +100,12 @@
 			w.aliveAt = max(w.aliveAt, now-observation.ProgressAge)
 		}
 		if observation.Stalled {
+			newStall = newStall || w.stalledAt == 0 || now-w.stalledAt >= stallRepeat
 			w.stalledAt = now
 		}
 	}
 	s.expire(now)
+	return newStall
 }
 
 // expire removes what was not reported recently.
@@ -157,9 +163,10 @@
 }
 
 // Observe merges the observations of an entry node, or those that a control
-// node has merged from several entry nodes.
-func (l *Leader) Observe(now sardine.Millis, node sardine.NodeID, observations []Observation) {
-	l.observations.Merge(now, node, observations)
+// node has merged from several entry nodes. It reports whether they show a new stall,
+// as Observations.Merge does.
+func (l *Leader) Observe(now sardine.Millis, node sardine.NodeID, observations []Observation) (newStall bool) {
+	return l.observations.Merge(now, node, observations)
 }
 
 // InFlightCounts returns the requests that entry nodes have in flight, as recently
--- a/fleet/observation_test.go
+++ b/fleet/observation_test.go
@@ -27,6 +27,19 @@
 	require.Empty(t, w.Merged(9000))
 }
 
+// TestOnlyNewStallsAreUrgent guards against an urgent report for each entry node that
+// sees the same stall again: with many nodes the leader would have little time left.
+func TestOnlyNewStallsAreUrgent(t *testing.T) {
+	w := NewObservations()
+	stalled := []Observation{groupObservation(1, -1, true)}
+	require.False(t, w.Merge(1000, "e1", []Observation{groupObservation(1, 0, false)}))
+	require.True(t, w.Merge(1100, "e1", stalled))
+	for now := sardine.Millis(1150); now < 10_000; now += 50 {
+		require.False(t, w.Merge(now, "e2", stalled), "%d", now)
+	}
+	require.True(t, w.Merge(9950+stallRepeat, "e1", stalled))
+}
+
 // plainLeader returns a Leader since time 0 that has a report of the plain target
 // a from home one.
 func plainLeader() *Leader {
