Ask any control node but the leader for the control nodes' addresses

Cause: every entry node asks each 5 s and began with the leader it knew: 14 calls a second at 69 nodes that any control node can answer.

Change: the calls go in the order of the node's health reports, the leader last.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -94,11 +94,6 @@
 	return stub
 }
 
-// Candidates returns the addresses of the control nodes, the presumed leader first.
-func (c *Client) Candidates() []string {
-	return c.candidates()
-}
-
 // SetAddresses replaces the addresses of the control nodes.
 func (c *Client) SetAddresses(addresses []string) {
 	c.mu.Lock()
--- a/ctlapi/reports.go
+++ b/ctlapi/reports.go
@@ -86,14 +86,20 @@
 	}
 }
 
+// ReportCandidates returns the control nodes for the calls of an entry node that any of
+// them can answer, in the order in which to try them: the leader last.
+func (c *Client) ReportCandidates(node string) []string {
+	c.mu.Lock()
+	addresses := slices.Clone(c.addresses)
+	c.mu.Unlock()
+	return c.reports.candidates(time.Now(), node, addresses)
+}
+
 // Witness reports what an entry node observes of targets, to one control node. A report
 // that is refused goes to the next one; after a lost reply none is sent again, since the
 // next report follows soon.
 func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) ([]*wire.Crowd, error) {
-	c.mu.Lock()
-	addresses := slices.Clone(c.addresses)
-	c.mu.Unlock()
-	candidates := c.reports.candidates(time.Now(), request.GetNode(), addresses)
+	candidates := c.ReportCandidates(request.GetNode())
 	err := error(codes.New(codes.NoQuorum, "no control node is known"))
 	for _, address := range candidates[:min(reportAttempts, len(candidates))] {
 		var answer *wire.WitnessReply
--- a/ctrl/limits.go
+++ b/ctrl/limits.go
@@ -14,15 +14,20 @@
 // to it. Only a leader that a quorum has confirmed allocates shares, because two
 // leaders together would allocate more than the limit.
 func (n *Node) Lend(ctx context.Context, r *wire.LendRequest) (*wire.LendReply, error) {
-	_, term, err := n.confirm(ctx)
+	grant, err := n.lend(ctx, r)
+	n.instruments.load.count(taskShare, err)
 	if err != nil {
 		return &wire.LendReply{Fault: ctlapi.FaultOf(err)}, nil
 	}
-	grant, err := n.leadership.lend(n.clock.Now(), term, reportOfDemand(r))
+	return grantToWire(grant), nil
+}
+
+func (n *Node) lend(ctx context.Context, r *wire.LendRequest) (limit.Grant, error) {
+	_, term, err := n.confirm(ctx)
 	if err != nil {
-		return &wire.LendReply{Fault: ctlapi.FaultOf(err)}, nil
+		return limit.Grant{}, err
 	}
-	return grantToWire(grant), nil
+	return n.leadership.lend(n.clock.Now(), term, reportOfDemand(r))
 }
 
 func reportOfDemand(r *wire.LendRequest) limit.Report {
--- a/ctrl/load.go
+++ b/ctrl/load.go
@@ -24,12 +24,15 @@
 	taskPoll                      // an entry node's poll
 	taskQuorumRound               // a round that confirms the leadership for polls
 	taskPlanningRound             // a round of the leader's planner
+	taskCommand                   // a command that an entry node submits
+	taskShare                     // an entry node's report of its demand for shared limits
+	taskMembers                   // a query for the control nodes' addresses, or a change of members
 	tasks                         // number of kinds
 )
 
 // String returns the name in metrics and log lines.
 func (t task) String() string {
-	names := [tasks]string{"announcements", "health_reports", "reports", "polls", "quorum_rounds", "planning_rounds"}
+	names := [tasks]string{"announcements", "health_reports", "reports", "polls", "quorum_rounds", "planning_rounds", "commands", "shares", "members"}
 	return names[t]
 }
 
--- a/ctrl/members.go
+++ b/ctrl/members.go
@@ -13,6 +13,7 @@
 // Members lists or changes the control members.
 func (n *Node) Members(ctx context.Context, r *wire.MembersRequest) (*wire.MembersReply, error) {
 	err := n.changeMembers(ctx, r)
+	n.instruments.load.count(taskMembers, err)
 	answer := &wire.MembersReply{Fault: ctlapi.FaultOf(err), Leader: n.log.Leader().Address}
 	for _, m := range n.log.Members() {
 		answer.Members = append(answer.Members, &wire.QuorumMember{
--- a/entry/controls.go
+++ b/entry/controls.go
@@ -43,7 +43,7 @@
 	seeds := slices.Clone(n.controls)
 	n.controlsMu.Unlock()
 	var lastErr error
-	for _, address := range n.control.Candidates() {
+	for _, address := range n.control.ReportCandidates(string(n.id)) {
 		ctx, cancel := context.WithTimeout(n.baseCtx, controlsTimeout.Duration())
 		members, err := n.control.FetchAddresses(ctx, address)
 		cancel()
