Wait longer for the first probe of a late leader

Cause: a probe of the leader ended after 0.4 s, and the second one, with 0.8 s, began after a pause. A leader that was late because 24 followers of frozen relays asked it at once was asked again by each of them, and a change arrived after 2.5 s.

Change: a probe of the presumed leader has 0.8 s at once. That was not safe before: a failed leader would have cost as much. Now another control node is asked after 0.15 s.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -227,7 +227,7 @@
 	address, relay := f.route.next(now)
 	agg := f.relay.aggregate(now, f.includedInMain(), f.reportableIndex())
 	s := &pendingPoll{at: now, aggregate: agg, main: main}
-	s.ask = OutgoingRequest{Address: address, ToRelay: relay, Timeout: f.route.probeTimeout(address), Request: Request{
+	s.ask = OutgoingRequest{Address: address, ToRelay: relay, Timeout: ProbeTimeout, Request: Request{
 		From:     f.self,
 		Sequence: f.sequence,
 		Applied:  agg.applied,
@@ -240,7 +240,10 @@
 	if f.sentSetTo != address || f.sentSetHash != s.ask.Request.SetHash {
 		s.ask.Request.Set = agg.set
 	}
-	if main && f.route.failures == 0 {
+	switch {
+	case main && f.route.failures > 0:
+		s.ask.Timeout = f.route.probeTimeout(address)
+	case main:
 		s.ask.Request.Hold = f.timing.PollHold
 		s.ask.Timeout = f.timing.PollHold + ReplyMargin
 		if relay {
--- a/follow/route.go
+++ b/follow/route.go
@@ -64,11 +64,10 @@
 	return avoided
 }
 
-// probeTimeout returns the timeout of a poll that is not held. Only a leader gets
-// more time.
+// probeTimeout returns the timeout of a poll that is not held.
 func (t *route) probeTimeout(address string) sardine.Millis {
-	if t.failures >= SlowProbeAfter && address == t.leader {
-		return 2 * ProbeTimeout
+	if address == t.leader {
+		return LeaderProbeTimeout
 	}
 	return ProbeTimeout
 }
--- a/follow/route_test.go
+++ b/follow/route_test.go
@@ -11,12 +11,13 @@
 
 // A leader may reply late because many nodes poll it. Any other control node that
 // does not reply is down or frozen, and waiting longer for it delays changes.
-func TestOnlyLeaderProbesGetLongerAfterFailures(t *testing.T) {
-	r := route{failures: SlowProbeAfter - 1, leader: "c1"}
-	require.Equal(t, ProbeTimeout, r.probeTimeout("c1"))
-	r.failures++
-	require.Equal(t, 2*ProbeTimeout, r.probeTimeout("c1"))
-	require.Equal(t, ProbeTimeout, r.probeTimeout("c2"))
+func TestOnlyLeaderProbesGetLonger(t *testing.T) {
+	for failures := range 4 {
+		r := route{failures: failures, leader: "c1"}
+		require.Equal(t, LeaderProbeTimeout, r.probeTimeout("c1"))
+		require.Equal(t, ProbeTimeout, r.probeTimeout("c2"))
+	}
+	require.Equal(t, 2*ProbeTimeout, LeaderProbeTimeout)
 }
 
 // A follower whose relay fails must poll the leader that the relay named: a control
@@ -35,7 +36,7 @@
 	require.Equal(t, "c9", a.Address)
 	require.False(t, a.ToRelay)
 	require.Zero(t, a.Request.Hold)
-	require.Equal(t, ProbeTimeout, a.Timeout)
+	require.Equal(t, LeaderProbeTimeout, a.Timeout)
 }
 
 // An extra poll that reports the followers' applied index to a busy leader may
@@ -73,5 +74,5 @@
 	address, relay := r.next(10)
 	require.Equal(t, "leader", address)
 	require.False(t, relay)
-	require.Equal(t, 2*ProbeTimeout, r.probeTimeout(address))
+	require.Equal(t, LeaderProbeTimeout, r.probeTimeout(address))
 }
--- a/follow/rules.go
+++ b/follow/rules.go
@@ -17,11 +17,10 @@
 	// HedgeDelay is how long a poll of a control node may be late until another one is
 	// asked who leads, and the time between two such questions.
 	HedgeDelay = sardine.Millis(150)
-	// SlowProbeAfter is the number of consecutive failures from which a probe of the
-	// leader has twice the timeout: the failure of the relay and the redirect by a
-	// control node. A leader that many nodes poll at once replies late, and polling
-	// it again would add to its load.
-	SlowProbeAfter = 2
+	// LeaderProbeTimeout is the timeout of such a poll at the presumed leader. A leader
+	// that many nodes poll at once replies late, and polling it again would add to its
+	// load; that it has failed is learnt from other control nodes.
+	LeaderProbeTimeout = 2 * ProbeTimeout
 	// GatherWait is how long a relay that polls a control node waits for its followers
 	// to poll again before it polls without them.
 	GatherWait = sardine.Millis(60)
