--- a/ctrl/load.go
+++ b/ctrl/load.go
@@ -7,6 +7,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/meter"
+	"sardineswitch.dev/sardine/wire"
 )
 
 // loadInterval is the time between two log lines on a control node's load.
@@ -24,7 +25,9 @@
 	taskPoll                      // an entry node's poll
 	taskQuorumRound               // a round that confirms the leadership for polls
 	taskPlanningRound             // a round of the leader's planner
-	taskCommand                   // a command that an entry node submits
+	taskClaim                     // a claim of a key, a trial or a probe that an entry node submits
+	taskStrike                    // a strike or the release of one
+	taskCommand                   // any other command
 	taskShare                     // an entry node's report of its demand for shared limits
 	taskMembers                   // a query for the control nodes' addresses, or a change of members
 	tasks                         // number of kinds
@@ -32,10 +35,22 @@
 
 // String returns the name in metrics and log lines.
 func (t task) String() string {
-	names := [tasks]string{"announcements", "health_reports", "reports", "polls", "quorum_rounds", "planning_rounds", "commands", "shares", "members"}
+	names := [tasks]string{"announcements", "health_reports", "reports", "polls", "quorum_rounds", "planning_rounds", "claims", "strikes", "commands", "shares", "members"}
 	return names[t]
 }
 
+// taskOf returns the kind of a command that an entry node submits.
+func taskOf(w *wire.Command) task {
+	switch w.GetBody().(type) {
+	case *wire.Command_ClaimKey, *wire.Command_FinishClaim, *wire.Command_DropClaim:
+		return taskClaim
+	case *wire.Command_Strike, *wire.Command_ReleasePoison:
+		return taskStrike
+	default:
+		return taskCommand
+	}
+}
+
 // load counts a control node's work. It is safe for concurrent use.
 type load struct {
 	done     [tasks]atomic.Int64
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -13,7 +13,7 @@
 // Submit proposes a command for an entry node.
 func (n *Node) Submit(ctx context.Context, r *wire.SubmitRequest) (*wire.SubmitReply, error) {
 	result, err := n.submit(ctx, r.GetCommand())
-	n.instruments.load.count(taskCommand, err)
+	n.instruments.load.count(taskOf(r.GetCommand()), err)
 	return &wire.SubmitReply{
 		Fault:   ctlapi.FaultOf(err),
 		Index:   result.Index,
