Let the heap of control nodes grow threefold between collections

Change: control nodes have 280 MB for little state and an eighth of a processor, so their heap grows by 200 %; the limit at 60 % of the machine's memory stays. Entry nodes keep 60 %.

--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -75,7 +75,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	launch.LimitMemory(settings.Memory())
+	launch.LimitMemory(settings.Memory(), launch.ControlHeapGrowth)
 	lines := logs.NewAsync(out)
 	defer lines.Close()
 	logger := logs.New(lines, settings.Log(), settings.Node())
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -54,7 +54,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	launch.LimitMemory(settings.Memory())
+	launch.LimitMemory(settings.Memory(), launch.EntryHeapGrowth)
 	lines := logs.NewAsync(out)
 	defer lines.Close()
 	logger := logs.New(lines, settings.Log(), settings.Node())
