Answer commands that change nothing without a log entry

Cause: each entry node asks the log for the probe of a suspected prompt segment, and reports each failure of a target as a strike. The log takes one; the others were appended, written, applied on nine nodes and, strikes, sent to all entry nodes, to change nothing.

Change: state.Machine.Unchanged tells such commands; the leader answers them after a quorum round, which they share, and counts them as `unchanged`.

--- a/ctrl/load.go
+++ b/ctrl/load.go
@@ -28,6 +28,7 @@
 	taskClaim                     // a claim of a key, a trial or a probe that an entry node submits
 	taskStrike                    // a strike or the release of one
 	taskCommand                   // any other command
+	taskUnchanged                 // one of these that changes nothing and is not added to the log
 	taskShare                     // an entry node's report of its demand for shared limits
 	taskMembers                   // a query for the control nodes' addresses, or a change of members
 	tasks                         // number of kinds
@@ -35,7 +36,7 @@
 
 // String returns the name in metrics and log lines.
 func (t task) String() string {
-	names := [tasks]string{"announcements", "health_reports", "reports", "polls", "quorum_rounds", "planning_rounds", "claims", "strikes", "commands", "shares", "members"}
+	names := [tasks]string{"announcements", "health_reports", "reports", "polls", "quorum_rounds", "planning_rounds", "claims", "strikes", "commands", "unchanged", "shares", "members"}
 	return names[t]
 }
 
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -42,6 +43,10 @@
 			return state.Result{}, err
 		}
 	}
+	if result, ok := n.unchanged(ctx, command); ok {
+		n.instruments.load.count(taskUnchanged, nil)
+		return result, nil
+	}
 	result, err := n.propose(ctx, command)
 	if err != nil {
 		return result, n.redirect(err)
@@ -50,6 +55,23 @@
 	return result, result.Err
 }
 
+// unchanged returns the result of a command that would change nothing, as confirmed by a
+// quorum. Commands that many entry nodes submit at once, such as for a probe that one of
+// them may make, cost no log entry each.
+func (n *Node) unchanged(ctx context.Context, c state.Command) (r state.Result, ok bool) {
+	look := func() bool {
+		n.log.View(func(m *state.Machine) { r, ok = m.Unchanged(state.WallTime(time.Now().UnixMilli()), c) })
+		return ok
+	}
+	if !look() {
+		return state.Result{}, false
+	}
+	if _, _, err := n.confirm(ctx); err != nil || !look() {
+		return state.Result{}, false
+	}
+	return r, true
+}
+
 // allowedFromEntry reports whether entry nodes may submit the command. Only the leader
 // proposes all others.
 func allowedFromEntry(c state.Command) bool {
--- a/state/poison.go
+++ b/state/poison.go
@@ -48,6 +48,14 @@
 	return !c.Doubtful || len(p.Failures) == 0 || at-p.At >= MinStrikeInterval
 }
 
+// limitWith returns the limit after a strike.
+func (p Poison) limitWith(c Strike) int {
+	if c.Limit == 0 {
+		return DefaultPoisonLimit
+	}
+	return max(p.Limit, c.Limit)
+}
+
 // Poison returns the strikes of a fingerprint, the zero value if it has none.
 func (m *Machine) Poison(fingerprint []byte) Poison {
 	return m.poisons[string(fingerprint)]
@@ -86,10 +94,7 @@
 func (m *Machine) strike(c Strike) Result {
 	p := m.poisons[string(c.Fingerprint)]
 	p.Fingerprint = c.Fingerprint
-	p.Limit = max(p.Limit, c.Limit)
-	if c.Limit == 0 {
-		p.Limit = DefaultPoisonLimit
-	}
+	p.Limit = p.limitWith(c)
 	if p.counts(c, m.at) {
 		p.Failures = append(slices.Clone(p.Failures), c.Failure)
 		p.At = m.at
