Commit at most four strikes at once

Change: strikes and their releases share four slots at the leader; one whose sender no longer waits is dropped before it is proposed. Its sender proposes it again, as before.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -68,6 +68,7 @@
 	wake           chan struct{} // triggers a round of the leader loop
 	pollsWake      chan struct{} // makes the follow loop check when polls are due
 	orders         *ring.Ring[plan.SendOrder]
+	strikeSlots    chan struct{} // holds an item for each strike that is being committed
 	internalServer *listen.Server
 	operatorServer *listen.Server
 	portServer     *listen.Server // nil without a port
@@ -106,6 +107,7 @@
 		wake:         make(chan struct{}, 1),
 		pollsWake:    make(chan struct{}, 1),
 		orders:       ring.New[plan.SendOrder](orderQueue, ring.Block),
+		strikeSlots:  make(chan struct{}, maxStrikeProposals),
 	}
 	for _, o := range options {
 		o(n)
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -50,9 +50,12 @@
 // Bounds on concurrent and queued work.
 const (
 	maxProposals = 32
-	orderSenders = 32
-	orderQueue   = 1024
-	updateBatch  = 512 // commands in one follow reply
+	// maxStrikeProposals is the number of strikes that are committed at once. It keeps
+	// the disks busy and adds little to the time of other commands.
+	maxStrikeProposals = 4
+	orderSenders       = 32
+	orderQueue         = 1024
+	updateBatch        = 512 // commands in one follow reply
 	// maxIdlePerControl bounds the idle connections to one other control node.
 	maxIdlePerControl = 4
 )
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -43,6 +43,11 @@
 			return state.Result{}, err
 		}
 	}
+	release, err := n.awaitSlot(ctx, command)
+	if err != nil {
+		return state.Result{}, err
+	}
+	defer release()
 	if result, ok := n.unchanged(ctx, command); ok {
 		n.instruments.load.count(taskUnchanged, nil)
 		return result, nil
@@ -55,6 +60,26 @@
 	return result, result.Err
 }
 
+// awaitSlot waits until a strike may be proposed and returns the function that ends it.
+// Many targets that fail at once lead to hundreds of strikes, behind which the
+// leader's own commands, for the groups that these targets leave behind, would queue.
+// A strike whose sender has given up is not proposed.
+func (n *Node) awaitSlot(ctx context.Context, c state.Command) (release func(), err error) {
+	switch c.(type) {
+	case state.Strike, state.ReleasePoison:
+	default:
+		return func() {}, nil
+	}
+	select {
+	case n.strikeSlots <- struct{}{}:
+		return func() { <-n.strikeSlots }, nil
+	case <-ctx.Done():
+		return nil, codes.New(codes.NoQuorum, "%d strikes are being committed", maxStrikeProposals)
+	case <-n.tomb.Dying():
+		return nil, codes.New(codes.Draining, "this control node is stopping")
+	}
+}
+
 // unchanged returns the result of a command that would change nothing, as confirmed by a
 // quorum. Commands that many entry nodes submit at once, such as for a probe that one of
 // them may make, cost no log entry each.
