Give extra polls of the leader the same time, and repeat reports of a poll that a hedge replaces

And a hedge that reached the leader dropped the late poll without repeating its reports.

Change: one timeout for all polls of the leader that are not held; abandonMain asks for the reports again.

Test: follow.TestHedgeThatReachesTheLeaderReplacesTheLatePoll.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -227,7 +227,7 @@
 	address, relay := f.route.next(now)
 	agg := f.relay.aggregate(now, f.includedInMain(), f.reportableIndex())
 	s := &pendingPoll{at: now, aggregate: agg, main: main}
-	s.ask = OutgoingRequest{Address: address, ToRelay: relay, Timeout: ProbeTimeout, Request: Request{
+	s.ask = OutgoingRequest{Address: address, ToRelay: relay, Timeout: f.route.probeTimeout(address), Request: Request{
 		From:     f.self,
 		Sequence: f.sequence,
 		Applied:  agg.applied,
@@ -240,10 +240,7 @@
 	if f.sentSetTo != address || f.sentSetHash != s.ask.Request.SetHash {
 		s.ask.Request.Set = agg.set
 	}
-	switch {
-	case main && f.route.failures > 0:
-		s.ask.Timeout = f.route.probeTimeout(address)
-	case main:
+	if main && f.route.failures == 0 {
 		s.ask.Request.Hold = f.timing.PollHold
 		s.ask.Timeout = f.timing.PollHold + ReplyMargin
 		if relay {
@@ -324,15 +321,12 @@
 		return Outcome{}, nil
 	}
 	if r.Fault != nil && s.hedge {
-		f.handleHedgeFault(now, s, r.Fault)
-		return Outcome{}, nil
+		return f.handleHedgeFault(now, s, r.Fault), nil
 	}
 	if r.Fault != nil {
 		return f.handleFault(now, s, r.Fault), nil
 	}
-	if s.hedge {
-		f.main = nil // the hedge has reached the leader
-	}
+	repeatReports := s.hedge && f.abandonMain() // the hedge has reached the leader
 	if s.ask.ToRelay {
 		f.route.relayed(now, r.Leader)
 	} else {
@@ -351,6 +345,7 @@
 		return outcome, err
 	}
 	f.acceptOwn(now, r, &outcome)
+	outcome.WantFull = outcome.WantFull || repeatReports
 	f.relay.handleUpstream(now, s.aggregate, r, s.main)
 	if s.main {
 		f.gatherUntil = now + f.gatherTime(s.ask.ToRelay)
--- a/follow/hedge.go
+++ b/follow/hedge.go
@@ -35,16 +35,27 @@
 
 // handleHedgeFault follows a control node that names another leader than the one whose
 // reply is late.
-func (f *Follower) handleHedgeFault(now sardine.Millis, s *pendingPoll, fault *Fault) {
+func (f *Follower) handleHedgeFault(now sardine.Millis, s *pendingPoll, fault *Fault) Outcome {
 	if fault.Code != codes.NotLeader || f.main == nil || fault.Leader == f.main.ask.Address {
-		return
+		return Outcome{}
 	}
 	if fault.Leader == "" || f.route.isAvoided(now, fault.Leader) {
 		f.relay.recordLeaderless(now)
-		return
+		return Outcome{}
 	}
+	repeatReports := f.abandonMain()
+	f.route.redirected(now, s.ask.Address, fault.Leader)
+	return Outcome{WantFull: repeatReports}
+}
+
+// abandonMain stops waiting for the main poll's reply, and reports whether this node's
+// own reports in it must be repeated.
+func (f *Follower) abandonMain() (repeatReports bool) {
 	late := f.main
+	if late == nil {
+		return false
+	}
 	f.main = nil
 	f.recordUndelivered(late)
-	f.route.redirected(now, s.ask.Address, fault.Leader)
+	return len(late.ask.Request.Reports) > 0
 }
--- a/follow/hedge_test.go
+++ b/follow/hedge_test.go
@@ -86,3 +86,22 @@
 	answer(t, f, now, a, Reply{})
 	require.Zero(t, f.relay.leaderlessAt)
 }
+
+// TestHedgeThatReachesTheLeaderReplacesTheLatePoll guards against reports that are lost
+// with the poll that is no longer awaited.
+func TestHedgeThatReachesTheLeaderReplacesTheLatePoll(t *testing.T) {
+	f := newTestFollower()
+	f.route.leader = "c1"
+	f.Report(TargetReport{Home: "e1", Incarnation: 1, Sequence: 1})
+	held, now := ask(t, f, 0)
+	require.Len(t, held.Request.Reports, 1)
+	hedge, now := ask(t, f, now)
+	outcome, err := f.HandleReply(now, hedge.Request.Sequence, Reply{})
+	require.NoError(t, err)
+	require.True(t, outcome.WantFull)
+	next, now := ask(t, f, now)
+	require.Equal(t, hedge.Address, next.Address)
+	outcome, err = f.HandleReply(now, held.Request.Sequence, Reply{Through: 9})
+	require.NoError(t, err)
+	require.Equal(t, Outcome{}, outcome, "a reply that is no longer awaited")
+}
