--- a/ctrl/homes.go
+++ b/ctrl/homes.go
@@ -74,7 +74,7 @@
 type arrivals struct {
 	own     string         // this node's address
 	nodes   []string       // addresses that share the targets, as the leader last named them
-	lease   sardine.Millis // time without an announcement after which a target has gone
+	lease   sardine.Millis // time without an announcement after which a target counts as gone
 	targets map[sardine.VMID]arrival
 }
 
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -63,7 +63,7 @@
 // awaitSlot waits until a strike may be proposed and returns the function that ends it.
 // Many targets that fail at once lead to hundreds of strikes, behind which the
 // leader's own commands, for the groups that these targets leave behind, would queue.
-// A strike whose sender has given up is not proposed.
+// A strike whose sender no longer waits is not proposed.
 func (n *Node) awaitSlot(ctx context.Context, c state.Command) (release func(), err error) {
 	switch c.(type) {
 	case state.Strike, state.ReleasePoison:
--- a/follow/relay.go
+++ b/follow/relay.go
@@ -126,8 +126,9 @@
 	return max(at, min(y.confirmedAt+MaxLeaderless, y.leaderlessAt+LeaderlessValidity))
 }
 
-// recordLeaderless records that there is no leader. The first time, the followers are
-// told at once, before their own state is too old for the nodes below them.
+// recordLeaderless records that there is no leader. The first time, all pending polls
+// are answered with that, before the followers' own state is too old for the nodes
+// below them.
 func (y *Relay) recordLeaderless(now sardine.Millis) {
 	first := y.leaderlessAt == 0
 	y.leaderlessAt = now
