Take only the answer that none leads as evidence of an election

Cause: a relay also took a control node that names a leader which the relay avoids for evidence that there is none, and kept its followers for 3.2 s. A relay that is cut off from the leader alone would have done so, too, though its followers reach the leader.

Tests: follow.TestUnreachableLeaderIsNoEvidenceOfAnElection, spread.TestRootCutOffFromTheLeaderAlone.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -370,7 +370,8 @@
 		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
 	}
 	if fault.Code == codes.NotLeader && !s.ask.ToRelay {
-		if !f.route.redirected(now, s.ask.Address, fault.Leader) {
+		f.route.redirected(now, s.ask.Address, fault.Leader)
+		if fault.Leader == "" { // one that only this node can't reach may lead nevertheless
 			f.relay.recordLeaderless(now)
 		}
 		return Outcome{WantFull: len(s.ask.Request.Reports) > 0}
--- a/follow/hedge.go
+++ b/follow/hedge.go
@@ -39,10 +39,13 @@
 	if fault.Code != codes.NotLeader || f.main == nil || fault.Leader == f.main.ask.Address {
 		return Outcome{}
 	}
-	if fault.Leader == "" || f.route.isAvoided(now, fault.Leader) {
+	if fault.Leader == "" {
 		f.relay.recordLeaderless(now)
 		return Outcome{}
 	}
+	if f.route.isAvoided(now, fault.Leader) {
+		return Outcome{}
+	}
 	repeatReports := f.abandonMain()
 	f.route.redirected(now, s.ask.Address, fault.Leader)
 	return Outcome{WantFull: repeatReports}
--- a/follow/hedge_test.go
+++ b/follow/hedge_test.go
@@ -105,3 +105,16 @@
 	require.NoError(t, err)
 	require.Equal(t, Outcome{}, outcome, "a reply that is no longer awaited")
 }
+
+// TestUnreachableLeaderIsNoEvidenceOfAnElection guards against a relay that is cut off
+// from the leader alone and keeps its followers, which could reach it.
+func TestUnreachableLeaderIsNoEvidenceOfAnElection(t *testing.T) {
+	f, hedge, now := lateLeader(t)
+	f.route.avoid(now, "c1", ControlAvoidance)
+	answer(t, f, now, hedge, faultReply(codes.NotLeader, "", "c1"))
+	f.HandleFailure(now, f.main.ask.Request.Sequence)
+	a, now := ask(t, f, now)
+	answer(t, f, now, a, faultReply(codes.NotLeader, "", "c1"))
+	require.Zero(t, f.relay.leaderlessAt)
+	require.Equal(t, f.ConfirmedAt()+MaxStaleness, f.relay.closesAt())
+}
--- a/follow/route.go
+++ b/follow/route.go
@@ -156,12 +156,12 @@
 	}
 }
 
-// redirected records the leader that a control node named and reports whether it named
-// one. If it names none or one that is avoided, the reply counts as a fault.
-func (t *route) redirected(now sardine.Millis, address, leader string) bool {
+// redirected records the leader that a control node named. If it names none or
+// one that is avoided, the reply counts as a fault.
+func (t *route) redirected(now sardine.Millis, address, leader string) {
 	if t.isAvoided(now, leader) || leader == "" || leader == address {
 		t.refused(now, address, false)
-		return false
+		return
 	}
 	t.failures++
 	t.leader = leader
@@ -169,7 +169,6 @@
 	if t.failures > 2 {
 		t.notBefore = now + t.pause(ElectionPause)
 	}
-	return true
 }
 
 // pause returns a random time between half of most and most.
--- a/standin/spread/leaderless_test.go
+++ b/standin/spread/leaderless_test.go
@@ -58,3 +58,23 @@
 		}
 	}
 }
+
+// TestRootCutOffFromTheLeaderAlone guards against a relay that takes a leader which it
+// can't reach for one that has failed, and keeps its followers although they could
+// reach it.
+func TestRootCutOffFromTheLeaderAlone(t *testing.T) {
+	for seed := range uint64(10) {
+		w := relaySite(t, seed, 3)
+		w.RunFor(70 * sardine.Millis(seed))
+		root := w.roots()[0]
+		w.driver.Cut(root, w.Leader(), 10*sardine.Second)
+		leader := w.control(w.Leader())
+		leader.w.log.append(leader.term, leader.wallTime(), state.PutLayout{Number: 1, Packed: []byte{1}})
+		w.RunFor(maxInForce)
+		for _, n := range w.nodes {
+			if n.id != root {
+				require.EqualValues(t, 1, n.follower.Machine().Layout().Number, "seed %d, node %s", seed, n.id)
+			}
+		}
+	}
+}
