Do not exclude VMs whose loss at one moment has a common cause

Cause: when the nodes to which VMs announce themselves are out of contact, all VMs count as lost in one round, and the planner took that for a failure of each. With one real failure each VM has two and is excluded for 60 s.

Change: a loss of three VMs or more, and more than stay, in one round is no failure of each.

Test: fake.TestMissingReportsExcludeNoMember, failed before (no group 20 s after the one failure).

--- a/plan/advance.go
+++ b/plan/advance.go
@@ -38,23 +38,33 @@
 
 // recordVMs tracks the absences and failures of each VM.
 func (r *round) recordVMs() {
+	var lost []*vmRecord
+	alive := 0
 	for _, vm := range r.sorted {
 		v := r.vms[vm]
 		if v.alive {
+			alive++
 			r.recordAlive(v)
-		} else {
-			r.recordAbsence(v.record)
+		} else if v.record.absentSince == 0 {
+			lost = append(lost, v.record)
 		}
 	}
+	if r.live.Settled() {
+		r.recordAbsences(lost, len(lost) >= minCommonLoss && len(lost) > alive)
+	}
 }
 
-func (r *round) recordAbsence(n *vmRecord) {
-	if n.absentSince != 0 || !r.live.Settled() {
-		return
-	}
-	n.absentSince = r.now
-	if n.incarnation != 0 && !n.leaving {
-		n.fail(r.now, r.p.limits)
+// minCommonLoss is the number of VMs from which on the loss of most of them in one round
+// has a common cause, such as missing reports, which says nothing about each VM.
+const minCommonLoss = 3
+
+// recordAbsences records VMs that are lost from this round on.
+func (r *round) recordAbsences(lost []*vmRecord, commonCause bool) {
+	for _, n := range lost {
+		n.absentSince = r.now
+		if n.incarnation != 0 && !n.leaving && !commonCause {
+			n.fail(r.now, r.p.limits)
+		}
 	}
 }
 
--- a/standin/fake/member_test.go
+++ b/standin/fake/member_test.go
@@ -71,3 +71,23 @@
 	require.Equal(t, sardine.GroupServing, after.State)
 	require.NotEqual(t, g.Members[1].VM, after.Members[1].VM)
 }
+
+// TestMissingReportsExcludeNoMember guards against VMs that are excluded as unstable
+// since all of them seemed to be lost at one moment, when the nodes to which they
+// announce themselves were out of contact.
+func TestMissingReportsExcludeNoMember(t *testing.T) {
+	engines, teams := site(1, 4, halfCheckEpochs)
+	teams[0].Deployments = teams[0].Deployments[:1]
+	w := NewWorld(1, engines, teams, WithHomes(2), WithBound(missingBound))
+	require.NoError(t, w.Run(100*sardine.Second))
+	for i := range 2 {
+		w.DisconnectHome(i, 60*sardine.Second)
+	}
+	require.NoError(t, w.Run(w.now+50*sardine.Second))
+	require.Zero(t, countServing(w, "surtitles"))
+	require.NoError(t, w.Run(w.now+15*sardine.Second))
+	require.Equal(t, 1, countServing(w, "surtitles"))
+	w.CrashFor(w.byVM[w.groupOf("surtitles").Members[1].VM], 10*sardine.Second)
+	require.NoError(t, w.Run(w.now+20*sardine.Second))
+	require.Equal(t, 1, countServing(w, "surtitles"), "the VM has failed once")
+}
