A stopping server answers each request that it has read

Callers saw: a kept connection that a stopping node closed without an answer, though the node had read the whole request.

Cause: net/http's Shutdown marks the server first and then drops each request whose header was read but which has not reached its handler yet (conn.serve returns on shuttingDown after readRequest).

Change: Shutdown of package listen closes the listener, makes each answer the last one on its connection, and ends idle connections by a read that fails. A request that was read before goes on to its handler. net/http's own shutdown follows once no HTTP/1 connection is left, for those of HTTP/2.

The other reading of the hypothesis, that a request goes on to a worker while its connection is closed as idle, did not occur: net/http sets the state active before it looks at the mark that Shutdown sets before it looks at the states.

--- a/listen/listen.go
+++ b/listen/listen.go
@@ -25,6 +25,7 @@
 type Server struct {
 	http           *http.Server
 	listener       net.Listener
+	conns          *conns
 	tls            *tls.Config
 	maxConnections int
 }
@@ -73,9 +74,10 @@
 			Protocols:         protocols,
 			ErrorLog:          discardLog(),
 		},
+		conns:          newConns(),
 		maxConnections: defaultMaxConnections,
 	}
-	s.http.ConnContext = withConn
+	s.http.ConnContext, s.http.ConnState = withConn, s.conns.changed
 	for _, o := range options {
 		o(s)
 	}
@@ -98,17 +100,24 @@
 // Serve passes requests to handler. It blocks until Shutdown or Close, after which it
 // returns nil.
 func (s *Server) Serve(handler http.Handler) error {
-	s.http.Handler = resetAborted(handler)
+	s.http.Handler = s.conns.closeAfterAnswer(resetAborted(handler))
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.conns.isClosing() {
 		return nil
 	}
 	return codes.Wrap(codes.Internal, err, "HTTP server failed")
 }
 
 // Shutdown closes the listener and waits until no request is in flight or ctx is
-// done.
+// done. Each request that was read is answered.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.conns.beginClosing()
+	if err := ignoreClosed(s.listener.Close()); err != nil {
+		return err
+	}
+	if err := s.conns.close(ctx); err != nil {
+		return err
+	}
 	return s.http.Shutdown(ctx)
 }
 
