--- a/conf/entry.go
+++ b/conf/entry.go
@@ -209,6 +209,19 @@
 	return e.tls
 }
 
+// Parts of the time that a node has from a signal to stop until it is killed.
+const (
+	// maxUnreadyShare leaves half of the time for requests in flight.
+	maxUnreadyShare = 2
+	// finalShare leaves the last sixteenth for the answers of requests that the drain
+	// ends, and for the exit.
+	finalShare  = 16
+	longestStop = 24 * 3600 // seconds
+)
+
+// defaultFinal is how long the last answers of a shutdown without a limit may take.
+const defaultFinal = 10 * sardine.Second
+
 // EntryTimings holds the intervals and timeouts of an entry node.
 type EntryTimings struct {
 	lease       sardine.Millis
@@ -217,6 +230,7 @@
 	announce    sardine.Millis
 	unready     sardine.Millis
 	drain       sardine.Millis
+	final       sardine.Millis
 }
 
 func readEntryTimings(t *tomlr.Table) EntryTimings {
@@ -227,7 +241,9 @@
 		announce:    millis(t, "announce_ms", sardine.Second, 50, 20*sardine.Second),
 		unready:     millis(t, "unready_ms", 2*sardine.Second, 0, 60*sardine.Second),
 		drain:       millis(t, "drain_ms", 600*sardine.Second, 0, 24*3600*sardine.Second),
+		final:       defaultFinal,
 	}
+	s = readStop(t, s)
 	if s.poll*2 > s.lease {
 		t.ReportProblem("poll_ms", fmt.Sprintf("at most half of lease_ms, %d", s.lease/2))
 	}
@@ -237,6 +253,22 @@
 	return s
 }
 
+// readStop derives the times of a shutdown from the time that the node has to stop, if
+// that is limited.
+func readStop(t *tomlr.Table, s EntryTimings) EntryTimings {
+	stop := sardine.Millis(t.Float("stop_s", 0, 0, longestStop) * float64(sardine.Second))
+	if stop == 0 {
+		return s
+	}
+	if t.Has("drain_ms") {
+		t.ReportProblem("drain_ms", "no value beside stop_s, from which it follows")
+	}
+	s.final = stop / finalShare
+	s.unready = min(s.unready, stop/maxUnreadyShare)
+	s.drain = stop - s.unready - s.final
+	return s
+}
+
 // ServingLease returns how long the serving lease lasts without a renewal.
 func (t EntryTimings) ServingLease() sardine.Millis {
 	return t.lease
@@ -268,3 +300,9 @@
 func (t EntryTimings) Drain() sardine.Millis {
 	return t.drain
 }
+
+// Final returns how long a shutdown waits for the last answers of requests that its
+// drain has ended.
+func (t EntryTimings) Final() sardine.Millis {
+	return t.final
+}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -35,7 +35,7 @@
 	err := n.public.Shutdown(ctx)
 	if err != nil { // timed out: the remaining requests end with an error response
 		n.cancelDrain()
-		last, cancel := context.WithTimeout(n.baseCtx, n.timing.Write.Duration())
+		last, cancel := context.WithTimeout(n.baseCtx, n.timing.Final.Duration())
 		defer cancel()
 		_ = n.public.Shutdown(last) // release cuts off what is still running
 	}
--- a/entry/options.go
+++ b/entry/options.go
@@ -21,6 +21,7 @@
 	Idle             sardine.Millis // idle timeout of callers' connections
 	BalancerDelay    sardine.Millis // from reporting not ready to closing the listener
 	Drain            sardine.Millis // maximum wait for requests in flight
+	Final            sardine.Millis // maximum wait for the answers of requests that the drain has ended
 	Submit           sardine.Millis // timeout of a command to the control nodes
 }
 
@@ -38,6 +39,7 @@
 		Idle:             60 * sardine.Second,
 		BalancerDelay:    3 * sardine.Second,
 		Drain:            60 * sardine.Second,
+		Final:            10 * sardine.Second,
 		Submit:           5 * sardine.Second,
 	}
 }
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -135,6 +135,7 @@
 	t.AnnounceInterval = s.Timings().AnnounceInterval()
 	t.BalancerDelay = s.Timings().BalancerDelay()
 	t.Drain = s.Timings().Drain()
+	t.Final = s.Timings().Final()
 	t.Read = max(s.Limits().HeaderTimeout(), s.Limits().BodyTimeout())
 	t.Idle = s.Limits().IdleTimeout()
 	return t
