A stopping node takes late requests only by their time limit

Callers would see: a stream that is accepted after the listener has closed, on a connection that had no request yet, on an estimate of its length, and cut at the end of the drain when it takes longer.

Change: outlastsDrain uses the estimate only until the listener closes. Later requests must end by their time limit.

TestStoppingNodeAcceptsWhatItCanFinish has a case that got an answer (0) before and is refused as draining (203) now.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -52,17 +52,18 @@
 
 // outlastsDrain returns an error if the node is shutting down and would probably
 // cut the request off: another node can still answer it. Only a request that may
-// run again elsewhere is accepted on an estimate, others by their deadline.
+// run again elsewhere is accepted on an estimate, others by their deadline. So are all
+// once the listener is closed: what comes so late is never cut off.
 func (q *routedRun) outlastsDrain() error {
 	n := q.node
 	if !n.draining.Load() {
 		return nil
 	}
-	end := q.deadline
-	if estimate := q.estimateEnd(); estimate > 0 && q.route.Idempotent() {
+	end, drainEnd := q.deadline, sardine.Millis(n.drainEnd.Load())
+	if estimate := q.estimateEnd(); estimate > 0 && q.route.Idempotent() && q.arrived < drainEnd-n.timing.Drain {
 		end = min(end, estimate)
 	}
-	if left := sardine.Millis(n.drainEnd.Load()) - q.arrived; q.arrived+left < end {
+	if left := drainEnd - q.arrived; q.arrived+left < end {
 		return codes.New(codes.Draining, "this entry node stops in %d ms, before the request has surely ended", max(left, 0))
 	}
 	return nil
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -12,9 +12,9 @@
 
 // Guards against requests that a stopping node accepts and cuts off, and against
 // short streams that it turns away because their time limit is long. The streams
-// have an event each 50 ms with 5 tokens.
+// have an event each 50 ms with 5 tokens; the listener closes 2000 ms before the end.
 func TestStoppingNodeAcceptsWhatItCanFinish(t *testing.T) {
-	const gap = 50
+	const gap, drain = 50, 2000
 	for _, c := range []struct {
 		name      string
 		kind      sardine.RouteKind
@@ -28,10 +28,13 @@
 		{"safe, of unknown length", sardine.RouteSafe, false, 0, 4999, codes.Draining},
 		{"a stream ends before by estimate", sardine.RouteStream, true, 100, 2200, codes.OK},
 		{"a stream ends later by estimate", sardine.RouteStream, true, 100, 2199, codes.Draining},
+		{"a stream after the listener has closed, by estimate", sardine.RouteStream, true, 50, 2000, codes.Draining},
+		{"a stream before the listener has closed, by estimate", sardine.RouteStream, true, 50, 2001, codes.OK},
 		{"a stream that can't be resumed", sardine.RouteStream, false, 100, 4999, codes.Draining},
 		{"a stream of unknown length", sardine.RouteStream, true, 0, 4999, codes.Draining},
 	} {
 		n := routedNode()
+		n.timing.Drain = drain
 		v := emptyView()
 		v.table = paths.New(sardine.Layout{Number: 1, Services: []sardine.Service{{
 			Name: "s", Engine: &sardine.EngineSpec{Slots: 20, Iteration: sardine.IterationTimes{Steps: 5}},
