Keep a request at a silent target until another one has taken it over

Callers saw resumable streams cut off, and reads answered 502, though their target was sound and went on after a second or two.

Cause: whether a request may move was looked up while its target was still at work, but the dispatch was canceled before routing, rank, connection limit, the second target's answer and the retry limit had decided. The same order of acts stood behind a stream's pause, a stalled target and a lost group.

Change: a handover looks for a target, sends it the request and waits until it has begun to answer; only then the first dispatch ends. If none takes the request over, it stays, and the search is repeated. handover_failed logs why a request should have left its target and why it stayed.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -282,7 +282,7 @@
 	f.node.published.Store(&published{view: v, lease: f.core.Lease(), freshAt: f.core.ConfirmedAt()})
 	if old == nil || old.view != v {
 		f.node.gate.update(v)
-		f.node.inFlight.cancelLost(v)
+		f.node.inFlight.leaveLost(f.node.clock.Now(), v, f.node.suspects())
 		f.node.configureLimits(v)
 		f.node.configureRouted(v)
 	}
--- a/entry/health.go
+++ b/entry/health.go
@@ -91,15 +91,22 @@
 	return v.tracker.Observations(v.clock.Now())
 }
 
-// checkStalls cancels the dispatches to targets that have stalled, so that the
-// requests move to other targets.
+// suspects returns the targets that are suspected to have stalled.
+func (n *Node) suspects() []route.Ref {
+	if n.health == nil {
+		return nil
+	}
+	return n.health.suspects()
+}
+
+// checkStalls makes the requests leave the targets that have stalled.
 func (n *Node) checkStalls() {
 	stalled := n.health.stalled()
 	for _, ref := range stalled {
 		event.Log(n.log, event.TargetStalled, slog.String("target", ref.String()))
 		n.meter.stalled()
 	}
-	n.inFlight.cancelStalled(stalled, n.health.suspects())
+	n.inFlight.leaveSilent(n.clock.Now(), stalled, n.health.suspects())
 	if len(stalled) == 0 {
 		return
 	}
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/route"
 )
@@ -15,6 +16,9 @@
 // errStalled cancels a dispatch whose target has stalled.
 var errStalled = codes.New(codes.TargetFailed, "the target stopped responding")
 
+// errSilent cancels a dispatch whose stream has paused for longer than usual.
+var errSilent = codes.New(codes.StreamBroken, "the stream paused for too long")
+
 // errDeadline cancels a request whose deadline has passed.
 var errDeadline = codes.New(codes.DeadlineTight, "the deadline passed before the answer began")
 
@@ -25,8 +29,8 @@
 // passed.
 var errDrained = codes.New(codes.Draining, "the node's drain time has passed")
 
-// inFlight tracks the dispatches in flight, so that those to a lost group are
-// canceled at once instead of waiting for an engine that does not respond.
+// inFlight tracks the dispatches in flight, so that requests leave a lost group or a
+// silent target instead of waiting for an engine that does not respond.
 type inFlight struct {
 	mu     sync.Mutex
 	nextID uint64
@@ -36,69 +40,97 @@
 type inFlightDispatch struct {
 	candidate route.Candidate
 	cancel    context.CancelCauseFunc
-	request   movable // nil if it always moves
-	stalled   bool    // its target has stalled, and it stayed
+	request   movable // nil if it is canceled at once
+	stalled   bool    // its target has stalled
+	lost      bool    // its group has lost a member
 }
 
-// movable is a request that decides itself whether it moves to another target. Its
-// methods are called from any goroutine.
+// cause returns why the request should leave its target, nil if it should stay.
+func (d *inFlightDispatch) cause(now sardine.Millis) error {
+	switch {
+	case d.lost:
+		return errGroupLost
+	case d.stalled:
+		return errStalled
+	case d.request != nil && d.request.isSilent(now):
+		return errSilent
+	default:
+		return nil
+	}
+}
+
+// leave makes the request leave its target, if it should.
+func (d *inFlightDispatch) leave(now sardine.Millis, suspects []route.Ref) {
+	cause := d.cause(now)
+	switch {
+	case cause == nil:
+	case d.request == nil:
+		d.cancel(cause)
+	default:
+		d.request.leave(now, cause, suspects)
+	}
+}
+
+// movable is a request that leaves its target only for another one that takes it over.
+// Its methods are called from any goroutine.
 type movable interface {
-	// isSettled reports whether the caller has a part of the answer that only the
-	// current target can complete.
-	isSettled() bool
-	// leaves reports whether the request leaves its target, which has stalled.
-	leaves(suspects []route.Ref) bool
+	// isSilent reports whether the stream has paused for longer than usual.
+	isSilent(now sardine.Millis) bool
+	// leave looks for another target, unless it does so already. It does not wait.
+	leave(now sardine.Millis, cause error, suspects []route.Ref)
 }
 
 func newInFlight() *inFlight {
 	return &inFlight{all: make(map[uint64]*inFlightDispatch)}
 }
 
-// begin registers a dispatch of a request, nil for one that always moves. The returned
-// function ends it.
-func (f *inFlight) begin(ctx context.Context, c route.Candidate, request movable) (context.Context, context.CancelCauseFunc, func()) {
+// begin registers a dispatch that is canceled when its target is lost or has stalled.
+// The returned function ends it.
+func (f *inFlight) begin(ctx context.Context, c route.Candidate) (context.Context, context.CancelCauseFunc, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	end := f.add(c, cancel, nil)
+	return ctx, cancel, func() {
+		cancel(nil)
+		end()
+	}
+}
+
+// add registers a dispatch of a request, nil for one that is canceled at once when it
+// should leave its target. The returned function ends it.
+func (f *inFlight) add(c route.Candidate, cancel context.CancelCauseFunc, request movable) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := f.nextID
 	f.nextID++
 	f.all[id] = &inFlightDispatch{candidate: c, cancel: cancel, request: request}
-	return ctx, cancel, func() {
-		cancel(nil)
+	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.all, id)
 	}
 }
 
-// cancelLost cancels the dispatches to groups that are not intact in the view.
-func (f *inFlight) cancelLost(v *view) {
+// leaveLost makes the requests leave the groups that are not intact in the view.
+func (f *inFlight) leaveLost(now sardine.Millis, v *view, suspects []route.Ref) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range f.all {
-		if v.lost(d.candidate) && (d.request == nil || !d.request.isSettled()) {
-			d.cancel(errGroupLost)
+		if v.lost(d.candidate) {
+			d.lost = true
+			d.leave(now, suspects)
 		}
 	}
 }
 
-// cancelStalled cancels the dispatches to targets that have stalled whose requests leave
-// them, now or when a later call finds the target among the suspects still.
-func (f *inFlight) cancelStalled(stalled, suspects []route.Ref) {
+// leaveSilent makes the requests leave the targets that have stalled, now or when a later
+// call finds the target among the suspects still, and those whose streams are silent.
+// What could not leave a lost group tries so again.
+func (f *inFlight) leaveSilent(now sardine.Millis, stalled, suspects []route.Ref) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range f.all {
-		if slices.Contains(stalled, d.candidate.Ref) {
-			d.stalled = true
-		}
-		if !d.stalled {
-			continue
-		}
-		d.stalled = slices.Contains(suspects, d.candidate.Ref)
-		if d.stalled && (d.request == nil || !d.request.isSettled() && d.request.leaves(suspects)) {
-			d.stalled = false
-			d.cancel(errStalled)
-		}
+		d.stalled = slices.Contains(suspects, d.candidate.Ref) && (d.stalled || slices.Contains(stalled, d.candidate.Ref))
+		d.leave(now, suspects)
 	}
 }
 
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
+	"sync"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/guard"
@@ -20,7 +22,9 @@
 	segments []guard.Segment
 	begun    bool // a target has begun to answer
 	poison   guard.Fingerprint
-	all      []lostAttempt
+
+	mu  sync.Mutex // a handover records losses, too
+	all []lostAttempt
 }
 
 // lostAttempt is an attempt that its target did not complete.
@@ -38,6 +42,8 @@
 // failures returns the targets that are known to have exited while they ran
 // this request.
 func (l *losses) failures() []state.TargetFailure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var failures []state.TargetFailure
 	for _, one := range l.all {
 		if l.node.checks.hasExited(one.check) {
@@ -59,9 +65,26 @@
 		}
 		return
 	}
-	k := l.node.checks.begin(d, !errors.Is(err, os.ErrDeadlineExceeded))
-	l.all = append(l.all, lostAttempt{check: k, loss: loss})
-	if len(l.segments) > 0 {
+	l.add(d, loss, !errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// recordSilence starts a check of a target whose attempt has become silent after the given
+// number of events.
+func (l *losses) recordSilence(d dispatched, events int) {
+	l.add(d, l.lossOf(d.candidate, events), false)
+}
+
+// add starts a check of a target, with a probe or without, and records the loss unless it
+// is known.
+func (l *losses) add(d dispatched, loss guard.Loss, probe bool) {
+	k := l.node.checks.begin(d, probe)
+	l.mu.Lock()
+	known := slices.ContainsFunc(l.all, func(o lostAttempt) bool { return o.check == k })
+	if !known {
+		l.all = append(l.all, lostAttempt{check: k, loss: loss})
+	}
+	l.mu.Unlock()
+	if !known && len(l.segments) > 0 {
 		l.node.checks.addSuspect(k, loss)
 	}
 }
@@ -77,15 +100,23 @@
 // failed counts the targets that exited, or are found to have exited later,
 // against the request, since it did not complete on another one.
 func (l *losses) failed() {
-	for _, one := range l.all {
+	for _, one := range l.clear() {
 		l.node.checks.addLoss(one.check, one.loss)
 	}
+}
+
+// clear removes and returns all losses.
+func (l *losses) clear() []lostAttempt {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := l.all
 	l.all = nil
+	return all
 }
 
 // survived records that the request has completed.
 func (l *losses) survived() {
-	l.all = nil
+	l.clear()
 	l.node.strikes.survived(l.poison)
 	l.began()
 }
@@ -101,10 +132,13 @@
 // settle waits for the check of the last lost target if a segment may have made it
 // fail: the request would otherwise be sent to another one at once.
 func (l *losses) settle(ctx context.Context) {
+	l.mu.Lock()
 	if len(l.all) == 0 {
+		l.mu.Unlock()
 		return
 	}
 	last := l.all[len(l.all)-1]
+	l.mu.Unlock()
 	if last.loss.Events < guard.ProvenEvents && l.node.strikes.hasSuspects(l.service, l.segments) {
 		l.node.checks.settle(ctx, last.check)
 	}
@@ -114,5 +148,5 @@
 // target, not by the caller, the deadline or the node.
 func lostByTarget(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return cause == nil || errors.Is(cause, errStalled) || errors.Is(cause, errGroupLost)
+	return cause == nil || errors.Is(cause, errStalled) || errors.Is(cause, errSilent) || errors.Is(cause, errGroupLost)
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -234,7 +234,7 @@
 // attempt runs one dispatch. A nil error means that the caller has the complete
 // answer.
 func (m *modelRun) attempt(ctx context.Context, choice *route.Choice) (err error) {
-	ctx, cancel, end := m.node.inFlight.begin(ctx, choice.Candidate, nil)
+	ctx, cancel, end := m.node.inFlight.begin(ctx, choice.Candidate)
 	defer end()
 	watch := newWatchdog(cancel, m.node.timing.FirstToken, m.node.timing.BetweenTokens)
 	defer watch.stop()
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -66,7 +66,7 @@
 	}
 	defer b.cancel(nil)
 	run := &plainRun{node: n, request: b.request, service: b.service, sink: b.sink, ran: sardine.RanNo}
-	run.losses = losses{node: n, request: b.request.id, poison: guard.FingerprintOf(b.request.body, string(b.request.workspace), string(b.request.service), b.request.method, b.request.path)}
+	run.losses = &losses{node: n, request: b.request.id, poison: guard.FingerprintOf(b.request.body, string(b.request.workspace), string(b.request.service), b.request.method, b.request.path)}
 	run.repeatable = repeatable(n.view().deployments[b.service], b.request.method)
 	timer := n.startDeadline(b.request, b.cancel)
 	defer timer.Stop()
@@ -103,7 +103,7 @@
 	ran        sardine.Ran // over all dispatches
 	tried      []route.Ref
 	attempts   int
-	losses     losses
+	losses     *losses
 	target     dispatched     // of the last dispatch
 	took       sardine.Millis // duration of the last dispatch up to the answer
 }
@@ -252,7 +252,7 @@
 // attempt runs one dispatch up to the answer's head, or to its end if it is
 // short.
 func (p *plainRun) attempt(ctx context.Context, choice *route.Choice) (*plainAnswer, func(), error) {
-	ctx, cancel, endFlight := p.node.inFlight.begin(ctx, choice.Candidate, nil)
+	ctx, cancel, endFlight := p.node.inFlight.begin(ctx, choice.Candidate)
 	p.target = dispatched{candidate: choice.Candidate, processes: p.node.view().processes(choice.Candidate)}
 	watch := newWatchdog(cancel, p.node.timing.PlainAnswer, p.node.timing.PlainAnswer)
 	started := p.node.clock.Now()
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -5,7 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -46,11 +46,9 @@
 	unsent        int         // attempts that failed before anything was sent
 	// retryDenied records that the retry limit prevented another attempt.
 	retryDenied  bool
-	retryTaken   atomic.Bool // the retry limit counts the next attempt already
 	tried        []route.Ref
-	triedBefore  []route.Ref           // tried as of the start of the current attempt
+	handover     *handover             // of the current attempt, nil if it may not leave its target
 	headSent     bool                  // the status and header were sent to the caller
-	settled      atomic.Bool           // nothing may follow what was sent but the rest of the same answer
 	events       proxy.Sequence        // position in the stream, over all attempts
 	lastEventAt  sardine.Millis        // arrival of the last event, 0 before the first
 	healthRecord *vital.TrackedRequest // health record of the current attempt
@@ -172,23 +170,36 @@
 		q.endUnanswered(ctx, q.refuse, err)
 		return
 	}
+	var next *successor // target that has taken the request over
 	for {
-		err := q.attempt(ctx)
+		var err error
+		if next == nil {
+			err = q.attempt(ctx)
+		} else {
+			err = q.resume(ctx, next)
+		}
 		if err == nil {
 			q.losses.survived()
 			q.served()
 			return
 		}
+		next = q.takeover()
 		if ctx.Err() != nil {
+			if next != nil {
+				next.abandon()
+			}
 			q.abandon(ctx)
 			return
 		}
+		if next != nil {
+			continue
+		}
 		q.losses.settle(ctx)
 		if q.losses.allow() != nil || q.awaitSegments(ctx) != nil || !q.mayRetry(err) {
 			q.endUnanswered(ctx, q.fail, err)
 			return
 		}
-		q.delayMove(ctx)
+		q.delayMove(ctx, q.lastEventAt)
 	}
 }
 
@@ -247,7 +258,7 @@
 	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.acceptsAnswer() {
 		return false
 	}
-	q.retryDenied = !q.retryTaken.Swap(false) && !n.retries.take(n.clock.Now(), q.name)
+	q.retryDenied = !n.retries.take(n.clock.Now(), q.name)
 	return !q.retryDenied
 }
 
@@ -264,14 +275,13 @@
 	if len(q.tried) == 0 {
 		n.meter.waited(n.clock.Now() - q.arrived)
 	}
-	q.tried = append(q.tried, choice.Candidate.Ref)
 	q.times.pickedAt, q.times.choice = n.clock.Now(), choice
-	target := dispatched{candidate: choice.Candidate, processes: n.view().processes(choice.Candidate)}
-	ctx, end := q.registerAttempt(ctx, choice)
-	defer end()
-	done := route.DispatchResult{}
-	defer func() { n.gate.finish(choice, done) }()
-	answer, failed := n.proxy.Open(ctx, q.exchange(choice))
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	q.healthRecord = n.health.begin(choice.Candidate)
+	target := q.dispatchedTo(choice)
+	defer q.register(ctx, cancel, target)()
+	answer, failed := n.proxy.Open(attemptCtx, q.exchange(choice, q.events.Last(), q.rank))
 	if failed != nil {
 		if codes.Is(failed, codes.NoTarget) {
 			q.unsent++
@@ -280,26 +290,51 @@
 			q.attempts++
 		}
 		q.ran = combine(q.ran, failed.Ran())
-		done.Canceled = failed.Ran() == sardine.RanNo
+		n.gate.finish(choice, route.DispatchResult{Canceled: failed.Ran() == sardine.RanNo})
 		q.logAttempt(choice, failed)
 		if failed.Ran() != sardine.RanNo {
-			q.losses.recordLoss(ctx, target, 0, failed)
+			q.losses.recordLoss(attemptCtx, target, 0, failed)
 		}
-		return q.causeOf(ctx, failed)
+		return q.causeOf(attemptCtx, failed)
 	}
 	q.recordHead(choice, answer)
+	return q.relay(attemptCtx, target, choice, &openAnswer{Answer: answer})
+}
+
+// resume continues the request at a target that has taken it over.
+func (q *routedRun) resume(ctx context.Context, s *successor) error {
+	defer s.cancel(nil)
+	q.rank, q.healthRecord = s.rank, s.health
+	q.times.pickedAt, q.times.choice = q.node.clock.Now(), s.choice
+	defer q.register(ctx, s.cancel, s.target)()
+	q.recordHead(s.choice, s.answer)
+	return q.relay(s.ctx, s.target, s.choice, &openAnswer{Answer: s.answer, events: s.events, first: s.first})
+}
+
+// openAnswer is an answer that has begun. first is set if its events are being read.
+type openAnswer struct {
+	*proxy.Answer
+	events *proxy.Events // nil if nothing was read from the body
+	first  proxy.Event   // read from events, and not forwarded yet
+}
+
+// relay forwards an answer to its end.
+func (q *routedRun) relay(ctx context.Context, target dispatched, choice *route.Choice, answer *openAnswer) error {
+	n := q.node
 	whole, err := q.forward(answer)
 	answer.Close(whole)
-	done.OK = whole
-	if err != nil {
-		q.logAttempt(choice, err)
-		done.Canceled = errors.Is(err, errCallerLeft)
-		if !errors.Is(err, errTargetError) && !done.Canceled {
-			q.losses.recordLoss(ctx, target, q.attemptEvents, err)
-		}
-		return q.causeOf(ctx, err)
+	left := errors.Is(err, errCallerLeft)
+	n.gate.finish(choice, route.DispatchResult{OK: whole, Canceled: left})
+	if err == nil {
+		q.handover.complete()
+		return nil
 	}
-	return nil
+	cause := q.causeOf(ctx, err)
+	q.logAttempt(choice, cause)
+	if !errors.Is(err, errTargetError) && !left {
+		q.losses.recordLoss(ctx, target, q.attemptEvents, err)
+	}
+	return cause
 }
 
 // recordHead records that a target has started to answer.
@@ -338,38 +373,24 @@
 	return 1
 }
 
-// registerAttempt registers the dispatch so that it can be canceled if its
-// target stalls. A request that may not move is not canceled.
-func (q *routedRun) registerAttempt(ctx context.Context, choice *route.Choice) (context.Context, func()) {
-	n := q.node
-	q.healthRecord = n.health.begin(choice.Candidate)
-	q.counted, q.attemptEvents = false, 0
-	q.triedBefore = q.tried
-	if !q.mayMove() {
-		return ctx, func() { n.health.end(q.healthRecord) }
-	}
-	ctx, cancel, end := n.inFlight.begin(ctx, choice.Candidate, q)
-	return ctx, func() {
-		cancel(nil)
-		end()
-		n.health.end(q.healthRecord)
-	}
-}
-
-// isSettled implements movable.
-func (q *routedRun) isSettled() bool {
-	return q.settled.Load()
+// dispatchedTo returns the chosen target with its present processes.
+func (q *routedRun) dispatchedTo(choice *route.Choice) dispatched {
+	return dispatched{candidate: choice.Candidate, processes: q.node.view().processes(choice.Candidate)}
 }
 
-// leaves implements movable: only if another target that is not suspected can take the
-// request, and if the retry limit allows for that, which it counts at once.
-func (q *routedRun) leaves(suspects []route.Ref) bool {
+// register registers a dispatch, so that its request can move if its target becomes
+// silent. cancel ends the dispatch. The returned function unregisters it.
+func (q *routedRun) register(ctx context.Context, cancel context.CancelCauseFunc, target dispatched) func() {
 	n := q.node
-	if !n.view().hasOther(q.service, q.triedBefore, suspects) || !n.retries.take(n.clock.Now(), q.name) {
-		return false
+	if ref := target.candidate.Ref; !slices.Contains(q.tried, ref) {
+		q.tried = append(q.tried, ref)
+	}
+	q.counted, q.attemptEvents = false, 0
+	record, end := q.healthRecord, q.startHandover(ctx, cancel, target)
+	return func() {
+		end()
+		n.health.end(record)
 	}
-	q.retryTaken.Store(true)
-	return true
 }
 
 // causeOf returns the cause of a cancellation or timeout in preference to the
@@ -384,10 +405,12 @@
 	return err
 }
 
-func (q *routedRun) exchange(choice *route.Choice) proxy.Exchange {
+// exchange returns the dispatch of the request to a target. forwarded is the id of the
+// last event that the caller has, empty without one.
+func (q *routedRun) exchange(choice *route.Choice, forwarded string, rank int) proxy.Exchange {
 	c := choice.Candidate
 	last := q.call.LastEvent
-	if forwarded := q.events.Last(); forwarded != "" {
+	if forwarded != "" {
 		last = forwarded
 	}
 	d := sardine.Dispatch{
@@ -395,7 +418,7 @@
 		Target:    c.Head,
 		Timeout:   q.deadline - q.node.clock.Now(),
 		LastEvent: last,
-		Rank:      q.rank,
+		Rank:      rank,
 	}
 	if q.tenant != nil {
 		d.Workspace = q.tenant.Name
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -44,7 +44,7 @@
 
 // forward forwards an answer. whole reports whether its body was read to the
 // end.
-func (q *routedRun) forward(a *proxy.Answer) (whole bool, err error) {
+func (q *routedRun) forward(a *openAnswer) (whole bool, err error) {
 	resp := a.Response
 	if resp.StatusCode == http.StatusOK && q.route.Kind == sardine.RouteStream && isEventStream(resp) {
 		return q.forwardStream(a)
@@ -90,6 +90,9 @@
 	if _, err := io.ReadFull(body, text); err != nil {
 		return false, codes.Wrap(codes.StreamBroken, err, "the answer broke off")
 	}
+	if err := q.proceed(); err != nil {
+		return false, err
+	}
 	q.sendHead(resp)
 	_, _ = q.w.Write(text) // a caller that has disconnected needs no answer
 	return true, nil
@@ -117,8 +120,10 @@
 
 // forwardAsItArrives forwards an answer whose end is recognized, as the target sends it.
 func (q *routedRun) forwardAsItArrives(resp *http.Response, body io.Reader) (bool, error) {
+	if err := q.proceed(); err != nil {
+		return false, err
+	}
 	q.sendHead(resp)
-	q.settled.Store(true)
 	err := q.copyBody(body)
 	return err == nil, err
 }
@@ -144,6 +149,9 @@
 		return false, err
 	}
 	if !q.headSent {
+		if err := q.proceed(); err != nil {
+			return false, err
+		}
 		resp.ContentLength = int64(len(head))
 		q.sendHead(resp)
 		_, _ = q.w.Write(head) // a caller that has disconnected needs no answer
@@ -194,16 +202,21 @@
 
 // forwardStream forwards events one by one. The header is sent with the first event
 // that has data; until then another target can answer instead.
-func (q *routedRun) forwardStream(a *proxy.Answer) (bool, error) {
+func (q *routedRun) forwardStream(a *openAnswer) (bool, error) {
 	delimited := serve.Delimited(a.Response)
 	a.Response.ContentLength = -1 // another target may have to continue the answer
-	events := proxy.NewEvents(a.Response.Body)
+	a.SetExpiry(q.deadline)
+	events := a.events
+	if events == nil {
+		events = proxy.NewEvents(a.Response.Body)
+	}
 	q.events.Begin()
-	next := q.nextEventDeadline()
 	var held []byte // comments and empty events before the first one with data
 	for {
-		a.SetExpiry(next)
-		e, err := events.Next()
+		e, err := a.first, error(nil)
+		if a.first = (proxy.Event{}); e.Raw == nil {
+			e, err = events.Next()
+		}
 		if errors.Is(err, io.EOF) {
 			err := q.endStream(a.Response, delimited, held)
 			return err == nil, err
@@ -225,6 +238,9 @@
 		if !forwardable {
 			continue
 		}
+		if err := q.proceedTo(e); err != nil {
+			return false, err
+		}
 		if e.HasData {
 			q.recordEvent()
 		}
@@ -232,15 +248,32 @@
 			q.sendHead(a.Response)
 			e.Raw = append(held, e.Raw...)
 		}
+		moveAt := q.handover.expect(0)
 		if err := q.writeEvent(e.Raw, !events.Buffered()); err != nil {
 			return false, err
 		}
 		if e.HasData {
-			next = q.nextEventDeadline()
+			moveAt = q.node.clock.Now() + q.maxPause()
 		}
+		q.handover.expect(moveAt)
 	}
 }
 
+// proceed asks to forward the answer, or the rest of it. It fails with errHandedOver if
+// another target has taken the request over.
+func (q *routedRun) proceed() error {
+	return q.handover.proceed(q.events)
+}
+
+// proceedTo is proceed for the next event of a stream. An event without data does not
+// show that the target works on the request.
+func (q *routedRun) proceedTo(e proxy.Event) error {
+	if e.HasData {
+		q.handover.progress(q.node.clock.Now(), q.attemptEvents+1)
+	}
+	return q.proceed()
+}
+
 // endStream ends a stream at its answer's end. held is what was not forwarded yet of an
 // answer without data.
 func (q *routedRun) endStream(resp *http.Response, delimited bool, held []byte) error {
@@ -251,6 +284,9 @@
 		return err
 	}
 	if !q.headSent {
+		if err := q.proceed(); err != nil {
+			return err
+		}
 		q.sendHead(resp)
 		_, _ = q.w.Write(held) // a caller that has disconnected needs no answer
 	}
@@ -259,7 +295,6 @@
 
 // writeEvent sends an event to the caller. The target is not waited for meanwhile.
 func (q *routedRun) writeEvent(raw []byte, flush bool) error {
-	q.settled.Store(!q.events.MayResume())
 	q.node.health.suspend(q.healthRecord)
 	defer q.node.health.resume(q.healthRecord)
 	if _, err := q.w.Write(raw); err != nil {
@@ -297,14 +332,6 @@
 	q.lastEventAt = now
 }
 
-// nextEventDeadline returns the time by which the next event must arrive.
-func (q *routedRun) nextEventDeadline() sardine.Millis {
-	if !q.headSent || !q.mayMove() {
-		return q.deadline
-	}
-	return min(q.deadline, q.node.clock.Now()+q.maxPause())
-}
-
 // maxPause returns the pause after which the stream moves to another target:
 // longer than a healthy target needs, but less than the gap after which the
 // caller disconnects.
--- a/entry/routed_move.go
+++ b/entry/routed_move.go
@@ -44,11 +44,11 @@
 }
 
 // delayMove delays a request that moves to another target, if it is late
-// anyway.
-func (q *routedRun) delayMove(ctx context.Context) {
+// anyway. Its last event arrived at lastEventAt, 0 before the first.
+func (q *routedRun) delayMove(ctx context.Context, lastEventAt sardine.Millis) {
 	n := q.node
 	now := n.clock.Now()
-	if q.route.Kind != sardine.RouteStream || !q.overdue(now) {
+	if q.route.Kind != sardine.RouteStream || !q.overdue(now, lastEventAt) {
 		return
 	}
 	name := q.service.routeName()
@@ -58,9 +58,9 @@
 
 // overdue reports whether the first event, or the next one, has already missed
 // its objective.
-func (q *routedRun) overdue(now sardine.Millis) bool {
-	if q.lastEventAt == 0 {
+func (q *routedRun) overdue(now, lastEventAt sardine.Millis) bool {
+	if lastEventAt == 0 {
 		return now-q.arrived > q.route.Objective
 	}
-	return q.route.MaxGap > 0 && now-q.lastEventAt > q.route.MaxGap
+	return q.route.MaxGap > 0 && now-lastEventAt > q.route.MaxGap
 }
--- a/entry/routed_pick.go
+++ b/entry/routed_pick.go
@@ -1,58 +1,82 @@
 package entry
 
 import (
+	"errors"
+	"slices"
+
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/place"
 	"sardineswitch.dev/sardine/route"
 )
 
+// errTargetLeft means that the chosen target was removed before the dispatch.
+var errTargetLeft = codes.New(codes.NoTarget, "the chosen target has just left")
+
 // pick chooses a target that is not suspected and has not been tried.
 func (q *routedRun) pick() (*route.Choice, error) {
-	n := q.node
-	wanted := route.Request{Service: q.service.routeName(), PromptTokens: q.call.PromptTokens}
-	wanted.Exclude = append(n.health.suspects(), q.tried...)
-	choice, err := n.gate.pick(wanted)
-	if err != nil && len(wanted.Exclude) > len(q.tried) { // a suspected target is better than none
-		wanted.Exclude = q.tried
-		choice, err = n.gate.pick(wanted)
+	resumed := q.events.Last() != ""
+	suspects := q.node.health.suspects()
+	choice, rank, err := q.choose(slices.Concat(suspects, q.tried), resumed, q.probing)
+	if len(suspects) > 0 && isNoCandidate(err) { // a suspected target is better than none
+		choice, rank, err = q.choose(q.tried, resumed, q.probing)
 	}
-	if err != nil {
+	q.rank = rank
+	switch {
+	case errors.Is(err, errTargetLeft):
+		q.unsent++
+	case isNoCandidate(err):
 		q.unsent = maxUnsent // no other candidate is left
-		return nil, err
+	}
+	return choice, err
+}
+
+// isNoCandidate reports whether choose has found no target.
+func isNoCandidate(err error) bool {
+	return err != nil && !errors.Is(err, errTargetLeft) && !codes.Is(err, codes.QueueFull)
+}
+
+// choose chooses a target that is not excluded, and the rank of the request in its
+// queue. A resumed request continues a stream, a probing one finds out whether a segment
+// makes targets fail.
+func (q *routedRun) choose(exclude []route.Ref, resumed, probing bool) (*route.Choice, int, error) {
+	n := q.node
+	choice, err := n.gate.pick(route.Request{Service: q.service.routeName(), PromptTokens: q.call.PromptTokens, Exclude: exclude})
+	if err != nil {
+		return nil, noRank, err
 	}
 	if !n.view().current(choice.Candidate) {
 		n.gate.finish(choice, route.DispatchResult{Canceled: true})
-		q.unsent++
-		return nil, codes.New(codes.NoTarget, "the chosen target has just left")
+		return nil, noRank, errTargetLeft
 	}
-	if !q.assignRank(choice) {
+	rank, ok := q.rankAt(choice, resumed, probing)
+	if !ok {
 		n.gate.finish(choice, route.DispatchResult{Canceled: true})
-		return nil, codes.New(codes.QueueFull, "the least loaded target has %.0f requests already", choice.TargetRequests)
+		return nil, rank, codes.New(codes.QueueFull, "the least loaded target has %.0f requests already", choice.TargetRequests)
 	}
-	return choice, nil
+	return choice, rank, nil
 }
 
-// assignRank ranks the request by the load of its target, and reports whether
-// it may be sent at all.
-func (q *routedRun) assignRank(c *route.Choice) bool {
-	q.rank = -1
+// noRank is the rank of a request at a target without ranks.
+const noRank = -1
+
+// rankAt ranks the request by the load of a target, and reports whether it may be sent
+// there at all.
+func (q *routedRun) rankAt(c *route.Choice, resumed, probing bool) (rank int, ok bool) {
 	slots := q.slots()
 	if slots == 0 {
-		return true
+		return noRank, true
 	}
 	now := q.node.clock.Now()
-	rank, ok := place.Rank(place.Request{
+	return place.Rank(place.Request{
 		TargetRequests: c.TargetRequests,
 		Slots:          slots,
 		Saturated:      c.Saturated,
-		Probe:          q.probing,
+		Probe:          probing,
 		Late:           q.waited+now-q.arrived > q.route.Objective,
-		Resumed:        q.events.Last() != "",
+		Resumed:        resumed,
 		Bound:          q.node.batchBounds.Bound(now, q.service.routeName()),
 	})
-	q.rank = rank
-	return ok
 }
 
 // engine returns the properties of the service's engines, nil if it has none.
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -118,13 +118,15 @@
 			_, err := q.events.ShouldForward(proxy.Event{ID: c.last, HasData: true})
 			require.NoError(t, err)
 		}
-		require.Equal(t, c.placed, q.assignRank(&route.Choice{TargetRequests: c.requests, Saturated: c.standing}), "%+v", c)
-		require.Equal(t, c.rank, q.rank, "%+v", c)
+		rank, placed := q.rankAt(&route.Choice{TargetRequests: c.requests, Saturated: c.standing}, q.events.Last() != "", false)
+		require.Equal(t, c.placed, placed, "%+v", c)
+		require.Equal(t, c.rank, rank, "%+v", c)
 	}
 	q := newRoutedRun(routedNode(), sardine.RouteSafe)
 	q.name = "app"
-	require.True(t, q.assignRank(&route.Choice{TargetRequests: 1000}), "plain services have no batches")
-	require.Negative(t, q.rank)
+	rank, placed := q.rankAt(&route.Choice{TargetRequests: 1000}, false, false)
+	require.True(t, placed, "plain services have no batches")
+	require.Negative(t, rank)
 }
 
 func TestMayMove(t *testing.T) {
@@ -144,44 +146,79 @@
 	require.False(t, newRoutedRun(n, sardine.RouteStream).mayMove(), "the retry limit is used up")
 }
 
-// Guards against requests that are cut off because their target is silent, though no
-// other target can take them, or though the retry limit does not allow for it.
+// Guards against requests that are sent to another target because theirs is silent, though
+// that one is suspected, too, or no attempt is left.
 func TestRequestsLeaveStalledTargetOnlyForAnother(t *testing.T) {
 	n := routedNode()
 	first, second := route.Ref{VM: "vm1", Incarnation: 1}, route.Ref{VM: "vm2", Incarnation: 1}
 	q := newRoutedRun(n, sardine.RouteSafe)
-	q.triedBefore = []route.Ref{first}
-	require.False(t, q.leaves([]route.Ref{first, second}), "both are silent")
-	require.True(t, q.leaves([]route.Ref{first}))
-	for n.retries.take(n.clock.Now(), "s") {
-		continue
-	}
-	require.True(t, q.mayRetry(errStalled), "the retry was counted when it left")
-	require.False(t, q.mayRetry(errStalled))
-	require.False(t, q.leaves([]route.Ref{first}), "the retry limit is used up")
-	q = newRoutedRun(routedNode(), sardine.RouteSafe)
+	h := &handover{run: q, attempts: 1, tried: []route.Ref{first}}
+	require.False(t, h.mayMove([]route.Ref{first, second}), "both are silent")
+	require.True(t, h.mayMove([]route.Ref{first}))
+	h.refused = maxHandoverRefusals
+	require.False(t, h.mayMove([]route.Ref{first}), "it was refused too often")
+	h.refused, h.ran = 0, 1
+	require.False(t, h.mayMove([]route.Ref{first}), "another target may have run it")
+	h.ran, h.tried = 0, []route.Ref{first, second}
+	require.False(t, h.mayMove([]route.Ref{first}), "no target is left")
 	q.tried = []route.Ref{first, second}
 	require.False(t, q.mayMove(), "no target is left")
 }
 
+// The attempts that may not leave their target have no handover.
+func TestOnlyRequestsThatMayMoveHaveAHandover(t *testing.T) {
+	n := routedNode()
+	n.inFlight = newInFlight()
+	for name, c := range map[string]struct {
+		kind     sardine.RouteKind
+		attempts int
+		headSent bool
+		want     bool
+	}{
+		"safe":                       {sardine.RouteSafe, 0, false, true},
+		"stream":                     {sardine.RouteStream, 0, false, true},
+		"unsafe":                     {sardine.RouteUnsafe, 0, false, false},
+		"last attempt":               {sardine.RouteSafe, 1, false, false},
+		"began, can't be resumed":    {sardine.RouteStream, 0, true, false},
+		"began as the last attempt":  {sardine.RouteStream, 1, true, false},
+		"a second attempt, too late": {sardine.RouteStream, 2, false, false},
+	} {
+		q := newRoutedRun(n, c.kind)
+		q.attempts, q.headSent = c.attempts, c.headSent
+		end := q.startHandover(context.Background(), func(error) {}, dispatched{})
+		require.Equal(t, c.want, q.handover != nil, name)
+		require.Equal(t, c.want, n.inFlight.count() == 1, name)
+		end()
+		require.Zero(t, n.inFlight.count(), name)
+	}
+}
+
 // A request that could not leave a stalled target does so once another target responds.
 func TestStalledDispatchesLeaveOnceAnotherTargetResponds(t *testing.T) {
 	first, second := route.Ref{VM: "vm1", Incarnation: 1}, route.Ref{VM: "vm2", Incarnation: 1}
 	f := newInFlight()
-	ctx, _, end := f.begin(context.Background(), route.Candidate{Ref: first}, leavesWith(1))
-	defer end()
-	f.cancelStalled([]route.Ref{first, second}, []route.Ref{first, second})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	defer f.add(route.Candidate{Ref: first}, cancel, leavesWith{suspects: 1, cancel: cancel})()
+	f.leaveSilent(0, []route.Ref{first, second}, []route.Ref{first, second})
 	require.NoError(t, ctx.Err())
-	f.cancelStalled(nil, []route.Ref{first})
+	f.leaveSilent(0, nil, []route.Ref{first})
 	require.ErrorIs(t, context.Cause(ctx), errStalled)
 }
 
-// leavesWith is a request that leaves its target while this many are suspected.
-type leavesWith int
+// leavesWith is a request that leaves its target while this many targets are suspected.
+type leavesWith struct {
+	suspects int
+	cancel   context.CancelCauseFunc
+}
 
-func (leavesWith) isSettled() bool { return false }
+func (leavesWith) isSilent(sardine.Millis) bool { return false }
 
-func (l leavesWith) leaves(suspects []route.Ref) bool { return len(suspects) == int(l) }
+func (l leavesWith) leave(_ sardine.Millis, cause error, suspects []route.Ref) {
+	if len(suspects) == l.suspects {
+		l.cancel(cause)
+	}
+}
 
 // Callers take 429 and 503 as a promise that the request did not run, and any
 // other 4xx as their own error. This checks the status of all codes.
--- a/entry/segments.go
+++ b/entry/segments.go
@@ -109,11 +109,17 @@
 // concerned. The error is one of codes.PoisonRequest, codes.SegmentSuspected and the
 // cause of ctx's cancellation.
 func (q *routedRun) awaitSegments(ctx context.Context) (err error) {
-	hold := sardine.Millis(segmentHoldShare * float64(q.disconnectGap()))
-	q.probing, err = q.losses.awaitSegments(ctx, min(q.deadline, q.node.clock.Now()+hold))
+	q.probing, err = q.losses.awaitSegments(ctx, q.segmentDeadline())
 	return err
 }
 
+// segmentDeadline returns until when the request may wait for the verdict on one of its
+// segments from now on.
+func (q *routedRun) segmentDeadline() sardine.Millis {
+	hold := sardine.Millis(segmentHoldShare * float64(q.disconnectGap()))
+	return min(q.deadline, q.node.clock.Now()+hold)
+}
+
 // awaitSegments waits, at most until the given instant, until the request may be sent,
 // and reports whether it is a probe or a trial of one of its segments.
 func (l *losses) awaitSegments(ctx context.Context, until sardine.Millis) (probing bool, err error) {
--- a/event/table.go
+++ b/event/table.go
@@ -69,6 +69,7 @@
 	SegmentStruck   ID = 513
 	SegmentCleared  ID = 514
 	SegmentProbed   ID = 515
+	HandoverFailed  ID = 516
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -127,6 +128,7 @@
 	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
 	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
 	{AttemptFailed, "attempt_failed", slog.LevelInfo, "a target did not answer a request in full", "see the code and target attributes"},
+	{HandoverFailed, "handover_failed", slog.LevelInfo, "a request should leave its target for the reason given and no other target has taken it over; it stays, and tries so again", "see the reason and error attributes"},
 	{RequestServed, "request_served", slog.LevelInfo, "a request was answered in full; only a sample, selected by request id, is logged", "nothing"},
 	{RequestLate, "request_late", slog.LevelInfo, "the first piece of an answer came too late, or a pause between two pieces was too long, for its route's objectives", "see sardctl losses"},
 	{RequestLeft, "request_left", slog.LevelInfo, "a caller disconnected, or its deadline passed, before its answer was complete", "see sardctl losses"},
