standin stop: planned stops of real nodes under load, judged by the rule

No rig of this repository played that: soak speaks the own interface, the tests of package platform run in one process.

Package platform/roll starts controld and entryd with settings rendered from deploy/*.tmpl, five stand-in workers with streams of 0.1 to 6 s, and 120 to 300 callers that use their connections as long as they last.

--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -33,6 +33,7 @@
 			newVary,
 			newLoad,
 			newSoak,
+			newStop,
 			newReport,
 			func() *cobra.Command { return launch.NewVersion("standin") },
 		},
