Test that changes of the leader alone lose no group

An entry node's view changes only by committed entries and never goes back (follow.applyUpdates), and a new leader declares no target lost for 4 s, so that groups stay. The test changes the leader 48 times in six simulated sites, after gaps of 0.3 to 2.3 s, and finds the same groups and epochs at each tenth of a second.

One path remains by design (fleet.observedStalled): a target that no home has reported to the new leader yet, and whose silence an entry node has reported, counts as lost before the 4 s are over.

--- a/standin/fake/demand_test.go
+++ b/standin/fake/demand_test.go
@@ -357,3 +357,34 @@
 		require.Greater(t, 4*w.Serving("large")+3*w.Serving("small"), demandDomains*demandPerDomain/2)
 	}
 }
+
+// TestLeaderChangesAloneLoseNoGroup guards against a new leader, which knows no
+// announcement yet, that declares sound groups lost: entry nodes would end their
+// requests.
+func TestLeaderChangesAloneLoseNoGroup(t *testing.T) {
+	for seed := range uint64(6) {
+		w := demandWorld(t, 40+seed)
+		require.NoError(t, w.Run(w.now+20*sardine.Second))
+		before := w.servingEpochs()
+		require.NotEmpty(t, before)
+		for i := range 8 {
+			gap := sardine.Millis(300 + 400*((i+int(seed))%6))
+			w.ChangeLeader(gap, 2*gap)
+			for range 50 {
+				require.NoError(t, w.Run(w.now+100))
+				require.Equal(t, before, w.servingEpochs(), "seed %d, change %d", seed, i)
+			}
+		}
+	}
+}
+
+// servingEpochs returns the epochs of the serving groups.
+func (w *World) servingEpochs() map[sardine.GroupID]sardine.Epoch {
+	epochs := make(map[sardine.GroupID]sardine.Epoch)
+	for _, g := range w.committed.Groups() {
+		if g.State == sardine.GroupServing {
+			epochs[g.ID] = g.Epoch
+		}
+	}
+	return epochs
+}
