Do not count an event as forwarded if another target has taken the stream over

Cause: forwardStream advanced the position in the stream before it asked the handover, which refused the event; the second target's event with the same number was then skipped as known.

Change: the position is restored if the event is not forwarded.

--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -231,6 +231,7 @@
 			held = append(held, e.Raw...)
 			continue
 		}
+		before := q.events
 		forwardable, err := q.events.ShouldForward(e)
 		if err != nil {
 			return false, err
@@ -239,6 +240,7 @@
 			continue
 		}
 		if err := q.proceedTo(e); err != nil {
+			q.events = before // the event is not forwarded
 			return false, err
 		}
 		if e.HasData {
