End a handover to a target that stalls, too

Callers got 504 at the time limit, though a third target was free: a search for a target to take a request over had no limit until the head of an answer, and its dispatch wasn't among those that leave a stalled target or a lost group.

TestSiteReadLeavesTwoHangingWorkers failed on (504) and passes.

--- a/entry/successor.go
+++ b/entry/successor.go
@@ -85,6 +85,10 @@
 	q, n := h.run, h.run.node
 	ref := next.choice.Candidate.Ref
 	h.tried = append(h.tried, ref)
+	third := h.attempts+h.ran+1 < q.route.MaxAttempts // another target may be tried after this one
+	if third {
+		defer n.inFlight.add(next.choice.Candidate, next.cancel, nil)()
+	}
 	answer, failed := n.proxy.Open(next.ctx, q.exchange(next.choice, s.position.Last(), next.rank))
 	if failed != nil {
 		if codes.Is(failed, codes.NoTarget) {
@@ -101,7 +105,7 @@
 	}
 	next.answer = answer
 	n.health.progress(next.health, false)
-	if h.attempts+h.ran+1 < q.route.MaxAttempts { // a third target is possible
+	if third {
 		answer.SetExpiry(min(q.deadline, n.clock.Now()+sardine.Millis(moveShare*float64(q.disconnectGap()))))
 	}
 	if err := next.begin(q.route, s.position); err != nil {
