Give the body of an answer that took a request over the request's time

The limit for the beginning of the second target's answer stayed on its connection, so a longer body was cut off after its head had been sent.

TestSiteSlowBodyIsWholeAfterHandover failed on (unexpected EOF) and passes.

--- a/entry/successor.go
+++ b/entry/successor.go
@@ -116,6 +116,7 @@
 		next.abandon()
 		return err
 	}
+	answer.SetExpiry(q.deadline)
 	n.health.progress(next.health, next.events != nil)
 	return nil
 }
