Keep a target's error if a handover has tried the other targets

Callers got 502 instead of their target's answer: mayMove did not count the targets that a handover had tried, so the answer was dropped although nothing else was left.

TestSiteKeepsErrorThatNoOtherWorkerReplaces failed on (502) and passes.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -216,6 +216,21 @@
 	}
 }
 
+// spent returns the targets that may not be tried again, given those of the earlier
+// attempts, and the number of further targets that may have run the request. While a
+// search goes on, its target may still take the request over.
+func (h *handover) spent(earlier []route.Ref) (tried []route.Ref, ran int) {
+	if h == nil {
+		return earlier, 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.search != nil || h.next != nil {
+		return earlier, 0
+	}
+	return h.tried, h.ran
+}
+
 // takeover returns the target that takes over the request after a failed attempt, nil
 // if there is none.
 func (q *routedRun) takeover() *successor {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -356,7 +356,8 @@
 // waiting, because a silent target may still be working on it.
 func (q *routedRun) mayMove() bool {
 	n := q.node
-	return n.view().hasOther(q.service, q.tried, nil) && q.route.Idempotent() && q.acceptsAnswer() && q.attempts+q.uncounted() < max(q.route.MaxAttempts, 1) && n.retries.available(n.clock.Now(), q.name)
+	tried, ran := q.handover.spent(q.tried)
+	return n.view().hasOther(q.service, tried, nil) && q.route.Idempotent() && q.acceptsAnswer() && q.attempts+q.uncounted()+ran < max(q.route.MaxAttempts, 1) && n.retries.available(n.clock.Now(), q.name)
 }
 
 // acceptsAnswer reports whether another target's answer may follow what the caller has
