Bound the search of a handover, and let it ask a target again that has refused

Found by review of the handover. Callers would see: an answer held past the request's deadline while a search runs; a stream that stays at a frozen target although one that refused it once has a place now.

Change: a request whose time is up, or whose caller has left, ends its search. A refusal excludes the target for that search only; three of them end the searches. A search needs an available retry before it starts. A dial that was canceled does not mark its target as suspected. A group that is intact again is not left. The search logs what it knows itself of whether the request ran (data race on q.ran). A target that was silent until the deadline in a search counts as lost, as one of an attempt.

Measured: TestSite(Keeps|Read|Stream|Slow) and FailsItsWorkers pass. Before the last point, TestSiteStopsSendingARequestThatFailsItsWorkers/silent failed.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -20,6 +20,9 @@
 	// maxHandoverRefusals bounds the targets that refuse to take over an attempt
 	// without running it.
 	maxHandoverRefusals = 3
+	// searchEnd is how long a request whose time is up waits for the end of its search,
+	// which may have lost a target.
+	searchEnd = 50 * sardine.Millis(1)
 )
 
 // errHandedOver ends an attempt whose request another target has taken over.
@@ -45,7 +48,7 @@
 	notBefore sardine.Millis // of the next search
 	tried     []route.Ref    // targets that may not take the request over
 	ran       int            // targets that may have run the request without taking it over
-	refused   int            // targets that refused it
+	refused   []route.Ref    // targets that refused it
 	logged    bool           // a failed search was logged
 	search    *search        // the running one, nil if there is none
 	next      *successor     // the target that has taken the request over
@@ -98,7 +101,9 @@
 // mayMove reports whether a further attempt at another target is allowed.
 func (h *handover) mayMove(suspects []route.Ref) bool {
 	q := h.run
-	return h.refused < maxHandoverRefusals && h.attempts+h.ran < q.route.MaxAttempts && q.node.view().hasOther(q.service, h.tried, suspects)
+	n := q.node
+	return len(h.refused) < maxHandoverRefusals && h.attempts+h.ran < q.route.MaxAttempts &&
+		n.view().hasOther(q.service, h.tried, suspects) && n.retries.available(n.clock.Now(), q.name)
 }
 
 // perform runs a search. If a target takes the request over, it ends the current attempt.
@@ -181,8 +186,8 @@
 // errHandoverObsolete cancels a search because the current target answers.
 var errHandoverObsolete = codes.New(codes.TargetFailed, "the target answers")
 
-// complete ends the handover of an attempt that has completed the request.
-func (h *handover) complete() {
+// complete ends the handover of a request that needs no other target any more.
+func (h *handover) complete(cause error) {
 	if h == nil {
 		return
 	}
@@ -190,29 +195,30 @@
 	defer h.mu.Unlock()
 	h.ended = true
 	if h.search != nil {
-		h.search.cancel(nil)
+		h.search.cancel(cause)
 	}
 	if h.next != nil {
 		h.next.abandon()
 	}
 }
 
-// await returns the target that takes over a request whose attempt has failed, nil if
-// there is none. It waits for a search that is running.
-func (h *handover) await() *successor {
-	if h == nil {
-		return nil
-	}
+// await waits for a search that is running, at most until the given instant. It returns
+// false if the search still runs then.
+func (h *handover) await(until sardine.Millis) bool {
+	n := h.run.node
 	for {
 		h.mu.Lock()
 		running := h.search
+		h.ended = h.ended || running == nil
+		h.mu.Unlock()
 		if running == nil {
-			h.ended = true
-			h.mu.Unlock()
-			return h.next
+			return true
+		}
+		select {
+		case <-running.done:
+		case <-n.clock.After(max(until-n.clock.Now(), 0)):
+			return false
 		}
-		h.mu.Unlock()
-		<-running.done
 	}
 }
 
@@ -228,17 +234,27 @@
 	if h.search != nil || h.next != nil {
 		return earlier, 0
 	}
-	return h.tried, h.ran
+	return slices.Concat(h.tried, h.refused), h.ran
 }
 
-// takeover returns the target that takes over the request after a failed attempt, nil
-// if there is none.
-func (q *routedRun) takeover() *successor {
-	next := q.handover.await()
-	if h := q.handover; h != nil {
-		q.tried = h.tried
-		q.attempts += h.ran
-		q.handover = nil
+// takeover returns the target that takes over the request after an attempt that failed
+// with err, nil if there is none or nobody waits for the answer any more.
+func (q *routedRun) takeover(err error) *successor {
+	h := q.handover
+	q.handover = nil
+	if h == nil {
+		return nil
+	}
+	if errors.Is(err, errCallerLeft) {
+		h.complete(nil)
+		return nil
+	}
+	if now := q.node.clock.Now(); now >= q.deadline || !h.await(q.deadline) {
+		h.complete(errDeadline)
+		h.await(now + searchEnd)
+		return nil
 	}
-	return next
+	q.tried = h.tried
+	q.attempts += h.ran
+	return h.next
 }
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -42,7 +42,7 @@
 	cancel    context.CancelCauseFunc
 	request   movable // nil if it is canceled at once
 	stalled   bool    // its target has stalled
-	lost      bool    // its group has lost a member
+	lost      bool    // its group is not intact
 }
 
 // cause returns why the request should leave its target, nil if it should stay.
@@ -115,8 +115,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range f.all {
-		if v.lost(d.candidate) {
-			d.lost = true
+		if d.lost = v.lost(d.candidate); d.lost {
 			d.leave(now, suspects)
 		}
 	}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -183,7 +183,7 @@
 			q.served()
 			return
 		}
-		next = q.takeover()
+		next = q.takeover(err)
 		if ctx.Err() != nil {
 			if next != nil {
 				next.abandon()
@@ -291,7 +291,7 @@
 		}
 		q.ran = combine(q.ran, failed.Ran())
 		n.gate.finish(choice, route.DispatchResult{Canceled: failed.Ran() == sardine.RanNo})
-		q.logAttempt(choice, failed)
+		q.logAttempt(choice, failed, q.ran)
 		if failed.Ran() != sardine.RanNo {
 			q.losses.recordLoss(attemptCtx, target, 0, failed)
 		}
@@ -326,11 +326,11 @@
 	left := errors.Is(err, errCallerLeft)
 	n.gate.finish(choice, route.DispatchResult{OK: whole, Canceled: left})
 	if err == nil {
-		q.handover.complete()
+		q.handover.complete(nil)
 		return nil
 	}
 	cause := q.causeOf(ctx, err)
-	q.logAttempt(choice, cause)
+	q.logAttempt(choice, cause, q.ran)
 	if !errors.Is(err, errTargetError) && !left {
 		q.losses.recordLoss(ctx, target, q.attemptEvents, err)
 	}
--- a/entry/routed_end.go
+++ b/entry/routed_end.go
@@ -111,9 +111,9 @@
 	return retryDelay/2 + spread
 }
 
-func (q *routedRun) logAttempt(choice *route.Choice, err error) {
+func (q *routedRun) logAttempt(choice *route.Choice, err error, ran sardine.Ran) {
 	q.node.meter.attempted(err)
-	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.losses.poison), codeAttr(err), ranAttr(q.ran),
+	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.losses.poison), codeAttr(err), ranAttr(ran),
 		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
 		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
 }
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -231,18 +231,13 @@
 			held = append(held, e.Raw...)
 			continue
 		}
-		before := q.events
-		forwardable, err := q.events.ShouldForward(e)
+		forwardable, err := q.accept(e)
 		if err != nil {
 			return false, err
 		}
 		if !forwardable {
 			continue
 		}
-		if err := q.proceedTo(e); err != nil {
-			q.events = before // the event is not forwarded
-			return false, err
-		}
 		if e.HasData {
 			q.recordEvent()
 		}
@@ -261,6 +256,21 @@
 	}
 }
 
+// accept reports whether to forward the next event of a stream. It fails if the event is
+// not part of the stream, or with errHandedOver.
+func (q *routedRun) accept(e proxy.Event) (bool, error) {
+	before := q.events
+	forwardable, err := q.events.ShouldForward(e)
+	if err != nil || !forwardable {
+		return false, err
+	}
+	if err := q.proceedTo(e); err != nil {
+		q.events = before // the event is not forwarded
+		return false, err
+	}
+	return true, nil
+}
+
 // proceed asks to forward the answer, or the rest of it. It fails with errHandedOver if
 // another target has taken the request over.
 func (q *routedRun) proceed() error {
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -155,9 +155,9 @@
 	h := &handover{run: q, attempts: 1, tried: []route.Ref{first}}
 	require.False(t, h.mayMove([]route.Ref{first, second}), "both are silent")
 	require.True(t, h.mayMove([]route.Ref{first}))
-	h.refused = maxHandoverRefusals
+	h.refused = make([]route.Ref, maxHandoverRefusals)
 	require.False(t, h.mayMove([]route.Ref{first}), "it was refused too often")
-	h.refused, h.ran = 0, 1
+	h.refused, h.ran = nil, 1
 	require.False(t, h.mayMove([]route.Ref{first}), "another target may have run it")
 	h.ran, h.tried = 0, []route.Ref{first, second}
 	require.False(t, h.mayMove([]route.Ref{first}), "no target is left")
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -61,6 +61,9 @@
 		return nil, err
 	}
 	q.delayMove(ctx, s.lastAt)
+	if n.clock.Now() >= q.deadline {
+		return nil, errDeadline
+	}
 	choice, rank, err := q.choose(slices.Concat(n.health.suspects(), h.tried), s.position.Last() != "", probing)
 	if err != nil {
 		return nil, err
@@ -74,7 +77,9 @@
 		health: n.health.begin(choice.Candidate),
 	}
 	if err := h.open(next, s); err != nil {
-		q.logAttempt(choice, err)
+		if ctx.Err() == nil {
+			q.logAttempt(choice, err, sardine.RanUnknown)
+		}
 		return nil, err
 	}
 	return next, nil
@@ -84,25 +89,26 @@
 func (h *handover) open(next *successor, s *search) error {
 	q, n := h.run, h.run.node
 	ref := next.choice.Candidate.Ref
-	h.tried = append(h.tried, ref)
 	third := h.attempts+h.ran+1 < q.route.MaxAttempts // another target may be tried after this one
 	if third {
 		defer n.inFlight.add(next.choice.Candidate, next.cancel, nil)()
 	}
 	answer, failed := n.proxy.Open(next.ctx, q.exchange(next.choice, s.position.Last(), next.rank))
 	if failed != nil {
-		if codes.Is(failed, codes.NoTarget) {
+		if codes.Is(failed, codes.NoTarget) && next.ctx.Err() == nil {
 			n.health.unreachable(ref)
 		}
 		if failed.Ran() == sardine.RanNo {
-			h.refused++
+			h.refused = append(h.refused, ref) // it may have a place later
 		} else {
 			h.ran++
-			q.losses.recordLoss(next.ctx, next.target, 0, failed)
+			h.tried = append(h.tried, ref)
+			h.recordLoss(next, failed)
 		}
 		next.release()
 		return failed
 	}
+	h.tried = append(h.tried, ref)
 	next.answer = answer
 	n.health.progress(next.health, false)
 	if third {
@@ -111,7 +117,7 @@
 	if err := next.begin(q.route, s.position); err != nil {
 		h.ran++
 		if !errors.Is(err, errTargetError) {
-			q.losses.recordLoss(next.ctx, next.target, 0, err)
+			h.recordLoss(next, err)
 		}
 		next.abandon()
 		return err
@@ -121,6 +127,16 @@
 	return nil
 }
 
+// recordLoss records that a target has not taken the request over. One that was silent
+// until the request's time was up may have exited.
+func (h *handover) recordLoss(s *successor, err error) {
+	if errors.Is(context.Cause(s.ctx), errDeadline) {
+		h.run.losses.recordSilence(s.target, 0)
+		return
+	}
+	h.run.losses.recordLoss(s.ctx, s.target, 0, err)
+}
+
 // begin reads an answer up to the first event that continues the stream at the given
 // position, or its head if it is no stream. It fails if the answer can't follow what the
 // caller has.
