--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -1,25 +1,285 @@
 package quota
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
 	sardine "sardineswitch.dev/sardine"
 )
 
+const (
+	// settleTime is how long a new allocator only collects reports.
+	settleTime = 1 * sardine.Second
+	// updateInterval is the least time between two calculations of the shares.
+	updateInterval = 200 * sardine.Millis(1)
+	// nodeTerm is the age up to which a node's report counts.
+	nodeTerm = 3 * sardine.Second
+	// targetTerm is how long a target is kept that no node reports.
+	targetTerm = 5 * sardine.Second
+	// replaceTime is how long a node may go on using a share that was replaced.
+	// It covers the way of the new one with two lost reports.
+	replaceTime = 2 * sardine.Second
+	// evenShare is the part of the mean demand that is added to each node's
+	// demand.
+	evenShare = 0.15
+	// shareHysteresis is the relative change below which a share is kept.
+	shareHysteresis = 0.1
+	// memberBonus is the factor to the weight of a node that may use a target
+	// already, in the choice of those that may.
+	memberBonus = 1.5
+)
+
+// nodeReport is a node's demand.
+type nodeReport struct {
+	at      sardine.Millis // when it was made
+	demands map[sardine.ServiceName]float64
+}
+
+// replacedRate is a rate that a node may still use.
+type replacedRate struct {
+	rate  float64
+	until sardine.Millis
+}
+
+// nodeShare is a node's share of one target's limit.
+type nodeShare struct {
+	rate       float64
+	replaced   []replacedRate
+	reported   float64 // rate that the node last reported
+	reportedAt sardine.Millis
+}
+
+// highest returns the highest rate that the node may use now.
+func (s *nodeShare) highest(now sardine.Millis) float64 {
+	s.replaced = slices.DeleteFunc(s.replaced, func(r replacedRate) bool { return r.until <= now })
+	highest := s.rate
+	for _, r := range s.replaced {
+		highest = max(highest, r.rate)
+	}
+	if now < s.reportedAt+replaceTime {
+		highest = max(highest, s.reported)
+	}
+	return highest
+}
+
+func (s *nodeShare) set(now sardine.Millis, rate float64) {
+	if rate < s.rate {
+		s.replaced = append(s.replaced, replacedRate{rate: s.rate, until: now + replaceTime})
+	}
+	s.rate = rate
+}
+
+// targetShares is what the nodes know of one target's limit, and their shares.
+type targetShares struct {
+	statement statement
+	service   sardine.ServiceName
+	seenAt    sardine.Millis // last report that contained the target
+	shares    map[sardine.NodeID]*nodeShare
+}
+
+func (t *targetShares) share(node sardine.NodeID) *nodeShare {
+	s := t.shares[node]
+	if s == nil {
+		s = &nodeShare{reportedAt: math.MinInt32}
+		t.shares[node] = s
+	}
+	return s
+}
+
 // Allocator divides the targets' limits among the entry nodes by their demand.
 // It is not safe for concurrent use.
 type Allocator struct {
-	startedAt sardine.Millis
+	startsAt  sardine.Millis
+	updatedAt sardine.Millis
+	nodes     map[sardine.NodeID]nodeReport
+	targets   map[Target]*targetShares
 }
 
-// NewAllocator returns an allocator that knows nothing.
+// NewAllocator returns an allocator without any reports. It allocates nothing
+// until all nodes have had the time to report.
 func NewAllocator(now sardine.Millis) *Allocator {
-	return &Allocator{startedAt: now}
+	return &Allocator{
+		startsAt:  now + settleTime,
+		updatedAt: now,
+		nodes:     make(map[sardine.NodeID]nodeReport),
+		targets:   make(map[Target]*targetShares),
+	}
+}
+
+// Report merges a node's report. A report that is older than the last one of
+// the node is ignored.
+func (a *Allocator) Report(now sardine.Millis, node sardine.NodeID, r Report) {
+	at := now - r.Age
+	if last, known := a.nodes[node]; known && at < last.at {
+		return
+	}
+	demands := make(map[sardine.ServiceName]float64, len(r.Demands))
+	for _, d := range r.Demands {
+		demands[d.Service] = d.Rate
+	}
+	a.nodes[node] = nodeReport{at: at, demands: demands}
+	for _, l := range r.Limits {
+		a.merge(now, at, node, l)
+	}
+}
+
+func (a *Allocator) merge(now, at sardine.Millis, node sardine.NodeID, l KnownLimit) {
+	s := statement{limited: l.Stated, limit: l.Limit, at: at - l.Age}
+	t := a.targets[l.Target]
+	if t == nil {
+		t = &targetShares{statement: s, shares: make(map[sardine.NodeID]*nodeShare)}
+		a.targets[l.Target] = t
+	}
+	t.statement = t.statement.merge(s)
+	t.seenAt = now
+	if l.Service != "" {
+		t.service = l.Service
+	}
+	own := t.share(node)
+	own.reported, own.reportedAt = l.Rate, at
+	if !l.Stated {
+		own.reported = 0
+	}
 }
 
-// Report merges a node's report.
-func (a *Allocator) Report(now sardine.Millis, node sardine.NodeID, r Report) {}
+// Allocations returns the limits of all targets with the shares of the nodes,
+// which are the entry nodes of the site.
+func (a *Allocator) Allocations(now sardine.Millis, nodes []sardine.NodeID) []Allocation {
+	if now < a.startsAt {
+		return nil
+	}
+	if now >= a.updatedAt+updateInterval {
+		a.update(now, nodes)
+	}
+	all := make([]Allocation, 0, len(a.targets))
+	for g, t := range a.targets {
+		rates := make(map[sardine.NodeID]float64, len(t.shares))
+		for node, s := range t.shares {
+			if s.rate > 0 {
+				rates[node] = s.rate
+			}
+		}
+		all = append(all, Allocation{
+			Target: g,
+			Limit:  t.statement.limit,
+			Stated: t.statement.limited,
+			Age:    max(now-t.statement.at, 0),
+			Rates:  rates,
+		})
+	}
+	slices.SortFunc(all, func(x, y Allocation) int { return x.Target.compare(y.Target) })
+	return all
+}
 
-// Shares returns the shares of a node, where nodes are the entry nodes of the
-// site.
+// Shares returns the shares of one node.
 func (a *Allocator) Shares(now sardine.Millis, node sardine.NodeID, nodes []sardine.NodeID) []Share {
-	return nil
+	allocations := a.Allocations(now, nodes)
+	shares := make([]Share, 0, len(allocations))
+	for _, x := range allocations {
+		shares = append(shares, x.ShareOf(node, 0))
+	}
+	return shares
+}
+
+// update calculates all shares.
+func (a *Allocator) update(now sardine.Millis, nodes []sardine.NodeID) {
+	a.updatedAt = now
+	maps.DeleteFunc(a.nodes, func(_ sardine.NodeID, r nodeReport) bool { return r.at+nodeTerm <= now })
+	maps.DeleteFunc(a.targets, func(_ Target, t *targetShares) bool { return t.seenAt+targetTerm <= now })
+	var active []sardine.NodeID
+	for _, node := range nodes {
+		if _, known := a.nodes[node]; known {
+			active = append(active, node)
+		}
+	}
+	slices.Sort(active)
+	for g, t := range a.targets {
+		if !t.statement.limited {
+			clear(t.shares)
+			continue
+		}
+		weights := a.weights(t.service, active)
+		t.divide(now, usableShares(t.statement.usable(), t.members(g.VM, active, weights), weights))
+	}
+}
+
+// weights returns the nodes' weights by their demand of a deployment.
+func (a *Allocator) weights(service sardine.ServiceName, nodes []sardine.NodeID) map[sardine.NodeID]float64 {
+	total := 0.0
+	for _, node := range nodes {
+		total += a.nodes[node].demands[service]
+	}
+	weights := make(map[sardine.NodeID]float64, len(nodes))
+	for _, node := range nodes {
+		weights[node] = 1
+		if total > 0 {
+			weights[node] = a.nodes[node].demands[service] + evenShare*total/float64(len(nodes))
+		}
+	}
+	return weights
+}
+
+// members returns the nodes that may use a target: the first ones of its
+// rendezvous order weighted by demand.
+func (t *targetShares) members(vm sardine.VMID, nodes []sardine.NodeID, weights map[sardine.NodeID]float64) []sardine.NodeID {
+	count := eligible(t.statement.limit, len(nodes))
+	if count == len(nodes) {
+		return nodes
+	}
+	scores := make(map[sardine.NodeID]float64, len(nodes))
+	for _, node := range nodes {
+		scores[node] = weights[node] / -math.Log(score(vm, node))
+		if s := t.shares[node]; s != nil && s.rate > 0 {
+			scores[node] *= memberBonus
+		}
+	}
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(x, y sardine.NodeID) int {
+		return cmp.Or(cmp.Compare(scores[y], scores[x]), cmp.Compare(x, y))
+	})
+	return ranked[:count]
+}
+
+// usableShares divides a rate among the members by weight.
+func usableShares(usable float64, members []sardine.NodeID, weights map[sardine.NodeID]float64) map[sardine.NodeID]float64 {
+	total := 0.0
+	for _, node := range members {
+		total += weights[node]
+	}
+	wanted := make(map[sardine.NodeID]float64, len(members))
+	for _, node := range members {
+		wanted[node] = usable * weights[node] / total
+	}
+	return wanted
+}
+
+// divide sets the nodes' shares to the wanted ones. Shares fall at once and rise
+// into what no other node can be using any more.
+func (t *targetShares) divide(now sardine.Millis, wanted map[sardine.NodeID]float64) {
+	total := 0.0
+	for node, rate := range wanted {
+		if s := t.share(node); rate > s.rate*(1-shareHysteresis) && rate < s.rate*(1+shareHysteresis) {
+			wanted[node] = s.rate
+		}
+		total += wanted[node]
+	}
+	usable := t.statement.usable()
+	free, missing := usable, 0.0
+	for node, s := range t.shares {
+		wanted[node] *= min(1, usable/max(total, usable))
+		highest := s.highest(now)
+		free -= highest
+		missing += max(wanted[node]-highest, 0)
+	}
+	fraction := min(1, max(free, 0)/max(missing, math.SmallestNonzeroFloat64))
+	for node, s := range t.shares {
+		highest := s.highest(now)
+		rate := min(wanted[node], highest+max(wanted[node]-highest, 0)*fraction)
+		s.set(now, rate)
+		if s.highest(now) <= 0 {
+			delete(t.shares, node)
+		}
+	}
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -157,7 +157,7 @@
 // refresh fills a target's bucket and sets the rate that holds from now on.
 func (t *Table) refresh(now sardine.Millis, e *entry) {
 	if e.hasShare && now > e.shareEnd && e.bucket.at < e.shareEnd {
-		e.bucket.setRate(e.shareEnd, e.bucket.rate)
+		e.bucket.setRate(e.shareEnd, t.rate(e.shareEnd, e))
 	}
 	e.bucket.setRate(now, t.rate(now, e))
 }
