--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -82,7 +82,7 @@
 func (t *targetShares) share(node sardine.NodeID) *nodeShare {
 	s := t.shares[node]
 	if s == nil {
-		s = &nodeShare{reportedAt: math.MinInt32}
+		s = &nodeShare{reportedAt: never}
 		t.shares[node] = s
 	}
 	return s
@@ -258,26 +258,34 @@
 // divide sets the nodes' shares to the wanted ones. Shares fall at once and rise
 // into what no other node can be using any more.
 func (t *targetShares) divide(now sardine.Millis, wanted map[sardine.NodeID]float64) {
+	for node := range wanted {
+		t.share(node)
+	}
+	nodes := slices.Sorted(maps.Keys(t.shares))
 	total := 0.0
-	for node, rate := range wanted {
-		if s := t.share(node); rate > s.rate*(1-shareHysteresis) && rate < s.rate*(1+shareHysteresis) {
-			wanted[node] = s.rate
+	for _, node := range nodes {
+		held := t.shares[node].rate
+		if rate := wanted[node]; rate > held*(1-shareHysteresis) && rate < held*(1+shareHysteresis) {
+			wanted[node] = held
 		}
 		total += wanted[node]
 	}
 	usable := t.statement.usable()
 	free, missing := usable, 0.0
-	for node, s := range t.shares {
+	for _, node := range nodes {
 		wanted[node] *= min(1, usable/max(total, usable))
-		highest := s.highest(now)
+		highest := t.shares[node].highest(now)
 		free -= highest
 		missing += max(wanted[node]-highest, 0)
 	}
-	fraction := min(1, max(free, 0)/max(missing, math.SmallestNonzeroFloat64))
-	for node, s := range t.shares {
+	fraction := 1.0
+	if missing > 0 {
+		fraction = min(1, max(free, 0)/missing)
+	}
+	for _, node := range nodes {
+		s := t.shares[node]
 		highest := s.highest(now)
-		rate := min(wanted[node], highest+max(wanted[node]-highest, 0)*fraction)
-		s.set(now, rate)
+		s.set(now, min(wanted[node], highest+max(wanted[node]-highest, 0)*fraction))
 		if s.highest(now) <= 0 {
 			delete(t.shares, node)
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,6 +12,9 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
+// never is earlier than any instant.
+const never sardine.Millis = math.MinInt32
+
 // ShareTerm is how long a share may be used after the node has asked for it.
 const ShareTerm = 3 * sardine.Second
 
@@ -43,10 +46,10 @@
 }
 
 // score returns a node's position in a target's rendezvous order, uniform in
-// (0,1]. The highest scores come first.
+// (0,1). The highest scores come first.
 func score(vm sardine.VMID, node sardine.NodeID) float64 {
 	hash := xxhash.Sum64String(string(vm) + "\x00" + string(node))
-	return (float64(hash>>11) + 1) / (1 << 53)
+	return (float64(hash>>11) + 0.5) / (1 << 53)
 }
 
 // rank returns the position of a node in a target's rendezvous order, the
--- a/quota/statement.go
+++ b/quota/statement.go
@@ -4,10 +4,16 @@
 	sardine "sardineswitch.dev/sardine"
 )
 
-// statementHold is how long a stated limit outweighs higher limits and answers
-// without one. It exceeds the time in which a statement reaches all nodes, so
+// A stated limit outweighs higher limits and answers without one for a while, so
 // that a target whose answers alternate keeps its lowest limit.
-const statementHold = 2 * sardine.Second
+const (
+	// minHold exceeds the time in which a statement reaches all nodes, with a lost
+	// report on the way.
+	minHold = 3 * sardine.Second
+	// holdRequests is the number of requests at the target's rate that the time
+	// spans.
+	holdRequests = 3.0
+)
 
 // statement is what nodes last learned from a target's answers about its
 // limit.
@@ -24,7 +30,7 @@
 	if second.at < first.at {
 		first, second = second, first
 	}
-	held := first.limited && second.at < first.at+statementHold
+	held := first.limited && second.at < first.at+first.hold()
 	switch {
 	case held && (!second.limited || second.limit > first.limit):
 		return first
@@ -33,6 +39,12 @@
 	}
 }
 
+// hold returns how long the statement outweighs higher limits and answers
+// without one.
+func (s statement) hold() sardine.Millis {
+	return max(minHold, sardine.Millis(holdRequests*1000/s.usable()))
+}
+
 // usable returns the rate that all nodes together may use.
 func (s statement) usable() float64 {
 	return usableRate(s.limit)
--- a/quota/table.go
+++ b/quota/table.go
@@ -13,9 +13,6 @@
 const Unlimited = -1.0
 
 const (
-	// removalAnswers is the number of answers without a limit in a row that
-	// remove one.
-	removalAnswers = 2
 	// removalRetention is how long the removal of a limit is reported.
 	removalRetention = 30 * sardine.Second
 	// demandSeconds is the time constant of the moving mean of the demand.
@@ -29,14 +26,14 @@
 
 // entry is what a node knows of one target's limit.
 type entry struct {
-	statement statement
-	unstated  int // answers without a limit in a row
-	bucket    bucket
-	shared    float64        // rate of the last share
-	sharedOf  float64        // usable rate of which it is a part
-	shareEnd  sardine.Millis // end of the last share
-	hasShare  bool
-	position  int // of the node in the target's rendezvous order
+	statement  statement
+	unstatedAt sardine.Millis // first answer without a limit after the last with one, if later than that
+	bucket     bucket
+	shared     float64        // rate of the last share
+	sharedOf   float64        // usable rate of which it is a part
+	shareEnd   sardine.Millis // end of the last share
+	hasShare   bool
+	position   int // of the node in the target's rendezvous order
 }
 
 // demand is the rate of arriving requests of one deployment.
@@ -103,23 +100,23 @@
 }
 
 // Observe records the head of an answer to a request sent at sentAt. A stated
-// limit holds at once. Answers without one remove it if the target ran the
-// requests and they were sent some time after the last that stated one.
+// limit holds at once. Two answers without one remove it if the target ran their
+// requests, the first of which was sent some time after the last answer with a
+// limit to any node, and the second as long after the first.
 func (t *Table) Observe(now, sentAt sardine.Millis, g Target, rate float64, stated, ran bool) {
 	e := t.entries[g]
 	switch {
 	case stated:
 		e = t.entry(now, g)
-		e.unstated = 0
 		t.learn(now, g, e, statement{limited: true, limit: rate, at: now}, true)
 	case e == nil || !ran:
 	case !e.statement.limited:
 		e.statement.at = max(e.statement.at, sentAt)
-	case sentAt >= e.statement.at+statementHold:
-		e.unstated++
-		if e.unstated >= removalAnswers {
-			t.learn(now, g, e, statement{at: sentAt}, true)
-		}
+	case sentAt < e.statement.at+e.statement.hold():
+	case e.unstatedAt < e.statement.at:
+		e.unstatedAt = now
+	case sentAt >= e.unstatedAt+e.statement.hold():
+		t.learn(now, g, e, statement{at: sentAt}, true)
 	}
 }
 
@@ -129,7 +126,12 @@
 	if e := t.entries[g]; e != nil {
 		return e
 	}
-	e := &entry{bucket: bucket{at: now}, statement: statement{at: math.MinInt32}, position: rank(g.VM, t.node, t.nodes)}
+	e := &entry{
+		statement:  statement{at: never},
+		unstatedAt: never,
+		bucket:     bucket{at: now},
+		position:   rank(g.VM, t.node, t.nodes),
+	}
 	t.entries[g] = e
 	return e
 }
@@ -139,7 +141,6 @@
 	before := e.statement
 	e.statement = before.merge(s)
 	if before.limited != e.statement.limited {
-		e.unstated = 0
 		e.hasShare = false
 		e.bucket = bucket{at: now}
 		if e.statement.limited {
