--- a/ctlapi/reports.go
+++ b/ctlapi/reports.go
@@ -98,7 +98,7 @@
 // Witness reports what an entry node observes of targets, to one control node. A report
 // that is refused goes to the next one; after a lost reply none is sent again, since the
 // next report follows soon.
-func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) ([]*wire.Crowd, error) {
+func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) (*wire.WitnessReply, error) {
 	candidates := c.ReportCandidates(request.GetNode())
 	err := error(codes.New(codes.NoQuorum, "no control node is known"))
 	for _, address := range candidates[:min(reportAttempts, len(candidates))] {
@@ -110,7 +110,7 @@
 		}
 		if err = ErrorOf(answer.GetFault()); err == nil {
 			c.reports.accepted(address)
-			return answer.GetCrowds(), nil
+			return answer, nil
 		}
 		c.reports.failed(time.Now(), address)
 	}
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -12,6 +12,7 @@
 	"sardineswitch.dev/sardine/lease"
 	"sardineswitch.dev/sardine/limit"
 	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/quota"
 	"sardineswitch.dev/sardine/state"
 )
 
@@ -35,6 +36,7 @@
 	planner     *plan.Planner
 	polls       *polls
 	allocator   *limit.Allocator // of this term
+	quotas      *quota.Allocator // of this term
 	homes       *homes
 	waits       []plan.Wait
 	planError   error
@@ -77,6 +79,7 @@
 	l.homes.lead(now)
 	l.polls.server.Lead(term)
 	l.allocator = limit.NewAllocator(now, term)
+	l.quotas = quota.NewAllocator(now)
 }
 
 // resign ends the term. Polls are answered with the address of the known leader.
--- a/ctrl/observations.go
+++ b/ctrl/observations.go
@@ -17,7 +17,11 @@
 	}
 	crowds, err := n.collector.observe(n.clock.Now(), sardine.NodeID(r.GetNode()), observationsFromWire(r.GetSigns()))
 	n.instruments.load.count(taskHealthReport, err)
-	return &wire.WitnessReply{Fault: ctlapi.FaultOf(err), Crowds: inFlightToWire(crowds)}, nil
+	reply := &wire.WitnessReply{Fault: ctlapi.FaultOf(err), Crowds: inFlightToWire(crowds)}
+	if err == nil && r.GetQuota() != nil {
+		reply.Shares = sharesToWire(n.collector.exchangeQuota(n.clock.Now(), sardine.NodeID(r.GetNode()), quotaReportFromWire(r.GetQuota())))
+	}
+	return reply, nil
 }
 
 func observationToWire(s fleet.Observation) *wire.Sign {
--- a/ctrl/targetcollector.go
+++ b/ctrl/targetcollector.go
@@ -10,6 +10,7 @@
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/fleet"
 	"sardineswitch.dev/sardine/follow"
+	"sardineswitch.dev/sardine/quota"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -45,6 +46,7 @@
 	home        *fleet.Home
 	observers   *fleet.Observations
 	arrivals    *arrivals
+	quota       *quotaRelay
 	inFlight    []fleet.InFlightCount // as of the leader's last reply
 	lastAck     sardine.Millis        // time of the leader's last acknowledgement, 0 for none
 	started     sardine.Millis
@@ -61,6 +63,7 @@
 		home:      fleet.NewHome(self, i, fleet.WithLease(t.TargetLease)),
 		observers: fleet.NewObservations(),
 		arrivals:  newArrivals(address, t.TargetLease),
+		quota:     newQuotaRelay(),
 		wakeup:    make(chan struct{}, 1),
 	}
 }
@@ -125,6 +128,7 @@
 	report       *fleet.Report // nil if nothing has changed
 	overdue      []fleet.Ref
 	observations []fleet.Observation
+	quotas       map[sardine.NodeID]quota.Report
 }
 
 // leaderReply is the leader's reply to a report.
@@ -133,6 +137,7 @@
 	incarnation sardine.Incarnation // of the reporting node as the leader knows it, higher if the node's own is outdated
 	inFlight    []fleet.InFlightCount
 	homes       []string // addresses that share the targets, empty if the leader does not know them yet
+	allocations []quota.Allocation
 }
 
 // nextReport returns the next report to the leader.
@@ -141,7 +146,7 @@
 	defer c.mu.Unlock()
 	c.home.Expire(now)
 	c.arrivals.expire(now)
-	out := leaderReport{address: c.arrivals.own, observations: c.observers.Merged(now)}
+	out := leaderReport{address: c.arrivals.own, observations: c.observers.Merged(now), quotas: c.quota.next(now)}
 	out.home, out.incarnation = c.home.ID()
 	if r, pending := c.home.Report(now); pending {
 		out.report = &r
@@ -158,6 +163,7 @@
 	defer c.mu.Unlock()
 	c.lastAck = now
 	c.inFlight = a.inFlight
+	c.quota.acknowledge(a.allocations)
 	if len(a.homes) > 0 {
 		c.arrivals.nodes = a.homes
 	}
@@ -279,6 +285,7 @@
 	}
 	newStall := l.fleet.Observe(now, x.home, x.observations)
 	a.inFlight = l.fleet.InFlightCounts()
+	a.allocations = l.allocateQuotas(now, x.quotas)
 	return a, newStall || x.report != nil, nil
 }
 
@@ -293,6 +300,7 @@
 	for _, s := range x.observations {
 		r.Signs = append(r.Signs, observationToWire(s))
 	}
+	r.QuotaReports = nodeQuotasToWire(x.quotas)
 	return r
 }
 
@@ -302,6 +310,7 @@
 		incarnation:  sardine.Incarnation(r.GetIncarnation()),
 		address:      r.GetAnnounceAddress(),
 		observations: observationsFromWire(r.GetSigns()),
+		quotas:       nodeQuotasFromWire(r.GetQuotaReports()),
 	}
 	if r.GetReport() != nil {
 		report := reportOf(follow.ReportFromWire(r.GetReport()))
@@ -321,6 +330,7 @@
 		Incarnation:       uint64(a.incarnation),
 		Crowds:            inFlightToWire(a.inFlight),
 		AnnounceAddresses: a.homes,
+		Allocations:       allocationsToWire(a.allocations),
 	}
 }
 
@@ -330,5 +340,6 @@
 		incarnation: sardine.Incarnation(r.GetIncarnation()),
 		inFlight:    inFlightFromWire(r.GetCrowds()),
 		homes:       r.GetAnnounceAddresses(),
+		allocations: allocationsFromWire(r.GetAllocations()),
 	}
 }
--- a/entry/health_report.go
+++ b/entry/health_report.go
@@ -42,12 +42,12 @@
 	for _, s := range observations {
 		request.Signs = append(request.Signs, observationToWire(s))
 	}
-	counts, err := n.control.Witness(ctx, request)
+	reply, err := n.control.Witness(ctx, request)
 	n.logHealthReports(err)
 	if err != nil {
 		return // the next report repeats everything
 	}
-	n.gate.setInFlight(counts)
+	n.gate.setInFlight(reply.GetCrowds())
 }
 
 // logHealthReports logs when the leader stops accepting health reports, and
--- a/quota/table.go
+++ b/quota/table.go
@@ -15,6 +15,9 @@
 const (
 	// removalRetention is how long the removal of a limit is reported.
 	removalRetention = 30 * sardine.Second
+	// releaseTime is how long the rate of a target rises after its limit was
+	// removed. It doubles each second.
+	releaseTime = 8 * sardine.Second
 	// demandSeconds is the time constant of the moving mean of the demand.
 	demandSeconds = 4.0
 	// minDemand is the rate, in requests per second, below which a demand is 0.
@@ -33,7 +36,9 @@
 	sharedOf   float64        // usable rate of which it is a part
 	shareEnd   sardine.Millis // end of the last share
 	hasShare   bool
-	position   int // of the node in the target's rendezvous order
+	releasedAt sardine.Millis // removal of the limit
+	released   float64        // rate at that time, 0 if none is being released
+	position   int            // of the node in the target's rendezvous order
 }
 
 // demand is the rate of arriving requests of one deployment.
@@ -68,7 +73,7 @@
 	entries    map[Target]*entry
 	services   map[Target]sardine.ServiceName // current targets, nil if unknown
 	demands    map[sardine.ServiceName]*demand
-	limited    int // entries with a limit
+	restricted int // entries that restrict requests
 	lastReport sardine.Millis
 	changes    []Change
 }
@@ -136,18 +141,24 @@
 	return e
 }
 
+// restricts reports whether requests have to wait for their turn.
+func (e *entry) restricts() bool {
+	return e.statement.limited || e.released > 0
+}
+
 // learn merges a statement about a target's limit.
 func (t *Table) learn(now sardine.Millis, g Target, e *entry, s statement, own bool) {
 	before := e.statement
 	e.statement = before.merge(s)
-	if before.limited != e.statement.limited {
-		e.hasShare = false
-		e.bucket = bucket{at: now}
-		if e.statement.limited {
-			t.limited++
-		} else {
-			t.limited--
+	if before.limited && !e.statement.limited {
+		e.releasedAt, e.released = now, max(e.bucket.rate, before.usable()/float64(len(t.nodes)))
+	}
+	if !before.limited && e.statement.limited {
+		if e.released == 0 {
+			t.restricted++
 		}
+		e.hasShare, e.released = false, 0
+		e.bucket = bucket{at: now}
 	}
 	if before.value() != e.statement.value() {
 		t.changes = append(t.changes, Change{Target: g, Before: before.value(), After: e.statement.value(), Own: own})
@@ -157,6 +168,10 @@
 
 // refresh fills a target's bucket and sets the rate that holds from now on.
 func (t *Table) refresh(now sardine.Millis, e *entry) {
+	if e.released > 0 && now >= e.releasedAt+releaseTime {
+		e.released = 0
+		t.restricted--
+	}
 	if e.hasShare && now > e.shareEnd && e.bucket.at < e.shareEnd {
 		e.bucket.setRate(e.shareEnd, t.rate(e.shareEnd, e))
 	}
@@ -166,6 +181,9 @@
 // rate returns this node's rate at a target: its share, or without a valid one
 // an even part of the limit if it is one of the nodes that may use the target.
 func (t *Table) rate(now sardine.Millis, e *entry) float64 {
+	if !e.statement.limited {
+		return e.released * math.Exp2(float64(now-e.releasedAt)/1000)
+	}
 	usable := e.statement.usable()
 	shared := usable
 	if e.hasShare {
@@ -185,10 +203,13 @@
 // time until one may be.
 func (t *Table) Wait(now sardine.Millis, g Target) sardine.Millis {
 	e := t.entries[g]
-	if e == nil || !e.statement.limited {
+	if e == nil {
 		return 0
 	}
 	t.refresh(now, e)
+	if !e.restricts() {
+		return 0
+	}
 	return e.bucket.wait()
 }
 
@@ -204,16 +225,16 @@
 
 func (t *Table) spend(now sardine.Millis, g Target, n float64) {
 	e := t.entries[g]
-	if e == nil || !e.statement.limited {
+	if e == nil {
 		return
 	}
 	t.refresh(now, e)
 	e.bucket.take(n)
 }
 
-// Empty reports whether no target has a limit.
+// Empty reports whether requests may be sent to all targets at any time.
 func (t *Table) Empty() bool {
-	return t.limited == 0
+	return t.restricted == 0
 }
 
 // Retain sets the current targets with their deployments. The limits of all
@@ -228,8 +249,8 @@
 }
 
 func (t *Table) drop(g Target) {
-	if t.entries[g].statement.limited {
-		t.limited--
+	if t.entries[g].restricts() {
+		t.restricted--
 	}
 	delete(t.entries, g)
 }
@@ -253,11 +274,11 @@
 	}
 	slices.SortFunc(r.Demands, func(a, b Demand) int { return cmp.Compare(a.Service, b.Service) })
 	for g, e := range t.entries {
-		if !e.statement.limited && now-e.statement.at > removalRetention {
+		t.refresh(now, e)
+		if !e.restricts() && now-e.statement.at > removalRetention {
 			t.drop(g)
 			continue
 		}
-		t.refresh(now, e)
 		r.Limits = append(r.Limits, KnownLimit{
 			Target:  g,
 			Service: t.services[g],
