--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -66,6 +66,7 @@
 
 // sim plays one worker, its entry nodes and a control leader in virtual time.
 type sim struct {
+	now         sardine.Millis
 	random      *rand.Rand
 	nodes       []*simNode
 	ids         []sardine.NodeID
@@ -76,6 +77,7 @@
 	events      []simEvent
 	phases      []simPhase
 	phase       int
+	changedAt   sardine.Millis // start of the phase, later if there was no leader
 	target      Target
 	answers     int
 	firstNamed  sardine.Millis // of this life, negative before
@@ -146,6 +148,7 @@
 func (n *sim) step(now sardine.Millis) {
 	for n.phase+1 < len(n.phases) && n.phases[n.phase+1].from <= now {
 		n.phase++
+		n.changedAt = max(now, n.leaderFrom)
 		if n.phases[n.phase].restart {
 			n.restartTarget()
 		}
@@ -153,6 +156,9 @@
 	n.deliver(now)
 	seconds := float64(simStep) / 1000
 	if n.random.Float64() < n.faults.leaderChange*seconds {
+		if now < n.changedAt+simGrace {
+			n.changedAt = now + 1500 // bounds in time hold once the core is stable
+		}
 		n.allocator, n.allocations, n.leaderFrom = NewAllocator(now+1500), nil, now+1500
 	}
 	if now >= n.allocatedAt+250 && now >= n.leaderFrom {
@@ -171,6 +177,13 @@
 	}
 }
 
+// run steps up to an instant.
+func (n *sim) run(until sardine.Millis) {
+	for ; n.now < until; n.now += simStep {
+		n.step(n.now)
+	}
+}
+
 func (n *sim) restartTarget() {
 	n.target.Incarnation++
 	n.firstNamed, n.answers, n.arrivals = -1, 0, nil
@@ -260,6 +273,9 @@
 			return 0
 		}
 		allowed = max(allowed, p.allowed())
+		if i == n.phase {
+			p.from = n.changedAt
+		}
 		if p.restart || p.from < now-simWindow-simGrace {
 			break
 		}
@@ -323,16 +339,44 @@
 		f := simFaults{lostReport: 0.1 * random.Float64(), nodeRestart: 0.2 * random.Float64(), leaderChange: 0.05 * random.Float64()}
 		n := newSim(seed, count, randomPhases(random, length), f)
 		worst := 0.0
-		for now := sardine.Millis(0); now < length; now += simStep {
-			if now%(15*sardine.Second) == 0 {
+		for n.now < length {
+			if n.now%(15*sardine.Second) == 0 {
 				n.setDemand(5+random.Float64()*200, float64(random.IntN(2)))
 			}
-			n.step(now)
-			if e := n.excess(now); e > worst {
+			n.run(n.now + simStep)
+			if e := n.excess(n.now); e > worst {
 				worst = e
-				t.Logf("seed %d: %d nodes, at %d: %.1f requests too many, limits %v", seed, count, now, e, n.phases[n.phase].limits)
+				t.Logf("seed %d: %d nodes, at %d: %.1f requests too many, limits %v", seed, count, n.now, e, n.phases[n.phase].limits)
 			}
 		}
 		assert.LessOrEqual(t, worst, 0.0, "seed %d", seed)
 	}
 }
+
+// TestLimitIsUsed checks that most of a limit is used where the nodes that may use
+// the target have three times the demand, evenly distributed or not.
+func TestLimitIsUsed(t *testing.T) {
+	for i, limit := range []float64{0.3, 1, 2.4, 6.8, 20, 60} {
+		for j, count := range []int{2, 6, 9, 69} {
+			for skew := range 2 {
+				n := newSim(uint64(8*i+2*j+skew), count, []simPhase{{limits: []float64{limit}}}, simFaults{lostReport: 0.03})
+				n.setDemand(3*max(limit, 1)*float64(count)/float64(eligible(limit, count)), float64(skew))
+				n.run(80 * sardine.Second)
+				assert.GreaterOrEqual(t, float64(n.received(10*sardine.Second, n.now)), 0.7*limit*70, "limit %v, %d nodes, skew %d", limit, count, skew)
+			}
+		}
+	}
+}
+
+// TestNodesLearnOfRemovedLimit checks that a target gets all requests again some time
+// after its last answer with a limit, also from nodes that had no share of it.
+func TestNodesLearnOfRemovedLimit(t *testing.T) {
+	for i, limit := range []float64{0, 0.3, 6.8} {
+		for j, count := range []int{2, 9, 69} {
+			n := newSim(uint64(i+3*j), count, []simPhase{{limits: []float64{limit}}, {from: 20 * sardine.Second, limits: []float64{Unlimited}}}, simFaults{lostReport: 0.1, nodeRestart: 0.1})
+			n.setDemand(50, 1)
+			n.run(90 * sardine.Second)
+			assert.Greater(t, n.received(80*sardine.Second, n.now), 450, "limit %v, %d nodes", limit, count)
+		}
+	}
+}
