--- a/ctrl/quota_wire.go
+++ b/ctrl/quota_wire.go
@@ -25,7 +25,6 @@
 			Stated:      l.Stated,
 			Limit:       l.Limit,
 			AgeMillis:   ageToWire(l.Age),
-			Rate:        l.Rate,
 		})
 	}
 	for _, d := range r.Demands {
@@ -41,7 +40,7 @@
 func quotaReportFromWire(w *wire.QuotaReport) quota.Report {
 	var r quota.Report
 	for _, l := range w.GetLimits() {
-		if !validRate(l.GetLimit()) || !validRate(l.GetRate()) {
+		if !validRate(l.GetLimit()) {
 			continue
 		}
 		r.Limits = append(r.Limits, quota.KnownLimit{
@@ -50,7 +49,6 @@
 			Stated:  l.GetStated(),
 			Limit:   l.GetLimit(),
 			Age:     sardine.Millis(l.GetAgeMillis()),
-			Rate:    l.GetRate(),
 		})
 	}
 	for _, d := range w.GetDemands() {
--- a/ctrl/targetcollector_test.go
+++ b/ctrl/targetcollector_test.go
@@ -92,7 +92,7 @@
 	require.NoError(t, announceTo(c, 1000, sardine.Announcement{VM: "a", Incarnation: 1, Kind: sardine.KindPlain, Address: "x:80", Sequence: 4}))
 	_, err := c.observe(1000, "e1", []fleet.Observation{{VM: "a", Incarnation: 1, InFlight: 2, ProgressAge: 30}})
 	require.NoError(t, err)
-	limits := []quota.KnownLimit{{Target: quota.Target{VM: "a", Incarnation: 1}, Service: "s", Limit: 6.8, Stated: true, Age: 70, Rate: 0.5}}
+	limits := []quota.KnownLimit{{Target: quota.Target{VM: "a", Incarnation: 1}, Service: "s", Limit: 6.8, Stated: true, Age: 70}}
 	c.exchangeQuota(1000+c.overdue, "e1", quota.Report{Limits: limits, Demands: []quota.Demand{{Service: "s", Rate: 3}}})
 	x := c.nextReport(1020 + c.overdue)
 	require.NotNil(t, x.report)
--- a/entry/quota_wire.go
+++ b/entry/quota_wire.go
@@ -18,7 +18,6 @@
 			Stated:      l.Stated,
 			Limit:       l.Limit,
 			AgeMillis:   uint32(min(max(l.Age, 0), math.MaxUint32)),
-			Rate:        l.Rate,
 		})
 	}
 	for _, d := range r.Demands {
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -18,14 +18,9 @@
 	nodeTerm = 3 * sardine.Second
 	// targetTerm is how long a target is kept that no node reports.
 	targetTerm = 5 * sardine.Second
-	// replaceTime is how long a node may go on using a share that was replaced.
-	// It covers the way of the new one with two lost reports.
-	replaceTime = 2 * sardine.Second
 	// evenShare is the part of the mean demand that is added to each node's
 	// demand.
 	evenShare = 0.15
-	// shareHysteresis is the relative change below which a share is kept.
-	shareHysteresis = 0.1
 	// memberBonus is the factor to the weight of a node that may use a target
 	// already, in the choice of those that may.
 	memberBonus = 1.5
@@ -37,55 +32,12 @@
 	demands map[sardine.ServiceName]float64
 }
 
-// replacedRate is a rate that a node may still use.
-type replacedRate struct {
-	rate  float64
-	until sardine.Millis
-}
-
-// nodeShare is a node's share of one target's limit.
-type nodeShare struct {
-	rate       float64
-	replaced   []replacedRate
-	reported   float64 // rate that the node last reported
-	reportedAt sardine.Millis
-}
-
-// highest returns the highest rate that the node may use now.
-func (s *nodeShare) highest(now sardine.Millis) float64 {
-	s.replaced = slices.DeleteFunc(s.replaced, func(r replacedRate) bool { return r.until <= now })
-	highest := s.rate
-	for _, r := range s.replaced {
-		highest = max(highest, r.rate)
-	}
-	if now < s.reportedAt+replaceTime {
-		highest = max(highest, s.reported)
-	}
-	return highest
-}
-
-func (s *nodeShare) set(now sardine.Millis, rate float64) {
-	if rate < s.rate {
-		s.replaced = append(s.replaced, replacedRate{rate: s.rate, until: now + replaceTime})
-	}
-	s.rate = rate
-}
-
-// targetShares is what the nodes know of one target's limit, and their shares.
-type targetShares struct {
+// targetLimit is what the nodes know of one target's limit, and their shares.
+type targetLimit struct {
 	statement statement
 	service   sardine.ServiceName
-	seenAt    sardine.Millis // last report that contained the target
-	shares    map[sardine.NodeID]*nodeShare
-}
-
-func (t *targetShares) share(node sardine.NodeID) *nodeShare {
-	s := t.shares[node]
-	if s == nil {
-		s = &nodeShare{reportedAt: never}
-		t.shares[node] = s
-	}
-	return s
+	seenAt    sardine.Millis             // last report that contained the target
+	rates     map[sardine.NodeID]float64 // of the nodes that may use the target
 }
 
 // Allocator divides the targets' limits among the entry nodes by their demand.
@@ -94,7 +46,7 @@
 	startsAt  sardine.Millis
 	updatedAt sardine.Millis
 	nodes     map[sardine.NodeID]nodeReport
-	targets   map[Target]*targetShares
+	targets   map[Target]*targetLimit
 }
 
 // NewAllocator returns an allocator without any reports. It allocates nothing
@@ -104,7 +56,7 @@
 		startsAt:  now + settleTime,
 		updatedAt: now,
 		nodes:     make(map[sardine.NodeID]nodeReport),
-		targets:   make(map[Target]*targetShares),
+		targets:   make(map[Target]*targetLimit),
 	}
 }
 
@@ -121,15 +73,15 @@
 	}
 	a.nodes[node] = nodeReport{at: at, demands: demands}
 	for _, l := range r.Limits {
-		a.merge(now, at, node, l)
+		a.merge(now, at, l)
 	}
 }
 
-func (a *Allocator) merge(now, at sardine.Millis, node sardine.NodeID, l KnownLimit) {
+func (a *Allocator) merge(now, at sardine.Millis, l KnownLimit) {
 	s := statement{limited: l.Stated, limit: l.Limit, at: at - l.Age}
 	t := a.targets[l.Target]
 	if t == nil {
-		t = &targetShares{statement: s, shares: make(map[sardine.NodeID]*nodeShare)}
+		t = &targetLimit{statement: s}
 		a.targets[l.Target] = t
 	}
 	t.statement = t.statement.merge(s)
@@ -137,11 +89,6 @@
 	if l.Service != "" {
 		t.service = l.Service
 	}
-	own := t.share(node)
-	own.reported, own.reportedAt = l.Rate, at
-	if !l.Stated {
-		own.reported = 0
-	}
 }
 
 // Allocations returns the limits of all targets with the shares of the nodes,
@@ -155,18 +102,12 @@
 	}
 	all := make([]Allocation, 0, len(a.targets))
 	for g, t := range a.targets {
-		rates := make(map[sardine.NodeID]float64, len(t.shares))
-		for node, s := range t.shares {
-			if s.rate > 0 {
-				rates[node] = s.rate
-			}
-		}
 		all = append(all, Allocation{
 			Target: g,
 			Limit:  t.statement.limit,
 			Stated: t.statement.limited,
 			Age:    max(now-t.statement.at, 0),
-			Rates:  rates,
+			Rates:  t.rates,
 		})
 	}
 	slices.SortFunc(all, func(x, y Allocation) int { return x.Target.compare(y.Target) })
@@ -187,7 +128,7 @@
 func (a *Allocator) update(now sardine.Millis, nodes []sardine.NodeID) {
 	a.updatedAt = now
 	maps.DeleteFunc(a.nodes, func(_ sardine.NodeID, r nodeReport) bool { return r.at+nodeTerm <= now })
-	maps.DeleteFunc(a.targets, func(_ Target, t *targetShares) bool { return t.seenAt+targetTerm <= now })
+	maps.DeleteFunc(a.targets, func(_ Target, t *targetLimit) bool { return t.seenAt+targetTerm <= now })
 	var active []sardine.NodeID
 	for _, node := range nodes {
 		if _, known := a.nodes[node]; known {
@@ -197,11 +138,11 @@
 	slices.Sort(active)
 	for g, t := range a.targets {
 		if !t.statement.limited {
-			clear(t.shares)
+			t.rates = nil
 			continue
 		}
 		weights := a.weights(t.service, active)
-		t.divide(now, usableShares(t.statement.usable(), t.members(g.VM, active, weights), weights))
+		t.rates = divide(t.statement.usable(), t.members(g.VM, active, weights), weights)
 	}
 }
 
@@ -223,7 +164,7 @@
 
 // members returns the nodes that may use a target: the first ones of its
 // rendezvous order weighted by demand.
-func (t *targetShares) members(vm sardine.VMID, nodes []sardine.NodeID, weights map[sardine.NodeID]float64) []sardine.NodeID {
+func (t *targetLimit) members(vm sardine.VMID, nodes []sardine.NodeID, weights map[sardine.NodeID]float64) []sardine.NodeID {
 	count := eligible(t.statement.limit, len(nodes))
 	if count == len(nodes) {
 		return nodes
@@ -231,7 +172,7 @@
 	scores := make(map[sardine.NodeID]float64, len(nodes))
 	for _, node := range nodes {
 		scores[node] = weights[node] / -math.Log(score(vm, node))
-		if s := t.shares[node]; s != nil && s.rate > 0 {
+		if t.rates[node] > 0 {
 			scores[node] *= memberBonus
 		}
 	}
@@ -242,52 +183,15 @@
 	return ranked[:count]
 }
 
-// usableShares divides a rate among the members by weight.
-func usableShares(usable float64, members []sardine.NodeID, weights map[sardine.NodeID]float64) map[sardine.NodeID]float64 {
+// divide divides a rate among the members by weight.
+func divide(rate float64, members []sardine.NodeID, weights map[sardine.NodeID]float64) map[sardine.NodeID]float64 {
 	total := 0.0
 	for _, node := range members {
 		total += weights[node]
 	}
-	wanted := make(map[sardine.NodeID]float64, len(members))
+	rates := make(map[sardine.NodeID]float64, len(members))
 	for _, node := range members {
-		wanted[node] = usable * weights[node] / total
-	}
-	return wanted
-}
-
-// divide sets the nodes' shares to the wanted ones. Shares fall at once and rise
-// into what no other node can be using any more.
-func (t *targetShares) divide(now sardine.Millis, wanted map[sardine.NodeID]float64) {
-	for node := range wanted {
-		t.share(node)
-	}
-	nodes := slices.Sorted(maps.Keys(t.shares))
-	total := 0.0
-	for _, node := range nodes {
-		held := t.shares[node].rate
-		if rate := wanted[node]; rate > held*(1-shareHysteresis) && rate < held*(1+shareHysteresis) {
-			wanted[node] = held
-		}
-		total += wanted[node]
-	}
-	usable := t.statement.usable()
-	free, missing := usable, 0.0
-	for _, node := range nodes {
-		wanted[node] *= min(1, usable/max(total, usable))
-		highest := t.shares[node].highest(now)
-		free -= highest
-		missing += max(wanted[node]-highest, 0)
-	}
-	fraction := 1.0
-	if missing > 0 {
-		fraction = min(1, max(free, 0)/missing)
-	}
-	for _, node := range nodes {
-		s := t.shares[node]
-		highest := s.highest(now)
-		s.set(now, min(wanted[node], highest+max(wanted[node]-highest, 0)*fraction))
-		if s.highest(now) <= 0 {
-			delete(t.shares, node)
-		}
+		rates[node] = rate * weights[node] / total
 	}
+	return rates
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,7 +25,7 @@
 const (
 	// probeRate is the total rate, in requests per second, that a target
 	// receives at least, so that the nodes learn of a raised or removed limit.
-	probeRate = 0.2
+	probeRate = 0.3
 	// baseNodes is the number of nodes that may use a target with the limit 0.
 	// Each request per second of the limit adds one.
 	baseNodes = 2
--- a/quota/report.go
+++ b/quota/report.go
@@ -11,7 +11,6 @@
 	Limit   float64             // requests per second from all nodes
 	Stated  bool                // false after the target has stopped stating a limit
 	Age     sardine.Millis      // of the answer that showed it, when the report was made
-	Rate    float64             // that the node uses, in requests per second
 }
 
 // Demand is the rate of requests for a deployment that arrive at a node.
--- a/quota/table.go
+++ b/quota/table.go
@@ -19,7 +19,7 @@
 	// removed. It doubles each second.
 	releaseTime = 8 * sardine.Second
 	// demandSeconds is the time constant of the moving mean of the demand.
-	demandSeconds = 4.0
+	demandSeconds = 2.0
 	// minDemand is the rate, in requests per second, below which a demand is 0.
 	minDemand = 1e-3
 )
@@ -285,7 +285,6 @@
 			Limit:   e.statement.limit,
 			Stated:  e.statement.limited,
 			Age:     max(now-e.statement.at, 0),
-			Rate:    e.bucket.rate,
 		})
 	}
 	slices.SortFunc(r.Limits, func(a, b KnownLimit) int { return a.Target.compare(b.Target) })
