--- a/quota/table.go
+++ b/quota/table.go
@@ -125,8 +125,7 @@
 	}
 }
 
-// entry returns the entry of a target and creates it if needed. A later life of
-// a VM replaces the earlier ones.
+// entry returns the entry of a target and creates it if needed.
 func (t *Table) entry(now sardine.Millis, g Target) *entry {
 	if e := t.entries[g]; e != nil {
 		return e
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -112,3 +112,31 @@
 		require.LessOrEqual(t, total, usableRate(limit)*1.0001)
 	}
 }
+
+// TestRemovedLimitIsReleasedSlowly guards against a burst of waiting requests at a
+// target that has left out its limit in some answers only.
+func TestRemovedLimitIsReleasedSlowly(t *testing.T) {
+	table, g := NewTable("a"), Target{VM: "t", Incarnation: 1}
+	table.Observe(0, 0, g, 1, true, true)
+	table.Apply(9000, 9000, []Share{{Target: g, Age: 100}})
+	require.Equal(t, []Change{{Target: g, Before: Unlimited, After: 1, Own: true}, {Target: g, Before: 1, After: Unlimited}}, table.Changes())
+	sent := 0
+	for now := sardine.Millis(9000); now < 9000+releaseTime; now++ {
+		if table.Wait(now, g) == 0 {
+			table.Take(now, g)
+			sent++
+		}
+		if now == 13000 {
+			require.LessOrEqual(t, sent, 24)
+		}
+	}
+	require.Greater(t, sent, 300)
+	require.Zero(t, table.Wait(9000+releaseTime, g))
+	require.True(t, table.Empty())
+	table.Observe(20000, 19000, g, 1, true, true)
+	require.False(t, table.Empty())
+	table.Retain(map[Target]sardine.ServiceName{{VM: "t", Incarnation: 2}: "s"})
+	require.True(t, table.Empty(), "a new life")
+	table.Apply(20001, 20000, []Share{{Target: g, Limit: 1, Stated: true}})
+	require.True(t, table.Empty(), "news of an earlier life")
+}
