--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -12,8 +12,6 @@
 const (
 	// settleTime is how long a new allocator only collects reports.
 	settleTime = 1 * sardine.Second
-	// updateInterval is the least time between two calculations of the shares.
-	updateInterval = 200 * sardine.Millis(1)
 	// nodeTerm is the age up to which a node's report counts.
 	nodeTerm = 3 * sardine.Second
 	// targetTerm is how long a target is kept that no node reports.
@@ -43,20 +41,18 @@
 // Allocator divides the targets' limits among the entry nodes by their demand.
 // It is not safe for concurrent use.
 type Allocator struct {
-	startsAt  sardine.Millis
-	updatedAt sardine.Millis
-	nodes     map[sardine.NodeID]nodeReport
-	targets   map[Target]*targetLimit
+	startsAt sardine.Millis
+	nodes    map[sardine.NodeID]nodeReport
+	targets  map[Target]*targetLimit
 }
 
 // NewAllocator returns an allocator without any reports. It allocates nothing
 // until all nodes have had the time to report.
 func NewAllocator(now sardine.Millis) *Allocator {
 	return &Allocator{
-		startsAt:  now + settleTime,
-		updatedAt: now,
-		nodes:     make(map[sardine.NodeID]nodeReport),
-		targets:   make(map[Target]*targetLimit),
+		startsAt: now + settleTime,
+		nodes:    make(map[sardine.NodeID]nodeReport),
+		targets:  make(map[Target]*targetLimit),
 	}
 }
 
@@ -97,9 +93,7 @@
 	if now < a.startsAt {
 		return nil
 	}
-	if now >= a.updatedAt+updateInterval {
-		a.update(now, nodes)
-	}
+	a.update(now, nodes)
 	all := make([]Allocation, 0, len(a.targets))
 	for g, t := range a.targets {
 		all = append(all, Allocation{
@@ -126,7 +120,6 @@
 
 // update calculates all shares.
 func (a *Allocator) update(now sardine.Millis, nodes []sardine.NodeID) {
-	a.updatedAt = now
 	maps.DeleteFunc(a.nodes, func(_ sardine.NodeID, r nodeReport) bool { return r.at+nodeTerm <= now })
 	maps.DeleteFunc(a.targets, func(_ Target, t *targetLimit) bool { return t.seenAt+targetTerm <= now })
 	var active []sardine.NodeID
--- a/quota/table.go
+++ b/quota/table.go
@@ -24,9 +24,6 @@
 	minDemand = 1e-3
 )
 
-// Option configures a Table.
-type Option func(*Table)
-
 // entry is what a node knows of one target's limit.
 type entry struct {
 	statement  statement
@@ -79,17 +76,13 @@
 }
 
 // NewTable returns the table of an entry node, without limits.
-func NewTable(node sardine.NodeID, opts ...Option) *Table {
-	t := &Table{
+func NewTable(node sardine.NodeID) *Table {
+	return &Table{
 		node:    node,
 		nodes:   []sardine.NodeID{node},
 		entries: make(map[Target]*entry),
 		demands: make(map[sardine.ServiceName]*demand),
 	}
-	for _, option := range opts {
-		option(t)
-	}
-	return t
 }
 
 // SetNodes sets the entry nodes of the site.
@@ -114,9 +107,7 @@
 	case stated:
 		e = t.entry(now, g)
 		t.learn(now, g, e, statement{limited: true, limit: rate, at: now}, true)
-	case e == nil || !ran:
-	case !e.statement.limited:
-		e.statement.at = max(e.statement.at, sentAt)
+	case e == nil || !e.statement.limited || !ran:
 	case sentAt < e.statement.at+e.statement.hold():
 	case e.unstatedAt < e.statement.at:
 		e.unstatedAt = now
