--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,10 +18,6 @@
 // ShareTerm is how long a share may be used after the node has asked for it.
 const ShareTerm = 3 * sardine.Second
 
-// IdleReportInterval is the time after which a node reports even if it has
-// nothing to report, so that it learns the limits that other nodes know.
-const IdleReportInterval = 2 * sardine.Second
-
 const (
 	// probeRate is the total rate, in requests per second, that a target
 	// receives at least, so that the nodes learn of a raised or removed limit.
--- a/quota/report.go
+++ b/quota/report.go
@@ -24,11 +24,13 @@
 	Age     sardine.Millis // time since the report was made
 	Limits  []KnownLimit
 	Demands []Demand
+	due     bool // to be sent although it is empty
 }
 
-// Empty reports whether there is nothing to report.
+// Empty reports whether the report need not be sent. A node without limits and
+// demand sends one each idleReportInterval, to learn what other nodes know.
 func (r Report) Empty() bool {
-	return len(r.Limits)+len(r.Demands) == 0
+	return len(r.Limits)+len(r.Demands) == 0 && !r.due
 }
 
 // Share is the part of a target's limit that one node may use.
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -42,14 +42,13 @@
 }
 
 type simNode struct {
-	id         sardine.NodeID
-	table      *Table
-	rate       float64 // arriving requests per second
-	waiting    []sardine.Millis
-	excused    sardine.Millis // until this time
-	heard      sardine.Millis // first answer with a limit, negative before
-	reportsAt  sardine.Millis
-	reportedAt sardine.Millis
+	id        sardine.NodeID
+	table     *Table
+	rate      float64 // arriving requests per second
+	waiting   []sardine.Millis
+	excused   sardine.Millis // until this time
+	heard     sardine.Millis // first answer with a limit, negative before
+	reportsAt sardine.Millis
 }
 
 // simEvent is an answer or a message that arrives later.
@@ -109,12 +108,12 @@
 	for _, node := range n.nodes {
 		node.rate = 1
 		if skew > 0 {
-			node.rate = 0.02 + n.random.ExpFloat64()*n.random.ExpFloat64()*skew
+			node.rate = max(n.random.ExpFloat64()*n.random.ExpFloat64()*skew-0.05, 0)
 		}
 		sum += node.rate
 	}
 	for _, node := range n.nodes {
-		node.rate *= total / sum
+		node.rate *= total / max(sum, 1e-9)
 	}
 }
 
@@ -198,11 +197,7 @@
 func (n *sim) report(now sardine.Millis, node *simNode) {
 	r := node.table.Report(now)
 	lost := n.random.Float64() < n.faults.lostReport
-	if r.Empty() && now < node.reportedAt+IdleReportInterval {
-		return
-	}
-	node.reportedAt = now
-	if lost || now < n.leaderFrom {
+	if r.Empty() || lost || now < n.leaderFrom {
 		return
 	}
 	table, held := node.table, sardine.Millis(n.random.IntN(250))
--- a/quota/table.go
+++ b/quota/table.go
@@ -18,6 +18,9 @@
 	// releaseTime is how long the rate of a target rises after its limit was
 	// removed. It doubles each second.
 	releaseTime = 8 * sardine.Second
+	// idleReportInterval is the time between two reports of a node that has nothing
+	// to report.
+	idleReportInterval = 2 * sardine.Second
 	// demandSeconds is the time constant of the moving mean of the demand.
 	demandSeconds = 2.0
 	// minDemand is the rate, in requests per second, below which a demand is 0.
@@ -72,6 +75,7 @@
 	demands    map[sardine.ServiceName]*demand
 	restricted int // entries that restrict requests
 	lastReport sardine.Millis
+	lastSent   sardine.Millis // last report that was not empty
 	changes    []Change
 }
 
@@ -278,6 +282,10 @@
 		})
 	}
 	slices.SortFunc(r.Limits, func(a, b KnownLimit) int { return a.Target.compare(b.Target) })
+	r.due = now >= t.lastSent+idleReportInterval
+	if !r.Empty() {
+		t.lastSent = now
+	}
 	return r
 }
 
