--- a/ctrl/quota_test.go
+++ b/ctrl/quota_test.go
@@ -31,6 +31,7 @@
 	}
 	g := quota.Target{VM: "t", Incarnation: 4}
 	known := quota.Report{Limits: []quota.KnownLimit{{Target: g, Limit: 6, Stated: true, Age: 100}}}
+	require.Empty(t, l.allocateQuotas(900, map[sardine.NodeID]quota.Report{"e1": known}), "other nodes have had no time to report")
 	require.Empty(t, collectors["c1"].exchangeQuota(2000, "e1", known))
 	require.Empty(t, collectors["c2"].exchangeQuota(2100, "e2", quota.Report{}))
 	report(2250, "c1", true)
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -106,6 +106,8 @@
 			if i%2 == 0 {
 				table.Apply(10, 0, []Share{{Target: g, Limit: limit, Stated: true, Rate: limit}})
 				require.InDelta(t, limit, table.View(20)[0].Rate, 1e-9)
+				table.Observe(30, 20, g, limit/2, true, true)
+				require.LessOrEqual(t, table.View(30)[0].Rate, usableRate(limit/2), "lowered before the leader knows")
 			}
 			total += table.View(ShareTerm)[0].Rate
 		}
