--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -22,6 +22,7 @@
 	from    sardine.Millis
 	limits  []float64 // stated in turn, one an answer; Unlimited for an answer without one
 	restart bool      // a new life begins
+	named   bool      // the lowest limit has arrived in an answer, at the time from
 }
 
 func (p simPhase) allowed() float64 {
@@ -146,7 +147,6 @@
 func (n *sim) step(now sardine.Millis) {
 	for n.phase+1 < len(n.phases) && n.phases[n.phase+1].from <= now {
 		n.phase++
-		n.phases[n.phase].from = max(now, n.leaderFrom)
 		if n.phases[n.phase].restart {
 			n.restartTarget()
 		}
@@ -244,7 +244,7 @@
 }
 
 func (n *sim) send(now sardine.Millis, node *simNode) {
-	table, target := node.table, n.target
+	table, target, phase := node.table, n.target, &n.phases[n.phase]
 	n.arrivals = append(n.arrivals, simArrival{at: now, counted: node.heard >= 0 && node.heard+simHeard <= now && now >= node.excused})
 	limits := n.phases[n.phase].limits
 	limit := limits[n.answers%len(limits)]
@@ -252,6 +252,9 @@
 	ran := n.random.IntN(10) > 0
 	n.later(now+n.delay+sardine.Millis(n.random.IntN(100)), func(at sardine.Millis) {
 		table.Observe(at, now, target, max(limit, 0), limit != Unlimited, ran)
+		if !phase.named && limit == phase.allowed() {
+			phase.named, phase.from = true, max(at, n.leaderFrom)
+		}
 		if target != n.target || limit == Unlimited {
 			return
 		}
@@ -278,7 +281,7 @@
 			return 0
 		}
 		allowed = max(allowed, p.allowed())
-		if p.restart || p.from < now-simWindow-simGrace {
+		if p.restart || p.named && p.from < now-simWindow-simGrace {
 			break
 		}
 	}
