Entry nodes keep to the limits that targets state

Cause: nothing read the header.

The target ports read it, as X-Sardine-Limit at the own interface. proxy tells an observer when a request is sent and what an answer's head says, so that first attempts, repeats, resumed streams, handovers and refusals all count. The gate takes a turn with each choice, gives it back if nothing was sent, and excludes targets that take no further request. A limit belongs to the process of a group's head (Candidate.HeadIncarnation). Health reports carry limits and demand, replies the node's shares.

If only limits stand in the way, a request waits for its turn within half of what is left of its objective: requests that a target has begun first, then by priority (route, or tenant before it) and arrival. One whose turn is not expected in time is refused at once: target_limited (306), with a Retry-After of the time until the turn. Requests behind a more urgent one yield only the targets that have a limit. target_limit_changed, target_limit_invalid, sardine_limited_targets and the state dump show what a node knows.

--- a/annc/answer.go
+++ b/annc/answer.go
@@ -68,6 +68,10 @@
 // answers.
 const HeaderLoad = "X-Sardine-Load"
 
+// HeaderLimit is the header in which a target states, with each of its answers, the
+// requests per second that it takes from all entry nodes together.
+const HeaderLimit = "X-Sardine-Limit"
+
 // FormatLoad returns the value of HeaderLoad, such as
 // "running=3;queued=0;tps=120.5".
 func FormatLoad(l sardine.Load) string {
--- a/call.go
+++ b/call.go
@@ -72,7 +72,10 @@
 	Misdirected   bool      // the receiver is not, or no longer, the intended target
 	InvalidReason string    // reason why the target can't have sent this response, empty if valid
 	Load          Load
-	HasLoad       bool // Load is set
+	HasLoad       bool    // Load is set
+	Limit         float64 // requests per second that the target takes from all entry nodes together
+	HasLimit      bool    // Limit is set
+	InvalidLimit  string  // reason why the stated limit is ignored, empty if it is valid or not given
 }
 
 // Refusal is an error response of the system to a caller.
--- a/codes/table.go
+++ b/codes/table.go
@@ -32,6 +32,7 @@
 	EpochRefused  Code = 303
 	AnswerInvalid Code = 304
 	TargetFull    Code = 305
+	TargetLimited Code = 306
 
 	NotLeader     Code = 400
 	NoQuorum      Code = 401
@@ -88,6 +89,7 @@
 	{EpochRefused, "epoch_refused", 409, "the engine has accepted a higher epoch", "nothing, the order is outdated"},
 	{AnswerInvalid, "answer_invalid", 502, "the target's answer was incomplete or belongs to another request", "send again if the request is idempotent"},
 	{TargetFull, "target_full", 503, "the target accepts no more requests at present", "send again after the time in the Retry-After header"},
+	{TargetLimited, "target_limited", 503, "the targets limit their rate of requests, and no turn is free in time; the request was not sent", "send again after the time in the Retry-After header"},
 
 	{NotLeader, "not_leader", 421, "this control node does not lead", "ask the leader named in the answer"},
 	{NoQuorum, "no_quorum", 503, "no majority of control nodes answers", "see docs/operate/lost-quorum.md"},
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -128,6 +128,7 @@
 		err := codes.New(codes.NoTarget, "no target serves %q now", d.Name)
 		return serviceKey{}, 0, &refusal{cause: err, retryAfter: noTargetRetry}
 	}
+	n.gate.countDemand(key.routeName())
 	cost := float64(q.tokens + q.maxTokens)
 	if err := n.takeLimit(q.workspace, cost); err != nil {
 		return serviceKey{}, 0, err
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	sardine "sardineswitch.dev/sardine"
@@ -36,15 +37,17 @@
 	admission *admit.Controller
 	budget    *retry.Budget
 	waiting   map[admit.Ticket]chan admit.Decision
+	limits    *targetLimits
 }
 
-func newGate(clock sardine.Clock, random sardine.Random, router *route.Router) *gate {
+func newGate(node sardine.NodeID, clock sardine.Clock, random sardine.Random, router *route.Router) *gate {
 	return &gate{
 		clock:     clock,
 		router:    router,
 		admission: admit.New(random),
 		budget:    retry.New(random),
 		waiting:   make(map[admit.Ticket]chan admit.Decision),
+		limits:    newTargetLimits(node),
 	}
 }
 
@@ -60,8 +63,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.router.SetPosition(v.position, max(v.nodes, 1))
+	g.router.SetPosition(v.position, max(len(v.nodes), 1))
 	g.router.Update(g.clock.Now(), all)
+	g.limits.update(g.clock.Now(), v)
 	g.admission.SetWeights(weights)
 }
 
@@ -159,16 +163,26 @@
 	}
 }
 
-// pick chooses a target and records the dispatch, which finish ends.
+// pick chooses a target and records the dispatch, which finish ends. The error has
+// codes.TargetLimited if only targets' limits prevent a choice.
 func (g *gate) pick(q route.Request) (*route.Choice, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	choice, err := g.router.Pick(now, q)
+	exhausted, wait := g.limits.exhausted(now, q)
+	allowed := q
+	if len(exhausted) > 0 {
+		allowed.Exclude = slices.Concat(q.Exclude, exhausted)
+	}
+	choice, err := g.router.Pick(now, allowed)
+	if len(exhausted) > 0 && codes.Is(err, codes.NoTarget) && g.router.HasUsable(now, q) {
+		err = errLimited(wait)
+	}
 	if err != nil {
 		return nil, err
 	}
 	g.router.Started(&choice, now)
+	g.limits.reserve(now, &choice)
 	return &choice, nil
 }
 
@@ -181,7 +195,9 @@
 func (g *gate) finish(c *route.Choice, e route.DispatchResult) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.router.Ended(c, g.clock.Now(), e)
+	now := g.clock.Now()
+	g.router.Ended(c, now, e)
+	g.limits.release(now, c)
 }
 
 func (g *gate) updateLoad(ref route.Ref, l sardine.Load) {
--- a/entry/health_report.go
+++ b/entry/health_report.go
@@ -18,7 +18,7 @@
 )
 
 // reportHealth is the loop that reports to the control leader which targets
-// answer this node's requests and which have stalled.
+// answer this node's requests, which have stalled and which limit their requests.
 func (n *Node) reportHealth() error {
 	for {
 		select {
@@ -33,21 +33,24 @@
 
 func (n *Node) reportHealthOnce() {
 	observations := n.health.observations()
-	if len(observations) == 0 {
+	limits := n.gate.limitReport()
+	if len(observations) == 0 && limits.Empty() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(n.baseCtx, healthTimeout.Duration())
 	defer cancel()
-	request := &wire.WitnessRequest{Node: string(n.id)}
+	request := &wire.WitnessRequest{Node: string(n.id), Quota: quotaReportToWire(limits)}
 	for _, s := range observations {
 		request.Signs = append(request.Signs, observationToWire(s))
 	}
+	askedAt := n.clock.Now()
 	reply, err := n.control.Witness(ctx, request)
 	n.logHealthReports(err)
 	if err != nil {
 		return // the next report repeats everything
 	}
 	n.gate.setInFlight(reply.GetCrowds())
+	n.logLimits(n.gate.applyShares(askedAt, quotaSharesFromWire(reply.GetShares())))
 }
 
 // logHealthReports logs when the leader stops accepting health reports, and
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -12,6 +12,7 @@
 	"sardineswitch.dev/sardine/admit"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/oper"
+	"sardineswitch.dev/sardine/quota"
 	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/status"
@@ -144,6 +145,7 @@
 	AnnouncedTargets   []string        `json:"homed_targets"`
 	Admission          []AdmissionDump `json:"admission"`
 	Routing            route.Counts    `json:"routing"`
+	Limits             []LimitDump     `json:"target_limits"`
 	InFlight           int             `json:"in_flight"`
 	Requests           uint64          `json:"requests"`
 	Claims             int             `json:"claims"`
@@ -171,6 +173,16 @@
 	Waiting  int     `json:"waiting"`
 }
 
+// LimitDump is what the node knows of the rate of requests that one target takes.
+type LimitDump struct {
+	Target    string  `json:"target"`
+	Limit     float64 `json:"limit"` // requests per second from all entry nodes, negative for none
+	AgeMillis int64   `json:"age_millis"`
+	Rate      float64 `json:"rate"`   // of this node, in requests per second
+	Level     float64 `json:"level"`  // requests that it may send at once
+	Shared    bool    `json:"shared"` // the rate is the control leader's share
+}
+
 // Dump returns the node's state in a stable order.
 func (n *Node) Dump() Dump {
 	p := n.published.Load() // loaded once: the lease is valid for this view only
@@ -207,6 +219,7 @@
 	views, counts := n.gate.dump()
 	d.Routing = counts
 	d.addGates(views)
+	d.addLimits(n.gate.limitViews())
 	return d
 }
 
@@ -237,6 +250,16 @@
 	}
 }
 
+func (d *Dump) addLimits(views []quota.LimitView) {
+	d.Limits = make([]LimitDump, 0, len(views))
+	for _, l := range views {
+		ref := route.Ref{VM: l.Target.VM, Incarnation: l.Target.Incarnation}
+		d.Limits = append(d.Limits, LimitDump{
+			Target: ref.String(), Limit: l.Limit, AgeMillis: int64(l.Age), Rate: l.Rate, Level: l.Level, Shared: l.Shared,
+		})
+	}
+}
+
 func (n *Node) announcedNames() []string {
 	n.homeMu.Lock()
 	defer n.homeMu.Unlock()
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -20,7 +20,7 @@
 	}
 	n.limitMu.Lock()
 	defer n.limitMu.Unlock()
-	n.limiter.Configure(n.clock.Now(), max(v.nodes, 1), limits)
+	n.limiter.Configure(n.clock.Now(), max(len(v.nodes), 1), limits)
 }
 
 // takeLimit charges a request with about the given number of tokens to its
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -63,6 +63,7 @@
 		{Name: "sardine_applied_index", Description: "index of the last entry of the log that was followed", Read: func() float64 { return float64(n.view().index) }},
 		{Name: "sardine_settings_age_seconds", Description: "time since a leader last vouched for what the node serves by, -1 before the first time", Read: n.settingsAge},
 		{Name: "sardine_repeats_left", Description: "repeats that the bound leaves to the service that has fewest", Read: n.retriesLeft},
+		{Name: "sardine_limited_targets", Description: "targets whose limit on requests per second is known", Read: func() float64 { return float64(n.limitedTargets()) }},
 		{Name: "sardine_poison_requests", Description: "requests that are refused since they ended their targets", Read: func() float64 { return float64(n.view().poisons()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
 	}
@@ -150,6 +151,11 @@
 	i.count("attempt", err)
 }
 
+// delayed counts a request that waits because its targets limit their requests.
+func (i *instruments) delayed() {
+	i.count("delayed", codes.New(codes.TargetLimited, "the request waits for its turn"))
+}
+
 func (i *instruments) stalled() {
 	i.count("stalled", codes.New(codes.TargetFailed, "the target stopped responding"))
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -85,7 +85,7 @@
 		return admit.Answered
 	case ctx.Err() != nil:
 		return admit.Abandoned
-	case codes.Is(err, codes.NoTarget), codes.Is(err, codes.TargetFull):
+	case codes.Is(err, codes.NoTarget), codes.Is(err, codes.TargetFull), codes.Is(err, codes.TargetLimited):
 		return admit.Overloaded
 	default:
 		return admit.Failed
@@ -103,7 +103,7 @@
 		if err != nil {
 			return m.preferEarlier(err)
 		}
-		choice, err := m.pick(allowed)
+		choice, err := m.pickInTurn(ctx, allowed)
 		if err != nil {
 			m.node.guards.ended(id, route.Candidate{}, guard.OutcomeUnknown)
 			return m.preferEarlier(err)
@@ -143,10 +143,15 @@
 	return err
 }
 
+// pickInTurn is pick for a request that may wait for its turn.
+func (m *modelRun) pickInTurn(ctx context.Context, p permit) (*route.Choice, error) {
+	return m.node.inTurn(ctx, m.request.turn(m.service, m.node.clock.Now(), m.tokens > 0), func(yielded []route.Ref) (*route.Choice, error) { return m.pick(p, yielded) })
+}
+
 // pick chooses the next target. A stream that was partly forwarded can continue
 // only where the output is the same: at the same epoch of its group or, if the
 // request is deterministic, at any group with the same model version.
-func (m *modelRun) pick(p permit) (*route.Choice, error) {
+func (m *modelRun) pick(p permit, yielded []route.Ref) (*route.Choice, error) {
 	if err := m.node.mayServeUnder(m.request.cutPolicy); err != nil {
 		return nil, err
 	}
@@ -158,7 +163,7 @@
 		Conversation: m.request.conversation,
 		FollowUp:     m.request.continued,
 		PromptTokens: m.request.tokens,
-		Exclude:      slices.Concat(m.excluded, m.tried),
+		Exclude:      slices.Concat(m.excluded, m.tried, yielded),
 		Avoid:        p.avoid,
 		Prefer:       p.prefer,
 	}
@@ -173,18 +178,21 @@
 	choice, err := m.node.gate.pick(q)
 	if codes.Is(err, codes.NoTarget) && len(m.tried) > 0 {
 		m.tried = nil
-		return m.pick(p)
+		return m.pick(p, yielded)
 	}
 	if err != nil {
 		return nil, err
 	}
 	if m.tokens > 0 && !m.request.deterministic && choice.Candidate.Ref != m.last.Ref {
 		m.node.gate.finish(choice, route.DispatchResult{Canceled: true})
+		if wait := m.node.gate.turnAt(m.last); wait > 0 || slices.Contains(yielded, m.last.Ref) {
+			return nil, errLimited(wait)
+		}
 		return nil, codes.New(codes.StreamBroken, "the answer broke off and its group can't resume it")
 	}
 	if err := m.node.stillCurrent(choice); err != nil {
 		m.excluded = append(m.excluded, choice.Candidate.Ref)
-		return m.pick(p)
+		return m.pick(p, yielded)
 	}
 	m.last = choice.Candidate
 	m.attempts++
@@ -272,6 +280,7 @@
 	x := m.request.exchange(c.Candidate)
 	x.Dispatch.Rank = m.request.priority.Rank()
 	x.Dispatch.LastEvent = serve.LastEvent(m.tokens)
+	x.Observer = m.node.observer(c)
 	return x
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -103,6 +103,8 @@
 	limitMu sync.Mutex
 	limiter *limit.Limiter
 
+	invalidLimits sync.Map // targets whose invalid limit was logged: VM to incarnation
+
 	published atomic.Pointer[published]
 	requests  atomic.Uint64
 	draining  atomic.Bool
@@ -164,7 +166,7 @@
 		t.DialContext = n.dial
 	}
 	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, n.internalScheme))
-	n.gate = newGate(n.clock, n.random, route.New(n.random, n.routeOptions()...))
+	n.gate = newGate(n.id, n.clock, n.random, route.New(n.random, n.routeOptions()...))
 	n.pool = pool.New(n.clock)
 	n.proxy = proxy.NewClient(n.pool, n.targetPort)
 	if n.byLayout {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -192,7 +192,7 @@
 
 func (p *plainRun) tryAll(ctx context.Context) (*plainAnswer, func(), error) {
 	for {
-		choice, err := p.pick()
+		choice, err := p.node.inTurn(ctx, p.request.turn(p.service, p.node.clock.Now(), false), p.pick)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -223,7 +223,7 @@
 	return err
 }
 
-func (p *plainRun) pick() (*route.Choice, error) {
+func (p *plainRun) pick(yielded []route.Ref) (*route.Choice, error) {
 	if err := p.node.mayServeUnder(p.request.cutPolicy); err != nil {
 		return nil, err
 	}
@@ -231,7 +231,7 @@
 		Service:   p.service.routeName(),
 		Workspace: p.request.workspace,
 		Priority:  p.request.priority,
-		Exclude:   p.tried,
+		Exclude:   slices.Concat(p.tried, yielded),
 	}
 	if p.request.deadline > 0 {
 		q.Deadline = p.request.arrived + p.request.deadline
@@ -242,7 +242,7 @@
 	}
 	if err := p.node.stillCurrent(choice); err != nil {
 		p.tried = append(p.tried, choice.Candidate.Ref)
-		return p.pick()
+		return p.pick(yielded)
 	}
 	p.attempts++
 	p.request.trace.AddDispatch(p.node.clock.Now(), choice.Candidate.Ref)
@@ -277,7 +277,9 @@
 }
 
 func (p *plainRun) open(ctx context.Context, choice *route.Choice) (*plainAnswer, error) {
-	answer, failed := p.node.proxy.Open(ctx, p.request.exchange(choice.Candidate))
+	x := p.request.exchange(choice.Candidate)
+	x.Observer = p.node.observer(choice)
+	answer, failed := p.node.proxy.Open(ctx, x)
 	if failed != nil {
 		p.ran = combine(p.ran, failed.Ran())
 		if failed.Ran() != sardine.RanNo {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -91,6 +91,7 @@
 	defer cancel(nil)
 	n.retries.countFirst(q.arrived, q.name)
 	q.recordDemand()
+	n.gate.countDemand(q.service.routeName())
 	n.strikes.arrived(q.service, q.losses.segments)
 	n.openTraffic()
 	q.serve(ctx)
@@ -246,7 +247,7 @@
 // retry limit are used up.
 func (q *routedRun) mayRetry(err error) bool {
 	n := q.node
-	if errors.Is(err, errCallerLeft) || codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || n.clock.Now() >= q.deadline {
+	if errors.Is(err, errCallerLeft) || codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || codes.Is(err, codes.TargetLimited) || n.clock.Now() >= q.deadline {
 		return false
 	}
 	if q.ran != sardine.RanNo && !q.route.Idempotent() {
@@ -268,7 +269,7 @@
 // attempt sends the request to one target and forwards its answer.
 func (q *routedRun) attempt(ctx context.Context) error {
 	n := q.node
-	choice, err := q.pick()
+	choice, err := q.pickInTurn(ctx)
 	if err != nil {
 		return err
 	}
@@ -423,5 +424,7 @@
 	if q.tenant != nil {
 		d.Workspace = q.tenant.Name
 	}
-	return proxy.Exchange{MustName: true, Address: c.Address, Request: q.request, Dispatch: d, Deadline: q.deadline}
+	return proxy.Exchange{
+		MustName: true, Address: c.Address, Request: q.request, Dispatch: d, Deadline: q.deadline, Observer: q.node.observer(choice),
+	}
 }
--- a/entry/routed_end.go
+++ b/entry/routed_end.go
@@ -108,6 +108,9 @@
 	if codes.Is(err, codes.Draining) {
 		return drainingDelay
 	}
+	if wait, limited := limitWait(err); limited {
+		return wait + spread
+	}
 	return retryDelay/2 + spread
 }
 
--- a/entry/routed_pick.go
+++ b/entry/routed_pick.go
@@ -13,13 +13,14 @@
 // errTargetLeft means that the chosen target was removed before the dispatch.
 var errTargetLeft = codes.New(codes.NoTarget, "the chosen target has just left")
 
-// pick chooses a target that is not suspected and has not been tried.
-func (q *routedRun) pick() (*route.Choice, error) {
+// pick chooses a target that is not suspected, not left to more urgent requests and has
+// not been tried.
+func (q *routedRun) pick(yielded []route.Ref) (*route.Choice, error) {
 	resumed := q.events.Last() != ""
-	suspects := q.node.health.suspects()
-	choice, rank, err := q.choose(slices.Concat(suspects, q.tried), resumed, q.probing)
+	suspects, excluded := q.node.health.suspects(), slices.Concat(q.tried, yielded)
+	choice, rank, err := q.choose(slices.Concat(suspects, excluded), resumed, q.probing)
 	if len(suspects) > 0 && isNoCandidate(err) { // a suspected target is better than none
-		choice, rank, err = q.choose(q.tried, resumed, q.probing)
+		choice, rank, err = q.choose(excluded, resumed, q.probing)
 	}
 	q.rank = rank
 	switch {
--- a/entry/view.go
+++ b/entry/view.go
@@ -52,7 +52,7 @@
 	members      map[sardine.GroupID][]sardine.Member
 	targetStates map[sardine.VMID]targetState // of all targets
 	tokens       oper.Tokens
-	nodes        int                   // number of entry nodes of the site
+	nodes        []sardine.NodeID      // entry nodes of the site, ordered by name
 	budgetSlots  int                   // number of budget slots, including those of nodes that are away for a short time
 	budgetSlot   state.BudgetSlot      // budget slot of this node, the zero value without one
 	position     int                   // index of this node among the entry nodes, ordered by name
@@ -75,7 +75,7 @@
 	v := emptyView()
 	v.index, v.at = m.Index(), m.Time()
 	for i, e := range m.Entries() {
-		v.nodes++
+		v.nodes = append(v.nodes, e.Node)
 		if e.Node == self {
 			v.position = i
 		}
@@ -182,14 +182,15 @@
 		head, _ := m.Target(g.Members[0].VM)
 		key := serviceKey{g.Team, g.Service}
 		v.candidates[key] = append(v.candidates[key], route.Candidate{
-			Ref:        route.Ref{Group: g.ID, Epoch: g.Epoch},
-			Service:    key.routeName(),
-			Kind:       sardine.KindEngine,
-			Model:      g.Model,
-			Version:    g.Version,
-			Address:    g.Members[0].Address,
-			Head:       g.Members[0].VM,
-			DataCentre: head.DataCentre,
+			Ref:             route.Ref{Group: g.ID, Epoch: g.Epoch},
+			Service:         key.routeName(),
+			Kind:            sardine.KindEngine,
+			Model:           g.Model,
+			Version:         g.Version,
+			Address:         g.Members[0].Address,
+			Head:            g.Members[0].VM,
+			HeadIncarnation: g.Members[0].Incarnation,
+			DataCentre:      head.DataCentre,
 		})
 		v.serving[g.ID] = g.Epoch
 	}
@@ -260,12 +261,13 @@
 				continue
 			}
 			v.candidates[key] = append(v.candidates[key], route.Candidate{
-				Ref:        route.Ref{VM: t.VM, Incarnation: t.Incarnation},
-				Service:    key.routeName(),
-				Kind:       sardine.KindPlain,
-				Address:    t.Address,
-				Head:       t.VM,
-				DataCentre: t.DataCentre,
+				Ref:             route.Ref{VM: t.VM, Incarnation: t.Incarnation},
+				Service:         key.routeName(),
+				Kind:            sardine.KindPlain,
+				Address:         t.Address,
+				Head:            t.VM,
+				HeadIncarnation: t.Incarnation,
+				DataCentre:      t.DataCentre,
 			})
 		}
 	}
--- a/event/table.go
+++ b/event/table.go
@@ -53,6 +53,8 @@
 	GroupDissolved  ID = 409
 	ModelStaged     ID = 410
 	TargetEnded     ID = 411
+	TargetLimited   ID = 412
+	LimitInvalid    ID = 413
 	RequestRefused  ID = 500
 	RequestFailed   ID = 501
 	StreamResumed   ID = 502
@@ -123,6 +125,8 @@
 	{GroupDissolved, "group_dissolved", slog.LevelInfo, "a group is dissolved; its members are ordered to leave it", "see the why attribute"},
 	{ModelStaged, "model_staged", slog.LevelInfo, "a VM without a group is ordered to load a model into its host memory", "nothing"},
 	{TargetEnded, "target_ended", slog.LevelWarn, "a target's process exited while it ran requests", "compare the fingerprints of its attempt_failed lines"},
+	{TargetLimited, "target_limit_changed", slog.LevelInfo, "a target has stated, changed or removed the rate of requests that it takes; -1 stands for no limit, and the source is an answer of its own or the control leader", "look after the target if the limit stays"},
+	{LimitInvalid, "target_limit_invalid", slog.LevelWarn, "a target has stated a rate of requests that is no number of 0 or more; it is ignored", "correct the target"},
 	{RequestRefused, "request_refused", slog.LevelInfo, "a request was refused before it ran", "see the code attribute"},
 	{RequestFailed, "request_failed", slog.LevelWarn, "a request failed after it was dispatched", "see the code attribute"},
 	{StreamResumed, "stream_resumed", slog.LevelInfo, "a broken answer was resumed at its last token", "nothing"},
--- a/layout.go
+++ b/layout.go
@@ -38,6 +38,7 @@
 	Kind        RouteKind
 	Timeout     Millis // longest time that a caller waits
 	Objective   Millis // latency objective for the first byte or event
+	Priority    int    // 0 is the most urgent
 	MaxGap      Millis // objective for the longest pause between events, 0 if not set
 	Split       []WeightedService
 	MaxAttempts int  // maximum number of targets to which a request is sent
@@ -112,8 +113,10 @@
 
 // KeyTenant is a workspace that callers identify by an API key.
 type KeyTenant struct {
-	Name Workspace
-	Keys []string
+	Name        Workspace
+	Keys        []string
+	Priority    int  // replaces that of the route
+	HasPriority bool // Priority is set
 }
 
 // CallerLimits holds the limits on callers' requests.
--- a/loss/cause.go
+++ b/loss/cause.go
@@ -90,7 +90,7 @@
 	switch {
 	case r.began:
 		return CutMidway
-	case r.code == codes.QueueFull || r.code == codes.TargetFull:
+	case r.code == codes.QueueFull || r.code == codes.TargetFull || r.code == codes.TargetLimited:
 		return RefusedFull
 	case r.code == codes.NoTarget || r.code == codes.EpochRefused:
 		return RefusedNoGroup
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -44,6 +44,15 @@
 	Request  pool.Request
 	Dispatch sardine.Dispatch
 	Deadline sardine.Millis // deadline of the answer's head, 0 if only the context bounds it
+	Observer Observer       // nil for none
+}
+
+// Observer is notified of the progress of an exchange. Its methods must not block.
+type Observer interface {
+	// Sent is called once the target may have received the request.
+	Sent()
+	// Replied is called with the head of an answer to the request, a refusal too.
+	Replied(sentAt sardine.Millis, status int, r sardine.Reply)
 }
 
 // answeredBy reports whether an answer belongs to the exchange. An answer that names
@@ -54,6 +63,18 @@
 	return r.Request == x.Dispatch.Request || r.Request == "" && !x.MustName && !used
 }
 
+func (x Exchange) notifySent() {
+	if x.Observer != nil {
+		x.Observer.Sent()
+	}
+}
+
+func (x Exchange) notifyReplied(sentAt sardine.Millis, status int, r sardine.Reply) {
+	if x.Observer != nil {
+		x.Observer.Replied(sentAt, status, r)
+	}
+}
+
 // Answer is a target's answer whose body is not read yet. The caller must call
 // Close.
 type Answer struct {
@@ -99,28 +120,35 @@
 	q.Header = EndToEndHeader(q.Header)
 	c.port.Prepare(q.Header, x.Dispatch)
 	conn.Begin(string(x.Dispatch.Request))
-	if sent, err := conn.Send(q); err != nil {
+	began := c.pool.Now()
+	sent, err := conn.Send(q)
+	if sent {
+		x.notifySent()
+	}
+	if err != nil {
 		ran := sardine.RanUnknown
 		if !sent {
 			ran = sardine.RanNo
 		}
 		return nil, newFailure(ran, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" did not accept the request"))
 	}
-	sent := c.pool.Now()
+	written := c.pool.Now()
 	for range maxReceived {
 		resp, err := conn.Receive(q.Method)
 		if err != nil {
 			return nil, newFailure(sardine.RanUnknown, codes.Wrap(codes.TargetFailed, err, "target "+x.Address+" did not answer"))
 		}
 		reply := c.port.Reply(resp.StatusCode, resp.Header)
-		answer := &Answer{Response: resp, Reply: reply, SentAt: sent, named: reply.Request != "", conn: conn}
+		answer := &Answer{Response: resp, Reply: reply, SentAt: written, named: reply.Request != "", conn: conn}
 		switch {
 		case reply.Ran == sardine.RanNo && reply.Request == "" && conn.Used():
 			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent a refusal that names no request", x.Address))
 		case reply.Ran == sardine.RanNo && (x.answeredBy(reply, conn.Used()) || reply.Request == ""):
+			x.notifyReplied(began, resp.StatusCode, reply)
 			conn.MarkRefused()
 			return answer, refusalFailure(x, resp, reply)
 		case x.answeredBy(reply, conn.Used()):
+			x.notifyReplied(began, resp.StatusCode, reply)
 			return answer, invalidFailure(x, reply)
 		case !x.MustName && string(reply.Request) != conn.PreviousName(): // a wrong answer, not a late one to the previous request
 			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent an answer to request %q", x.Address, reply.Request))
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -39,15 +39,17 @@
 // Candidate is a target that may receive requests of a service.
 type Candidate struct {
 	Ref
-	Service    sardine.ServiceName
-	Kind       sardine.TargetKind
-	Model      sardine.ModelName // engines only
-	Version    string            // engines only
-	Address    string            // host:port, of rank 0 for a group
-	Head       sardine.VMID      // VM that serves Address
-	DataCentre sardine.DataCentre
-	Leaving    bool           // draining, gets no new requests
-	LeaseUntil sardine.Millis // gets no new requests from then on, 0 is no end
+	Service sardine.ServiceName
+	Kind    sardine.TargetKind
+	Model   sardine.ModelName // engines only
+	Version string            // engines only
+	Address string            // host:port, of rank 0 for a group
+	Head    sardine.VMID      // VM that serves Address
+	// HeadIncarnation is the incarnation of the process that serves Address.
+	HeadIncarnation sardine.Incarnation
+	DataCentre      sardine.DataCentre
+	Leaving         bool           // draining, gets no new requests
+	LeaseUntil      sardine.Millis // gets no new requests from then on, 0 is no end
 }
 
 // Request is what Pick uses of a request.
--- a/route/router.go
+++ b/route/router.go
@@ -185,6 +185,16 @@
 	return c, nil
 }
 
+// HasUsable reports whether some candidate may take the request.
+func (r *Router) HasUsable(now sardine.Millis, q Request) bool {
+	s := r.services[q.Service]
+	if s == nil {
+		return false
+	}
+	r.gather(now, s, q)
+	return len(r.usable) > 0
+}
+
 // preferred returns a choice of the request's preferred group if it is
 // usable.
 func (r *Router) preferred(now sardine.Millis, s *service, q Request) Choice {
--- a/serve/target.go
+++ b/serve/target.go
@@ -8,6 +8,7 @@
 	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/order"
 	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/quota"
 	"sardineswitch.dev/sardine/reply"
 )
 
@@ -75,6 +76,11 @@
 	if load, err := annc.ParseLoad(h.Get(annc.HeaderLoad)); err == nil {
 		r.Load, r.HasLoad = load, true
 	}
+	rate, stated, err := quota.ParseLimit(h.Values(annc.HeaderLimit))
+	if err != nil {
+		r.InvalidLimit = err.Error()
+	}
+	r.Limit, r.HasLimit = rate, stated
 	return r
 }
 
@@ -86,5 +92,6 @@
 		passed.Del(name)
 	}
 	passed.Del(annc.HeaderLoad)
+	passed.Del(annc.HeaderLimit)
 	return passed
 }
--- a/serve/target_test.go
+++ b/serve/target_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/annc"
 	"sardineswitch.dev/sardine/clock"
 	"sardineswitch.dev/sardine/order"
 	"sardineswitch.dev/sardine/pool"
@@ -113,3 +114,16 @@
 	require.Equal(t, http.StatusTemporaryRedirect, answer.Response.StatusCode)
 	require.Equal(t, 1, calls)
 }
+
+// An answer may state a limit, which is not forwarded.
+func TestReplyStatesALimit(t *testing.T) {
+	h := http.Header{}
+	h.Set(annc.HeaderLimit, "6.5")
+	r := NewTargetPort().Reply(http.StatusOK, h)
+	require.Equal(t, sardine.Reply{Limit: 6.5, HasLimit: true}, r)
+	require.Empty(t, ForwardedHeader(h))
+	h.Set(annc.HeaderLimit, "fast")
+	r = NewTargetPort().Reply(http.StatusOK, h)
+	require.False(t, r.HasLimit)
+	require.NotEmpty(t, r.InvalidLimit)
+}
