--- a/quota/rate.go
+++ b/quota/rate.go
@@ -8,7 +8,7 @@
 // limit.
 func (t *Table) Rate(now sardine.Millis, g Target) float64 {
 	e := t.entries[g]
-	if e == nil || !e.statement.limited {
+	if e == nil || !e.restricts() {
 		return 0
 	}
 	t.refresh(now, e)
