Wait for a turn rather than send a request to a suspected target

If limits left no turn at the sound targets, a request went to a target that has stalled. It waits for its turn now, or is refused, as without suspects. Found by reading the merge; go test ./entry passes.

--- a/entry/routed_pick.go
+++ b/entry/routed_pick.go
@@ -19,7 +19,7 @@
 	resumed := q.events.Last() != ""
 	suspects, excluded := q.node.health.suspects(), slices.Concat(q.tried, yielded)
 	choice, rank, err := q.choose(slices.Concat(suspects, excluded), resumed, q.probing)
-	if len(suspects) > 0 && isNoCandidate(err) { // a suspected target is better than none
+	if len(suspects) > 0 && isNoCandidate(err) && !codes.Is(err, codes.TargetLimited) { // a suspected target is better than none
 		choice, rank, err = q.choose(excluded, resumed, q.probing)
 	}
 	q.rank = rank
