--- a/entry/routed.go
+++ b/entry/routed.go
@@ -91,6 +91,7 @@
 	defer cancel(nil)
 	n.retries.countFirst(q.arrived, q.name)
 	q.recordDemand()
+	n.gate.countDemand(q.service.routeName())
 	n.strikes.arrived(q.service, q.losses.segments)
 	n.openTraffic()
 	q.serve(ctx)
@@ -183,7 +184,7 @@
 			q.served()
 			return
 		}
-		next = q.takeover()
+		next = q.takeover(err)
 		if ctx.Err() != nil {
 			if next != nil {
 				next.abandon()
@@ -246,7 +247,7 @@
 // retry limit are used up.
 func (q *routedRun) mayRetry(err error) bool {
 	n := q.node
-	if errors.Is(err, errCallerLeft) || codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || n.clock.Now() >= q.deadline {
+	if errors.Is(err, errCallerLeft) || codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || codes.Is(err, codes.TargetLimited) || n.clock.Now() >= q.deadline {
 		return false
 	}
 	if q.ran != sardine.RanNo && !q.route.Idempotent() {
@@ -268,7 +269,7 @@
 // attempt sends the request to one target and forwards its answer.
 func (q *routedRun) attempt(ctx context.Context) error {
 	n := q.node
-	choice, err := q.pick()
+	choice, err := q.pickInTurn(ctx)
 	if err != nil {
 		return err
 	}
@@ -291,7 +292,7 @@
 		}
 		q.ran = combine(q.ran, failed.Ran())
 		n.gate.finish(choice, route.DispatchResult{Canceled: failed.Ran() == sardine.RanNo})
-		q.logAttempt(choice, failed)
+		q.logAttempt(choice, failed, q.ran)
 		if failed.Ran() != sardine.RanNo {
 			q.losses.recordLoss(attemptCtx, target, 0, failed)
 		}
@@ -326,11 +327,11 @@
 	left := errors.Is(err, errCallerLeft)
 	n.gate.finish(choice, route.DispatchResult{OK: whole, Canceled: left})
 	if err == nil {
-		q.handover.complete()
+		q.handover.complete(nil)
 		return nil
 	}
 	cause := q.causeOf(ctx, err)
-	q.logAttempt(choice, cause)
+	q.logAttempt(choice, cause, q.ran)
 	if !errors.Is(err, errTargetError) && !left {
 		q.losses.recordLoss(ctx, target, q.attemptEvents, err)
 	}
@@ -424,5 +425,7 @@
 	if q.tenant != nil {
 		d.Workspace = q.tenant.Name
 	}
-	return proxy.Exchange{MustName: true, Address: c.Address, Request: q.request, Dispatch: d, Deadline: q.deadline}
+	return proxy.Exchange{
+		MustName: true, Address: c.Address, Request: q.request, Dispatch: d, Deadline: q.deadline, Observer: q.node.observer(choice),
+	}
 }
--- a/entry/routed_end.go
+++ b/entry/routed_end.go
@@ -108,12 +108,15 @@
 	if codes.Is(err, codes.Draining) {
 		return drainingDelay
 	}
+	if wait, limited := limitWait(err); limited {
+		return wait + spread
+	}
 	return retryDelay/2 + spread
 }
 
-func (q *routedRun) logAttempt(choice *route.Choice, err error) {
+func (q *routedRun) logAttempt(choice *route.Choice, err error, ran sardine.Ran) {
 	q.node.meter.attempted(err)
-	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.losses.poison), codeAttr(err), ranAttr(q.ran),
+	event.Log(q.node.log, event.AttemptFailed, requestAttr(q.call.ID), poisonAttr(q.losses.poison), codeAttr(err), ranAttr(ran),
 		slog.String("target", choice.Candidate.Ref.String()), slog.String("route", q.route.Name),
 		slog.String("waited_ms", strconv.Itoa(int(q.node.clock.Now()-q.arrived))))
 }
