--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 
 	sardine "sardineswitch.dev/sardine"
@@ -65,8 +66,10 @@
 func (n *Node) membershipLoop() error {
 	lastLeader := n.clock.Now()
 	waiting := false
+	var margin quorum.Margin
 	for {
 		info := n.log.Leader()
+		margin = n.logMargin(margin)
 		if info.ID != "" && n.isMember() {
 			lastLeader = n.clock.Now()
 		}
@@ -90,6 +93,16 @@
 	}
 }
 
+// logMargin logs the margin of the quorum if this node leads and it differs from the one
+// logged last, and returns it.
+func (n *Node) logMargin(last quorum.Margin) quorum.Margin {
+	m, leads := n.log.Status().Core.Margin()
+	if leads && m != last {
+		event.Log(n.logger, event.QuorumMargin, slog.Int("voters", m.Voters), slog.Int("answering", m.Answering), slog.Int("needed", m.Needed))
+	}
+	return m
+}
+
 // SetSeeds replaces the addresses of the control nodes that this node asks to enrol it.
 func (n *Node) SetSeeds(addresses []string) {
 	n.seedsMu.Lock()
--- a/event/table.go
+++ b/event/table.go
@@ -25,6 +25,7 @@
 	DiskFull        ID = 207
 	DiskRoom        ID = 208
 	EnrolWaits      ID = 209
+	QuorumMargin    ID = 210
 	ChangeAccepted  ID = 300
 	ChangeRefused   ID = 301
 	EntryJoined     ID = 302
@@ -97,6 +98,7 @@
 	{DiskFull, "disk_full", slog.LevelError, "the disk of the data folder is full; this control node acknowledges nothing until there is free space", "free disk space, see docs/operate/full-disk.md"},
 	{DiskRoom, "disk_room", slog.LevelInfo, "the disk accepts writes again", "nothing"},
 	{EnrolWaits, "enrol_waits", slog.LevelWarn, "no known control node accepts this one as a member; it keeps asking", "check the network to the seeds, and the seeds in the settings"},
+	{QuorumMargin, "quorum_margin", slog.LevelInfo, "how many voters there are, how many of them answer the leader, and how many it needs", "with as many as are needed, one more loss stops all changes: start or replace the voters that do not answer"},
 	{ChangeAccepted, "change_accepted", slog.LevelInfo, "a settings change is in force on every entry node", "nothing"},
 	{ChangeRefused, "change_refused", slog.LevelInfo, "a settings change was refused", "see the error attribute"},
 	{EntryJoined, "entry_joined", slog.LevelInfo, "an entry node joined", "nothing"},
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -160,7 +160,12 @@
 // isAvailable reports whether a member is settled and replied within the longest
 // election timeout.
 func (c *Core) isAvailable(p *progress) bool {
-	return p.settled && c.now-p.lastContact <= c.timing.ElectionMax
+	return p.settled && c.answers(p)
+}
+
+// answers reports whether a member replied within the longest election timeout.
+func (c *Core) answers(p *progress) bool {
+	return c.now-p.lastContact <= c.timing.ElectionMax
 }
 
 func (c *Core) checkCaughtUp(n sardine.NodeID) error {
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -12,6 +12,14 @@
 	Match   uint64
 	Lag     uint64 // entries that the member lacks
 	HeardAt sardine.Millis
+	Answers bool // replied within the longest election timeout
+}
+
+// Margin describes how many voters a leader can lose.
+type Margin struct {
+	Voters    int
+	Answering int // of the voters, including the leader
+	Needed    int // for a quorum
 }
 
 // Status describes a core for status dumps and metrics.
@@ -56,11 +64,31 @@
 	}
 	for _, n := range c.others() {
 		p := c.peers[n]
-		s.Peers = append(s.Peers, PeerStatus{Node: n, Match: p.match, Lag: s.Last.Index - p.match, HeardAt: p.lastContact})
+		s.Peers = append(s.Peers, PeerStatus{Node: n, Match: p.match, Lag: s.Last.Index - p.match, HeardAt: p.lastContact, Answers: c.answers(p)})
 	}
 	return s
 }
 
+// Margin returns the margin of the quorum. It is only known to the leader: ok is false on
+// other members.
+func (s Status) Margin() (m Margin, ok bool) {
+	answers := make(map[sardine.NodeID]bool)
+	for _, p := range s.Peers {
+		answers[p.Node] = p.Answers
+	}
+	for _, member := range s.Members {
+		if member.Learner {
+			continue
+		}
+		m.Voters++
+		if answers[member.Node] || member.Node == s.Leader {
+			m.Answering++
+		}
+	}
+	m.Needed = m.Voters/2 + 1
+	return m, s.Role == Leader
+}
+
 // IsLeader reports whether this node considers itself the leader. Use
 // ConfirmLeadership for proof.
 func (c *Core) IsLeader() bool {
