--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -10,6 +10,7 @@
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/quorum"
+	"sardineswitch.dev/sardine/roster"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -20,9 +21,6 @@
 	// leaderLossTimeout is how long a member must know no leader before it requests
 	// enrolment again. It is longer than an election.
 	leaderLossTimeout = 2500 * sardine.Millis(1)
-	// voterLossTimeout is how long a member must be silent before it may be removed.
-	// It is longer than a restart or a pause of several seconds.
-	voterLossTimeout = 10 * sardine.Second
 	// enrolTimeout bounds the work of one check, including calls to other control
 	// nodes.
 	enrolTimeout = sardine.Second
@@ -158,42 +156,25 @@
 	return lastErr
 }
 
-// maintainMembers promotes learners and removes one silent member per call. A silent
-// voter is removed only while the number of voters is even: another node has then
-// replaced it, and the quorum tolerates as many failures without it.
+// maxMemberChanges limits the member changes of one check.
+const maxMemberChanges = 4
+
+// maintainMembers makes the member list follow the control nodes that run.
 func (n *Node) maintainMembers(ctx context.Context) {
-	status := n.log.Status().Core
-	isSilent := make(map[sardine.NodeID]bool)
-	for _, p := range status.Peers {
-		since := max(p.HeardAt, status.LeaderSince)
-		isSilent[p.Node] = n.clock.Now()-since > voterLossTimeout
-	}
-	voters := 0
-	var silentMembers []quorum.Member
-	for _, m := range n.log.Members() {
-		if !m.Learner {
-			voters++
-		}
-		if isSilent[m.Node] {
-			silentMembers = append(silentMembers, m)
-		} else if m.Learner {
-			n.tryChangeMember(ctx, quorum.Promote, m)
-		}
-	}
-	for _, m := range silentMembers {
-		if m.Learner || voters%2 == 0 {
-			n.tryChangeMember(ctx, quorum.Remove, m)
+	for range maxMemberChanges {
+		change, due := roster.Next(roster.Peers(n.clock.Now(), n.log.Status().Core))
+		if !due || !n.tryChangeMember(ctx, change.Kind, change.Member) {
 			return
 		}
 	}
 }
 
-// tryChangeMember changes a member. It does not log errors that are expected while
-// the change is not yet possible; the next check tries again.
-func (n *Node) tryChangeMember(ctx context.Context, kind quorum.ChangeKind, m quorum.Member) {
+// tryChangeMember changes a member and reports whether it did. It does not log errors that
+// are expected while the change is not yet possible; the next check tries again.
+func (n *Node) tryChangeMember(ctx context.Context, kind quorum.ChangeKind, m quorum.Member) bool {
 	err := n.changeMember(ctx, kind, m)
-	if err == nil || codes.Is(err, codes.MemberBusy) || codes.Is(err, codes.NotLeader) || codes.Is(err, codes.NoQuorum) {
-		return
+	if err != nil && !codes.Is(err, codes.MemberBusy) && !codes.Is(err, codes.NotLeader) && !codes.Is(err, codes.NoQuorum) {
+		event.Log(n.logger, event.DutyFailed, memberAttr(m.Node), errorAttr(err))
 	}
-	event.Log(n.logger, event.DutyFailed, memberAttr(m.Node), errorAttr(err))
+	return err == nil
 }
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -168,12 +168,17 @@
 	return c.now-p.lastContact <= c.timing.ElectionMax
 }
 
+// caughtUp reports whether a member answers and lacks few entries.
+func (c *Core) caughtUp(p *progress) bool {
+	return c.isAvailable(p) && p.match+c.limits.PromoteLag >= c.log.last().Index
+}
+
 func (c *Core) checkCaughtUp(n sardine.NodeID) error {
 	p := c.peers[n]
 	if p == nil {
 		return nil
 	}
-	if !c.isAvailable(p) || p.match+c.limits.PromoteLag < c.log.last().Index {
+	if !c.caughtUp(p) {
 		return codes.New(codes.MemberBusy, "learner %s holds %d of %d entries, wait until it has caught up", n, p.match, c.log.last().Index)
 	}
 	return nil
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -13,6 +13,8 @@
 	Lag     uint64 // entries that the member lacks
 	HeardAt sardine.Millis
 	Answers bool // replied within the longest election timeout
+	// CaughtUp is set if the member may be promoted, as far as its log is concerned.
+	CaughtUp bool
 }
 
 // Margin describes how many voters a leader can lose.
@@ -64,7 +66,7 @@
 	}
 	for _, n := range c.others() {
 		p := c.peers[n]
-		s.Peers = append(s.Peers, PeerStatus{Node: n, Match: p.match, Lag: s.Last.Index - p.match, HeardAt: p.lastContact, Answers: c.answers(p)})
+		s.Peers = append(s.Peers, PeerStatus{Node: n, Match: p.match, Lag: s.Last.Index - p.match, HeardAt: p.lastContact, Answers: c.answers(p), CaughtUp: c.caughtUp(p)})
 	}
 	return s
 }
