A successor takes the vote of a silent voter within seconds

Operators saw: control nodes are replaced one after the other, each 9 s; after five of them the four that run never elect a leader again, and every read of the settings, announcement and report is refused to the end (CONFIG).

Cause: the two halves of a replacement were far apart. A successor got its vote at once, the one that was gone kept its own until it had been silent for 10 s, counted anew from each start of a term, and lost it only at a check at which the number of voters was even. With a loss each 5 to 9 s the quorum grew beyond the nodes that ran: 8 voters, 4 gone, 5 needed. Class: a change in two steps that each leave a legal state, with no bound on the time between them.

Change: a voter that has been silent for 2 s loses its vote while the number of voters is even, the one that is silent longest first, in the same check as the promotion of its successor. The silence of a leader that is lost counts from its last message. A voter that was removed while it paused asks to be enrolled as soon as it is told. A removal from an even number of voters raises the number of voters that the quorum can lose by one; from an odd number nobody is removed without a successor.

--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -59,15 +59,15 @@
 }
 
 // membershipLoop manages the membership until the node stops: a node that is not a
-// member or knows no leader requests enrolment; the leader promotes learners and
-// removes silent members.
+// member or knows no leader requests enrolment; the leader makes the member list follow
+// the nodes that run.
 func (n *Node) membershipLoop() error {
 	lastLeader := n.clock.Now()
 	waiting := false
 	var margin quorum.Margin
 	for {
-		info := n.log.Leader()
-		margin = n.logMargin(margin)
+		info, core := n.log.Leader(), n.log.Status().Core
+		margin = n.logMargin(core, margin)
 		if info.ID != "" && n.isMember() {
 			lastLeader = n.clock.Now()
 		}
@@ -75,7 +75,7 @@
 		switch {
 		case info.IsLeader:
 			n.maintainMembers(ctx)
-		case !n.isMember() || n.clock.Now()-lastLeader > leaderLossTimeout:
+		case core.Removed || !n.isMember() || n.clock.Now()-lastLeader > leaderLossTimeout:
 			err := n.requestEnrolment(ctx)
 			if err != nil && !waiting {
 				event.Log(n.logger, event.EnrolWaits, errorAttr(err))
@@ -93,8 +93,8 @@
 
 // logMargin logs the margin of the quorum if this node leads and it differs from the one
 // logged last, and returns it.
-func (n *Node) logMargin(last quorum.Margin) quorum.Margin {
-	m, leads := n.log.Status().Core.Margin()
+func (n *Node) logMargin(core quorum.Status, last quorum.Margin) quorum.Margin {
+	m, leads := core.Margin()
 	if leads && m != last {
 		event.Log(n.logger, event.QuorumMargin, slog.Int("voters", m.Voters), slog.Int("answering", m.Answering), slog.Int("needed", m.Needed))
 	}
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -286,6 +286,7 @@
 		p.replaceFolder(m.Folder)
 	}
 	p.lastContact = c.now
+	p.heardAt = c.now
 	p.settled = p.settled || m.Settled
 	return p
 }
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -65,6 +65,7 @@
 
 	lastContact      sardine.Millis // time of the last message from a leader
 	contacted        bool           // lastContact is set
+	lastLeader       sardine.NodeID // that lastContact belongs to
 	electionAt       sardine.Millis
 	heartbeatAt      sardine.Millis
 	votes            map[sardine.NodeID]bool
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -196,6 +196,9 @@
 	c.peers = make(map[sardine.NodeID]*progress)
 	c.reads = reads{round: c.reads.round}
 	c.updatePeers()
+	if p := c.peers[c.lastLeader]; p != nil {
+		p.heardAt = c.lastContact
+	}
 	c.uncommittedBytes = 0
 	for _, e := range c.log.between(c.commit, c.log.last().Index) {
 		c.uncommittedBytes += e.size()
@@ -233,6 +236,7 @@
 	}
 	c.becomeFollower(c.hard.Term, from)
 	c.lastContact = c.now
+	c.lastLeader = from
 	c.contacted = true
 	c.yielded = false
 	c.removed = false
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -24,7 +24,8 @@
 	next             uint64 // next entry to send
 	inflight         []inflightAppend
 	inflightBytes    int            // entry bytes of all inflight messages
-	lastContact      sardine.Millis // time of the last reply
+	lastContact      sardine.Millis // time of the last reply, or of the start of the term
+	heardAt          sardine.Millis // lastContact; for the previous leader also of its last message
 	ackedAt          sardine.Millis // time of the last advance of match, or of the first inflight message
 	awaitingReply    bool           // a probe or chunk is unanswered
 	sentAt           sardine.Millis
@@ -38,7 +39,7 @@
 
 // newProgress returns the progress of a member whose log is unknown.
 func newProgress(next uint64, now sardine.Millis) *progress {
-	return &progress{mode: probing, next: next, lastContact: now}
+	return &progress{mode: probing, next: next, lastContact: now, heardAt: now}
 }
 
 func (p *progress) probe() {
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -10,9 +10,9 @@
 type PeerStatus struct {
 	Node    sardine.NodeID
 	Match   uint64
-	Lag     uint64 // entries that the member lacks
-	HeardAt sardine.Millis
-	Answers bool // replied within the longest election timeout
+	Lag     uint64         // entries that the member lacks
+	HeardAt sardine.Millis // last message from the member, or the start of the term
+	Answers bool           // replied within the longest election timeout
 	// CaughtUp is set if the member may be promoted, as far as its log is concerned.
 	CaughtUp bool
 }
@@ -66,7 +66,7 @@
 	}
 	for _, n := range c.others() {
 		p := c.peers[n]
-		s.Peers = append(s.Peers, PeerStatus{Node: n, Match: p.match, Lag: s.Last.Index - p.match, HeardAt: p.lastContact, Answers: c.answers(p), CaughtUp: c.caughtUp(p)})
+		s.Peers = append(s.Peers, PeerStatus{Node: n, Match: p.match, Lag: s.Last.Index - p.match, HeardAt: p.heardAt, Answers: c.answers(p), CaughtUp: c.caughtUp(p)})
 	}
 	return s
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,9 +5,13 @@
 	"sardineswitch.dev/sardine/quorum"
 )
 
-// maxSilence is how long a member must be silent before it may be removed. It is longer
-// than a restart or a pause of several seconds.
-const maxSilence = 10 * sardine.Second
+const (
+	// voterSilence is how long a voter must be silent before it may lose its vote. It is
+	// longer than an election.
+	voterSilence = 2 * sardine.Second
+	// learnerSilence is how long a learner must be silent before it is removed.
+	learnerSilence = 10 * sardine.Second
+)
 
 // Peer is what the leader knows of another member.
 type Peer struct {
@@ -16,20 +20,12 @@
 	CaughtUp bool           // a learner that may be promoted
 }
 
-func (p Peer) lost() bool {
-	return p.Silent > maxSilence
-}
-
 // Next returns the next change of the member list, if one is due. The leader, which is
-// not among the peers, has a vote. A silent voter is removed only while the number of
-// voters is even: another node has then replaced it, and the quorum tolerates as many
-// failures without it.
+// not among the peers, has a vote. The change never lowers the number of answering voters
+// that the quorum can lose.
 func Next(peers []Peer) (change quorum.MemberChange, due bool) {
-	voters := 1
-	for _, p := range peers {
-		if !p.Member.Learner {
-			voters++
-		}
+	if p, found := removableVoter(peers); found {
+		return quorum.MemberChange{Kind: quorum.Remove, Member: p.Member}, true
 	}
 	for _, p := range peers {
 		if p.Member.Learner && p.CaughtUp {
@@ -37,9 +33,27 @@
 		}
 	}
 	for _, p := range peers {
-		if p.lost() && (p.Member.Learner || voters%2 == 0) {
+		if p.Member.Learner && p.Silent > learnerSilence {
 			return quorum.MemberChange{Kind: quorum.Remove, Member: p.Member}, true
 		}
 	}
 	return quorum.MemberChange{}, false
 }
+
+// removableVoter returns the voter that has been silent for the longest time, if it may lose
+// its vote. An even number of voters needs as many for a quorum as the next higher odd one, so
+// the quorum can lose one voter more without it. With an odd number it keeps its vote until a
+// successor has one.
+func removableVoter(peers []Peer) (voter Peer, found bool) {
+	voters := 1
+	for _, p := range peers {
+		if p.Member.Learner {
+			continue
+		}
+		voters++
+		if p.Silent > voterSilence && p.Silent > voter.Silent {
+			voter, found = p, true
+		}
+	}
+	return voter, found && voters%2 == 0
+}
--- a/roster/status.go
+++ b/roster/status.go
@@ -15,7 +15,7 @@
 	for _, p := range s.Peers {
 		peers = append(peers, Peer{
 			Member:   members[p.Node],
-			Silent:   now - max(p.HeardAt, s.LeaderSince),
+			Silent:   now - p.HeardAt,
 			CaughtUp: p.CaughtUp,
 		})
 	}
