Measure successions of control nodes over random seeds

standin measure succession draws the number of voters (3 to 9), who is lost, how and how often, the spacing (5 to 10 s) and the delay of enrolment (to 3 s).

--- a/standin/gauge/gauge.go
+++ b/standin/gauge/gauge.go
@@ -31,6 +31,7 @@
 		limits(),
 		groupsMeasure(),
 		quorumMeasure(),
+		successionMeasure(),
 		logMeasure(),
 		settingsMeasure(),
 		configMeasure(),
--- a/standin/trial/succession.go
+++ b/standin/trial/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/disk"
@@ -190,3 +191,25 @@
 		s.checker.fail("no change was applied within %d ms after an outage: %s", recoveryTime, s.describe())
 	}
 }
+
+// DrawSuccession returns the parameters of a random run.
+func DrawSuccession(seed uint64) Succession {
+	random := rand.New(rand.NewPCG(seed, 1))
+	pick := func(names ...string) string { return names[random.IntN(len(names))] }
+	return Succession{
+		Seed:       seed,
+		Voters:     3 + random.IntN(7),
+		Rounds:     3 + random.IntN(8),
+		Spacing:    5*sardine.Second + sardine.Millis(random.IntN(5000)),
+		Victim:     pick("oldest", "newest", "leader", "random"),
+		Event:      pick("replaced", "replaced", "planned"),
+		EnrolDelay: 100 + sardine.Millis(random.IntN(2900)),
+		Outage:     true,
+	}
+}
+
+// Failed reports whether a run has broken what it promises: no pause without an applied change
+// is longer than the loss of a leader explains.
+func (r SuccessionReport) Failed() bool {
+	return r.Violation != "" || r.LongestGap > maxFailover
+}
