Enrolment: a failed seed no longer uses up the time of the others

A new node became a learner 3 s after its start, or never, when the control nodes that had gone stood first in its list.

Cause: requestEnrolment asked one address after the other within one limit of 1 s, in the same order in each round. A machine that has gone drops packets, so that the first one took the whole second, each round again.

Evidence: TestNodeIsEnrolledBehindFailedSeeds (four addresses that connect and never reply, then a follower). On the node is not enrolled within 20 s: FAIL, 'the new node is never enrolled'.

The requests have a loop of their own, so that the leader's checks of the members don't wait for them.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -273,6 +273,7 @@
 	}
 	if n.managesMembers {
 		n.tomb.Go(n.membershipLoop)
+		n.tomb.Go(n.enrolLoop)
 	}
 	n.tomb.Go(n.watchLog)
 	n.tomb.Go(n.historyLoop)
