Control client: dead nodes no longer use up the time of a call

Callers saw, on machines of which some control nodes had gone: shares of limits that ran out, claims and joins refused with an unknown outcome although nothing was sent.

Cause: Client tried one address after the other under the caller's limit. A machine that has gone takes a connection attempt of 1.5 s; a report of demand has 0.9 s, a command 5 s. The client remembered only the latest failure, so that two such machines took turns and the leader behind them was never reached. A call whose time ended while it waited for a connection counted as one that may have been executed.

Fix: a call that gets no connection within 200 ms ends and the next node is called; each further round allows twice as long. net/http tells when a connection was obtained: before that nothing was sent. Recall puts all nodes that failed behind the others, the oldest failure first.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -35,10 +35,9 @@
 
 	reports *reportRoute
 
-	mu         sync.Mutex
-	leader     string // the last address that replied as leader or was named as leader
-	lastFailed string // the last address at which a call failed, tried after the others
-	stubs      map[string]wire.Control
+	mu     sync.Mutex
+	recall Recall // of calls to the leader
+	stubs  map[string]wire.Control
 }
 
 // Option sets a property of a Client.
@@ -199,33 +198,24 @@
 	}
 }
 
-// candidates returns the addresses to try: the presumed leader first, the address
-// at which the latest call failed last.
+// candidates returns the addresses to try: the presumed leader first, those at which
+// a call failed last.
 func (c *Client) candidates() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := make([]string, 0, len(c.addresses)+1)
-	if c.leader != "" {
-		all = append(all, c.leader)
-	}
-	for _, address := range c.addresses {
-		if address != c.leader && address != c.lastFailed {
-			all = append(all, address)
-		}
-	}
-	if c.lastFailed != "" && c.lastFailed != c.leader {
-		all = append(all, c.lastFailed)
-	}
-	return all
+	return c.recall.Order(c.addresses)
 }
 
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader = address
-	if c.lastFailed == address {
-		c.lastFailed = ""
-	}
+	c.recall.Succeeded(address)
+}
+
+func (c *Client) recordAnswer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recall.Answered(address)
 }
 
 // recordFailure records that a call to a node failed and closes all idle
@@ -233,10 +223,7 @@
 // another attempt.
 func (c *Client) recordFailure(address string) {
 	c.mu.Lock()
-	if c.leader == address {
-		c.leader = ""
-	}
-	c.lastFailed = address
+	c.recall.Failed(address)
 	c.mu.Unlock()
 	c.http.CloseIdleConnections()
 }
--- a/ctlapi/leadercall.go
+++ b/ctlapi/leadercall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/wire"
@@ -30,9 +31,9 @@
 func atLeader[R any](ctx context.Context, c *Client, policy retryPolicy, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, error) {
 	var none R
 	l := &leaderCall{nodes: c.candidates(), policy: policy}
-	for {
+	for connect := firstConnectTimeout; ; connect = min(2*connect, c.callTimeout) {
 		for _, address := range c.candidates() {
-			answer, fault, err := callOne(ctx, c, policy, address, call)
+			answer, fault, err := callOne(ctx, c, policy, connect, address, call)
 			if err != nil {
 				c.recordFailure(address)
 				if l.recordError(err) {
@@ -51,6 +52,7 @@
 				return answer, failed
 			}
 			l.lastErr = failed
+			c.recordAnswer(address)
 			c.followRedirect(failed)
 		}
 		if pause(ctx) != nil {
@@ -59,15 +61,19 @@
 	}
 }
 
-// callOne calls one node with the timeout of one attempt.
-func callOne[R any](ctx context.Context, c *Client, policy retryPolicy, address string, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, *wire.Fault, error) {
+// callOne calls one node with the timeout of one attempt. connect is the timeout for a
+// connection.
+func callOne[R any](ctx context.Context, c *Client, policy retryPolicy, connect time.Duration, address string, call func(context.Context, wire.Control) (R, *wire.Fault, error)) (R, *wire.Fault, error) {
 	timeout := c.callTimeout
 	if policy == retryRead && c.readTimeout > 0 {
 		timeout = min(timeout, c.readTimeout)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return call(ctx, c.Stub(address))
+	ctx, watch, stop := watchConnect(ctx, connect)
+	defer stop()
+	answer, fault, err := call(ctx, c.Stub(address))
+	return answer, fault, watch.errorOf(err)
 }
 
 // recordError records a call without a reply and reports whether the call must
--- a/keys/set.go
+++ b/keys/set.go
@@ -107,9 +107,8 @@
 	return &http.Transport{Protocols: protocols, DisableCompression: true, DialContext: dialer().DialContext}
 }
 
-// dialTimeout is the timeout for opening a connection. It is shorter than every
-// timeout of a call, so that an unresponsive node causes a dial error, which shows
-// that no request was sent.
+// dialTimeout is the timeout for opening a connection. Callers with less time must
+// observe themselves whether a request was sent.
 const dialTimeout = 1500 * time.Millisecond
 
 func dialer() *net.Dialer {
