A new leader keeps targets whose answers entry nodes observe

Cause: an election erases what targets announced. A target that has not announced itself when the grace period of 4 s ends was declared lost without asking what entry nodes observe; a silent target that had announced itself once is kept by exactly that. Targets announce themselves late after an outage, since their calls back off. Class: evidence that is looked up only through a record that the same event erases.

Change: the leader restores such targets from the log, with the order of their serving group, as long as their answers are observed. Any announcement replaces the restored one.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -263,10 +263,11 @@
 // isAlive reports whether a target counts as alive: by its announcements unless
 // entry nodes observe a stall, or else by the answers that entry nodes observe.
 func (l *Leader) isAlive(now sardine.Millis, t *targetView) bool {
+	ref := Ref{VM: t.latest.VM, Incarnation: t.latest.Incarnation}
 	if l.isConfirmed(now, t) {
-		return !l.observedStalled(now, t.latest.Kind, Ref{VM: t.latest.VM, Incarnation: t.latest.Incarnation})
+		return !l.observedStalled(now, t.latest.Kind, ref)
 	}
-	return l.observedAlive(now, t)
+	return l.observedAlive(now, t.latest.Kind, ref)
 }
 
 // isConfirmed reports whether a home has a valid announcement of the target.
@@ -293,6 +294,7 @@
 // It drops targets that are no longer alive.
 func (l *Leader) Commands(now sardine.Millis, m *state.Machine) []state.Command {
 	l.readServingGroups(m)
+	l.adoptObserved(now, m)
 	commands := l.lostTargets(now, m)
 	for _, vm := range l.sortedTargets() {
 		t := l.targets[vm]
--- a/fleet/observation.go
+++ b/fleet/observation.go
@@ -217,8 +217,8 @@
 // observedAlive reports whether a target without valid announcements is alive.
 // A group makes progress only with all its members, so answers from its rank 0
 // prove that each of them is alive.
-func (l *Leader) observedAlive(now sardine.Millis, t *targetView) bool {
-	w := l.observedOf(t.latest.Kind, Ref{VM: t.latest.VM, Incarnation: t.latest.Incarnation})
+func (l *Leader) observedAlive(now sardine.Millis, kind sardine.TargetKind, r Ref) bool {
+	w := l.observedOf(kind, r)
 	return w != nil && w.aliveAt > 0 && w.aliveAt+observationLease > now && w.aliveAt > w.stalledAt
 }
 
