Entry: set the dial function for targets

A test can't cut a node from its targets: the pool dials them itself. entry.WithTargetDial and pool.WithDial set the dial function. The ack timeout and the check of idle connections reach the socket of a wrapped connection by its NetConn method.

go test ./pool ./proxy ./entry -count=1: passes.

--- a/entry/node.go
+++ b/entry/node.go
@@ -49,6 +49,7 @@
 	timing            Timing
 	limits            Limits
 	dial              sardine.Dial // nil: the default dialer
+	targetDial        sardine.Dial // nil: the pool's dialer
 	byLayout          bool         // callers are served according to the layout's routes
 	callers           sardine.CallerPort
 	targetPort        sardine.TargetPort
@@ -167,7 +168,7 @@
 	}
 	n.control = ctlapi.New(n.controls, ctlapi.WithHTTP(n.internalClient, n.internalScheme))
 	n.gate = newGate(n.id, n.clock, n.random, route.New(n.random, n.routeOptions()...))
-	n.pool = pool.New(n.clock)
+	n.pool = pool.New(n.clock, n.poolOptions()...)
 	n.proxy = proxy.NewClient(n.pool, n.targetPort)
 	if n.byLayout {
 		n.health = newHealthTracker(n.clock)
@@ -234,6 +235,13 @@
 	return []route.Option{route.WithPolicy(route.Batch), route.WithHints(0)}
 }
 
+func (n *Node) poolOptions() []pool.Option {
+	if n.targetDial == nil {
+		return nil
+	}
+	return []pool.Option{pool.WithDial(n.targetDial)}
+}
+
 func orElse(value, other string) string {
 	if value == "" {
 		return other
--- a/entry/options.go
+++ b/entry/options.go
@@ -181,3 +181,8 @@
 func WithDial(d sardine.Dial) Option {
 	return func(n *Node) { n.dial = d }
 }
+
+// WithTargetDial sets the dial function for targets.
+func WithTargetDial(d sardine.Dial) Option {
+	return func(n *Node) { n.targetDial = d }
+}
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -192,7 +192,7 @@
 // usable reports whether an idle connection is still open and nothing can be read
 // from it. Bytes received while it was idle belong to no request.
 func (c *Conn) usable() bool {
-	raw, ok := c.raw.(syscall.Conn)
+	raw, ok := socket(c.raw).(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -44,6 +44,7 @@
 // use.
 type Pool struct {
 	clock sardine.Clock
+	dial  sardine.Dial
 
 	mu    sync.Mutex
 	idle  map[string][]*Conn // by address, the last used one at the end
@@ -51,29 +52,53 @@
 	limit map[string]int     // maximum of open connections by address, 0 for none
 }
 
+// Option sets a property of a Pool.
+type Option func(*Pool)
+
+// WithDial sets the dial function. A connection that wraps another one should return
+// that one from a method NetConn, as tls.Conn does, so that the pool reaches its socket.
+func WithDial(d sardine.Dial) Option {
+	return func(p *Pool) { p.dial = d }
+}
+
 // New returns a pool without connections.
-func New(clock sardine.Clock) *Pool {
-	return &Pool{
+func New(clock sardine.Clock, options ...Option) *Pool {
+	p := &Pool{
 		clock: clock,
+		dial:  (&net.Dialer{KeepAlive: -1}).DialContext,
 		idle:  make(map[string][]*Conn),
 		open:  make(map[string]int),
 		limit: make(map[string]int),
 	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // dialTCP connects to an address and limits the time for acknowledgements.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: -1}
-	raw, err := d.DialContext(ctx, "tcp", address)
+func (p *Pool) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	if tcp, ok := socket(raw).(*net.TCPConn); ok {
 		setAckTimeout(tcp)
 	}
 	return raw, nil
 }
 
+// socket returns the connection under all that wrap it.
+func socket(c net.Conn) net.Conn {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = wrapper.NetConn()
+	}
+}
+
 // setAckTimeout sets the time after which the kernel closes a connection with
 // unacknowledged bytes. On a kernel without the option only the deadlines of each
 // exchange apply.
@@ -141,7 +166,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
 	defer cancel()
-	raw, err := dialTCP(ctx, address)
+	raw, err := p.dialTCP(ctx, address)
 	c := &Conn{pool: p, address: address, raw: raw}
 	if err != nil {
 		p.untrack(c)
