Entry: find the control nodes at once behind failed ones

Callers saw: an entry node that knew mostly control nodes that had gone learned of their successors seconds late.

Cause: refreshControlsOnce asked one address after the other, a second each, and the next round in the same order.

Evidence: TestControlsAreFoundBehindFailedNodes (four of five connect and never reply): on FAIL, '4.009549057s is not less than 1s'.

A node that knows no members counts as a failure.

--- a/entry/controls.go
+++ b/entry/controls.go
@@ -6,6 +6,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/event"
 )
 
@@ -13,7 +14,7 @@
 	// controlsInterval is the time between two queries for the control nodes'
 	// addresses, which change when a VM is replaced.
 	controlsInterval = 5 * sardine.Second
-	// controlsTimeout bounds one query.
+	// controlsTimeout bounds one query to one node.
 	controlsTimeout = sardine.Second
 )
 
@@ -42,26 +43,27 @@
 	n.controlsMu.Lock()
 	seeds := slices.Clone(n.controls)
 	n.controlsMu.Unlock()
-	var lastErr error
-	for _, address := range n.control.ReportCandidates(string(n.id)) {
-		ctx, cancel := context.WithTimeout(n.baseCtx, controlsTimeout.Duration())
-		members, err := n.control.FetchAddresses(ctx, address)
-		cancel()
-		if err != nil || len(members) == 0 {
-			lastErr = err
-			continue // try the next one
-		}
-		for _, seed := range seeds {
-			if !slices.Contains(members, seed) {
-				members = append(members, seed)
-			}
-		}
-		n.useControls(members)
+	members, err := ctlapi.Sweep(n.baseCtx, n.clock, n.control.ReportCandidates(string(n.id)), controlsTimeout, n.fetchControls, nil)
+	if err != nil {
+		event.Log(n.log, event.FollowLost, codeAttr(codes.Wrap(codes.NoQuorum, err, "no control node returned the members")))
 		return
 	}
-	if lastErr != nil {
-		event.Log(n.log, event.FollowLost, codeAttr(codes.Wrap(codes.NoQuorum, lastErr, "no control node returned the members")))
+	for _, seed := range seeds {
+		if !slices.Contains(members, seed) {
+			members = append(members, seed)
+		}
+	}
+	n.useControls(members)
+}
+
+// fetchControls queries one control node for the addresses of all. A node that has not
+// received the log yet knows none.
+func (n *Node) fetchControls(ctx context.Context, address string) ([]string, error) {
+	members, err := n.control.FetchAddresses(ctx, address)
+	if err == nil && len(members) == 0 {
+		return nil, codes.New(codes.NoQuorum, "control node %s knows no members", address)
 	}
+	return members, err
 }
 
 func (n *Node) useControls(addresses []string) {
