sardctl: a node that was not reached leaves no unknown outcome

Callers saw: an operator's change ended with outcome_unknown although no node had got it, when one of the named control nodes was a machine that had gone.

The attempt then ends with the time limit, which looked like a lost reply.

Evidence: TestUnreachableNodeLeavesNoUnknownOutcome (a listener whose queue is full, then a node without a leader): before, FAIL 'outcome_unknown (106): node ... gave no answer: context deadline exceeded' (go test ./sardctl/verbs -run Unreachable -count=1).

Fix: ctlapi.WatchSent tells whether the call ever got a connection.

Measured: passes three times of three; ./ctlapi and ./sardctl/... pass.

--- a/ctlapi/connect.go
+++ b/ctlapi/connect.go
@@ -12,28 +12,44 @@
 // use up the time of the others, and a slow one must be reached at last.
 const firstConnectTimeout = 200 * time.Millisecond
 
-// connectWatch observes whether a call got a connection. Without one it ends after a
-// timeout, and nothing was sent.
-type connectWatch struct {
+// WatchSent returns a context for one HTTP call. mark makes NeverSent true for the error
+// of the call if it ended without a connection.
+func WatchSent(ctx context.Context) (watched context.Context, mark func(error) error) {
+	w := &sentWatch{}
+	return w.trace(ctx), w.mark
+}
+
+// sentWatch observes whether a call got a connection. Nothing is sent before.
+type sentWatch struct {
 	connected atomic.Bool
-	timer     *time.Timer
 }
 
-// watchConnect returns a context for one call. stop ends the watch.
-func watchConnect(ctx context.Context, timeout time.Duration) (watched context.Context, w *connectWatch, stop func()) {
-	w = &connectWatch{}
+func (w *sentWatch) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { w.connected.Store(true) },
+		WroteHeaders: func() { w.connected.Store(true) },
+	})
+}
+
+// mark marks the error of a call that was never sent.
+func (w *sentWatch) mark(err error) error {
+	if err == nil || w.connected.Load() {
+		return err
+	}
+	return &unsentError{cause: err}
+}
+
+// limitConnect returns a context that ends unless the watched call gets a connection
+// within the timeout.
+func (w *sentWatch) limitConnect(ctx context.Context, timeout time.Duration) (limited context.Context, stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	w.timer = time.AfterFunc(timeout, func() {
+	timer := time.AfterFunc(timeout, func() {
 		if !w.connected.Load() {
 			cancel()
 		}
 	})
-	trace := &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { w.connected.Store(true) },
-		WroteHeaders: func() { w.connected.Store(true) },
-	}
-	return httptrace.WithClientTrace(ctx, trace), w, func() {
-		w.timer.Stop()
+	return ctx, func() {
+		timer.Stop()
 		cancel()
 	}
 }
@@ -52,11 +68,3 @@
 func (e *unsentError) Unwrap() error {
 	return e.cause
 }
-
-// errorOf marks the error of a call that was never sent.
-func (w *connectWatch) errorOf(err error) error {
-	if err == nil || w.connected.Load() {
-		return err
-	}
-	return &unsentError{cause: err}
-}
--- a/ctlapi/leadercall.go
+++ b/ctlapi/leadercall.go
@@ -70,10 +70,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	ctx, watch, stop := watchConnect(ctx, connect)
+	watch := &sentWatch{}
+	ctx, stop := watch.limitConnect(ctx, connect)
 	defer stop()
-	answer, fault, err := call(ctx, c.Stub(address))
-	return answer, fault, watch.errorOf(err)
+	answer, fault, err := call(watch.trace(ctx), c.Stub(address))
+	return answer, fault, watch.mark(err)
 }
 
 // recordError records a call without a reply and reports whether the call must
--- a/sardctl/verbs/drain.go
+++ b/sardctl/verbs/drain.go
@@ -1,7 +1,9 @@
 package verbs
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -60,7 +62,7 @@
 	lastPrinted := ""
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(pollInterval) {
 		body, err := c.sendWithNodeTimeout(http.MethodGet, address, status.DumpPath, nil)
-		if codes.Is(err, codes.NoQuorum) {
+		if codes.Is(err, codes.NoQuorum) && !errors.Is(err, context.DeadlineExceeded) { // a node that runs may be out of reach
 			c.printf("%s has ended\n", c.args[0])
 			return nil
 		}
--- a/sardctl/verbs/nodehttp.go
+++ b/sardctl/verbs/nodehttp.go
@@ -42,6 +42,7 @@
 		return nil, err
 	}
 	defer client.CloseIdleConnections()
+	ctx, markUnsent := ctlapi.WatchSent(ctx)
 	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+node+path, bytes.NewReader(content))
 	if err != nil {
 		return nil, usageError(err, "address "+node)
@@ -55,7 +56,7 @@
 	}
 	answer, err := client.Do(request)
 	if err != nil {
-		return nil, noReplyError(node, err)
+		return nil, noReplyError(node, markUnsent(err))
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxReplyBytes))
@@ -69,7 +70,7 @@
 // lost, where the outcome of the request is unknown.
 func noReplyError(node string, err error) error {
 	if ctlapi.NeverSent(err) {
-		return codes.New(codes.NoQuorum, "node %s can't be reached: %v", node, err)
+		return codes.Wrap(codes.NoQuorum, err, "node "+node+" can't be reached")
 	}
 	return codes.New(codes.OutcomeUnknown, "node %s gave no answer: %v", node, err)
 }
