Name the voters that a leaderless node reaches, and those it lacks

How many voters there are, how many answer and how many are needed stood nowhere.

Voters without a leader request votes from each other several times in a second. The core records from whom it heard, and since when it has known no leader. The check 'settings can be changed' of sardctl status and doctor, the dump ('quorum') and a new event, leader_missing (211), name voters, those that answer, those needed, the silent ones, and for how long there has been no leader. A learner hears nothing and says so by 'unknown', as before. No decision has changed.

--- a/ctrl/enrol_test.go
+++ b/ctrl/enrol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -18,15 +19,15 @@
 
 // startSeeded starts a control node on an empty memory disk that asks the seeds to
 // enrol it. With members it bootstraps the log.
-func startSeeded(t *testing.T, m quorum.Member, seeds []string, members ...quorum.Member) *Node {
+func startSeeded(t *testing.T, m quorum.Member, seeds []string, members []quorum.Member, options ...Option) *Node {
 	t.Helper()
 	timing := DefaultTiming()
 	timing.Quorum = quorum.Timing{Heartbeat: 50, ElectionMin: 300, ElectionMax: 450, FirstElectionMax: 100}
-	n, err := New(
+	n, err := New(append([]Option{
 		WithID(m.Node, "test", "osu"), WithListen(m.Address, "127.0.0.1:0"),
 		WithDisk(disk.NewMemory(rand.New(rand.NewPCG(1, 1)))), WithRandom(rand.New(rand.NewPCG(rand.Uint64(), 1))),
 		WithTiming(timing), WithSeeds(seeds...), WithMembers(members...),
-	)
+	}, options...)...)
 	require.NoError(t, err)
 	n.Start()
 	t.Cleanup(func() {
@@ -37,6 +38,20 @@
 	return n
 }
 
+// siteMembers returns the members c1, c2 and so on of a new site, and their addresses.
+func siteMembers(t *testing.T, count int) (addresses []string, members []quorum.Member) {
+	t.Helper()
+	block, err := ports.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(block.Release)
+	addresses, err = block.Addresses(count)
+	require.NoError(t, err)
+	for i, address := range addresses {
+		members = append(members, quorum.Member{Node: sardine.NodeID(fmt.Sprintf("c%d", i+1)), Address: address})
+	}
+	return addresses, members
+}
+
 // silentAddress returns the address of a listener that accepts no connection: its peers
 // connect and get no reply, as they do from a machine that has failed.
 func silentAddress(t *testing.T) string {
@@ -59,18 +74,10 @@
 // Guards against replacements of control nodes that come too late for the next one,
 // because failed seeds used up the time in which a new node asks to be enrolled.
 func TestNodeIsEnrolledBehindFailedSeeds(t *testing.T) {
-	block, err := ports.Reserve()
-	require.NoError(t, err)
-	t.Cleanup(block.Release)
-	addresses, err := block.Addresses(4)
-	require.NoError(t, err)
-	var members []quorum.Member
-	for i, name := range []sardine.NodeID{"c1", "c2", "c3"} {
-		members = append(members, quorum.Member{Node: name, Address: addresses[i]})
-	}
+	addresses, members := siteMembers(t, 3)
 	var running []*Node
 	for _, m := range members {
-		running = append(running, startSeeded(t, m, addresses[:3], members...))
+		running = append(running, startSeeded(t, m, addresses, members))
 	}
 	leads := func(n *Node) bool { return n.log.Leader().IsLeader }
 	require.Eventually(t, func() bool { return slices.ContainsFunc(running, leads) }, 10*time.Second, 10*time.Millisecond)
@@ -78,7 +85,7 @@
 
 	seeds := []string{silentAddress(t), silentAddress(t), silentAddress(t), silentAddress(t), follower.InternalAddress()}
 	began := time.Now()
-	startSeeded(t, quorum.Member{Node: "c9", Address: addresses[3]}, seeds)
+	startSeeded(t, quorum.Member{Node: "c9", Address: "127.0.0.1:0"}, seeds, nil)
 	require.Eventually(t, func() bool { return follower.lists("c9") }, 20*time.Second, 5*time.Millisecond, "the new node is never enrolled")
 	took := sardine.MillisOf(time.Since(began))
 	t.Logf("enrolled after %d ms", took)
--- a/ctrl/ops.go
+++ b/ctrl/ops.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"goji.io"
 	"goji.io/pat"
@@ -10,6 +11,7 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/plan"
+	"sardineswitch.dev/sardine/quorum"
 	"sardineswitch.dev/sardine/repl"
 	"sardineswitch.dev/sardine/reply"
 	"sardineswitch.dev/sardine/state"
@@ -82,6 +84,7 @@
 	Leader             string        `json:"leader"`
 	Leading            bool          `json:"leading"`
 	Term               uint64        `json:"term"`
+	Quorum             *QuorumDump   `json:"quorum,omitempty"` // nil on nodes that don't know: followers and learners
 	Log                repl.Status   `json:"log"`
 	Teams              []TeamDump    `json:"teams"`
 	Entries            []EntryDump   `json:"entries"`
@@ -94,6 +97,16 @@
 	InvariantViolation string        `json:"breach,omitempty"`
 }
 
+// QuorumDump is the number of voters, of those that answer this node, and of those that
+// a quorum needs.
+type QuorumDump struct {
+	Voters           int              `json:"voters"`
+	Answering        int              `json:"answering"`
+	Needed           int              `json:"needed"`
+	Silent           []sardine.NodeID `json:"silent"`
+	LeaderlessMillis int64            `json:"leaderless_millis"` // how long no leader has been known, 0 if one is
+}
+
 // TeamDump is one team's newest settings version.
 type TeamDump struct {
 	Team    string `json:"team"`
@@ -148,11 +161,35 @@
 		Term:    info.Term,
 		Log:     n.log.Status(),
 	}
+	d.Quorum = n.dumpQuorum(d.Log.Core)
 	n.log.View(func(m *state.Machine) { d.addState(m) })
 	n.leadership.addDump(n.clock.Now(), &d)
 	return d
 }
 
+func (n *Node) dumpQuorum(s quorum.Status) *QuorumDump {
+	if m, leads := s.Margin(); leads {
+		return &QuorumDump{Voters: m.Voters, Answering: m.Answering, Needed: m.Needed, Silent: silentVoters(s)}
+	}
+	m, silent, ok := s.Reach()
+	if !ok {
+		return nil
+	}
+	return &QuorumDump{Voters: m.Voters, Answering: m.Answering, Needed: m.Needed, Silent: silent, LeaderlessMillis: int64(n.clock.Now() - s.LeaderSince)}
+}
+
+// silentVoters returns the voters that don't answer this leader.
+func silentVoters(s quorum.Status) []sardine.NodeID {
+	var silent []sardine.NodeID
+	for _, p := range s.Peers {
+		voter := slices.ContainsFunc(s.Members, func(m quorum.Member) bool { return m.Node == p.Node && !m.Learner })
+		if voter && !p.Answers {
+			silent = append(silent, p.Node)
+		}
+	}
+	return silent
+}
+
 func (d *Dump) addState(m *state.Machine) {
 	for _, name := range m.Teams() {
 		if r, known := m.Current(name); known {
--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -32,6 +32,9 @@
 		Leader: info.ID,
 		Peers:  n.peers(),
 	}
+	if info.ID == "" {
+		in.LeaderlessFor = n.clock.Now() - info.Since
+	}
 	var r status.Report
 	n.log.View(func(m *state.Machine) {
 		n.leadership.addStatus(n.clock.Now(), m, &in)
@@ -46,40 +49,43 @@
 // are exact to this interval.
 const historyInterval = sardine.Second
 
-// historyLoop records since when the parts of the site are in their current state,
-// until the node stops.
+// historyLoop records since when the parts of the site are in their current state, and
+// logs a missing leader, until the node stops.
 func (n *Node) historyLoop() error {
+	leaderless := &leaderlessLog{}
 	for {
 		select {
 		case <-n.tomb.Dying():
 			return nil
 		case <-n.clock.After(historyInterval):
 			n.Report()
+			n.logLeaderless(leaderless)
 		}
 	}
 }
 
 // peers returns the control members and which of them respond. Only the leader knows
-// that of the others; another node lists them as reachable.
+// that of the others, and of the voters a voter without a leader; another node lists
+// them as reachable.
 func (n *Node) peers() []status.Peer {
 	info := n.log.Leader()
 	s := n.log.Status()
-	reachable := make(map[sardine.NodeID]bool)
-	applied := make(map[sardine.NodeID]uint64)
+	observed := map[sardine.NodeID]bool{n.id: true} // and whether the member is reachable
+	applied := map[sardine.NodeID]uint64{n.id: s.Applied}
 	for _, p := range s.Core.Peers {
-		reachable[p.Node] = n.clock.Now()-p.HeardAt < n.timing.Quorum.ElectionMax
+		observed[p.Node] = p.Answers
 		applied[p.Node] = p.Match
 	}
+	for _, k := range s.Core.Contacts {
+		observed[k.Node] = k.Answers
+	}
 	var peers []status.Peer
 	for _, m := range n.log.Members() {
-		p := status.Peer{Node: m.Node, Address: m.Address, Leader: m.Node == info.ID, Learner: m.Learner}
-		p.Reachable = !info.IsLeader || reachable[m.Node]
-		p.Applied = applied[m.Node]
-		if m.Node == n.id {
-			p.Reachable = true
-			p.Applied = s.Applied
-		}
-		peers = append(peers, p)
+		reachable, known := observed[m.Node]
+		peers = append(peers, status.Peer{
+			Node: m.Node, Address: m.Address, Leader: m.Node == info.ID, Learner: m.Learner,
+			Reachable: reachable || !known, Observed: known, Applied: applied[m.Node],
+		})
 	}
 	return peers
 }
--- a/event/table.go
+++ b/event/table.go
@@ -26,6 +26,7 @@
 	DiskRoom        ID = 208
 	EnrolWaits      ID = 209
 	QuorumMargin    ID = 210
+	LeaderMissing   ID = 211
 	ChangeAccepted  ID = 300
 	ChangeRefused   ID = 301
 	EntryJoined     ID = 302
@@ -99,6 +100,7 @@
 	{DiskRoom, "disk_room", slog.LevelInfo, "the disk accepts writes again", "nothing"},
 	{EnrolWaits, "enrol_waits", slog.LevelWarn, "no known control node accepts this one as a member; it keeps asking", "check the network to the seeds, and the seeds in the settings"},
 	{QuorumMargin, "quorum_margin", slog.LevelInfo, "how many voters there are, how many of them answer the leader, and how many it needs", "with as many as are needed, one more loss stops all changes: start or replace the voters that do not answer"},
+	{LeaderMissing, "leader_missing", slog.LevelWarn, "this control node has known no leader for some seconds; how many voters there are, how many answer it, how many are needed, and which are silent", "start or replace the silent voters, see docs/operate/lost-quorum.md; if enough answer, check the network among them"},
 	{ChangeAccepted, "change_accepted", slog.LevelInfo, "a settings change is in force on every entry node", "nothing"},
 	{ChangeRefused, "change_refused", slog.LevelInfo, "a settings change was refused", "see the error attribute"},
 	{EntryJoined, "entry_joined", slog.LevelInfo, "an entry node joined", "nothing"},
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -63,9 +63,10 @@
 	commit      uint64
 	delivered   uint64 // highest committed entry returned to the caller
 
-	lastContact      sardine.Millis // time of the last message from a leader
-	contacted        bool           // lastContact is set
-	lastLeader       sardine.NodeID // that lastContact belongs to
+	lastContact      sardine.Millis                    // time of the last message from a leader
+	contacted        bool                              // lastContact is set
+	lastLeader       sardine.NodeID                    // that lastContact belongs to
+	heard            map[sardine.NodeID]sardine.Millis // time of the last message of each member, while this node does not lead
 	electionAt       sardine.Millis
 	heartbeatAt      sardine.Millis
 	votes            map[sardine.NodeID]bool
@@ -133,6 +134,7 @@
 	c.durableIndex = c.log.last().Index
 	c.hard.Term = max(c.hard.Term, c.log.last().Term)
 	c.queuedHard = c.hard
+	c.leaderSince = now
 	c.memberLists = []memberList{{index: stored.Snapshot.Index, members: stored.Snapshot.Members}}
 	for _, e := range stored.Entries {
 		if e.Index > stored.Snapshot.Index {
@@ -158,6 +160,7 @@
 		return
 	}
 	c.setNow(now)
+	c.recordContactWith(m.From)
 	if m.Term > c.hard.Term && !c.stepHigherTerm(m) {
 		return
 	}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -16,7 +16,7 @@
 	}
 	c.scheduleRetry()
 	c.role = PreCandidate
-	c.leader = ""
+	c.setLeader("")
 	c.votes = map[sardine.NodeID]bool{c.id: true}
 	if c.hasQuorumOfVotes() {
 		c.campaign(false)
@@ -33,7 +33,7 @@
 func (c *Core) campaign(force bool) {
 	c.scheduleRetry()
 	c.role = Candidate
-	c.leader = ""
+	c.setLeader("")
 	c.force = force
 	c.hard.Term++
 	c.hard.Vote = c.id
@@ -191,8 +191,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role = Leader
-	c.leader = c.id
-	c.leaderSince = c.now
+	c.setLeader(c.id)
 	c.peers = make(map[sardine.NodeID]*progress)
 	c.reads = reads{round: c.reads.round}
 	c.updatePeers()
@@ -218,11 +217,8 @@
 	if c.role == Leader {
 		c.failReads()
 	}
-	if c.leader != leader {
-		c.leaderSince = c.now
-	}
 	c.role = Follower
-	c.leader = leader
+	c.setLeader(leader)
 	c.resetElectionTimeout()
 }
 
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -31,8 +31,8 @@
 	Vote        sardine.NodeID
 	Settled     bool // see HardState
 	Leader      sardine.NodeID
-	LeaderSince sardine.Millis
-	First       uint64 // oldest entry in the log
+	LeaderSince sardine.Millis // since when the leader leads, or since when none is known
+	First       uint64         // oldest entry in the log
 	Last        Position
 	Commit      uint64
 	Durable     uint64
@@ -41,6 +41,7 @@
 	FirstOfTerm uint64 // on a leader: the first entry of its term
 	Members     []Member
 	Peers       []PeerStatus // on a leader: the other members, in the order of Members
+	Contacts    []Contact    // on a voter without a leader: the other voters, in the order of Members
 }
 
 // Status returns a description that shares no mutable memory with the core.
@@ -60,6 +61,7 @@
 		FirstOfTerm: c.firstOfTerm,
 		Removed:     c.removed,
 		Members:     slices.Clone(c.members()),
+		Contacts:    c.contacts(),
 	}
 	if c.role != Leader {
 		return s
--- a/status/advise.go
+++ b/status/advise.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	sardine "sardineswitch.dev/sardine"
 )
@@ -78,14 +79,18 @@
 	return advice{system: "the node refuses new requests", person: "check that VM and its network to the control nodes"}
 }
 
-func peerState(p Peer) string {
+func (b builder) peerState(p Peer) string {
 	switch {
 	case !p.Reachable:
 		return "unreachable"
+	case !p.Observed && !b.hasReports() && p.Node != b.in.Node:
+		return Unknown
 	case p.Leader:
 		return "leading"
 	case p.Learner:
 		return "learning"
+	case b.in.Leader == "":
+		return "leaderless"
 	default:
 		return "following"
 	}
@@ -100,6 +105,8 @@
 			return advice{system: "waits for a majority, nothing can be changed", person: "start that VM again, see docs/operate/lost-quorum.md"}
 		}
 		return advice{system: "the other members continue without it", person: "restart that VM, or replace it: sardctl members replace"}
+	case "leaderless":
+		return advice{good: true, system: "requests votes to elect a leader"}
 	case "learning":
 		return advice{good: true, system: "copies the state to it"}
 	default:
@@ -148,6 +155,7 @@
 
 func (b builder) checkQuorum(r Report) Check {
 	voters, reachable := 0, 0
+	var silent []string
 	for _, p := range b.in.Peers {
 		if p.Learner {
 			continue
@@ -155,6 +163,8 @@
 		voters++
 		if p.Reachable {
 			reachable++
+		} else {
+			silent = append(silent, string(p.Node))
 		}
 	}
 	c := Check{Name: "settings can be changed", Passed: r.Leader != "" && reachable*2 > voters}
@@ -163,7 +173,13 @@
 		return c
 	}
 	if !c.Passed {
-		c.Detail = fmt.Sprintf("%d of %d control members reachable, leader %q", reachable, voters, r.Leader)
+		c.Detail = fmt.Sprintf("%d of %d control members reachable, %d needed, leader %q", reachable, voters, voters/2+1, r.Leader)
+		if b.in.LeaderlessFor > 0 {
+			c.Detail += fmt.Sprintf(", none for %s", b.in.LeaderlessFor.Duration().Truncate(time.Second))
+		}
+		if len(silent) > 0 {
+			c.Detail += "; no answer from " + strings.Join(silent, ", ")
+		}
 	}
 	return c
 }
--- a/status/build.go
+++ b/status/build.go
@@ -34,6 +34,7 @@
 	Leader    bool
 	Learner   bool
 	Reachable bool
+	Observed  bool // this node knows whether the member is reachable
 	Applied   uint64
 }
 
@@ -50,6 +51,7 @@
 	Site           string
 	At             state.WallTime
 	Leader         sardine.NodeID
+	LeaderlessFor  sardine.Millis // how long no leader has been known, 0 if one is
 	Announced      []AnnouncedTarget
 	Leases         []EntryLease
 	Peers          []Peer
@@ -239,10 +241,7 @@
 func (b builder) controls() []Control {
 	var all []Control
 	for _, p := range b.in.Peers {
-		name := peerState(p)
-		if p.Reachable && !b.hasReports() && p.Node != b.in.Node {
-			name = Unknown
-		}
+		name := b.peerState(p)
 		all = append(all, Control{
 			Node: p.Node, Address: p.Address, Leader: p.Leader, Learner: p.Learner, Applied: p.Applied,
 			Condition: b.condition("control "+string(p.Node), name, adviseControl(name, b.in.Leader != "")),
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -184,3 +184,27 @@
 	_, listed := r.Target("vm-3")
 	require.False(t, listed, "dropped after %d ms", lostRetention)
 }
+
+// Guards against a lost quorum that reads as one whose members are all reachable, as the
+// record of four running voters of eight did.
+func TestLeaderlessVoterNamesSilentVoters(t *testing.T) {
+	m, in := site(t)
+	in.Leader, in.LeaderlessFor = "", 12_345
+	in.Announced, in.Leases = nil, nil
+	in.Peers[0].Leader = false
+	for i := range in.Peers {
+		in.Peers[i].Observed = true
+	}
+	for i := range 4 {
+		in.Peers = append(in.Peers, Peer{Node: sardine.NodeID("gone-" + string(rune('1'+i))), Observed: true})
+	}
+	in.Peers = append(in.Peers, Peer{Node: "next", Reachable: true}, Peer{Node: "learner", Learner: true, Reachable: true})
+	r := Build(m, in, NewHistory())
+	require.False(t, r.Checks[0].Passed)
+	require.Equal(t, `4 of 8 control members reachable, 5 needed, leader "", none for 12s; no answer from gone-1, gone-2, gone-3, gone-4`, r.Checks[0].Detail)
+	var states []string
+	for _, k := range r.Controls {
+		states = append(states, k.Condition.State)
+	}
+	require.Equal(t, []string{"leaderless", "leaderless", "leaderless", "unreachable", "unreachable", "unreachable", "unreachable", Unknown, Unknown}, states)
+}
