Control client: a dead control node no longer costs a health report

Callers saw: entry nodes lost one health report of 400 ms whenever the avoidance of a machine that had gone ended, up to each 16 s for each such machine. Seeds stay in the list, so that it never ended; shares of targets' limits and stalls came late.

Cause: a report goes to one node, and the attempt to connect to a machine that has gone takes all of its 400 ms.

Fix: a report without a connection after 150 ms was not sent, so it goes to the next node (at most two, as before).

--- a/ctlapi/dead_test.go
+++ b/ctlapi/dead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -104,3 +105,24 @@
 		})
 	}
 }
+
+// Witness accepts a report.
+func (leaderServer) Witness(context.Context, *wire.WitnessRequest) (*wire.WitnessReply, error) {
+	return &wire.WitnessReply{}, nil
+}
+
+// Guards against health reports that are lost again and again, because a machine that has
+// failed stays in the list of control nodes and uses up the time of each report to it.
+func TestReportPassesDeadNode(t *testing.T) {
+	const reportTimeout = 400 * time.Millisecond
+	lost := 0
+	for i := range 8 { // the order depends on the name
+		c := newClientOfDead(t, "a:1")
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		if _, err := c.Witness(ctx, &wire.WitnessRequest{Node: fmt.Sprintf("e%d", i)}); err != nil {
+			lost++
+		}
+		cancel()
+	}
+	require.Zero(t, lost)
+}
--- a/ctlapi/reports.go
+++ b/ctlapi/reports.go
@@ -19,6 +19,9 @@
 	// reportAttempts bounds the control nodes to which one report is sent: a node that
 	// refuses one does so at once.
 	reportAttempts = 2
+	// reportConnectTimeout is how long a connection for a report may take. It leaves time
+	// for a report to the next node.
+	reportConnectTimeout = 150 * time.Millisecond
 )
 
 // avoidance is the time for which reports avoid a control node.
@@ -96,17 +99,20 @@
 }
 
 // Witness reports what an entry node observes of targets, to one control node. A report
-// that is refused goes to the next one; after a lost reply none is sent again, since the
-// next report follows soon.
+// that is refused, or can't be sent, goes to the next one; after a lost reply none is sent
+// again, since the next report follows soon.
 func (c *Client) Witness(ctx context.Context, request *wire.WitnessRequest) (*wire.WitnessReply, error) {
 	candidates := c.ReportCandidates(request.GetNode())
 	err := error(codes.New(codes.NoQuorum, "no control node is known"))
 	for _, address := range candidates[:min(reportAttempts, len(candidates))] {
 		var answer *wire.WitnessReply
-		answer, err = c.Stub(address).Witness(ctx, request)
+		answer, err = c.witness(ctx, address, request)
 		if err != nil {
 			c.reports.failed(time.Now(), address)
-			return nil, err
+			if !NeverSent(err) {
+				return nil, err
+			}
+			continue
 		}
 		if err = ErrorOf(answer.GetFault()); err == nil {
 			c.reports.accepted(address)
@@ -116,3 +122,11 @@
 	}
 	return nil, err
 }
+
+func (c *Client) witness(ctx context.Context, address string, request *wire.WitnessRequest) (*wire.WitnessReply, error) {
+	watch := &sentWatch{}
+	ctx, stop := watch.limitConnect(ctx, reportConnectTimeout)
+	defer stop()
+	answer, err := c.Stub(address).Witness(watch.trace(ctx), request)
+	return answer, watch.mark(err)
+}
