controld rescue: go on without a quorum that is lost for good

controld rescue, on stopped survivors, tells what a data folder holds; on the one with the newest log, with every other voter named as lost or with its last entry, it makes that node the only member.

--- a/controld/start/start.go
+++ b/controld/start/start.go
@@ -22,6 +22,7 @@
 		Commands: []func() *cobra.Command{
 			newRun,
 			newCheck,
+			newRescue,
 			func() *cobra.Command { return launch.NewVersion("controld") },
 		},
 	}
