Control client: a dead node leaves the connections to others open

Callers saw: nothing yet. Found while checking that a connection attempt that is cut after 200 ms does no harm: with a leader whose handshake takes longer, as on a busy machine, the failed call to a dead node closed the leader's connection as soon as it was made, and each round began with a new handshake.

Cause: recordFailure closes all idle connections, since those to a node that does not reply may be broken. A node that could not be connected to has none.

Evidence: TestDeadNodeLeavesConnectionsToOthers before: FAIL, 2 connections instead of 1, three runs of three.

Measured: go test ./ctlapi -count=3, -race -count=1 and ./entry: ok.

--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -220,12 +220,14 @@
 
 // recordFailure records that a call to a node failed and closes all idle
 // connections: those to the node may be broken as well, and each would cost
-// another attempt.
-func (c *Client) recordFailure(address string) {
+// another attempt. A node to which there was no connection has no idle ones.
+func (c *Client) recordFailure(address string, sent bool) {
 	c.mu.Lock()
 	c.recall.Failed(address)
 	c.mu.Unlock()
-	c.http.CloseIdleConnections()
+	if sent {
+		c.http.CloseIdleConnections()
+	}
 }
 
 // followRedirect records the leader that err names.
--- a/ctlapi/dead_test.go
+++ b/ctlapi/dead_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,3 +127,28 @@
 	}
 	require.Zero(t, lost)
 }
+
+// Guards against connections to a busy leader that are closed as soon as they are made,
+// because a call to a machine that has failed ended.
+func TestDeadNodeLeavesConnectionsToOthers(t *testing.T) {
+	const handshake = 300 * time.Millisecond // of the leader, longer than the first attempt may take
+	leader := httptest.NewServer(wire.NewControlServer(leaderServer{}))
+	t.Cleanup(leader.Close)
+	var connections atomic.Int32
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address != host(leader) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		connections.Add(1)
+		time.Sleep(handshake)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	c := New([]string{"a:1", host(leader)}, WithHTTP(&http.Client{Transport: &http.Transport{DialContext: dial}}, "http"))
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := c.Submit(ctx, &wire.SubmitRequest{})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, connections.Load())
+}
--- a/ctlapi/leadercall.go
+++ b/ctlapi/leadercall.go
@@ -35,7 +35,7 @@
 		for _, address := range c.candidates() {
 			answer, fault, err := callOne(ctx, c, policy, connect, address, call)
 			if err != nil {
-				c.recordFailure(address)
+				c.recordFailure(address, !NeverSent(err))
 				if l.recordError(err) {
 					return none, l.failure()
 				}
@@ -44,7 +44,7 @@
 			failed := ErrorOf(fault)
 			if policy != retryNever && codes.Is(failed, codes.OutcomeUnknown) {
 				l.lastErr, l.lost = failed, true
-				c.recordFailure(address)
+				c.recordFailure(address, true)
 				continue
 			}
 			if !retryable(failed) {
