--- a/ctlapi/dead_test.go
+++ b/ctlapi/dead_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +106,49 @@
 		})
 	}
 }
+
+// Witness accepts a report.
+func (leaderServer) Witness(context.Context, *wire.WitnessRequest) (*wire.WitnessReply, error) {
+	return &wire.WitnessReply{}, nil
+}
+
+// Guards against health reports that are lost again and again, because a machine that has
+// failed stays in the list of control nodes and uses up the time of each report to it.
+func TestReportPassesDeadNode(t *testing.T) {
+	const reportTimeout = 400 * time.Millisecond
+	lost := 0
+	for i := range 8 { // the order depends on the name
+		c := newClientOfDead(t, "a:1")
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		if _, err := c.Witness(ctx, &wire.WitnessRequest{Node: fmt.Sprintf("e%d", i)}); err != nil {
+			lost++
+		}
+		cancel()
+	}
+	require.Zero(t, lost)
+}
+
+// Guards against connections to a busy leader that are closed as soon as they are made,
+// because a call to a machine that has failed ended.
+func TestDeadNodeLeavesConnectionsToOthers(t *testing.T) {
+	const handshake = 300 * time.Millisecond // of the leader, longer than the first attempt may take
+	leader := httptest.NewServer(wire.NewControlServer(leaderServer{}))
+	t.Cleanup(leader.Close)
+	var connections atomic.Int32
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address != host(leader) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		connections.Add(1)
+		time.Sleep(handshake)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	c := New([]string{"a:1", host(leader)}, WithHTTP(&http.Client{Transport: &http.Transport{DialContext: dial}}, "http"))
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := c.Submit(ctx, &wire.SubmitRequest{})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, connections.Load())
+}
