Entry: find out whether the node has lost its links to all targets

A node that reaches no target tried one after the other, 400 ms each, and held its callers or refused them late. Failed and silent exchanges now lead to a round of at most four plain connects to targets of different services and data centres; isolated and isolationSuspected tell the result. Events node_isolated and node_reconnected, the gauge sardine_isolated, links in the state dump.

--- a/entry/checks.go
+++ b/entry/checks.go
@@ -199,6 +199,23 @@
 	}
 }
 
+// discard drops the losses from an instant on, which were not due to their targets.
+func (c *checks) discard(since sardine.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	later := func(l guard.Loss) bool { return l.At >= since }
+	for ref, k := range c.all {
+		k.pending = slices.DeleteFunc(k.pending, later)
+		k.suspects = slices.DeleteFunc(k.suspects, later)
+		if k.exitedAt == 0 && k.deadline-checkTimeout >= since {
+			delete(c.all, ref)
+		}
+	}
+	for ref, all := range c.abandoned {
+		c.abandoned[ref] = slices.DeleteFunc(all, later)
+	}
+}
+
 // pruneAbandoned drops the attempts whose targets have stopped working on them. The
 // caller holds the lock.
 func (c *checks) pruneAbandoned(now sardine.Millis) {
@@ -299,9 +316,7 @@
 // connect connects to the address. A nil connection without an error means that
 // no process listens there.
 func (n *Node) connect(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := n.dialTarget(ctx, address, probeTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		return nil, nil
 	}
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -200,6 +200,13 @@
 	g.limits.release(now, c)
 }
 
+// forgive makes the router use targets again that have failed.
+func (g *gate) forgive() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Forgive()
+}
+
 func (g *gate) updateLoad(ref route.Ref, l sardine.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/health.go
+++ b/entry/health.go
@@ -85,6 +85,20 @@
 	return v.tracker.Stalled(v.clock.Now())
 }
 
+// silent returns the number of targets that have been silent for the given time.
+func (v *healthTracker) silent(limit sardine.Millis) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Silent(v.clock.Now(), limit)
+}
+
+// forgive removes the suspicions of all targets.
+func (v *healthTracker) forgive() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.Forgive(v.clock.Now())
+}
+
 func (v *healthTracker) observations() []vital.Observation {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -17,6 +17,7 @@
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/trace"
+	"sardineswitch.dev/sardine/uplink"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -138,6 +139,7 @@
 	Ready              bool            `json:"ready"`
 	Reason             string          `json:"reason,omitempty"`
 	Draining           bool            `json:"draining"`
+	Links              string          `json:"links"` // to the targets: connected, suspected or isolated
 	LeaseMillis        int64           `json:"lease_millis"`
 	Applied            uint64          `json:"applied"`
 	Versions           []VersionDump   `json:"versions"`
@@ -194,6 +196,7 @@
 		Incarnation:      uint64(n.incarnation),
 		DataCentre:       string(n.dataCentre),
 		Draining:         n.draining.Load(),
+		Links:            uplink.State(n.links.state.Load()).String(),
 		LeaseMillis:      int64(max(serves-now, 0)),
 		Applied:          v.index,
 		Versions:         []VersionDump{},
--- /dev/null
+++ b/entry/isolation.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/pool"
+	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/uplink"
+)
+
+const (
+	// linkInterval is the time between two checks whether targets are to be probed.
+	linkInterval = 50 * sardine.Millis(1)
+	// linkProbes is the number of targets of a round.
+	linkProbes = 4
+	// firstLinkProbes is the number of them that are probed at once. The others follow
+	// after linkProbeDelay unless one has connected.
+	firstLinkProbes = 2
+	linkProbeDelay  = 50 * sardine.Millis(1)
+	// linkProbeTimeout bounds the connect of one probe.
+	linkProbeTimeout = 250 * sardine.Millis(1)
+	// verifyTimeout bounds how long a check of a target waits for that of the node's links.
+	verifyTimeout = 2 * sardine.Second
+)
+
+// isolation finds out whether the node has lost its links to all targets. What it
+// observes of them meanwhile is not counted against them.
+type isolation struct {
+	node       *Node
+	progressAt atomic.Int64  // last part of an answer from any target
+	state      atomic.Int32  // the detector's
+	notice     chan struct{} // wakes the loop
+
+	mu       sync.Mutex
+	detector *uplink.Detector
+	changed  chan struct{} // closed at the next change of the state
+}
+
+func newIsolation(n *Node) *isolation {
+	return &isolation{node: n, notice: make(chan struct{}, 1), detector: uplink.New(uplink.DefaultLimits()), changed: make(chan struct{})}
+}
+
+// isolated reports whether the node reaches no target.
+func (n *Node) isolated() bool {
+	return n.links.is(uplink.Isolated)
+}
+
+// isolationSuspected reports whether the node checks if it reaches any target.
+func (n *Node) isolationSuspected() bool {
+	return n.links.is(uplink.Suspected)
+}
+
+// linksTrusted reports whether failures may be counted against targets.
+func (n *Node) linksTrusted() bool {
+	return n.links.is(uplink.Connected)
+}
+
+func (i *isolation) is(s uplink.State) bool {
+	return uplink.State(i.state.Load()) == s
+}
+
+// progressed records the arrival of a part of an answer.
+func (i *isolation) progressed() {
+	i.progressAt.Store(int64(i.node.clock.Now()))
+}
+
+// opened records the result of a dispatch.
+func (i *isolation) opened(ctx context.Context, c route.Candidate, failed *proxy.Failure) {
+	switch {
+	case failed == nil, ctx.Err() != nil, errors.Is(failed, pool.ErrLimit):
+	case codes.Is(failed, codes.NoTarget), codes.Is(failed, codes.TargetFailed):
+		i.failed(c.Address)
+	}
+}
+
+// broke records that an answer has broken off.
+func (i *isolation) broke(ctx context.Context, c route.Candidate) {
+	if ctx.Err() == nil {
+		i.failed(c.Address)
+	}
+}
+
+// failed records that exchanges with targets have failed.
+func (i *isolation) failed(targets ...string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.node.clock.Now()
+	i.detector.Progressed(sardine.Millis(i.progressAt.Load()))
+	for _, t := range targets {
+		i.detector.Failed(now, t)
+	}
+	i.publish()
+}
+
+// publish publishes the detector's state and wakes the loop if there is something to
+// probe. The caller holds the lock.
+func (i *isolation) publish() {
+	s := i.detector.State()
+	i.state.Store(int32(s))
+	if s != uplink.Suspected {
+		return
+	}
+	select {
+	case i.notice <- struct{}{}:
+	default:
+	}
+}
+
+// run is the loop that performs the rounds of probes.
+func (i *isolation) run() error {
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	for {
+		select {
+		case <-i.node.tomb.Dying():
+			return nil
+		case <-i.notice:
+		case <-i.node.clock.After(linkInterval):
+		}
+		if i.due() {
+			i.ended(i.probe(&probes))
+		}
+	}
+}
+
+// due reports whether a round is to be performed now.
+func (i *isolation) due() bool {
+	silent := 0
+	if i.node.health != nil {
+		silent = i.node.health.silent(uplink.DefaultLimits().Silence)
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.node.clock.Now()
+	i.detector.Progressed(sardine.Millis(i.progressAt.Load()))
+	i.detector.Silent(now, silent)
+	due := i.detector.Next(now)
+	i.state.Store(int32(i.detector.State()))
+	return due
+}
+
+// ended passes the result of a round to the detector.
+func (i *isolation) ended(r uplink.Round) {
+	i.mu.Lock()
+	since := i.detector.Since()
+	lasted := i.detector.Duration(i.node.clock.Now())
+	i.detector.Progressed(sardine.Millis(i.progressAt.Load()))
+	change := i.detector.Ended(i.node.clock.Now(), r)
+	rounds, probes := i.detector.Rounds()
+	if change == uplink.Reconnected {
+		i.forgive()
+	}
+	i.publish()
+	if change != uplink.NoChange {
+		close(i.changed)
+		i.changed = make(chan struct{})
+	}
+	i.mu.Unlock()
+	switch change {
+	case uplink.Lost:
+		i.node.checks.discard(since)
+		event.Log(i.node.log, event.NodeIsolated, slog.Int("rounds", rounds), slog.Int("probes", probes),
+			slog.Int("refused", r.Refused), slog.Int("targets", i.node.view().routable()), slog.Int64("since_ms", int64(i.node.clock.Now()-since)))
+	case uplink.Reconnected:
+		event.Log(i.node.log, event.NodeReconnected, slog.Int("rounds", rounds), slog.Int("probes", probes),
+			slog.Int("targets", i.node.view().routable()), slog.Int64("after_ms", int64(lasted)))
+	}
+}
+
+// forgive removes the marks that targets have got because of the node's own links.
+func (i *isolation) forgive() {
+	if i.node.health != nil {
+		i.node.health.forgive()
+	}
+	i.node.gate.forgive()
+}
+
+// work reports whether the node's links work, after a round of probes.
+func (i *isolation) work(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout.Duration())
+	defer cancel()
+	i.mu.Lock()
+	i.detector.Verify(i.node.clock.Now())
+	i.publish()
+	for i.detector.State() == uplink.Suspected {
+		changed := i.changed
+		i.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+		i.mu.Lock()
+	}
+	defer i.mu.Unlock()
+	return i.detector.State() == uplink.Connected
+}
+
+// probe connects to some targets until one accepts a connection or all have failed.
+func (i *isolation) probe(running *sync.WaitGroup) uplink.Round {
+	n := i.node
+	ctx, cancel := context.WithCancel(n.baseCtx)
+	defer cancel()
+	targets := uplink.Spread(n.view().probeTargets(), linkProbes, n.random)
+	results := make(chan error, len(targets))
+	for k, t := range targets {
+		running.Go(func() {
+			if k >= firstLinkProbes && n.sleep(ctx, linkProbeDelay) != nil {
+				return
+			}
+			conn, err := n.dialTarget(ctx, t.Address, linkProbeTimeout)
+			if err == nil {
+				_ = conn.Close() // nothing was sent
+			}
+			results <- err
+		})
+	}
+	r := uplink.Round{Targets: len(targets)}
+	for range targets {
+		select {
+		case err := <-results:
+			if err == nil {
+				r.Reached++
+				return r
+			}
+			if !isTimeout(err) {
+				r.Refused++
+			}
+		case <-ctx.Done():
+			return r
+		}
+	}
+	return r
+}
+
+// isTimeout reports whether a connect has not been answered.
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &e) && e.Timeout()
+}
+
+// dialTarget connects to a target.
+func (n *Node) dialTarget(ctx context.Context, address string, timeout sardine.Millis) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	if n.targetDial != nil {
+		return n.targetDial(ctx, "tcp", address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// probeTargets returns the targets that take requests.
+func (v *view) probeTargets() []uplink.Target {
+	var all []uplink.Target
+	for key, candidates := range v.candidates {
+		for _, c := range candidates {
+			all = append(all, uplink.Target{Address: c.Address, Service: key.service, DataCentre: c.DataCentre})
+		}
+	}
+	return all
+}
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -57,6 +57,7 @@
 	return []meter.Gauge{
 		{Name: "sardine_in_flight", Description: "dispatches under way that may be moved", Read: func() float64 { return float64(n.inFlight.count()) }},
 		{Name: "sardine_ready", Description: "1 if the node takes callers' requests", Read: func() float64 { return meter.Bool(n.mayAccept() == nil) }},
+		{Name: "sardine_isolated", Description: "1 if the node reaches no target", Read: func() float64 { return meter.Bool(n.isolated()) }},
 		{Name: "sardine_lease", Description: "1 if the node holds a serving lease", Read: func() float64 { return meter.Bool(n.published.Load().lease.Serving(n.clock.Now())) }},
 		{Name: "sardine_routable", Description: "groups and plain targets that requests may go to", Read: func() float64 { return float64(n.view().routable()) }},
 		{Name: "sardine_layout_number", Description: "number of the layout in force, 0 without one", Read: func() float64 { return float64(n.view().layoutNumber()) }},
--- a/entry/model.go
+++ b/entry/model.go
@@ -252,6 +252,7 @@
 	}()
 	started := m.node.clock.Now()
 	answer, failed := m.node.proxy.Open(ctx, m.exchange(choice))
+	m.node.links.opened(ctx, choice.Candidate, failed)
 	if failed != nil {
 		m.ran = combine(m.ran, failed.Ran())
 		return causeOr(ctx, failed)
--- a/entry/node.go
+++ b/entry/node.go
@@ -87,6 +87,7 @@
 	openingTraffic    atomic.Bool // an OpenTraffic command is in progress
 	gate              *gate
 	inFlight          *inFlight
+	links             *isolation
 	claims            *claims
 	guards            *guards
 	checks            *checks
@@ -176,6 +177,7 @@
 		n.stallNotice = make(chan struct{}, 1)
 		n.retries = newRetryLimit(n.incarnation, n.clock.Now(), retry.NewWindow(n.retryRatio, n.retryAllowance, n.retryWindow))
 	}
+	n.links = newIsolation(n)
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
 	n.waitEstimator = place.NewWaitEstimator()
 	n.batchBounds = place.NewBatchLimiter()
@@ -294,6 +296,7 @@
 	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
+	n.tomb.Go(n.links.run)
 	n.tomb.Go(n.strikes.report)
 	n.tomb.Go(n.refreshShares)
 	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.log) })
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -280,6 +280,7 @@
 	x := p.request.exchange(choice.Candidate)
 	x.Observer = p.node.observer(choice)
 	answer, failed := p.node.proxy.Open(ctx, x)
+	p.node.links.opened(ctx, choice.Candidate, failed)
 	if failed != nil {
 		p.ran = combine(p.ran, failed.Ran())
 		if failed.Ran() != sardine.RanNo {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -283,6 +283,7 @@
 	target := q.dispatchedTo(choice)
 	defer q.register(ctx, cancel, target)()
 	answer, failed := n.proxy.Open(attemptCtx, q.exchange(choice, q.events.Last(), q.rank))
+	n.links.opened(attemptCtx, choice.Candidate, failed)
 	if failed != nil {
 		if codes.Is(failed, codes.NoTarget) {
 			q.unsent++
@@ -333,6 +334,7 @@
 	cause := q.causeOf(ctx, err)
 	q.logAttempt(choice, cause, q.ran)
 	if !errors.Is(err, errTargetError) && !left {
+		n.links.broke(ctx, choice.Candidate)
 		q.losses.recordLoss(ctx, target, q.attemptEvents, err)
 	}
 	return cause
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -79,6 +79,7 @@
 func (r progressReader) Read(b []byte) (int, error) {
 	n, err := r.reader.Read(b)
 	if n > 0 {
+		r.run.node.links.progressed()
 		r.run.node.health.progress(r.run.healthRecord, false)
 	}
 	return n, err
@@ -326,6 +327,7 @@
 	if q.attemptEvents++; q.attemptEvents == guard.ProvenEvents {
 		q.losses.began()
 	}
+	q.node.links.progressed()
 	q.node.health.progress(q.healthRecord, true)
 	q.recordGap()
 }
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -94,6 +94,7 @@
 		defer n.inFlight.add(next.choice.Candidate, next.cancel, nil)()
 	}
 	answer, failed := n.proxy.Open(next.ctx, q.exchange(next.choice, s.position.Last(), next.rank))
+	n.links.opened(next.ctx, next.choice.Candidate, failed)
 	if failed != nil {
 		if codes.Is(failed, codes.NoTarget) && next.ctx.Err() == nil {
 			n.health.unreachable(ref)
--- a/entry/target_limits.go
+++ b/entry/target_limits.go
@@ -159,6 +159,7 @@
 // Replied implements proxy.Observer.
 func (o limitObserver) Replied(sentAt sardine.Millis, status int, r sardine.Reply) {
 	n, target := o.node, limitTarget(o.choice.Candidate)
+	n.links.progressed()
 	if r.InvalidLimit != "" {
 		n.logInvalidLimit(target, r.InvalidLimit)
 		return
--- a/event/table.go
+++ b/event/table.go
@@ -15,6 +15,8 @@
 	DutyFailed      ID = 107
 	SettingsRead    ID = 108
 	SettingsRefused ID = 109
+	NodeIsolated    ID = 110
+	NodeReconnected ID = 111
 	LeaderChanged   ID = 200
 	TailCut         ID = 201
 	StorageFailed   ID = 202
@@ -87,6 +89,8 @@
 	{DutyFailed, "duty_failed", slog.LevelError, "a background task failed", "see the error attribute"},
 	{SettingsRead, "settings_read", slog.LevelInfo, "the settings file was read again", "nothing"},
 	{SettingsRefused, "settings_refused", slog.LevelWarn, "the changed settings file can't be read or has errors; the node keeps its settings", "see the error attribute"},
+	{NodeIsolated, "node_isolated", slog.LevelWarn, "the entry node reaches no target, while callers may reach it; what it observes of targets does not count", "check the network between this node and the targets"},
+	{NodeReconnected, "node_reconnected", slog.LevelInfo, "the entry node reaches targets again", "nothing"},
 	{LeaderChanged, "leader_changed", slog.LevelInfo, "a control node leads in a new term", "nothing"},
 	{TailCut, "tail_cut", slog.LevelWarn, "an incomplete record at the log's end was removed", "nothing, it was never acknowledged"},
 	{StorageFailed, "storage_failed", slog.LevelError, "the data folder can't be used", "see the error attribute"},
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -6,6 +6,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -40,6 +42,9 @@
 	maxRefused = 64
 )
 
+// ErrLimit means that the limit of open connections to a target is reached.
+var ErrLimit = errors.New("all are in use")
+
 // Pool holds the connections of one entry node to targets. It is safe for concurrent
 // use.
 type Pool struct {
@@ -160,7 +165,7 @@
 	p.mu.Lock()
 	if limit := p.limit[address]; limit > 0 && p.open[address] >= limit {
 		p.mu.Unlock()
-		return nil, codes.New(codes.NoTarget, "all %d connections to target %s are in use", limit, address)
+		return nil, codes.Wrap(codes.NoTarget, ErrLimit, fmt.Sprintf("%d connections to target %s", limit, address))
 	}
 	p.open[address]++
 	p.mu.Unlock()
--- a/route/feedback.go
+++ b/route/feedback.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// Forgive resets the failures of all targets and ends their ejections.
+func (r *Router) Forgive() {
+	for _, t := range r.targets {
+		t.outlier.succeeded()
+	}
+}
+
 // ReportLoad records a target's load as reported at the instant at. A report older
 // than the recorded one is ignored.
 func (r *Router) ReportLoad(at sardine.Millis, ref Ref, l sardine.Load) {
--- a/vital/vital.go
+++ b/vital/vital.go
@@ -234,6 +234,28 @@
 	return suspects
 }
 
+// Silent returns the number of targets with requests in flight that have been silent for
+// the given time.
+func (t *Tracker) Silent(now, limit sardine.Millis) int {
+	count := 0
+	for _, r := range t.targets {
+		if r.waiting() > 0 && now-r.silentSince >= limit {
+			count++
+		}
+	}
+	return count
+}
+
+// Forgive ends the suspicions of all targets and the present silences, which were not due
+// to the targets.
+func (t *Tracker) Forgive(now sardine.Millis) {
+	for _, r := range t.targets {
+		r.suspectUntil = 0
+		r.silentSince = now
+		r.reported = false
+	}
+}
+
 // Observation is what one entry node has observed of a target.
 type Observation struct {
 	Ref         route.Ref
--- a/vital/vital_test.go
+++ b/vital/vital_test.go
@@ -19,7 +19,8 @@
 // TestTracker runs the scripts in testdata. begin, progress, suspend, resume, end and
 // unreachable act on requests by name, pass sets the engines' longest iteration time, stream FLIGHT
 // PAUSE COUNT records events with a pause before each, look prints the stalled
-// targets and the suspects, and signs prints the observations.
+// targets and the suspects, signs prints the observations, silent MS prints the number of silent
+// targets, and forgive ends all suspicions.
 func TestTracker(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracker := New(DefaultLimits())
@@ -51,6 +52,10 @@
 					tracker.End(flights[f[1]])
 				case "unreachable":
 					tracker.Unreachable(now, refOf(f[1]))
+				case "silent":
+					fmt.Fprintf(&out, "%d silent\n", tracker.Silent(now, sardine.Millis(number(t, f[1]))))
+				case "forgive":
+					tracker.Forgive(now)
 				case "look":
 					fmt.Fprintf(&out, "stalled %v, suspects %v\n", tracker.Stalled(now), tracker.Suspects(now))
 				case "signs":
