Entry: count nothing against targets that a node without links observes

A node that had lost its links took its targets for failed: it found that nobody listens there, and sound requests were answered with 502 at all entry nodes; silent ones counted once their targets left; stalls were reported to the control leader, usual silences were learned too long, and targets were avoided or ejected after the links were back.

A target that refuses connections has exited only if a round of probes reaches another one. From the start of a suspicion on, losses are dropped if it is confirmed; while it lasts, no stall is reported, no probe or trial of a segment is claimed and nothing is learned; an isolated node reports no demand for shared limits and takes no retry for a target that it can't reach.

--- a/entry/checks.go
+++ b/entry/checks.go
@@ -103,7 +103,7 @@
 
 // probe tries to connect to the target.
 func (c *checks) probe(k *check) {
-	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address)
+	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address) && c.node.links.work(c.node.baseCtx)
 	c.mu.Lock()
 	defer close(k.probed)
 	k.probing = false
--- a/entry/health.go
+++ b/entry/health.go
@@ -79,9 +79,12 @@
 	return v.tracker.Suspects(v.clock.Now())
 }
 
-func (v *healthTracker) stalled() []route.Ref {
+// stalled returns the targets that have stalled. Unless learn is set, their silences do not
+// change what is usual.
+func (v *healthTracker) stalled(learn bool) []route.Ref {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.tracker.SetLearning(learn)
 	return v.tracker.Stalled(v.clock.Now())
 }
 
@@ -115,7 +118,7 @@
 
 // checkStalls makes the requests leave the targets that have stalled.
 func (n *Node) checkStalls() {
-	stalled := n.health.stalled()
+	stalled := n.health.stalled(n.linksTrusted())
 	for _, ref := range stalled {
 		event.Log(n.log, event.TargetStalled, slog.String("target", ref.String()))
 		n.meter.stalled()
@@ -124,6 +127,7 @@
 	if len(stalled) == 0 {
 		return
 	}
+	n.links.stalled(stalled)
 	select {
 	case n.stallNotice <- struct{}{}: // report to the leader at once
 	default:
--- a/entry/health_report.go
+++ b/entry/health_report.go
@@ -5,6 +5,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/event"
+	"sardineswitch.dev/sardine/quota"
 	"sardineswitch.dev/sardine/vital"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -32,8 +33,7 @@
 }
 
 func (n *Node) reportHealthOnce() {
-	observations := n.health.observations()
-	limits := n.gate.limitReport()
+	observations, limits := n.trusted(n.health.observations(), n.gate.limitReport())
 	if len(observations) == 0 && limits.Empty() {
 		return
 	}
@@ -53,6 +53,21 @@
 	n.logLimits(n.gate.applyShares(askedAt, quotaSharesFromWire(reply.GetShares())))
 }
 
+// trusted returns what may be reported of targets. Without links to them their silence shows
+// nothing, and callers' requests go to them by way of other nodes.
+func (n *Node) trusted(observations []vital.Observation, limits quota.Report) ([]vital.Observation, quota.Report) {
+	if n.linksTrusted() {
+		return observations, limits
+	}
+	for i := range observations {
+		observations[i].Stalled = false
+	}
+	if n.isolated() {
+		limits.Demands = nil
+	}
+	return observations, limits
+}
+
 // logHealthReports logs when the leader stops accepting health reports, and
 // when it accepts them again.
 func (n *Node) logHealthReports(err error) {
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -78,17 +78,26 @@
 	switch {
 	case failed == nil, ctx.Err() != nil, errors.Is(failed, pool.ErrLimit):
 	case codes.Is(failed, codes.NoTarget), codes.Is(failed, codes.TargetFailed):
-		i.failed(c.Address)
+		i.failed(c.Ref.String())
 	}
 }
 
 // broke records that an answer has broken off.
 func (i *isolation) broke(ctx context.Context, c route.Candidate) {
 	if ctx.Err() == nil {
-		i.failed(c.Address)
+		i.failed(c.Ref.String())
 	}
 }
 
+// stalled records that targets have stalled.
+func (i *isolation) stalled(refs []route.Ref) {
+	targets := make([]string, 0, len(refs))
+	for _, ref := range refs {
+		targets = append(targets, ref.String())
+	}
+	i.failed(targets...)
+}
+
 // failed records that exchanges with targets have failed.
 func (i *isolation) failed(targets ...string) {
 	i.mu.Lock()
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -58,6 +58,9 @@
 // deadline or by the node says nothing about the target, but the target may still
 // fail for it.
 func (l *losses) recordLoss(ctx context.Context, d dispatched, events int, err error) {
+	if l.node.isolated() {
+		return // the target may have completed it
+	}
 	loss := l.lossOf(d.candidate, events)
 	if !lostByTarget(ctx) {
 		if len(l.segments) > 0 && events < guard.ProvenEvents {
@@ -71,7 +74,9 @@
 // recordSilence starts a check of a target whose attempt has become silent after the given
 // number of events.
 func (l *losses) recordSilence(d dispatched, events int) {
-	l.add(d, l.lossOf(d.candidate, events), false)
+	if !l.node.isolated() {
+		l.add(d, l.lossOf(d.candidate, events), false)
+	}
 }
 
 // add starts a check of a target, with a probe or without, and records the loss unless it
--- a/entry/segments.go
+++ b/entry/segments.go
@@ -135,7 +135,7 @@
 		case guard.Refused:
 			return false, codes.New(codes.PoisonRequest, "segment %s of the prompt crashed the targets that ran it", v.Segment.ID)
 		case guard.Trial, guard.Probe:
-			if n.strikes.claim(v.Claims) {
+			if n.linksTrusted() && n.strikes.claim(v.Claims) {
 				event.Log(n.log, event.SegmentProbed, requestAttr(l.request), segmentAttr(v.Segment), poisonAttr(v.Segment.Fingerprint))
 				return true, nil
 			}
--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -67,6 +67,9 @@
 	case guard.Allowed:
 		return nil
 	case guard.Trial:
+		if !n.linksTrusted() {
+			return refused // the trial might not reach a target
+		}
 		if result, err := n.proposeWithin(strikeSubmit, ask); err != nil || result.Verdict != state.ClaimGranted {
 			return refused // another node has the trial, or this is unknown
 		}
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -17,6 +17,9 @@
 // errRetryDenied means that the retry limit does not allow for another attempt.
 var errRetryDenied = codes.New(codes.TargetFailed, "the retry limit is used up")
 
+// errIsolated means that the node reaches no target.
+var errIsolated = codes.New(codes.NoTarget, "this entry node has lost its links to all targets")
+
 // successor is a target that has begun to answer a request that another one has not
 // completed.
 type successor struct {
@@ -60,6 +63,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.isolated() {
+		return nil, errIsolated
+	}
 	q.delayMove(ctx, s.lastAt)
 	if n.clock.Now() >= q.deadline {
 		return nil, errDeadline
--- a/vital/vital.go
+++ b/vital/vital.go
@@ -49,6 +49,7 @@
 	limits       Limits
 	targets      map[route.Ref]*record
 	byDeployment map[sardine.ServiceName]*SilenceLimits
+	unlearning   bool // silences do not change the limits
 }
 
 // New returns a tracker without targets.
@@ -66,6 +67,18 @@
 	return k
 }
 
+// SetLearning sets whether silences change the limits. Those that the targets don't cause
+// must not.
+func (t *Tracker) SetLearning(on bool) {
+	t.unlearning = !on
+}
+
+func (t *Tracker) learn(q *quantile, silence sardine.Millis) {
+	if !t.unlearning {
+		q.observe(silence)
+	}
+}
+
 // TrackedRequest is one request in flight. Pass it to Progress and End.
 type TrackedRequest struct {
 	ref       route.Ref
@@ -111,13 +124,13 @@
 	switch {
 	case f.suspended:
 	case stream && f.stream:
-		r.silence.gaps.observe(now - f.at)
+		t.learn(&r.silence.gaps, now-f.at)
 	case stream:
 		f.stream = true
 		r.streams++
-		r.silence.firsts.observe(now - f.at)
+		t.learn(&r.silence.firsts, now-f.at)
 	case f.ref.Group == "":
-		r.silence.answers.observe(now - f.at)
+		t.learn(&r.silence.answers, now-f.at)
 	}
 	if stream || f.ref.Group == "" {
 		f.at = now
@@ -195,7 +208,9 @@
 		r := t.targets[ref]
 		r.reported = true
 		r.suspectUntil = now + t.limits.SuspectFor
-		r.silence.overrun(r, now-r.silentSince)
+		if !t.unlearning {
+			r.silence.overrun(r, now-r.silentSince)
+		}
 	}
 	slices.SortFunc(stalled, compareRefs)
 	return stalled
--- a/vital/vital_test.go
+++ b/vital/vital_test.go
@@ -20,7 +20,7 @@
 // unreachable act on requests by name, pass sets the engines' longest iteration time, stream FLIGHT
 // PAUSE COUNT records events with a pause before each, look prints the stalled
 // targets and the suspects, signs prints the observations, silent MS prints the number of silent
-// targets, and forgive ends all suspicions.
+// targets, forgive ends all suspicions, and learning on or off sets whether silences change the limits.
 func TestTracker(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracker := New(DefaultLimits())
@@ -54,6 +54,8 @@
 					tracker.Unreachable(now, refOf(f[1]))
 				case "silent":
 					fmt.Fprintf(&out, "%d silent\n", tracker.Silent(now, sardine.Millis(number(t, f[1]))))
+				case "learning":
+					tracker.SetLearning(f[1] == "on")
 				case "forgive":
 					tracker.Forgive(now)
 				case "look":
