Entry: judge the losses of an isolation when it ends

If all targets have crashed at once, a node takes its links for lost, and their crashes were not recorded any more: TestSiteServesSharedRequestAfterAllWorkersCrashed and TestSiteServesSegmentsAfterAllWorkersCrashed failed. When targets are reached again, those that refused the probes are asked again: if they still refuse, it was they that had failed, and the checks go on; else the losses are dropped.

go test ./platform -run 'AllWorkersCrashed|NotCharged|NoticesThat' -count=1: passes.

--- a/entry/checks.go
+++ b/entry/checks.go
@@ -94,13 +94,21 @@
 	}
 	k.requests++
 	k.deadline = c.node.clock.Now() + checkTimeout
-	if probe && k.exitedAt == 0 && !k.probing {
-		k.probing, k.probed = true, make(chan struct{})
-		c.running.Go(func() { c.probe(k) })
+	if probe {
+		c.startProbe(k)
 	}
 	return k
 }
 
+// startProbe starts a probe of a target unless one is running. The caller holds the lock.
+func (c *checks) startProbe(k *check) {
+	if k.exitedAt > 0 || k.probing {
+		return
+	}
+	k.probing, k.probed = true, make(chan struct{})
+	c.running.Go(func() { c.probe(k) })
+}
+
 // probe tries to connect to the target.
 func (c *checks) probe(k *check) {
 	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address) && c.node.links.work(c.node.baseCtx)
@@ -207,7 +215,7 @@
 	for ref, k := range c.all {
 		k.pending = slices.DeleteFunc(k.pending, later)
 		k.suspects = slices.DeleteFunc(k.suspects, later)
-		if k.exitedAt == 0 && k.deadline-checkTimeout >= since {
+		if k.isOpenSince(since) {
 			delete(c.all, ref)
 		}
 	}
@@ -216,6 +224,24 @@
 	}
 }
 
+// resume goes on with the checks that were begun from an instant on.
+func (c *checks) resume(since sardine.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.all {
+		if k.isOpenSince(since) {
+			k.deadline = c.node.clock.Now() + checkTimeout
+			c.startProbe(k)
+		}
+	}
+}
+
+// isOpenSince reports whether the target is not known to have exited and its last loss
+// was at or after an instant.
+func (k *check) isOpenSince(at sardine.Millis) bool {
+	return k.exitedAt == 0 && k.deadline-checkTimeout >= at
+}
+
 // pruneAbandoned drops the attempts whose targets have stopped working on them. The
 // caller holds the lock.
 func (c *checks) pruneAbandoned(now sardine.Millis) {
@@ -241,7 +267,8 @@
 }
 
 // tick looks up targets that did not respond or still listen in the followed
-// state, and removes checks of targets that exited long ago or are healthy.
+// state, and removes checks of targets that exited long ago or are healthy. An
+// isolated node does not know yet whether its targets have failed.
 func (c *checks) tick() {
 	v, now := c.node.view(), c.node.clock.Now()
 	var found []exitLosses
@@ -251,7 +278,7 @@
 		switch {
 		case k.exitedAt > 0 && now > k.exitedAt+checkRetention:
 			delete(c.all, ref)
-		case k.exitedAt > 0 || k.probing:
+		case k.exitedAt > 0, k.probing, c.node.isolated():
 		case c.wasLeaving(v, k) || now > k.deadline:
 			delete(c.all, ref)
 		case slices.ContainsFunc(k.target.processes, v.removed):
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -17,7 +17,6 @@
 	"sardineswitch.dev/sardine/route"
 	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/trace"
-	"sardineswitch.dev/sardine/uplink"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -196,7 +195,7 @@
 		Incarnation:      uint64(n.incarnation),
 		DataCentre:       string(n.dataCentre),
 		Draining:         n.draining.Load(),
-		Links:            uplink.State(n.links.state.Load()).String(),
+		Links:            n.linkState().String(),
 		LeaseMillis:      int64(max(serves-now, 0)),
 		Applied:          v.index,
 		Versions:         []VersionDump{},
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -42,7 +42,9 @@
 
 	mu       sync.Mutex
 	detector *uplink.Detector
-	changed  chan struct{} // closed at the next change of the state
+	lostAt   sardine.Millis // start of the last isolation, from which on losses may be due to it
+	refusers []string       // addresses that refused the probes that showed it
+	changed  chan struct{}  // closed at the next change of the state
 }
 
 func newIsolation(n *Node) *isolation {
@@ -51,21 +53,22 @@
 
 // isolated reports whether the node reaches no target.
 func (n *Node) isolated() bool {
-	return n.links.is(uplink.Isolated)
+	return n.linkState() == uplink.Isolated
 }
 
 // isolationSuspected reports whether the node checks if it reaches any target.
 func (n *Node) isolationSuspected() bool {
-	return n.links.is(uplink.Suspected)
+	return n.linkState() == uplink.Suspected
 }
 
-// linksTrusted reports whether failures may be counted against targets.
-func (n *Node) linksTrusted() bool {
-	return n.links.is(uplink.Connected)
+// linkState returns what the node knows of its links to the targets.
+func (n *Node) linkState() uplink.State {
+	return uplink.State(n.links.state.Load())
 }
 
-func (i *isolation) is(s uplink.State) bool {
-	return uplink.State(i.state.Load()) == s
+// linksTrusted reports whether failures may be counted against targets.
+func (n *Node) linksTrusted() bool {
+	return n.linkState() == uplink.Connected
 }
 
 // progressed records the arrival of a part of an answer.
@@ -157,15 +160,19 @@
 	return due
 }
 
-// ended passes the result of a round to the detector.
-func (i *isolation) ended(r uplink.Round) {
+// ended passes the result of a round to the detector. refusers are the addresses that
+// refused a connection.
+func (i *isolation) ended(r uplink.Round, refusers []string) {
 	i.mu.Lock()
 	since := i.detector.Since()
 	lasted := i.detector.Duration(i.node.clock.Now())
 	i.detector.Progressed(sardine.Millis(i.progressAt.Load()))
 	change := i.detector.Ended(i.node.clock.Now(), r)
 	rounds, probes := i.detector.Rounds()
-	if change == uplink.Reconnected {
+	switch change {
+	case uplink.Lost:
+		i.lostAt, i.refusers = since, refusers
+	case uplink.Reconnected:
 		i.forgive()
 	}
 	i.publish()
@@ -176,15 +183,36 @@
 	i.mu.Unlock()
 	switch change {
 	case uplink.Lost:
-		i.node.checks.discard(since)
 		event.Log(i.node.log, event.NodeIsolated, slog.Int("rounds", rounds), slog.Int("probes", probes),
 			slog.Int("refused", r.Refused), slog.Int("targets", i.node.view().routable()), slog.Int64("since_ms", int64(i.node.clock.Now()-since)))
 	case uplink.Reconnected:
 		event.Log(i.node.log, event.NodeReconnected, slog.Int("rounds", rounds), slog.Int("probes", probes),
 			slog.Int("targets", i.node.view().routable()), slog.Int64("after_ms", int64(lasted)))
+		i.judge()
 	}
 }
 
+// judge decides whether the losses of the last isolation count: they do if the targets that
+// refused connections then still do, since then it was they that had failed.
+func (i *isolation) judge() {
+	n := i.node
+	for _, address := range i.refusers {
+		conn, err := n.dialTarget(n.baseCtx, address, linkProbeTimeout)
+		if err == nil {
+			_ = conn.Close() // nothing was sent
+		}
+		if err == nil || isTimeout(err) {
+			n.checks.discard(i.lostAt)
+			return
+		}
+	}
+	if len(i.refusers) == 0 {
+		n.checks.discard(i.lostAt)
+		return
+	}
+	n.checks.resume(i.lostAt)
+}
+
 // forgive removes the marks that targets have got because of the node's own links.
 func (i *isolation) forgive() {
 	if i.node.health != nil {
@@ -214,13 +242,18 @@
 	return i.detector.State() == uplink.Connected
 }
 
-// probe connects to some targets until one accepts a connection or all have failed.
-func (i *isolation) probe(running *sync.WaitGroup) uplink.Round {
+// probe connects to some targets until one accepts a connection or all have failed. It
+// returns the addresses that refused.
+func (i *isolation) probe(running *sync.WaitGroup) (r uplink.Round, refusers []string) {
 	n := i.node
 	ctx, cancel := context.WithCancel(n.baseCtx)
 	defer cancel()
 	targets := uplink.Spread(n.view().probeTargets(), linkProbes, n.random)
-	results := make(chan error, len(targets))
+	type result struct {
+		address string
+		err     error
+	}
+	results := make(chan result, len(targets))
 	for k, t := range targets {
 		running.Go(func() {
 			if k >= firstLinkProbes && n.sleep(ctx, linkProbeDelay) != nil {
@@ -230,25 +263,26 @@
 			if err == nil {
 				_ = conn.Close() // nothing was sent
 			}
-			results <- err
+			results <- result{t.Address, err}
 		})
 	}
-	r := uplink.Round{Targets: len(targets)}
+	r.Targets = len(targets)
 	for range targets {
 		select {
-		case err := <-results:
-			if err == nil {
+		case one := <-results:
+			if one.err == nil {
 				r.Reached++
-				return r
+				return r, nil
 			}
-			if !isTimeout(err) {
+			if !isTimeout(one.err) {
 				r.Refused++
+				refusers = append(refusers, one.address)
 			}
 		case <-ctx.Done():
-			return r
+			return r, nil
 		}
 	}
-	return r
+	return r, refusers
 }
 
 // isTimeout reports whether a connect has not been answered.
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -79,12 +79,20 @@
 func (r progressReader) Read(b []byte) (int, error) {
 	n, err := r.reader.Read(b)
 	if n > 0 {
-		r.run.node.links.progressed()
-		r.run.node.health.progress(r.run.healthRecord, false)
+		r.run.progressed(false)
 	}
 	return n, err
 }
 
+// progressed records that the request's target has sent a part of its answer. One that
+// comes through another entry node says nothing of the node's own links.
+func (q *routedRun) progressed(stream bool) {
+	if q.healthRecord != nil {
+		q.node.links.progressed()
+		q.node.health.progress(q.healthRecord, stream)
+	}
+}
+
 // forwardBuffered reads a short answer completely before it forwards it.
 func (q *routedRun) forwardBuffered(resp *http.Response, body io.Reader) (bool, error) {
 	text := make([]byte, resp.ContentLength)
@@ -327,8 +335,7 @@
 	if q.attemptEvents++; q.attemptEvents == guard.ProvenEvents {
 		q.losses.began()
 	}
-	q.node.links.progressed()
-	q.node.health.progress(q.healthRecord, true)
+	q.progressed(true)
 	q.recordGap()
 }
 
