--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -87,10 +87,11 @@
 // progressed records that the request's target has sent a part of its answer. One that
 // comes through another entry node says nothing of the node's own links.
 func (q *routedRun) progressed(stream bool) {
-	if q.healthRecord != nil {
-		q.node.links.progressed()
-		q.node.health.progress(q.healthRecord, stream)
+	if q.healthRecord == nil {
+		return
 	}
+	q.node.links.progressed()
+	q.node.health.progress(q.healthRecord, stream)
 }
 
 // forwardBuffered reads a short answer completely before it forwards it.
