--- a/entry/internal.go
+++ b/entry/internal.go
@@ -195,7 +195,7 @@
 		Incarnation:      uint64(n.incarnation),
 		DataCentre:       string(n.dataCentre),
 		Draining:         n.draining.Load(),
-		Links:            n.linkState().String(),
+		Links:            n.links.current().String(),
 		LeaseMillis:      int64(max(serves-now, 0)),
 		Applied:          v.index,
 		Versions:         []VersionDump{},
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -53,22 +53,22 @@
 
 // isolated reports whether the node reaches no target.
 func (n *Node) isolated() bool {
-	return n.linkState() == uplink.Isolated
+	return n.links.current() == uplink.Isolated
 }
 
 // isolationSuspected reports whether the node checks if it reaches any target.
 func (n *Node) isolationSuspected() bool {
-	return n.linkState() == uplink.Suspected
-}
-
-// linkState returns what the node knows of its links to the targets.
-func (n *Node) linkState() uplink.State {
-	return uplink.State(n.links.state.Load())
+	return n.links.current() == uplink.Suspected
 }
 
 // linksTrusted reports whether failures may be counted against targets.
 func (n *Node) linksTrusted() bool {
-	return n.linkState() == uplink.Connected
+	return n.links.current() == uplink.Connected
+}
+
+// current returns what the node knows of its links.
+func (i *isolation) current() uplink.State {
+	return uplink.State(i.state.Load())
 }
 
 // progressed records the arrival of a part of an answer.
