uplink: the loss of most targets at once is not a lost link

A round of four targets of a large service, most of whose targets are gone, connected to none while others answered, and the node took its links for lost. The target that answered last is probed first, and refusals need a second round. sardine_link_rounds_total counts the rounds by result.

Two tests of checks_test.go set the new field of Node; their checks are the same.

--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -37,7 +37,7 @@
 			var err error
 			n.meter, err = newInstruments(n)
 			require.NoError(t, err)
-			n.checks, n.strikes = newChecks(n), newStrikes(n)
+			n.links, n.checks, n.strikes = newIsolation(n), newChecks(n), newStrikes(n)
 			processes := []sardine.Member{{VM: head, Incarnation: 1}, {VM: member, Incarnation: 1}}
 			ref := route.Ref{Group: "g", Epoch: 3}
 			f := guard.FingerprintOf([]byte("body"))
@@ -73,7 +73,7 @@
 			var err error
 			n.meter, err = newInstruments(n)
 			require.NoError(t, err)
-			n.checks, n.strikes = newChecks(n), newStrikes(n)
+			n.links, n.checks, n.strikes = newIsolation(n), newChecks(n), newStrikes(n)
 			ref := route.Ref{Group: "g", Epoch: 3}
 			target := dispatched{candidate: route.Candidate{Ref: ref}, processes: []sardine.Member{{VM: "vm-1", Incarnation: 1}}}
 			segments := guard.SegmentsOf("team/model", []sardine.SegmentID{"d"})
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -36,9 +36,10 @@
 // observes of them meanwhile is not counted against them.
 type isolation struct {
 	node       *Node
-	progressAt atomic.Int64  // last part of an answer from any target
-	state      atomic.Int32  // the detector's
-	notice     chan struct{} // wakes the loop
+	progressAt atomic.Int64                    // last part of an answer from any target
+	heard      atomic.Pointer[route.Candidate] // the target that sent it
+	state      atomic.Int32                    // the detector's
+	notice     chan struct{}                   // wakes the loop
 
 	mu       sync.Mutex
 	detector *uplink.Detector
@@ -72,7 +73,8 @@
 }
 
 // progressed records the arrival of a part of an answer.
-func (i *isolation) progressed() {
+func (i *isolation) progressed(from *route.Candidate) {
+	i.heard.Store(from)
 	i.progressAt.Store(int64(i.node.clock.Now()))
 }
 
@@ -169,6 +171,7 @@
 	i.detector.Progressed(sardine.Millis(i.progressAt.Load()))
 	change := i.detector.Ended(i.node.clock.Now(), r)
 	rounds, probes := i.detector.Rounds()
+	i.node.meter.linkRound(r)
 	switch change {
 	case uplink.Lost:
 		i.lostAt, i.refusers = since, refusers
@@ -248,7 +251,11 @@
 	n := i.node
 	ctx, cancel := context.WithCancel(n.baseCtx)
 	defer cancel()
-	targets := uplink.Spread(n.view().probeTargets(), linkProbes, n.random)
+	first := "" // the target that is most likely to accept
+	if heard := i.heard.Load(); heard != nil {
+		first = heard.Address
+	}
+	targets := uplink.Spread(n.view().probeTargets(), first, linkProbes, n.random)
 	type result struct {
 		address string
 		err     error
--- a/entry/isolation_test.go
+++ b/entry/isolation_test.go
@@ -69,6 +69,9 @@
 		require.Len(t, k.pending, 1)
 	}
 	n.links.state.Store(int32(uplink.Isolated))
+	n.published.Store(&published{view: emptyView()}) // the log has dropped the target
+	n.checks.tick()
+	require.Len(t, n.checks.all, 1, "not judged before the isolation has ended")
 	l.recordSilence(target("later"), 0)
 	l.recordLoss(context.Background(), target("later"), 0, errTargetError)
 	require.Len(t, n.checks.all, 1)
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -7,6 +7,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/meter"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They include the
@@ -26,6 +27,7 @@
 	first    *meter.Durations
 	waits    *meter.Durations
 	gaps     *meter.Durations
+	rounds   *meter.Counter
 }
 
 func newInstruments(n *Node) (*instruments, error) {
@@ -49,6 +51,9 @@
 	if i.gaps, err = m.Durations("sardine_event_gap", "pause between two events of a stream", gapBounds...); err != nil {
 		return nil, err
 	}
+	if i.rounds, err = m.Counter("sardine_link_rounds", "rounds of probes of the node's links to the targets, by result"); err != nil {
+		return nil, err
+	}
 	return i, m.Gauges(n.gauges())
 }
 
@@ -152,6 +157,18 @@
 	i.count("attempt", err)
 }
 
+// linkRound counts a round of probes of the node's own links.
+func (i *instruments) linkRound(r uplink.Round) {
+	result := "unanswered"
+	switch {
+	case r.Reached > 0:
+		result = "reached"
+	case r.Targets > 0 && r.Refused == r.Targets:
+		result = "refused"
+	}
+	i.rounds.With(meter.NewLabel("result", result)).Add(1)
+}
+
 // delayed counts a request that waits because its targets limit their requests.
 func (i *instruments) delayed() {
 	i.count("delayed", codes.New(codes.TargetLimited, "the request waits for its turn"))
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -90,7 +90,7 @@
 	if q.healthRecord == nil {
 		return
 	}
-	q.node.links.progressed()
+	q.node.links.progressed(&q.times.choice.Candidate)
 	q.node.health.progress(q.healthRecord, stream)
 }
 
--- a/entry/target_limits.go
+++ b/entry/target_limits.go
@@ -159,7 +159,7 @@
 // Replied implements proxy.Observer.
 func (o limitObserver) Replied(sentAt sardine.Millis, status int, r sardine.Reply) {
 	n, target := o.node, limitTarget(o.choice.Candidate)
-	n.links.progressed()
+	n.links.progressed(&o.choice.Candidate)
 	if r.InvalidLimit != "" {
 		n.logInvalidLimit(target, r.InvalidLimit)
 		return
--- a/uplink/random_test.go
+++ b/uplink/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,11 +28,13 @@
 	latency     sardine.Millis
 	gone        bool
 	pausedUntil sardine.Millis
+	avoidUntil  sardine.Millis
 }
 
 // exchange is a request under way.
 type exchange struct {
 	target  int
+	tries   int // of the request
 	dial    bool
 	startAt sardine.Millis
 	doneAt  sardine.Millis // of the answer, if it arrives
@@ -48,8 +51,7 @@
 	under    []exchange
 	round    []int          // targets of the running round
 	roundEnd sardine.Millis // 0 without one
-	roundAt  sardine.Millis
-	reached  bool
+	heard    int            // the target that answered last
 	lost     []sardine.Millis
 	back     []sardine.Millis
 	requests []sardine.Millis // of the requests
@@ -73,50 +75,69 @@
 func (w *world) run(until sardine.Millis) {
 	for ; w.now < until; w.now += step {
 		if w.interval > 0 && w.random.IntN(int(w.interval/step)) == 0 {
-			w.send()
+			w.requests = append(w.requests, w.now)
+			w.send(1)
 		}
 		w.exchange()
 		w.probe()
 	}
 }
 
-func (w *world) send() {
+// send sends a request to a target that is not suspected, if there is one.
+func (w *world) send(tries int) {
 	i := w.random.IntN(len(w.targets))
-	w.requests = append(w.requests, w.now)
-	w.under = append(w.under, exchange{target: i, dial: w.random.IntN(3) == 0, startAt: w.now, doneAt: w.now + w.targets[i].latency})
+	for range w.targets {
+		if w.targets[i].avoidUntil <= w.now {
+			break
+		}
+		i = (i + 1) % len(w.targets)
+	}
+	w.under = append(w.under, exchange{target: i, tries: tries, dial: w.random.IntN(3) == 0, startAt: w.now, doneAt: w.now + w.targets[i].latency})
 }
 
 // exchange passes what happens to the exchanges to the detector.
 func (w *world) exchange() {
-	var left []exchange
+	under := w.under
+	w.under = nil
 	waited := make(map[int]bool)
-	for _, x := range w.under {
+	for _, x := range under {
 		t := w.targets[x.target]
 		age := w.now - x.startAt
 		paused := w.now < t.pausedUntil
 		switch {
 		case t.gone, x.dial && w.link == refuse && age < step:
-			w.detector.Failed(w.now, fmt.Sprint(x.target))
+			w.fail(x.target)
+			if x.tries < 4 {
+				w.send(x.tries + 1)
+			}
 		case w.link != silent && !paused && w.now >= x.doneAt:
 			w.detector.Progressed(w.now)
+			w.heard = x.target
 		case x.dial && w.link == silent && age >= 400, age >= 1000 && t.latency < 1000:
-			w.detector.Failed(w.now, fmt.Sprint(x.target))
+			w.fail(x.target)
 		default:
-			left = append(left, x)
+			w.under = append(w.under, x)
 			if age >= DefaultLimits().Silence {
 				waited[x.target] = true
 			}
 		}
 	}
-	w.under = left
 	w.detector.Silent(w.now, len(waited))
 }
 
+func (w *world) fail(i int) {
+	w.targets[i].avoidUntil = w.now + 2*sardine.Second
+	w.detector.Failed(w.now, fmt.Sprint(i))
+}
+
 // probe performs the rounds.
 func (w *world) probe() {
 	if w.roundEnd == 0 && w.detector.Next(w.now) {
 		w.round = w.random.Perm(len(w.targets))[:min(4, len(w.targets))]
-		w.roundEnd, w.roundAt, w.reached = w.now+300, w.now, false
+		if !slices.Contains(w.round, w.heard) {
+			w.round[0] = w.heard
+		}
+		w.roundEnd = w.now + 300
 	}
 	if w.roundEnd == 0 {
 		return
@@ -171,6 +192,21 @@
 	}
 }
 
+// TestLossOfMostTargetsIsNoCut ends all targets but one or two at once, at busy nodes.
+func TestLossOfMostTargetsIsNoCut(t *testing.T) {
+	for seed := range uint64(100) {
+		w := newWorld(seed)
+		w.interval = 10
+		w.run(w.now + 3*sardine.Second)
+		for i, t := range w.targets {
+			t.latency = min(t.latency, 30)
+			t.gone = i >= 1+w.random.IntN(2)
+		}
+		w.run(w.now + 6*sardine.Second)
+		require.Empty(t, w.lost, "seed %d", seed)
+	}
+}
+
 // TestCutIsDetected cuts and heals all links of busy and idle nodes, some of whose targets
 // pause or have failed.
 func TestCutIsDetected(t *testing.T) {
@@ -246,12 +282,13 @@
 	}
 	for seed := range uint64(50) {
 		services, centres, addresses := map[sardine.ServiceName]bool{}, map[sardine.DataCentre]bool{}, map[string]bool{}
-		for _, p := range Spread(all, 4, rand.New(rand.NewPCG(seed, 1))) {
+		for _, p := range Spread(all, "7", 4, rand.New(rand.NewPCG(seed, 1))) {
 			services[p.Service], centres[p.DataCentre], addresses[p.Address] = true, true, true
 		}
 		require.Len(t, services, 2)
 		require.Len(t, centres, 3)
 		require.Len(t, addresses, 4)
+		require.Equal(t, "7", Spread(all, "7", 4, rand.New(rand.NewPCG(seed, 2)))[0].Address)
 	}
-	require.Empty(t, Spread(nil, 4, rand.New(rand.NewPCG(1, 1))))
+	require.Empty(t, Spread(nil, "", 4, rand.New(rand.NewPCG(1, 1))))
 }
--- a/uplink/spread.go
+++ b/uplink/spread.go
@@ -11,9 +11,10 @@
 	DataCentre sardine.DataCentre
 }
 
-// Spread returns up to count random targets with different addresses. Among them are as
-// many services and data centres as possible.
-func Spread(all []Target, count int, r sardine.Random) []Target {
+// Spread returns up to count random targets with different addresses, after the one at the
+// given address if it is there. Among them are as many services and data centres as
+// possible.
+func Spread(all []Target, first string, count int, r sardine.Random) []Target {
 	left := make([]Target, 0, len(all))
 	seen := make(map[string]bool, len(all))
 	for _, t := range all {
@@ -32,6 +33,10 @@
 		best := 0
 		for i, t := range left {
 			b := left[best]
+			if t.Address == first {
+				best = i
+				break
+			}
 			if services[t.Service]+centres[t.DataCentre] < services[b.Service]+centres[b.DataCentre] {
 				best = i
 			}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -230,7 +230,7 @@
 		return NoChange
 	case r.Targets < d.limits.Targets, answered && r.Refused < r.Targets:
 		return d.connect(now)
-	case answered && !d.refusedRound:
+	case r.Refused == r.Targets && !d.refusedRound:
 		d.refusedRound = true
 		d.nextAt = now + d.limits.Confirm
 		return NoChange
