uplink: return at once after refusals

After all targets had crashed, nodes took their links for lost for 1.3 to 4.5 s though new targets were there (scratch trial: events of the platform tests AllWorkersCrashed and RefusesPoisonWithoutALeader): rounds met the crashed ones among up to 32, and each crash doubled the rounds that end the isolation.

--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -22,6 +22,8 @@
 	linkInterval = 50 * sardine.Millis(1)
 	// linkProbes is the number of targets of a round.
 	linkProbes = 4
+	// manyLinkProbes is that number after a round that all targets have refused.
+	manyLinkProbes = 16
 	// firstLinkProbes is the number of them that are probed at once. The others follow
 	// after linkProbeDelay unless one has connected.
 	firstLinkProbes = 2
@@ -255,7 +257,11 @@
 	if heard := i.heard.Load(); heard != nil {
 		first = heard.Address
 	}
-	targets := uplink.Spread(n.view().probeTargets(), first, linkProbes, n.random)
+	count := linkProbes
+	if i.refused() {
+		count = manyLinkProbes
+	}
+	targets := uplink.Spread(n.view().probeTargets(), first, count, n.random)
 	type result struct {
 		address string
 		err     error
@@ -292,6 +298,13 @@
 	return r, refusers
 }
 
+// refused reports whether the targets of the previous round have refused a connection.
+func (i *isolation) refused() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.detector.Refused()
+}
+
 // isTimeout reports whether a connect has not been answered.
 func isTimeout(err error) bool {
 	var e net.Error
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -97,7 +97,7 @@
 	reconnectAt  sardine.Millis // last end of an isolation, 0 for none
 	roundAt      sardine.Millis // start of the running round, 0 for none
 	nextAt       sardine.Millis // earliest start of the next round
-	refusedRound bool           // the previous round of this suspicion was refused
+	refused      bool           // by all targets of the previous round of this suspicion or isolation
 	good         int            // consecutive rounds that connected while isolated
 	needed       int            // of them, to end the isolation
 	rounds       int            // since the start of the suspicion
@@ -134,6 +134,13 @@
 	return d.rounds, d.probes
 }
 
+// Refused reports whether all targets of the previous round of the present suspicion or
+// isolation refused a connection. They may have failed themselves, so the next round should
+// cover more of them.
+func (d *Detector) Refused() bool {
+	return d.state != Connected && d.refused
+}
+
 // Failed records that a target accepted no connection, that an exchange broke off or
 // that the target has stalled.
 func (d *Detector) Failed(now sardine.Millis, target string) {
@@ -187,7 +194,7 @@
 	if d.state != Connected || now < d.nextAt {
 		return
 	}
-	d.state, d.refusedRound, d.rounds, d.probes = Suspected, false, 0, 0
+	d.state, d.refused, d.rounds, d.probes = Suspected, false, 0, 0
 	d.since = now
 	if heardAt := max(d.progressAt, d.reachedAt); heardAt > 0 {
 		d.since = min(d.since, heardAt)
@@ -225,17 +232,25 @@
 		d.nextAt = now
 		return NoChange
 	case d.state == Isolated && r.Targets > 0:
-		d.good = 0
-		d.nextAt = now + d.limits.Pause
+		d.wait(now, r)
 		return NoChange
 	case r.Targets < d.limits.Targets, answered && r.Refused < r.Targets:
 		return d.connect(now)
-	case r.Refused == r.Targets && !d.refusedRound:
-		d.refusedRound = true
-		d.nextAt = now + d.limits.Confirm
+	case r.Refused == r.Targets && !d.refused:
+		d.wait(now, r)
 		return NoChange
 	default:
-		return d.isolate(now)
+		return d.isolate(now, r)
+	}
+}
+
+// wait sets the time of the next round after one that did not connect. A round that was
+// refused soon shows the first target that is back after all have failed.
+func (d *Detector) wait(now sardine.Millis, r Round) {
+	d.good, d.refused = 0, r.Refused == r.Targets
+	d.nextAt = now + d.limits.Pause
+	if d.refused {
+		d.nextAt = now + d.limits.Confirm
 	}
 }
 
@@ -250,7 +265,7 @@
 		return d.connect(now)
 	}
 	d.good++
-	if d.good < d.needed {
+	if d.good < d.needed && !d.refused {
 		d.nextAt = now + d.limits.Confirm
 		return NoChange
 	}
@@ -270,14 +285,14 @@
 	return change
 }
 
-func (d *Detector) isolate(now sardine.Millis) Change {
+func (d *Detector) isolate(now sardine.Millis, r Round) Change {
 	if d.reconnectAt > 0 && now-d.reconnectAt < d.limits.FlapTime {
 		d.needed = min(2*d.needed, d.limits.MaxRounds)
 	} else {
 		d.needed = d.limits.Rounds
 	}
-	d.state, d.isolatedAt, d.good = Isolated, now, 0
-	d.nextAt = now + d.limits.Pause
+	d.state, d.isolatedAt = Isolated, now
+	d.wait(now, r)
 	clear(d.failures)
 	return Lost
 }
