--- a/entry/meter.go
+++ b/entry/meter.go
@@ -157,18 +157,6 @@
 	i.count("attempt", err)
 }
 
-// linkRound counts a round of probes of the node's own links.
-func (i *instruments) linkRound(r uplink.Round) {
-	result := "unanswered"
-	switch {
-	case r.Reached > 0:
-		result = "reached"
-	case r.Targets > 0 && r.Refused == r.Targets:
-		result = "refused"
-	}
-	i.rounds.With(meter.NewLabel("result", result)).Add(1)
-}
-
 // delayed counts a request that waits because its targets limit their requests.
 func (i *instruments) delayed() {
 	i.count("delayed", codes.New(codes.TargetLimited, "the request waits for its turn"))
@@ -194,3 +182,15 @@
 func (i *instruments) gap(d sardine.Millis) {
 	i.gaps.Record(d)
 }
+
+// linkRound counts a round of probes of the node's own links.
+func (i *instruments) linkRound(r uplink.Round) {
+	result := "unanswered"
+	switch {
+	case r.Reached > 0:
+		result = "reached"
+	case r.Targets > 0 && r.Refused == r.Targets:
+		result = "refused"
+	}
+	i.rounds.With(meter.NewLabel("result", result)).Add(1)
+}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -88,20 +88,20 @@
 	state  State
 	since  sardine.Millis // start of the suspicion or isolation
 
-	failures     map[string]sardine.Millis // recent ones by target
-	silent       int                       // targets that have been silent for limits.Silence
-	progressAt   sardine.Millis            // last part of an answer
-	reachedAt    sardine.Millis            // last probe that connected, or failure that was found to be the target's
-	verifyAt     sardine.Millis            // last call of Verify
-	isolatedAt   sardine.Millis
-	reconnectAt  sardine.Millis // last end of an isolation, 0 for none
-	roundAt      sardine.Millis // start of the running round, 0 for none
-	nextAt       sardine.Millis // earliest start of the next round
-	refused      bool           // by all targets of the previous round of this suspicion or isolation
-	good         int            // consecutive rounds that connected while isolated
-	needed       int            // of them, to end the isolation
-	rounds       int            // since the start of the suspicion
-	probes       int            // since the start of the suspicion
+	failures    map[string]sardine.Millis // recent ones by target
+	silent      int                       // targets that have been silent for limits.Silence
+	progressAt  sardine.Millis            // last part of an answer
+	reachedAt   sardine.Millis            // last probe that connected, or failure that was found to be the target's
+	verifyAt    sardine.Millis            // last call of Verify
+	isolatedAt  sardine.Millis
+	reconnectAt sardine.Millis // last end of an isolation, 0 for none
+	roundAt     sardine.Millis // start of the running round, 0 for none
+	nextAt      sardine.Millis // earliest start of the next round
+	refused     bool           // by all targets of the previous round of this suspicion or isolation
+	good        int            // consecutive rounds that connected while isolated
+	needed      int            // of them, to end the isolation
+	rounds      int            // since the start of the suspicion
+	probes      int            // since the start of the suspicion
 }
 
 // New returns a detector of a connected node.
