--- a/entry/checks.go
+++ b/entry/checks.go
@@ -94,16 +94,24 @@
 	}
 	k.requests++
 	k.deadline = c.node.clock.Now() + checkTimeout
-	if probe && k.exitedAt == 0 && !k.probing {
-		k.probing, k.probed = true, make(chan struct{})
-		c.running.Go(func() { c.probe(k) })
+	if probe {
+		c.startProbe(k)
 	}
 	return k
 }
 
+// startProbe starts a probe of a target unless one is running. The caller holds the lock.
+func (c *checks) startProbe(k *check) {
+	if k.exitedAt > 0 || k.probing {
+		return
+	}
+	k.probing, k.probed = true, make(chan struct{})
+	c.running.Go(func() { c.probe(k) })
+}
+
 // probe tries to connect to the target.
 func (c *checks) probe(k *check) {
-	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address)
+	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address) && c.node.links.work(c.node.baseCtx)
 	c.mu.Lock()
 	defer close(k.probed)
 	k.probing = false
@@ -199,6 +207,41 @@
 	}
 }
 
+// discard drops the losses from an instant on, which were not due to their targets.
+func (c *checks) discard(since sardine.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	later := func(l guard.Loss) bool { return l.At >= since }
+	for ref, k := range c.all {
+		k.pending = slices.DeleteFunc(k.pending, later)
+		k.suspects = slices.DeleteFunc(k.suspects, later)
+		if k.isOpenSince(since) {
+			delete(c.all, ref)
+		}
+	}
+	for ref, all := range c.abandoned {
+		c.abandoned[ref] = slices.DeleteFunc(all, later)
+	}
+}
+
+// resume goes on with the checks that were begun from an instant on.
+func (c *checks) resume(since sardine.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.all {
+		if k.isOpenSince(since) {
+			k.deadline = c.node.clock.Now() + checkTimeout
+			c.startProbe(k)
+		}
+	}
+}
+
+// isOpenSince reports whether the target is not known to have exited and its last loss
+// was at or after an instant.
+func (k *check) isOpenSince(at sardine.Millis) bool {
+	return k.exitedAt == 0 && k.deadline-checkTimeout >= at
+}
+
 // pruneAbandoned drops the attempts whose targets have stopped working on them. The
 // caller holds the lock.
 func (c *checks) pruneAbandoned(now sardine.Millis) {
@@ -224,7 +267,8 @@
 }
 
 // tick looks up targets that did not respond or still listen in the followed
-// state, and removes checks of targets that exited long ago or are healthy.
+// state, and removes checks of targets that exited long ago or are healthy. An
+// isolated node does not know yet whether its targets have failed.
 func (c *checks) tick() {
 	v, now := c.node.view(), c.node.clock.Now()
 	var found []exitLosses
@@ -234,7 +278,7 @@
 		switch {
 		case k.exitedAt > 0 && now > k.exitedAt+checkRetention:
 			delete(c.all, ref)
-		case k.exitedAt > 0 || k.probing:
+		case k.exitedAt > 0, k.probing, c.node.isolated():
 		case c.wasLeaving(v, k) || now > k.deadline:
 			delete(c.all, ref)
 		case slices.ContainsFunc(k.target.processes, v.removed):
@@ -299,9 +343,7 @@
 // connect connects to the address. A nil connection without an error means that
 // no process listens there.
 func (n *Node) connect(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := n.dialTarget(ctx, address, probeTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		return nil, nil
 	}
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -138,6 +138,7 @@
 	Ready              bool            `json:"ready"`
 	Reason             string          `json:"reason,omitempty"`
 	Draining           bool            `json:"draining"`
+	Links              string          `json:"links"` // to the targets: connected, suspected or isolated
 	LeaseMillis        int64           `json:"lease_millis"`
 	Applied            uint64          `json:"applied"`
 	Versions           []VersionDump   `json:"versions"`
@@ -194,6 +195,7 @@
 		Incarnation:      uint64(n.incarnation),
 		DataCentre:       string(n.dataCentre),
 		Draining:         n.draining.Load(),
+		Links:            n.links.current().String(),
 		LeaseMillis:      int64(max(serves-now, 0)),
 		Applied:          v.index,
 		Versions:         []VersionDump{},
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -7,6 +7,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/meter"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They include the
@@ -26,6 +27,7 @@
 	first    *meter.Durations
 	waits    *meter.Durations
 	gaps     *meter.Durations
+	rounds   *meter.Counter
 }
 
 func newInstruments(n *Node) (*instruments, error) {
@@ -49,6 +51,9 @@
 	if i.gaps, err = m.Durations("sardine_event_gap", "pause between two events of a stream", gapBounds...); err != nil {
 		return nil, err
 	}
+	if i.rounds, err = m.Counter("sardine_link_rounds", "rounds of probes of the node's links to the targets, by result"); err != nil {
+		return nil, err
+	}
 	return i, m.Gauges(n.gauges())
 }
 
@@ -57,6 +62,7 @@
 	return []meter.Gauge{
 		{Name: "sardine_in_flight", Description: "dispatches under way that may be moved", Read: func() float64 { return float64(n.inFlight.count()) }},
 		{Name: "sardine_ready", Description: "1 if the node takes callers' requests", Read: func() float64 { return meter.Bool(n.mayAccept() == nil) }},
+		{Name: "sardine_isolated", Description: "1 if the node reaches no target", Read: func() float64 { return meter.Bool(n.isolated()) }},
 		{Name: "sardine_lease", Description: "1 if the node holds a serving lease", Read: func() float64 { return meter.Bool(n.published.Load().lease.Serving(n.clock.Now())) }},
 		{Name: "sardine_routable", Description: "groups and plain targets that requests may go to", Read: func() float64 { return float64(n.view().routable()) }},
 		{Name: "sardine_layout_number", Description: "number of the layout in force, 0 without one", Read: func() float64 { return float64(n.view().layoutNumber()) }},
@@ -176,3 +182,15 @@
 func (i *instruments) gap(d sardine.Millis) {
 	i.gaps.Record(d)
 }
+
+// linkRound counts a round of probes of the node's own links.
+func (i *instruments) linkRound(r uplink.Round) {
+	result := "unanswered"
+	switch {
+	case r.Reached > 0:
+		result = "reached"
+	case r.Targets > 0 && r.Refused == r.Targets:
+		result = "refused"
+	}
+	i.rounds.With(meter.NewLabel("result", result)).Add(1)
+}
