--- a/keys/bundle.go
+++ b/keys/bundle.go
@@ -154,22 +154,27 @@
 func (b *Bundle) transport(protocol string) *http.Transport {
 	return &http.Transport{
 		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			host, _, err := net.SplitHostPort(address)
-			if err != nil {
-				return nil, err
-			}
-			c := b.config()
-			c.ServerName = host
-			c.NextProtos = []string{protocol}
-			conn, err := (&tls.Dialer{NetDialer: dialer(), Config: c}).DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &net.OpError{Op: "dial", Net: network, Err: err}
-			}
-			return conn, nil
+			return b.dial(ctx, network, address, protocol)
 		},
 	}
 }
 
+// dial connects with the node's certificate, for the given protocol.
+func (b *Bundle) dial(ctx context.Context, network, address, protocol string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	c := b.config()
+	c.ServerName = host
+	c.NextProtos = []string{protocol}
+	conn, err := (&tls.Dialer{NetDialer: dialer(), Config: c}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	return conn, nil
+}
+
 func (b *Bundle) config() *tls.Config {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/keys/set.go
+++ b/keys/set.go
@@ -1,12 +1,14 @@
 package keys
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"time"
 
+	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/conf"
 )
 
@@ -100,6 +102,17 @@
 	return noRedirectClient(transport), scheme
 }
 
+// Dial returns the function that connects to other nodes for HTTP/1.1, with the node's
+// certificate if there are certificates in the settings.
+func (s *Set) Dial() sardine.Dial {
+	if s.node == nil {
+		return dialer().DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return s.node.dial(ctx, network, address, "http/1.1")
+	}
+}
+
 // plainTransport returns a transport that uses HTTP/2 without TLS.
 func plainTransport() *http.Transport {
 	protocols := &http.Protocols{}
