Entry: pass requests to another entry node while the own links to the targets are lost

What callers see: an entry node that has lost its links to all targets tries one after the other, holds its callers or refuses them, though other entry nodes reach the targets.

A node whose links are lost passes a request as it came to another entry node, which checks and serves it like one of a caller of its own. The answer streams through. The time left, the attempts left and whether the request was counted go with it; the other node states whether it ran. A passed request is never passed on. Detection is a stub that tests set.

No test of the whole yet.

--- a/detour/decide.go
+++ b/detour/decide.go
@@ -12,6 +12,18 @@
 	Isolated        // no target can be reached
 )
 
+// String returns the word used in dumps.
+func (l Links) String() string {
+	switch l {
+	case Suspected:
+		return "suspected"
+	case Isolated:
+		return "isolated"
+	default:
+		return "connected"
+	}
+}
+
 // Route is where a request is sent next.
 type Route int
 
--- a/detour/peers.go
+++ b/detour/peers.go
@@ -36,6 +36,7 @@
 	Peer
 	order    uint64         // random, so that nodes choose different peers
 	askedAt  sardine.Millis // start of the last check, 0 before the first
+	checked  bool           // a check has ended
 	soundAt  sardine.Millis // last sign that it can take requests over, 0 for none
 	inFlight int            // requests passed to it
 }
@@ -126,16 +127,18 @@
 	return k.Peer
 }
 
-// Checked records whether a peer can take requests over.
-func (p *Peers) Checked(now sardine.Millis, peer Peer, sound bool) {
+// Checked records whether a peer can take requests over, and reports whether that is new.
+func (p *Peers) Checked(now sardine.Millis, peer Peer, sound bool) bool {
 	k := p.find(peer)
 	if k == nil {
-		return
+		return false
 	}
-	k.soundAt = 0
+	isNew := !k.checked || sound != (k.soundAt > 0)
+	k.checked, k.soundAt = true, 0
 	if sound {
 		k.soundAt = now
 	}
+	return isNew
 }
 
 // Available reports whether there is a peer for a request that the given ones have not
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -8,6 +8,7 @@
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/listen"
+	"sardineswitch.dev/sardine/pool"
 	"sardineswitch.dev/sardine/state"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -32,12 +33,12 @@
 	}
 	ctx, cancel := context.WithTimeout(n.baseCtx, n.timing.Drain.Duration())
 	defer cancel()
-	err := n.public.Shutdown(ctx)
+	err := n.endRequests(ctx)
 	if err != nil { // timed out: the remaining requests end with an error response
 		n.cancelDrain()
 		last, cancel := context.WithTimeout(n.baseCtx, n.timing.Final.Duration())
 		defer cancel()
-		_ = n.public.Shutdown(last) // release cuts off what is still running
+		_ = n.endRequests(last) // release cuts off what is still running
 	}
 	n.claims.drain()
 	n.guards.drain()
@@ -50,6 +51,15 @@
 	return nil
 }
 
+// endRequests waits until the requests of callers and those that other entry nodes have
+// passed to this one have ended. New ones of callers are not accepted.
+func (n *Node) endRequests(ctx context.Context) error {
+	if err := n.public.Shutdown(ctx); err != nil {
+		return err
+	}
+	return n.awaitTaken(ctx)
+}
+
 // outlastsDrain returns an error if the node is shutting down and would probably
 // cut the request off: another node can still answer it. Only a request that may
 // run again elsewhere is accepted on an estimate, others by their deadline. So are all
@@ -130,8 +140,10 @@
 	if n.internalClient != nil {
 		n.internalClient.CloseIdleConnections()
 	}
-	if n.pool != nil {
-		n.pool.Close()
+	for _, p := range []*pool.Pool{n.pool, n.passPool} {
+		if p != nil {
+			p.Close()
+		}
 	}
 	if n.meter != nil {
 		_ = n.meter.meter.Close()
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -20,6 +20,9 @@
 	// maxHandoverRefusals bounds the targets that refuse to take over an attempt
 	// without running it.
 	maxHandoverRefusals = 3
+	// evacuationPause is the time without progress after which a request leaves its target
+	// while the node is isolated. Connections that were open before may live on.
+	evacuationPause = 300 * sardine.Millis(1)
 	// searchEnd is how long a request whose time is up waits for the end of its search,
 	// which may have lost a target.
 	searchEnd = 50 * sardine.Millis(1)
@@ -37,6 +40,7 @@
 	cancel   context.CancelCauseFunc // ends the current attempt
 	target   dispatched              // of the current attempt
 	attempts int                     // of the request, including the current one
+	beganAt  sardine.Millis
 
 	mu        sync.Mutex
 	ended     bool           // the attempt has ended
@@ -74,7 +78,7 @@
 	}
 	q.handover = &handover{
 		run: q, ctx: ctx, cancel: cancel, target: target, attempts: attempts, tried: slices.Clone(q.tried),
-		position: q.events, lastAt: q.lastEventAt, events: q.attemptEvents,
+		beganAt: q.node.clock.Now(), position: q.events, lastAt: q.lastEventAt, events: q.attemptEvents,
 	}
 	return q.node.inFlight.add(target.candidate, cancel, q.handover)
 }
@@ -98,6 +102,19 @@
 	go h.perform(ctx, h.search)
 }
 
+// evacuate implements movable.
+func (h *handover) evacuate(now sardine.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended || h.settled || h.next != nil || now-max(h.beganAt, h.lastAt) < evacuationPause || !h.run.node.retries.available(now, h.run.name) {
+		return
+	}
+	if h.search != nil {
+		h.search.cancel(errLinksLost)
+	}
+	h.cancel(errLinksLost)
+}
+
 // mayMove reports whether a further attempt at another target is allowed.
 func (h *handover) mayMove(suspects []route.Ref) bool {
 	q := h.run
--- a/entry/health.go
+++ b/entry/health.go
@@ -43,7 +43,11 @@
 	v.tracker.SilenceLimits(service).SetIterationTime(longest)
 }
 
+// progress records progress of a request, nil for one at another entry node.
 func (v *healthTracker) progress(f *vital.TrackedRequest, stream bool) {
+	if f == nil {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tracker.Progress(v.clock.Now(), f, stream)
@@ -56,12 +60,18 @@
 }
 
 func (v *healthTracker) suspend(f *vital.TrackedRequest) {
+	if f == nil {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tracker.Suspend(f)
 }
 
 func (v *healthTracker) resume(f *vital.TrackedRequest) {
+	if f == nil {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tracker.Resume(v.clock.Now(), f)
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -78,6 +78,9 @@
 	isSilent(now sardine.Millis) bool
 	// leave looks for another target, unless it does so already. It does not wait.
 	leave(now sardine.Millis, cause error, suspects []route.Ref)
+	// evacuate cancels the attempt with errLinksLost if it makes no progress and another
+	// entry node may continue the request.
+	evacuate(now sardine.Millis)
 }
 
 func newInFlight() *inFlight {
@@ -133,6 +136,17 @@
 	}
 }
 
+// evacuate makes the requests leave their targets, which this node has lost its links to.
+func (f *inFlight) evacuate(now sardine.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.all {
+		if d.request != nil {
+			d.request.evacuate(now)
+		}
+	}
+}
+
 // count returns the number of dispatches in flight.
 func (f *inFlight) count() int {
 	f.mu.Lock()
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -24,6 +24,10 @@
 func (n *Node) internalMux() http.Handler {
 	mux := goji.NewMux()
 	mux.Handle(pat.New(wire.RelayPathPrefix+"*"), n.keys.SiteOnly(wire.NewRelayServer(n.follower), n.refuseUnauthenticated))
+	if n.byLayout {
+		mux.Handle(pat.New(passPath), n.keys.SiteOnly(http.HandlerFunc(n.handlePass), n.refuseUnauthenticated))
+		mux.Handle(pat.Get(linksPath), n.keys.SiteOnly(http.HandlerFunc(n.handleLinks), n.refuseUnauthenticated))
+	}
 	mux.HandleFunc(pat.Get(status.DumpPath), n.guarded(oper.RequireOperator(), n.handleDump))
 	mux.HandleFunc(pat.Get(status.Path), n.guarded(oper.RequireReader(), n.handleStatus))
 	mux.HandleFunc(pat.Get(trace.Path+":id"), n.guarded(oper.RequireOperator(), n.handleExplain))
@@ -148,6 +152,10 @@
 	Routing            route.Counts    `json:"routing"`
 	Limits             []LimitDump     `json:"target_limits"`
 	InFlight           int             `json:"in_flight"`
+	Links              string          `json:"links"`       // to the targets
+	Peers              int             `json:"sound_peers"` // known entry nodes that can take requests over, while the links may be lost
+	Passed             int             `json:"passed"`      // requests in flight at them
+	Taken              int             `json:"taken"`       // requests in flight that other entry nodes have passed to this one
 	Requests           uint64          `json:"requests"`
 	Claims             int             `json:"claims"`
 	InvariantViolation string          `json:"breach,omitempty"`
@@ -204,7 +212,10 @@
 		InFlight:         n.inFlight.count(),
 		Requests:         n.requests.Load(),
 		Claims:           n.claims.count(),
+		Links:            n.links().String(),
+		Taken:            n.taken.inFlight(),
 	}
+	d.Peers, d.Passed = n.peers.counts()
 	if err := n.invariantError(); err != nil {
 		d.InvariantViolation = err.Error()
 	}
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -64,6 +64,8 @@
 		{Name: "sardine_applied_index", Description: "index of the last entry of the log that was followed", Read: func() float64 { return float64(n.view().index) }},
 		{Name: "sardine_settings_age_seconds", Description: "time since a leader last vouched for what the node serves by, -1 before the first time", Read: n.settingsAge},
 		{Name: "sardine_repeats_left", Description: "repeats that the bound leaves to the service that has fewest", Read: n.retriesLeft},
+		{Name: "sardine_passed", Description: "requests in flight that this node has passed to others, because it has lost its links to the targets", Read: func() float64 { _, passed := n.peers.counts(); return float64(passed) }},
+		{Name: "sardine_taken", Description: "requests in flight that other entry nodes have passed to this one", Read: func() float64 { return float64(n.taken.inFlight()) }},
 		{Name: "sardine_limited_targets", Description: "targets whose limit on requests per second is known", Read: func() float64 { return float64(n.limitedTargets()) }},
 		{Name: "sardine_poison_requests", Description: "requests that are refused since they ended their targets", Read: func() float64 { return float64(n.view().poisons()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
@@ -152,6 +154,16 @@
 	i.count("attempt", err)
 }
 
+// passed counts a request that was passed to another entry node, by its error.
+func (i *instruments) passed(err error) {
+	i.count("passed", err)
+}
+
+// taken counts a request that another entry node has passed to this one.
+func (i *instruments) taken() {
+	i.count("taken", nil)
+}
+
 // delayed counts a request that waits because its targets limit their requests.
 func (i *instruments) delayed() {
 	i.count("delayed", codes.New(codes.TargetLimited, "the request waits for its turn"))
--- a/entry/node.go
+++ b/entry/node.go
@@ -75,6 +75,10 @@
 	metrics           *listen.Server // nil without a separate address
 	pool              *pool.Pool     // nil until open has run
 	proxy             *proxy.Client
+	passPool          *pool.Pool    // connections to other entry nodes
+	passes            *proxy.Client // passes requests to them
+	peers             *peers        // nil unless byLayout
+	taken             taken         // requests that other entry nodes have passed to this one
 	retries           *retryLimit
 	health            *healthTracker
 	moves             *moveSchedule        // nil unless byLayout
@@ -171,8 +175,11 @@
 	n.gate = newGate(n.id, n.clock, n.random, route.New(n.random, n.routeOptions()...))
 	n.pool = pool.New(n.clock, n.poolOptions()...)
 	n.proxy = proxy.NewClient(n.pool, n.targetPort)
+	n.passPool = pool.New(n.clock, n.passOptions()...)
+	n.passes = proxy.NewClient(n.passPool, passPort{})
 	if n.byLayout {
 		n.health = newHealthTracker(n.clock)
+		n.peers = newPeers(n)
 		n.moves = newMoveSchedule(n.random)
 		n.stallNotice = make(chan struct{}, 1)
 		n.retries = newRetryLimit(n.incarnation, n.clock.Now(), retry.NewWindow(n.retryRatio, n.retryAllowance, n.retryWindow))
@@ -213,7 +220,12 @@
 			return err
 		}
 	}
-	if n.internal, err = listen.New(n.listenInternal, listen.WithTLS(n.keys.InternalServer())); err != nil {
+	n.internal, err = listen.New(
+		n.listenInternal,
+		listen.WithHeaderBytes(n.limits.HeaderBytes+passHeaderBytes),
+		listen.WithTLS(n.keys.InternalServer()),
+	)
+	if err != nil {
 		return err
 	}
 	n.advertiseInternal = orElse(n.advertiseInternal, n.internal.Address())
@@ -282,6 +294,7 @@
 	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
 	if n.byLayout {
 		n.tomb.Go(n.reportHealth)
+		n.tomb.Go(n.peers.run)
 		n.tomb.Go(n.refreshControls)
 	}
 	if n.metrics != nil {
@@ -329,6 +342,7 @@
 		n.checks.tick()
 		n.strikes.tick()
 		n.pool.CloseExpired()
+		n.passPool.CloseExpired()
 		if n.health != nil {
 			n.checkStalls()
 		}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -11,6 +11,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/detour"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/guard"
 	"sardineswitch.dev/sardine/paths"
@@ -37,6 +38,15 @@
 	deadline sardine.Millis // when the caller or the route times out
 	w        http.ResponseWriter
 
+	// isCounted is set once the request is counted as a first one, here or at the node
+	// that has passed it to this one.
+	isCounted      bool
+	passed         *passedRequest // what that node states, nil for a caller's request
+	attemptsBefore int            // attempts that the node may not use, since that node has
+	next           detour.Route   // where the next attempt goes
+	peersTried     []sardine.NodeID
+	refusedByPeer  bool // another node has refused it for good
+
 	attempts int
 	counted  bool // the current attempt is included in attempts
 	probing  bool // the next attempt finds out whether a segment makes targets fail
@@ -75,9 +85,18 @@
 }
 
 func (n *Node) handleRouted(w http.ResponseWriter, r *http.Request) {
-	q := &routedRun{node: n, w: w, arrived: n.clock.Now(), ran: sardine.RanNo, losses: losses{node: n}}
+	n.newRun(w).handle(r)
+}
+
+func (n *Node) newRun(w http.ResponseWriter) *routedRun {
+	return &routedRun{node: n, w: w, arrived: n.clock.Now(), ran: sardine.RanNo, losses: losses{node: n}}
+}
+
+// handle serves the request.
+func (q *routedRun) handle(r *http.Request) {
+	n := q.node
 	if n.draining.Load() {
-		w.Header().Set("Connection", "close")
+		q.w.Header().Set("Connection", "close")
 	}
 	err := q.read(r)
 	if err == nil {
@@ -89,12 +108,25 @@
 	}
 	ctx, cancel := n.callerContext(r.Context())
 	defer cancel(nil)
-	n.retries.countFirst(q.arrived, q.name)
+	if q.next = q.nextRoute(ctx, nil); q.next != detour.Pass {
+		q.countFirst()
+	}
+	n.openTraffic()
+	q.serve(ctx)
+}
+
+// countFirst counts the request unless it was counted before. One that this node passes
+// to another one without sending it to a target is counted there.
+func (q *routedRun) countFirst() {
+	if q.isCounted {
+		return
+	}
+	q.isCounted = true
+	n := q.node
+	n.retries.countFirst(n.clock.Now(), q.name)
 	q.recordDemand()
 	n.gate.countDemand(q.service.routeName())
 	n.strikes.arrived(q.service, q.losses.segments)
-	n.openTraffic()
-	q.serve(ctx)
 }
 
 // read finds the route and the workspace, and reads the body.
@@ -105,22 +137,30 @@
 	if q.call, err = n.callers.Call(r); err != nil {
 		return err
 	}
+	if q.passed != nil {
+		if err := n.mayTake(q.passed); err != nil {
+			return err
+		}
+	}
 	known := n.published.Load()
 	table := known.view.table
 	if table == nil {
 		return codes.New(codes.NoLease, "this entry node knows no layout yet")
 	}
 	if q.route, err = table.Route(q.call.Host, q.call.Path); err != nil {
-		return known.denial(q.arrived, err)
+		return known.denial(n.clock.Now(), err)
 	}
 	if q.tenant, err = table.Tenant(q.route, q.call.Key); err != nil {
-		return known.denial(q.arrived, err)
+		return known.denial(n.clock.Now(), err)
 	}
 	q.deadline = q.arrived + q.route.Timeout
 	q.waited = n.waitEstimator.Waited(q.route.Name, q.call.Timeout)
 	if q.call.Timeout > 0 {
 		q.deadline = min(q.deadline, q.arrived+q.call.Timeout)
 	}
+	if q.passed != nil {
+		q.applyPass()
+	}
 	if err := q.findService(table); err != nil {
 		return err
 	}
@@ -167,18 +207,13 @@
 		q.refuse(err)
 		return
 	}
-	if err := q.awaitSegments(ctx); err != nil {
+	if err := q.begin(ctx); err != nil {
 		q.endUnanswered(ctx, q.refuse, err)
 		return
 	}
 	var next *successor // target that has taken the request over
 	for {
-		var err error
-		if next == nil {
-			err = q.attempt(ctx)
-		} else {
-			err = q.resume(ctx, next)
-		}
+		err := q.advance(ctx, next)
 		if err == nil {
 			q.losses.survived()
 			q.served()
@@ -195,15 +230,62 @@
 		if next != nil {
 			continue
 		}
-		q.losses.settle(ctx)
-		if q.losses.allow() != nil || q.awaitSegments(ctx) != nil || !q.mayRetry(err) {
-			q.endUnanswered(ctx, q.fail, err)
+		if !q.mayGoOn(ctx, err) {
+			q.endUnanswered(ctx, q.fail, q.lastError(err))
 			return
 		}
 		q.delayMove(ctx, q.lastEventAt)
 	}
 }
 
+// begin waits until the request may be sent.
+func (q *routedRun) begin(ctx context.Context) error {
+	switch q.next {
+	case detour.Pass:
+		return nil // the other node waits for the verdict on its segments
+	case detour.Refuse:
+		return errIsolated
+	default:
+		return q.awaitSegments(ctx)
+	}
+}
+
+// advance makes the next attempt, or continues at the target that has taken the request
+// over.
+func (q *routedRun) advance(ctx context.Context, next *successor) error {
+	switch {
+	case next != nil:
+		return q.resume(ctx, next)
+	case q.next == detour.Pass:
+		return q.pass(ctx)
+	default:
+		q.countFirst()
+		return q.attempt(ctx)
+	}
+}
+
+// mayGoOn decides where the request is sent after an attempt that failed with err, and
+// reports whether it may be sent again.
+func (q *routedRun) mayGoOn(ctx context.Context, err error) bool {
+	q.next = q.nextRoute(ctx, err)
+	if q.next == detour.Serve {
+		q.losses.settle(ctx)
+		if q.losses.allow() != nil || q.awaitSegments(ctx) != nil {
+			return false
+		}
+	}
+	return q.mayRetry(err)
+}
+
+// lastError returns the error for the caller of a request whose last attempt has failed
+// with err.
+func (q *routedRun) lastError(err error) error {
+	if q.next == detour.Refuse && codes.Is(err, codes.NoTarget) {
+		return errIsolated
+	}
+	return err
+}
+
 // endUnanswered ends a request with an error by the given function, unless its caller
 // has disconnected or its time is up.
 func (q *routedRun) endUnanswered(ctx context.Context, end func(error), err error) {
@@ -211,6 +293,10 @@
 		q.abandon(ctx)
 		return
 	}
+	if q.refusedByPeer && q.ran == sardine.RanNo {
+		q.refuse(err)
+		return
+	}
 	end(err)
 }
 
@@ -233,7 +319,7 @@
 	}
 	attrs := []slog.Attr{
 		requestAttr(q.call.ID), slog.String("route", q.route.Name), slog.Int("of", servedSampling),
-		slog.String("target", q.tried[len(q.tried)-1].String()), slog.Int("attempts", q.attempts),
+		q.placeAttr(), slog.Int("attempts", q.attempts),
 		slog.Int64("took_ms", int64(q.node.clock.Now()-q.arrived)), slog.Int("events", q.times.events),
 		slog.Int("rank", q.rank), slog.Int64("waited_ms", int64(q.waited)), slog.Int64("patience_ms", int64(q.call.Timeout)),
 		slog.Uint64("layout", q.node.view().table.Layout().Number),
@@ -242,11 +328,23 @@
 	event.Log(q.node.log, event.RequestServed, append(attrs, q.sizeAttrs()...)...)
 }
 
+// placeAttr names the target that was tried last, or the entry node to which the request
+// was passed.
+func (q *routedRun) placeAttr() slog.Attr {
+	if q.next == detour.Pass {
+		return slog.String("peer", string(q.peersTried[len(q.peersTried)-1]))
+	}
+	return slog.String("target", q.tried[len(q.tried)-1].String())
+}
+
 // mayRetry reports whether another target may be tried: the request has not run
 // or is safe to run twice, the time is not up, and neither its attempts nor the
 // retry limit are used up.
 func (q *routedRun) mayRetry(err error) bool {
 	n := q.node
+	if q.next == detour.Refuse || q.refusedByPeer {
+		return false
+	}
 	if errors.Is(err, errCallerLeft) || codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || codes.Is(err, codes.TargetLimited) || n.clock.Now() >= q.deadline {
 		return false
 	}
@@ -254,7 +352,7 @@
 		return false
 	}
 	if codes.Is(err, codes.NoTarget) { // nothing was sent
-		return q.unsent > 0 && q.unsent < maxUnsent
+		return q.next == detour.Pass || q.unsent > 0 && q.unsent < maxUnsent
 	}
 	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.acceptsAnswer() {
 		return false
@@ -287,7 +385,9 @@
 	if failed != nil {
 		if codes.Is(failed, codes.NoTarget) {
 			q.unsent++
-			n.health.unreachable(choice.Candidate.Ref)
+			if attemptCtx.Err() == nil {
+				n.health.unreachable(choice.Candidate.Ref)
+			}
 		} else {
 			q.attempts++
 		}
@@ -326,7 +426,7 @@
 	whole, err := q.forward(answer)
 	answer.Close(whole)
 	left := errors.Is(err, errCallerLeft)
-	n.gate.finish(choice, route.DispatchResult{OK: whole, Canceled: left})
+	n.gate.finish(choice, route.DispatchResult{OK: whole, Canceled: left || errors.Is(context.Cause(ctx), errLinksLost)})
 	if err == nil {
 		q.handover.complete(nil)
 		return nil
@@ -400,7 +500,7 @@
 // causeOf returns the cause of a cancellation or timeout in preference to the
 // I/O error that it led to.
 func (q *routedRun) causeOf(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := context.Cause(ctx); cause != nil && !(errors.Is(cause, errLinksLost) && codes.Is(err, codes.NoTarget)) {
 		return cause
 	}
 	if q.node.clock.Now() >= q.deadline {
--- a/entry/routed_end.go
+++ b/entry/routed_end.go
@@ -80,6 +80,10 @@
 	if codes.Of(err).Status() == http.StatusServiceUnavailable {
 		after = q.node.retryAfter(err)
 	}
+	if r := (*refusal)(nil); q.refusedByPeer && errors.As(err, &r) {
+		after = r.retryAfter
+	}
+	q.markRefusal(q.w.Header(), err, after)
 	q.node.callers.Refuse(q.w, sardine.Refusal{Request: q.call.ID, Cause: err, Ran: q.ran, RetryAfter: after})
 }
 
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -120,6 +120,7 @@
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // net/http would guess one otherwise
 	}
+	q.markAnswer(h)
 	left := max(q.deadline-q.node.clock.Now(), 0) + writeSlack
 	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(left.Duration())) // httptest recorders have no deadlines
 	q.w.WriteHeader(resp.StatusCode)
@@ -155,7 +156,7 @@
 			return false, err
 		}
 	}
-	if err := q.node.checkEnd(delimited, q.times.choice.Candidate); err != nil {
+	if err := q.checkEnd(delimited); err != nil {
 		return false, err
 	}
 	if !q.headSent {
@@ -210,6 +211,15 @@
 	return nil
 }
 
+// checkEnd is Node.checkEnd for the request's target. Another entry node's answers are
+// delimited.
+func (q *routedRun) checkEnd(delimited bool) error {
+	if q.times.choice == nil {
+		return nil
+	}
+	return q.node.checkEnd(delimited, q.times.choice.Candidate)
+}
+
 // forwardStream forwards events one by one. The header is sent with the first event
 // that has data; until then another target can answer instead.
 func (q *routedRun) forwardStream(a *openAnswer) (bool, error) {
@@ -302,7 +312,7 @@
 	if err := q.events.End(); err != nil {
 		return err
 	}
-	if err := q.node.checkEnd(delimited, q.times.choice.Candidate); err != nil {
+	if err := q.checkEnd(delimited); err != nil {
 		return err
 	}
 	if !q.headSent {
--- a/entry/routed_pick.go
+++ b/entry/routed_pick.go
@@ -16,7 +16,7 @@
 // pick chooses a target that is not suspected, not left to more urgent requests and has
 // not been tried.
 func (q *routedRun) pick(yielded []route.Ref) (*route.Choice, error) {
-	resumed := q.events.Last() != ""
+	resumed := q.isResumed()
 	suspects, excluded := q.node.health.suspects(), slices.Concat(q.tried, yielded)
 	choice, rank, err := q.choose(slices.Concat(suspects, excluded), resumed, q.probing)
 	if len(suspects) > 0 && isNoCandidate(err) && !codes.Is(err, codes.TargetLimited) { // a suspected target is better than none
@@ -32,6 +32,11 @@
 	return choice, err
 }
 
+// isResumed reports whether the request continues a stream that its caller has a part of.
+func (q *routedRun) isResumed() bool {
+	return q.events.Last() != "" || q.passed != nil && q.passed.lastEvent != ""
+}
+
 // isNoCandidate reports whether choose has found no target.
 func isNoCandidate(err error) bool {
 	return err != nil && !errors.Is(err, errTargetLeft) && !codes.Is(err, codes.QueueFull)
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -214,6 +214,8 @@
 
 func (leavesWith) isSilent(sardine.Millis) bool { return false }
 
+func (leavesWith) evacuate(sardine.Millis) {}
+
 func (l leavesWith) leave(_ sardine.Millis, cause error, suspects []route.Ref) {
 	if len(suspects) == l.suspects {
 		l.cancel(cause)
--- a/entry/routed_wait.go
+++ b/entry/routed_wait.go
@@ -36,7 +36,7 @@
 func (q *routedRun) turnDeadline(now sardine.Millis) sardine.Millis {
 	left, share := q.arrived+q.route.Objective-now, turnShare
 	switch {
-	case q.events.Last() != "":
+	case q.isResumed():
 		left = q.disconnectGap()
 	case q.ran != sardine.RanNo:
 		left, share = q.deadline-now, begunTurnShare
--- a/entry/view.go
+++ b/entry/view.go
@@ -8,6 +8,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/detour"
 	"sardineswitch.dev/sardine/oper"
 	"sardineswitch.dev/sardine/paths"
 	"sardineswitch.dev/sardine/plan"
@@ -53,6 +54,7 @@
 	targetStates map[sardine.VMID]targetState // of all targets
 	tokens       oper.Tokens
 	nodes        []sardine.NodeID      // entry nodes of the site, ordered by name
+	peers        []detour.Peer         // the others of them
 	budgetSlots  int                   // number of budget slots, including those of nodes that are away for a short time
 	budgetSlot   state.BudgetSlot      // budget slot of this node, the zero value without one
 	position     int                   // index of this node among the entry nodes, ordered by name
@@ -78,7 +80,9 @@
 		v.nodes = append(v.nodes, e.Node)
 		if e.Node == self {
 			v.position = i
+			continue
 		}
+		v.peers = append(v.peers, detour.Peer{Node: e.Node, Incarnation: e.Incarnation, Address: e.Address, DataCentre: e.DataCentre})
 	}
 	v.budgetSlots = m.BudgetSlotCount()
 	v.budgetSlot, _ = m.BudgetSlot(self)
--- a/event/table.go
+++ b/event/table.go
@@ -74,6 +74,8 @@
 	SegmentCleared  ID = 514
 	SegmentProbed   ID = 515
 	HandoverFailed  ID = 516
+	PassFailed      ID = 517
+	PeerUnsound     ID = 518
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -137,6 +139,8 @@
 	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
 	{AttemptFailed, "attempt_failed", slog.LevelInfo, "a target did not answer a request in full", "see the code and target attributes"},
 	{HandoverFailed, "handover_failed", slog.LevelInfo, "a request should leave its target for the reason given and no other target has taken it over; it stays, and tries so again", "see the reason and error attributes"},
+	{PassFailed, "pass_failed", slog.LevelInfo, "a request that was passed to another entry node was not taken over, was refused there, or its answer broke off", "see the peer and error attributes"},
+	{PeerUnsound, "peer_unsound", slog.LevelInfo, "another entry node can't take over requests of this one, which may have lost its links to the targets", "see the error attribute"},
 	{RequestServed, "request_served", slog.LevelInfo, "a request was answered in full; only a sample, selected by request id, is logged", "nothing"},
 	{RequestLate, "request_late", slog.LevelInfo, "the first piece of an answer came too late, or a pause between two pieces was too long, for its route's objectives", "see sardctl losses"},
 	{RequestLeft, "request_left", slog.LevelInfo, "a caller disconnected, or its deadline passed, before its answer was complete", "see sardctl losses"},
