--- a/detour/decide.go
+++ b/detour/decide.go
@@ -2,27 +2,7 @@
 // targets sends a request.
 package detour
 
-// Links is what an entry node knows of its own links to the targets.
-type Links int
-
-// The states of the links.
-const (
-	Connected Links = iota
-	Suspected       // they may be lost, which probes find out
-	Isolated        // no target can be reached
-)
-
-// String returns the word used in dumps.
-func (l Links) String() string {
-	switch l {
-	case Suspected:
-		return "suspected"
-	case Isolated:
-		return "isolated"
-	default:
-		return "connected"
-	}
-}
+import "sardineswitch.dev/sardine/uplink"
 
 // Route is where a request is sent next.
 type Route int
@@ -39,7 +19,7 @@
 
 // Request is what the decision needs to know of a request.
 type Request struct {
-	Links  Links
+	Links  uplink.State
 	Passed bool // another entry node has passed it to this one
 	Unsent bool // the last attempt ended before anything was sent to a target
 	Passes int  // entry nodes to which it was passed in vain
@@ -51,11 +31,11 @@
 func Decide(q Request) Route {
 	mayPass := !q.Passed && q.Peer && q.Passes < maxPasses
 	switch {
-	case q.Links == Isolated && mayPass:
+	case q.Links == uplink.Isolated && mayPass:
 		return Pass
-	case q.Links == Isolated:
+	case q.Links == uplink.Isolated:
 		return Refuse
-	case q.Links == Suspected && q.Unsent && mayPass:
+	case q.Links == uplink.Suspected && q.Unsent && mayPass:
 		return Pass
 	default:
 		return Serve
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 // TestDecide plays testdata/decide.json: the decision for each combination of links and
@@ -23,7 +24,7 @@
 		Passes               int
 	}
 	require.NoError(t, json.Unmarshal(text, &rows))
-	links := map[string]Links{"connected": Connected, "suspected": Suspected, "isolated": Isolated}
+	links := map[string]uplink.State{"connected": uplink.Connected, "suspected": uplink.Suspected, "isolated": uplink.Isolated}
 	routes := map[string]Route{"serve": Serve, "pass": Pass, "refuse": Refuse}
 	for _, row := range rows {
 		got := Decide(Request{Links: links[row.Links], Passed: row.Passed, Unsent: row.Unsent, Peer: row.Peer, Passes: row.Passes})
@@ -34,7 +35,7 @@
 // TestPassedRequestsAreNeverPassedOn guards against requests that isolated nodes pass in
 // a circle.
 func TestPassedRequestsAreNeverPassedOn(t *testing.T) {
-	for links := Connected; links <= Isolated; links++ {
+	for _, links := range []uplink.State{uplink.Connected, uplink.Suspected, uplink.Isolated} {
 		for passes := range maxPasses {
 			q := Request{Links: links, Passed: true, Unsent: true, Peer: true, Passes: passes}
 			require.NotEqual(t, Pass, Decide(q), "%+v", q)
--- a/entry/health.go
+++ b/entry/health.go
@@ -43,11 +43,7 @@
 	v.tracker.SilenceLimits(service).SetIterationTime(longest)
 }
 
-// progress records progress of a request, nil for one at another entry node.
 func (v *healthTracker) progress(f *vital.TrackedRequest, stream bool) {
-	if f == nil {
-		return
-	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tracker.Progress(v.clock.Now(), f, stream)
@@ -59,6 +55,8 @@
 	v.tracker.End(f)
 }
 
+// suspend records that a request does not wait for its target. It may be nil, for one at
+// another entry node.
 func (v *healthTracker) suspend(f *vital.TrackedRequest) {
 	if f == nil {
 		return
@@ -68,6 +66,7 @@
 	v.tracker.Suspend(f)
 }
 
+// resume ends suspend.
 func (v *healthTracker) resume(f *vital.TrackedRequest) {
 	if f == nil {
 		return
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -152,7 +152,6 @@
 	Routing            route.Counts    `json:"routing"`
 	Limits             []LimitDump     `json:"target_limits"`
 	InFlight           int             `json:"in_flight"`
-	Links              string          `json:"links"`       // to the targets
 	Peers              int             `json:"sound_peers"` // known entry nodes that can take requests over, while the links may be lost
 	Passed             int             `json:"passed"`      // requests in flight at them
 	Taken              int             `json:"taken"`       // requests in flight that other entry nodes have passed to this one
@@ -212,7 +211,6 @@
 		InFlight:         n.inFlight.count(),
 		Requests:         n.requests.Load(),
 		Claims:           n.claims.count(),
-		Links:            n.links().String(),
 		Taken:            n.taken.inFlight(),
 	}
 	d.Peers, d.Passed = n.peers.counts()
--- a/entry/pass_send.go
+++ b/entry/pass_send.go
@@ -17,8 +17,8 @@
 // awaited: that node states at the deadline whether the request has run.
 const passSlack = 100 * sardine.Millis(1)
 
-// errIsolated refuses a request that can't be sent to any target.
-var errIsolated = codes.New(codes.Isolated, "this entry node has lost its links to the targets, and no other one takes the request over")
+// errNoLinks refuses a request that can't be sent to any target.
+var errNoLinks = codes.New(codes.Isolated, "this entry node has lost its links to the targets, and no other one takes the request over")
 
 // errNoPeer means that the requests in flight at other entry nodes are too many.
 var errNoPeer = codes.New(codes.NoTarget, "no other entry node takes the request over")
@@ -35,7 +35,7 @@
 		return detour.Serve
 	}
 	d := detour.Request{
-		Links: n.links(), Passed: q.passed != nil, Unsent: codes.Is(err, codes.NoTarget), Passes: len(q.peersTried), Peer: true,
+		Links: n.linkState(), Passed: q.passed != nil, Unsent: codes.Is(err, codes.NoTarget), Passes: len(q.peersTried), Peer: true,
 	}
 	if detour.Decide(d) == detour.Pass {
 		d.Peer = n.peers.await(ctx, q.peersTried)
--- a/entry/pass_take.go
+++ b/entry/pass_take.go
@@ -7,7 +7,7 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
-	"sardineswitch.dev/sardine/detour"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 const (
@@ -88,7 +88,7 @@
 	case n.draining.Load():
 		return codes.New(codes.Draining, "this entry node is shutting down")
 	case n.isolated():
-		return errIsolated
+		return errNoLinks
 	case n.view().layoutNumber() < p.layout:
 		return codes.New(codes.NoLease, "this entry node does not have layout %d yet", p.layout)
 	default:
@@ -135,7 +135,7 @@
 	case codes.QueueFull:
 		return q.route == nil // too many requests of others
 	case codes.NoTarget:
-		return q.node.links() != detour.Connected
+		return q.node.linkState() != uplink.Connected
 	default:
 		return false
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,6 +13,7 @@
 	"sardineswitch.dev/sardine/detour"
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 const (
@@ -48,16 +49,9 @@
 	}
 }
 
-// links returns what the node knows of its links to the targets.
-func (n *Node) links() detour.Links {
-	switch {
-	case n.isolated():
-		return detour.Isolated
-	case n.isolationSuspected():
-		return detour.Suspected
-	default:
-		return detour.Connected
-	}
+// linkState returns what the node knows of its links to the targets.
+func (n *Node) linkState() uplink.State {
+	return uplink.State(n.links.state.Load())
 }
 
 // run is the loop that checks the peers while the node's links may be lost.
@@ -81,7 +75,7 @@
 // due returns the peers to check now.
 func (p *peers) due() []detour.Peer {
 	n := p.node
-	active := n.links() != detour.Connected
+	active := n.linkState() != uplink.Connected
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !active {
@@ -114,7 +108,7 @@
 // handleLinks tells another node whether this one can take requests over.
 func (n *Node) handleLinks(w http.ResponseWriter, _ *http.Request) {
 	reply.WriteJSON(w, http.StatusOK, linksJSON{
-		Connected: n.links() == detour.Connected, Draining: n.draining.Load(), Ready: n.view().table != nil,
+		Connected: n.linkState() == uplink.Connected, Draining: n.draining.Load(), Ready: n.view().table != nil,
 	})
 }
 
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -244,7 +244,7 @@
 	case detour.Pass:
 		return nil // the other node waits for the verdict on its segments
 	case detour.Refuse:
-		return errIsolated
+		return errNoLinks
 	default:
 		return q.awaitSegments(ctx)
 	}
@@ -281,7 +281,7 @@
 // with err.
 func (q *routedRun) lastError(err error) error {
 	if q.next == detour.Refuse && codes.Is(err, codes.NoTarget) {
-		return errIsolated
+		return errNoLinks
 	}
 	return err
 }
