Entry: answer HEAD requests whose answer states a length

Callers of HEAD got 502 although the target had answered: an answer of up to 64 KiB is read in full before it is forwarded, and the body that the length announces does not come with HEAD. Such answers are forwarded as they arrive, as those of 64 KiB or more are.

TestSiteAnswersHead failed before (502 instead of 200), passes now: go test ./platform -run TestSiteAnswersHead -count=1

--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -57,10 +57,11 @@
 	}
 	q.node.health.suspend(q.healthRecord)
 	body := progressReader{reader: resp.Body, run: q}
-	if resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedBytes {
+	isHead := q.request.Method == http.MethodHead
+	if !isHead && resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedBytes {
 		return q.forwardBuffered(resp, body)
 	}
-	if resp.ContentLength >= 0 || q.request.Method == http.MethodHead {
+	if isHead || resp.ContentLength >= 0 {
 		return q.forwardAsItArrives(resp, body)
 	}
 	return q.forwardUnknownLength(resp, body)
