--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	$(BIN)/revive -config revive.toml -set_exit_status -exclude ./wire/... $(PACKAGES)
 
 build:
-	go build -o $(BIN)/ ./controld ./entryd ./sardctl ./standin
+	go build -o $(BIN)/ ./controld ./entryd ./entryd/severd ./sardctl ./standin
 
 # Fails when a generated page of docs/ is out of date; `make pages` writes them.
 catalogues: build
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,7 +25,7 @@
 )
 
 // newRun returns the command that runs the node until a signal stops it.
-func newRun() *cobra.Command {
+func newRun(options []entry.Option) *cobra.Command {
 	return &cobra.Command{
 		Use:   "run [FILE]",
 		Short: "Run the entry node with a settings file",
@@ -43,14 +44,14 @@
 			if err != nil {
 				return err
 			}
-			return run(c.Context(), path, launch.NewReloader(path, text), settings, c.OutOrStdout())
+			return run(c.Context(), path, launch.NewReloader(path, text), settings, c.OutOrStdout(), options)
 		},
 	}
 }
 
 // run runs the node until it fails, ctx is done or a signal has drained it; a second
 // signal stops it at once.
-func run(ctx context.Context, path string, reloader *launch.Reloader, settings *conf.Entry, out io.Writer) error {
+func run(ctx context.Context, path string, reloader *launch.Reloader, settings *conf.Entry, out io.Writer, options []entry.Option) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -58,7 +59,7 @@
 	lines := logs.NewAsync(out)
 	defer lines.Close()
 	logger := logs.New(lines, settings.Log(), settings.Node())
-	node, err := newNode(settings, logger, lines)
+	node, err := newNode(settings, logger, lines, options)
 	if err != nil {
 		return err
 	}
@@ -91,7 +92,7 @@
 // newNode builds the node from its settings. The incarnation is the time of the
 // start, so it increases with each restart without being stored, as long as the
 // machine's clock is not set back during a restart.
-func newNode(s *conf.Entry, logger *slog.Logger, lines *logs.Async) (*entry.Node, error) {
+func newNode(s *conf.Entry, logger *slog.Logger, lines *logs.Async, more []entry.Option) (*entry.Node, error) {
 	incarnation := sardine.Incarnation(time.Now().UnixMilli())
 	set, err := keys.Open(s.TLS())
 	if err != nil {
@@ -112,7 +113,7 @@
 		entry.WithOperatorHash(s.OperatorHash()),
 		entry.WithTargetTokens(s.TargetTokens()),
 	}
-	return entry.New(append(options, portsOf(s)...)...)
+	return entry.New(slices.Concat(options, portsOf(s), more)...)
 }
 
 // portsOf returns the options for the platform's protocols. It returns none if the
