--- a/quorum/member.go
+++ b/quorum/member.go
@@ -160,7 +160,17 @@
 // isAvailable reports whether a member is settled and replied within the longest
 // election timeout.
 func (c *Core) isAvailable(p *progress) bool {
-	return p.settled && c.now-p.lastContact <= c.timing.ElectionMax
+	return p.settled && c.answers(p)
+}
+
+// answers reports whether a member replied within the longest election timeout.
+func (c *Core) answers(p *progress) bool {
+	return c.now-p.lastContact <= c.timing.ElectionMax
+}
+
+// caughtUp reports whether a member answers and lacks few entries.
+func (c *Core) caughtUp(p *progress) bool {
+	return c.isAvailable(p) && p.match+c.limits.PromoteLag >= c.log.last().Index
 }
 
 func (c *Core) checkCaughtUp(n sardine.NodeID) error {
@@ -168,7 +178,7 @@
 	if p == nil {
 		return nil
 	}
-	if !c.isAvailable(p) || p.match+c.limits.PromoteLag < c.log.last().Index {
+	if !c.caughtUp(p) {
 		return codes.New(codes.MemberBusy, "learner %s holds %d of %d entries, wait until it has caught up", n, p.match, c.log.last().Index)
 	}
 	return nil
