--- a/detour/peers.go
+++ b/detour/peers.go
@@ -200,6 +200,12 @@
 	return nil
 }
 
+// IsSound reports whether a peer can take requests over.
+func (p *Peers) IsSound(now sardine.Millis, peer Peer) bool {
+	k := p.find(peer)
+	return k != nil && k.isSound(now)
+}
+
 // Sound returns the number of peers that can take requests over.
 func (p *Peers) Sound(now sardine.Millis) int {
 	count := 0
--- a/entry/pass_send.go
+++ b/entry/pass_send.go
@@ -35,7 +35,7 @@
 		return detour.Serve
 	}
 	d := detour.Request{
-		Links: n.linkState(), Passed: q.passed != nil, Unsent: codes.Is(err, codes.NoTarget), Passes: len(q.peersTried), Peer: true,
+		Links: n.links.current(), Passed: q.passed != nil, Unsent: codes.Is(err, codes.NoTarget), Passes: len(q.peersTried), Peer: true,
 	}
 	if detour.Decide(d) == detour.Pass {
 		d.Peer = n.peers.await(ctx, q.peersTried)
--- a/entry/pass_take.go
+++ b/entry/pass_take.go
@@ -135,7 +135,7 @@
 	case codes.QueueFull:
 		return q.route == nil // too many requests of others
 	case codes.NoTarget:
-		return q.node.linkState() != uplink.Connected
+		return q.node.links.current() != uplink.Connected
 	default:
 		return false
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -49,11 +50,6 @@
 	}
 }
 
-// linkState returns what the node knows of its links to the targets.
-func (n *Node) linkState() uplink.State {
-	return uplink.State(n.links.state.Load())
-}
-
 // run is the loop that checks the peers while the node's links may be lost.
 func (p *peers) run() error {
 	var running sync.WaitGroup
@@ -75,7 +71,7 @@
 // due returns the peers to check now.
 func (p *peers) due() []detour.Peer {
 	n := p.node
-	active := n.linkState() != uplink.Connected
+	active := n.links.current() != uplink.Connected
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !active {
@@ -100,26 +96,38 @@
 
 // linksJSON is the answer to a check.
 type linksJSON struct {
-	Connected bool `json:"connected"`
-	Draining  bool `json:"draining"`
-	Ready     bool `json:"ready"` // it has a layout
+	Links    string `json:"links"` // to the targets
+	Draining bool   `json:"draining"`
+	Ready    bool   `json:"ready"` // it has a layout
 }
 
 // handleLinks tells another node whether this one can take requests over.
 func (n *Node) handleLinks(w http.ResponseWriter, _ *http.Request) {
 	reply.WriteJSON(w, http.StatusOK, linksJSON{
-		Connected: n.linkState() == uplink.Connected, Draining: n.draining.Load(), Ready: n.view().table != nil,
+		Links: n.links.current().String(), Draining: n.draining.Load(), Ready: n.view().table != nil,
 	})
 }
 
 // check asks a peer whether it can take requests over.
 func (p *peers) check(one detour.Peer) {
 	err := p.ask(one)
+	if errors.Is(err, errPeerSuspects) && p.isSound(one) {
+		return // the next check shows whether its links are lost, or a target
+	}
 	if p.record(one, err == nil) && err != nil {
 		event.Log(p.node.log, event.PeerUnsound, slog.String("peer", string(one.Node)), codeAttr(err))
 	}
 }
 
+// errPeerSuspects means that a peer finds out whether it has lost its links, too.
+var errPeerSuspects = codes.New(codes.Isolated, "the entry node may have lost its links to the targets")
+
+func (p *peers) isSound(one detour.Peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.IsSound(p.node.clock.Now(), one)
+}
+
 func (p *peers) ask(one detour.Peer) error {
 	n := p.node
 	ctx, cancel := context.WithTimeout(n.baseCtx, peerCheckTimeout.Duration())
@@ -137,7 +145,10 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLinksBytes)).Decode(&state); err != nil || resp.StatusCode != http.StatusOK {
 		return codes.New(codes.AnswerInvalid, "entry node %s answered %s", one.Address, resp.Status)
 	}
-	if !state.Connected || state.Draining || !state.Ready {
+	if state.Links == uplink.Suspected.String() && !state.Draining && state.Ready {
+		return errPeerSuspects
+	}
+	if state.Links != uplink.Connected.String() || state.Draining || !state.Ready {
 		return codes.New(codes.Isolated, "entry node %s can't take requests over: %+v", one.Address, state)
 	}
 	return nil
