--- a/entry/health.go
+++ b/entry/health.go
@@ -55,13 +55,22 @@
 	v.tracker.End(f)
 }
 
+// suspend records that a request does not wait for its target. It may be nil, for one at
+// another entry node.
 func (v *healthTracker) suspend(f *vital.TrackedRequest) {
+	if f == nil {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tracker.Suspend(f)
 }
 
+// resume ends suspend.
 func (v *healthTracker) resume(f *vital.TrackedRequest) {
+	if f == nil {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tracker.Resume(v.clock.Now(), f)
