--- a/entryd/severd/main.go
+++ b/entryd/severd/main.go
@@ -12,12 +12,9 @@
 	"sardineswitch.dev/sardine/sever"
 )
 
-// linksSuffix is what the name of the file with the links' mode adds to that of the
-// settings file, which is the last argument.
-const linksSuffix = ".links"
-
 func main() {
 	link := sever.NewLink()
-	go link.Follow(context.Background(), os.Args[len(os.Args)-1]+linksSuffix)
+	settings := os.Args[len(os.Args)-1]
+	go link.Follow(context.Background(), settings+sever.FileSuffix)
 	os.Exit(start.Main(os.Args[1:], os.Stdout, os.Stderr, entry.WithTargetDial(link.Dial)))
 }
--- a/sever/link.go
+++ b/sever/link.go
@@ -5,9 +5,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -124,22 +121,3 @@
 	c.modeChanged() // the mode may have changed since the loop
 	return c, nil
 }
-
-// followInterval is the interval at which Follow reads its file.
-const followInterval = 10 * time.Millisecond
-
-// Follow sets the link's mode to the one named in a file until ctx ends. While the file is
-// missing or names none, the mode stays.
-func (l *Link) Follow(ctx context.Context, path string) {
-	for {
-		text, _ := os.ReadFile(path) // the next read repeats it
-		if i := slices.Index(names, strings.TrimSpace(string(text))); i >= 0 && Mode(i) != l.mode("") {
-			l.Set(Mode(i))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(followInterval):
-		}
-	}
-}
--- a/sever/link_test.go
+++ b/sever/link_test.go
@@ -130,7 +130,7 @@
 	path := filepath.Join(t.TempDir(), "mode")
 	go l.Follow(t.Context(), path)
 	for _, m := range []Mode{Silent, Refuse, Reset, Up} {
-		require.NoError(t, os.WriteFile(path, []byte(m.String()+"\n"), 0o600))
+		require.NoError(t, Store(path, m))
 		require.Eventually(t, func() bool { return l.mode("") == m }, waitTimeout, time.Millisecond)
 	}
 }
