Soak: cut entry nodes from all targets

The entry nodes run as severd, and a further sequence of faults cuts one of them from all targets in each way while the others restart, kill and pause processes. The sequences that there were keep their own random numbers.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"sardineswitch.dev/sardine/reply"
+	"sardineswitch.dev/sardine/sever"
 	"sardineswitch.dev/sardine/standin/engine"
 	"sardineswitch.dev/sardine/standin/site"
 )
@@ -61,6 +63,11 @@
 	{
 		{"chats with a poison prefix", poisonPrefix},
 	},
+	{
+		{"entry cut from targets", func(r *run, random *rand.Rand) { r.cutTargets(sever.Silent, random) }},
+		{"entry cut from targets, connections reset", func(r *run, random *rand.Rand) { r.cutTargets(sever.Reset, random) }},
+		{"entry cut from targets, new connections refused", func(r *run, random *rand.Rand) { r.cutTargets(sever.Refuse, random) }},
+	},
 }
 
 func pick[T any](random *rand.Rand, choices []T) T {
@@ -112,6 +119,16 @@
 	p.reset() // a connection that has lost bytes can't be used again
 }
 
+// cutTargets cuts an entry node from all targets for a while. The cut outlasts a restart.
+func (r *run) cutTargets(m sever.Mode, random *rand.Rand) {
+	links := pick(random, r.site.entries).process.settings + sever.FileSuffix
+	err := sever.Store(links, m)
+	holdFault(random)
+	if err = errors.Join(err, sever.Store(links, sever.Up)); err != nil {
+		r.load.RecordViolation("the links can't be cut: %v", err)
+	}
+}
+
 // restartAll kills all control nodes at once and restarts them in random order.
 func (r *run) restartAll(random *rand.Rand) {
 	for _, n := range r.site.controls {
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -94,7 +94,7 @@
 	}
 	var backends []balnce.Backend
 	for i := range entries {
-		address, err := p.addEntry(i, peers, filepath.Join(programs, "entryd"), onFailure)
+		address, err := p.addEntry(i, peers, filepath.Join(programs, "severd"), onFailure)
 		if err != nil {
 			return err
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -33,7 +33,7 @@
 type Options struct {
 	Seed     uint64
 	Duration time.Duration // time during which faults are injected; the site then gets time to recover
-	Programs string        // folder of the programs controld and entryd
+	Programs string        // folder of the programs controld and severd
 	Folder   string        // for settings, data and logs; a new temporary one if empty
 	Defect   string        // injected to check that it is detected; empty for none
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -14,7 +14,7 @@
 // programs builds the programs into a temporary folder and returns it.
 func programs(t *testing.T) string {
 	folder := t.TempDir()
-	for _, name := range []string{"controld", "entryd"} {
+	for _, name := range []string{"controld", "entryd/severd"} {
 		out, err := exec.Command("go", "build", "-o", folder+"/", "../../"+name).CombinedOutput()
 		require.NoError(t, err, string(out))
 	}
--- a/standin/start/soak.go
+++ b/standin/start/soak.go
@@ -20,8 +20,8 @@
 		Use:   "soak",
 		Short: "Inject faults into real processes while a load checks the guarantees",
 		Long: "Inject faults into real processes while a load checks the guarantees.\n\n" +
-			"Each run starts a site of controld and entryd on loopback, kills and pauses its\n" +
-			"processes, cuts their connections in a seeded order, and prints one line of JSON.\n" +
+			"Each run starts a site of controld and severd, an entryd whose links to targets can\n" +
+			"be cut, on loopback, kills and pauses its processes, cuts their connections in a seeded order, and prints one line of JSON.\n" +
 			"The logs of a run with violations are kept. The exit code is 1 if there were any.",
 		Example: "  standin soak --seed 1 --runs 50 --for 20s",
 		Args:    cobra.NoArgs,
@@ -38,7 +38,7 @@
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the first run")
 	c.Flags().IntVar(&runs, "runs", 1, "number of runs; each uses the next seed")
 	c.Flags().DurationVar(&o.Duration, "for", 20*time.Second, "duration of the faults in each run")
-	c.Flags().StringVar(&o.Programs, "programs", "", "folder of controld and entryd (default: the folder of this program)")
+	c.Flags().StringVar(&o.Programs, "programs", "", "folder of controld and severd (default: the folder of this program)")
 	c.Flags().StringVar(&o.Defect, "defect", "", "inject a known defect that the checks must detect: "+soak.DefectWiped+" or "+soak.DefectTwice)
 	return c
 }
