--- a/entry/meter.go
+++ b/entry/meter.go
@@ -7,6 +7,7 @@
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/meter"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They include the
@@ -26,6 +27,7 @@
 	first    *meter.Durations
 	waits    *meter.Durations
 	gaps     *meter.Durations
+	rounds   *meter.Counter
 }
 
 func newInstruments(n *Node) (*instruments, error) {
@@ -49,6 +51,9 @@
 	if i.gaps, err = m.Durations("sardine_event_gap", "pause between two events of a stream", gapBounds...); err != nil {
 		return nil, err
 	}
+	if i.rounds, err = m.Counter("sardine_link_rounds", "rounds of probes of the node's links to the targets, by result"); err != nil {
+		return nil, err
+	}
 	return i, m.Gauges(n.gauges())
 }
 
@@ -57,12 +62,15 @@
 	return []meter.Gauge{
 		{Name: "sardine_in_flight", Description: "dispatches under way that may be moved", Read: func() float64 { return float64(n.inFlight.count()) }},
 		{Name: "sardine_ready", Description: "1 if the node takes callers' requests", Read: func() float64 { return meter.Bool(n.mayAccept() == nil) }},
+		{Name: "sardine_isolated", Description: "1 if the node reaches no target", Read: func() float64 { return meter.Bool(n.isolated()) }},
 		{Name: "sardine_lease", Description: "1 if the node holds a serving lease", Read: func() float64 { return meter.Bool(n.published.Load().lease.Serving(n.clock.Now())) }},
 		{Name: "sardine_routable", Description: "groups and plain targets that requests may go to", Read: func() float64 { return float64(n.view().routable()) }},
 		{Name: "sardine_layout_number", Description: "number of the layout in force, 0 without one", Read: func() float64 { return float64(n.view().layoutNumber()) }},
 		{Name: "sardine_applied_index", Description: "index of the last entry of the log that was followed", Read: func() float64 { return float64(n.view().index) }},
 		{Name: "sardine_settings_age_seconds", Description: "time since a leader last vouched for what the node serves by, -1 before the first time", Read: n.settingsAge},
 		{Name: "sardine_repeats_left", Description: "repeats that the bound leaves to the service that has fewest", Read: n.retriesLeft},
+		{Name: "sardine_passed", Description: "requests in flight that this node has passed to others, because it has lost its links to the targets", Read: func() float64 { _, passed := n.peers.counts(); return float64(passed) }},
+		{Name: "sardine_taken", Description: "requests in flight that other entry nodes have passed to this one", Read: func() float64 { return float64(n.taken.inFlight()) }},
 		{Name: "sardine_limited_targets", Description: "targets whose limit on requests per second is known", Read: func() float64 { return float64(n.limitedTargets()) }},
 		{Name: "sardine_poison_requests", Description: "requests that are refused since they ended their targets", Read: func() float64 { return float64(n.view().poisons()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
@@ -151,6 +159,16 @@
 	i.count("attempt", err)
 }
 
+// passed counts a request that was passed to another entry node, by its error.
+func (i *instruments) passed(err error) {
+	i.count("passed", err)
+}
+
+// taken counts a request that another entry node has passed to this one.
+func (i *instruments) taken() {
+	i.count("taken", nil)
+}
+
 // delayed counts a request that waits because its targets limit their requests.
 func (i *instruments) delayed() {
 	i.count("delayed", codes.New(codes.TargetLimited, "the request waits for its turn"))
@@ -176,3 +194,15 @@
 func (i *instruments) gap(d sardine.Millis) {
 	i.gaps.Record(d)
 }
+
+// linkRound counts a round of probes of the node's own links.
+func (i *instruments) linkRound(r uplink.Round) {
+	result := "unanswered"
+	switch {
+	case r.Reached > 0:
+		result = "reached"
+	case r.Targets > 0 && r.Refused == r.Targets:
+		result = "refused"
+	}
+	i.rounds.With(meter.NewLabel("result", result)).Add(1)
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -75,6 +75,10 @@
 	metrics           *listen.Server // nil without a separate address
 	pool              *pool.Pool     // nil until open has run
 	proxy             *proxy.Client
+	passPool          *pool.Pool    // connections to other entry nodes
+	passes            *proxy.Client // passes requests to them
+	peers             *peers        // nil unless byLayout
+	taken             taken         // requests that other entry nodes have passed to this one
 	retries           *retryLimit
 	health            *healthTracker
 	moves             *moveSchedule        // nil unless byLayout
@@ -87,6 +91,7 @@
 	openingTraffic    atomic.Bool // an OpenTraffic command is in progress
 	gate              *gate
 	inFlight          *inFlight
+	links             *isolation
 	claims            *claims
 	guards            *guards
 	checks            *checks
@@ -170,12 +175,16 @@
 	n.gate = newGate(n.id, n.clock, n.random, route.New(n.random, n.routeOptions()...))
 	n.pool = pool.New(n.clock, n.poolOptions()...)
 	n.proxy = proxy.NewClient(n.pool, n.targetPort)
+	n.passPool = pool.New(n.clock, n.passOptions()...)
+	n.passes = proxy.NewClient(n.passPool, passPort{})
 	if n.byLayout {
 		n.health = newHealthTracker(n.clock)
+		n.peers = newPeers(n)
 		n.moves = newMoveSchedule(n.random)
 		n.stallNotice = make(chan struct{}, 1)
 		n.retries = newRetryLimit(n.incarnation, n.clock.Now(), retry.NewWindow(n.retryRatio, n.retryAllowance, n.retryWindow))
 	}
+	n.links = newIsolation(n)
 	n.home = fleet.NewHome(n.id, n.incarnation, fleet.WithLease(n.timing.TargetLease))
 	n.waitEstimator = place.NewWaitEstimator()
 	n.batchBounds = place.NewBatchLimiter()
@@ -211,7 +220,12 @@
 			return err
 		}
 	}
-	if n.internal, err = listen.New(n.listenInternal, listen.WithTLS(n.keys.InternalServer())); err != nil {
+	n.internal, err = listen.New(
+		n.listenInternal,
+		listen.WithHeaderBytes(n.limits.HeaderBytes+passHeaderBytes),
+		listen.WithTLS(n.keys.InternalServer()),
+	)
+	if err != nil {
 		return err
 	}
 	n.advertiseInternal = orElse(n.advertiseInternal, n.internal.Address())
@@ -280,6 +294,7 @@
 	n.tomb.Go(func() error { return n.public.Serve(n.callersMux()) })
 	if n.byLayout {
 		n.tomb.Go(n.reportHealth)
+		n.tomb.Go(n.peers.run)
 		n.tomb.Go(n.refreshControls)
 	}
 	if n.metrics != nil {
@@ -294,6 +309,7 @@
 	}
 	n.tomb.Go(n.follower.run)
 	n.tomb.Go(n.tick)
+	n.tomb.Go(n.links.run)
 	n.tomb.Go(n.strikes.report)
 	n.tomb.Go(n.refreshShares)
 	n.tomb.Go(func() error { return n.keys.Watch(n.tomb.Dying(), n.clock, n.log) })
@@ -326,6 +342,7 @@
 		n.checks.tick()
 		n.strikes.tick()
 		n.pool.CloseExpired()
+		n.passPool.CloseExpired()
 		if n.health != nil {
 			n.checkStalls()
 		}
--- a/event/table.go
+++ b/event/table.go
@@ -15,6 +15,8 @@
 	DutyFailed      ID = 107
 	SettingsRead    ID = 108
 	SettingsRefused ID = 109
+	NodeIsolated    ID = 110
+	NodeReconnected ID = 111
 	LeaderChanged   ID = 200
 	TailCut         ID = 201
 	StorageFailed   ID = 202
@@ -74,6 +76,8 @@
 	SegmentCleared  ID = 514
 	SegmentProbed   ID = 515
 	HandoverFailed  ID = 516
+	PassFailed      ID = 517
+	PeerUnsound     ID = 518
 	KeyRefused      ID = 600
 	KeysReloaded    ID = 601
 )
@@ -89,6 +93,8 @@
 	{DutyFailed, "duty_failed", slog.LevelError, "a background task failed", "see the error attribute"},
 	{SettingsRead, "settings_read", slog.LevelInfo, "the settings file was read again", "nothing"},
 	{SettingsRefused, "settings_refused", slog.LevelWarn, "the changed settings file can't be read or has errors; the node keeps its settings", "see the error attribute"},
+	{NodeIsolated, "node_isolated", slog.LevelWarn, "the entry node reaches no target, while callers may reach it; what it observes of targets does not count", "check the network between this node and the targets"},
+	{NodeReconnected, "node_reconnected", slog.LevelInfo, "the entry node reaches targets again", "nothing"},
 	{LeaderChanged, "leader_changed", slog.LevelInfo, "a control node leads in a new term", "nothing"},
 	{TailCut, "tail_cut", slog.LevelWarn, "an incomplete record at the log's end was removed", "nothing, it was never acknowledged"},
 	{StorageFailed, "storage_failed", slog.LevelError, "the data folder can't be used", "see the error attribute"},
@@ -137,6 +143,8 @@
 	{RequestPoison, "request_poison", slog.LevelError, "a request crashed the targets that ran it and is refused", "see sardctl poison"},
 	{AttemptFailed, "attempt_failed", slog.LevelInfo, "a target did not answer a request in full", "see the code and target attributes"},
 	{HandoverFailed, "handover_failed", slog.LevelInfo, "a request should leave its target for the reason given and no other target has taken it over; it stays, and tries so again", "see the reason and error attributes"},
+	{PassFailed, "pass_failed", slog.LevelInfo, "a request that was passed to another entry node was not taken over, was refused there, or its answer broke off", "see the peer and error attributes"},
+	{PeerUnsound, "peer_unsound", slog.LevelInfo, "another entry node can't take over requests of this one, which may have lost its links to the targets", "see the error attribute"},
 	{RequestServed, "request_served", slog.LevelInfo, "a request was answered in full; only a sample, selected by request id, is logged", "nothing"},
 	{RequestLate, "request_late", slog.LevelInfo, "the first piece of an answer came too late, or a pause between two pieces was too long, for its route's objectives", "see sardctl losses"},
 	{RequestLeft, "request_left", slog.LevelInfo, "a caller disconnected, or its deadline passed, before its answer was complete", "see sardctl losses"},
