--- a/standin/trial/succession.go
+++ b/standin/trial/succession.go
@@ -59,6 +59,19 @@
 
 // RunSuccession performs one run.
 func RunSuccession(p Succession) SuccessionReport {
+	s := newSuccession(p)
+	for range p.Rounds {
+		s.loseOne()
+		s.runFor(p.Spacing)
+	}
+	if p.Outage && s.checker.violation == "" {
+		s.outage()
+	}
+	return s.report()
+}
+
+// newSuccession starts a site and waits until it has a leader.
+func newSuccession(p Succession) *succession {
 	t := &trial{
 		options:      Options{Seed: p.Seed, Members: p.Voters, Timing: quorum.DefaultTiming()},
 		driver:       drive.New[quorum.Message](p.Seed, drive.Faults{Loss: 0.002, MaxDelay: 10, MaxDrift: 0.001}),
@@ -71,15 +84,12 @@
 	s.upkeep()
 	s.runFor(5 * sardine.Second)
 	s.gap, s.appliedAt = 0, t.driver.Now()
-	for range p.Rounds {
-		s.loseOne()
-		s.runFor(p.Spacing)
-	}
-	if p.Outage && t.checker.violation == "" {
-		s.outage()
-	}
-	report := SuccessionReport{LongestGap: s.gap, Violation: t.checker.violation}
-	if l := t.leader(); l != nil {
+	return s
+}
+
+func (s *succession) report() SuccessionReport {
+	report := SuccessionReport{LongestGap: s.gap, Violation: s.checker.violation}
+	if l := s.leader(); l != nil {
 		m, _ := l.core.Status().Margin()
 		report.Voters, report.Answering = m.Voters, m.Answering
 	}
