Reproduce votes of lost voters that stay for good

Two voters are lost at once and their successors start after 1 s. Both get a vote before the lost ones have been silent for 2 s, the number of voters is odd again, and nobody is removed: 7 voters, 5 answer, for good.

--- a/standin/trial/shortlived_test.go
+++ b/standin/trial/shortlived_test.go
@@ -41,3 +41,28 @@
 	s.runFor(15 * sardine.Second)
 	return s.report()
 }
+
+// TestVotesOfSeveralLostVotersEnd guards against votes of lost voters that stay for good because
+// their successors were promoted before the others had been silent for long enough.
+func TestVotesOfSeveralLostVotersEnd(t *testing.T) {
+	for _, voters := range []int{5, 7, 9} {
+		t.Run(fmt.Sprint(voters), func(t *testing.T) {
+			t.Parallel()
+			failed := 0
+			for seed := range uint64(20) {
+				s := newSuccession(Succession{Seed: seed, Voters: voters, EnrolDelay: 500})
+				for _, m := range s.members[voters-2:] {
+					s.driver.Crash(m.id)
+				}
+				s.driver.At(successorDelay, func(sardine.Millis) { s.addSuccessor() })
+				s.driver.At(successorDelay, func(sardine.Millis) { s.addSuccessor() })
+				s.runFor(20 * sardine.Second)
+				if r := s.report(); r.Failed() || r.Answering != voters || r.Voters != voters {
+					t.Logf("seed %d: %+v", seed, r)
+					failed++
+				}
+			}
+			require.Zero(t, failed)
+		})
+	}
+}
