--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,6 +9,9 @@
 	// voterSilence is how long a voter must be silent before it may lose its vote. It is
 	// longer than an election.
 	voterSilence = 2 * sardine.Second
+	// answerDelay is how long a voter that answers may be silent. It is longer than the time
+	// between two heartbeats.
+	answerDelay = 600 * sardine.Millis(1)
 	// learnerSilence is how long a learner must be silent before it is removed.
 	learnerSilence = 10 * sardine.Second
 )
@@ -23,14 +26,17 @@
 // Next returns the next change of the member list, if one is due. The leader, which is
 // not among the peers, has a vote. The change never lowers the number of answering voters
 // that the quorum can lose.
+//
+// A successor gets its vote after the silent voter has lost its own, never before: the size
+// of the quorum then stays the same, and a successor that ends soon is not needed for it.
 func Next(peers []Peer) (change quorum.MemberChange, due bool) {
-	if p, found := removableVoter(peers); found {
-		return quorum.MemberChange{Kind: quorum.Remove, Member: p.Member}, true
-	}
-	for _, p := range peers {
-		if p.Member.Learner && p.CaughtUp {
-			return quorum.MemberChange{Kind: quorum.Promote, Member: p.Member}, true
-		}
+	s := survey(peers)
+	even := s.voters%2 == 0
+	switch {
+	case s.hasReady && (even || s.allAnswer):
+		return quorum.MemberChange{Kind: quorum.Promote, Member: s.ready.Member}, true
+	case s.hasSilent && (even || s.hasReady):
+		return quorum.MemberChange{Kind: quorum.Remove, Member: s.silent.Member}, true
 	}
 	for _, p := range peers {
 		if p.Member.Learner && p.Silent > learnerSilence {
@@ -40,20 +46,30 @@
 	return quorum.MemberChange{}, false
 }
 
-// removableVoter returns the voter that has been silent for the longest time, if it may lose
-// its vote. An even number of voters needs as many for a quorum as the next higher odd one, so
-// the quorum can lose one voter more without it. With an odd number it keeps its vote until a
-// successor has one.
-func removableVoter(peers []Peer) (voter Peer, found bool) {
-	voters := 1
+// summary is what decides the next change.
+type summary struct {
+	voters    int  // with the leader
+	allAnswer bool // no voter may have been lost
+	silent    Peer // the voter that has been silent for the longest time, if it may lose its vote
+	hasSilent bool
+	ready     Peer // the first learner that has caught up
+	hasReady  bool
+}
+
+func survey(peers []Peer) summary {
+	s := summary{voters: 1, allAnswer: true}
 	for _, p := range peers {
 		if p.Member.Learner {
+			if p.CaughtUp && !s.hasReady {
+				s.ready, s.hasReady = p, true
+			}
 			continue
 		}
-		voters++
-		if p.Silent > voterSilence && p.Silent > voter.Silent {
-			voter, found = p, true
+		s.voters++
+		s.allAnswer = s.allAnswer && p.Silent <= answerDelay
+		if p.Silent > voterSilence && p.Silent > s.silent.Silent {
+			s.silent, s.hasSilent = p, true
 		}
 	}
-	return voter, found && voters%2 == 0
+	return s
 }
