An outdated announcement does not hide a target that answers

Found in review: a home that reports an announcement of an earlier incarnation to a new leader blocked the restoration of the target that entry nodes observe, which was then declared lost. TestElectedLeaderKeepsTargetsThatAnswer has the case, which failed before.

--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -11,7 +11,8 @@
 func (l *Leader) adoptObserved(now sardine.Millis, m *state.Machine) {
 	for _, known := range l.targetsInLog(m) {
 		ref := Ref{VM: known.VM, Incarnation: known.Incarnation}
-		if l.targets[known.VM] != nil || !l.observedAlive(now, known.Kind, ref) {
+		t := l.targets[known.VM]
+		if t != nil && t.latest.Incarnation >= known.Incarnation || !l.observedAlive(now, known.Kind, ref) {
 			continue
 		}
 		l.targets[known.VM] = &targetView{
--- a/fleet/adopt_test.go
+++ b/fleet/adopt_test.go
@@ -41,6 +41,8 @@
 		})
 		return l.Commands(now, m)
 	}
+	outdated := announcement("p", 0)
+	l.Merge(DefaultGrace-200, Report{Home: "late", Incarnation: 1, Sequence: 1, Full: true, Statuses: []Status{{Announcement: outdated}}})
 	require.Empty(t, lost(DefaultGrace-100))
 	require.Equal(t, []state.Command{state.TargetDown{VM: "c", Incarnation: 1}}, lost(DefaultGrace+100), "nobody observes the idle one")
 	s, live := l.Live(DefaultGrace+100, "b")
