A vote of the previous leader shows that it runs

Found in review, by argument: a leader that stepped down and voted for its successor was taken for silent since its last message as a leader, and could lose its vote until it replied.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -195,7 +195,7 @@
 	c.peers = make(map[sardine.NodeID]*progress)
 	c.reads = reads{round: c.reads.round}
 	c.updatePeers()
-	if p := c.peers[c.lastLeader]; p != nil {
+	if p := c.peers[c.lastLeader]; p != nil && !c.votes[c.lastLeader] {
 		p.heardAt = c.lastContact
 	}
 	c.uncommittedBytes = 0
