Succession: ask for the margin of the quorum at the end of each run

Found in review: runs with an outage at the end did not check how many voters were left, so that votes of lost voters that stay for good went unnoticed. Each run now asks that all nodes that run have a vote and that the quorum can lose as many of them as at the start.

--- a/standin/trial/shortlived_test.go
+++ b/standin/trial/shortlived_test.go
@@ -19,7 +19,7 @@
 			for _, victim := range []string{"oldest", "leader"} {
 				for lived := sardine.Millis(0); lived < 4000; lived += 100 {
 					p := Succession{Seed: uint64(lived) + uint64(voters), Voters: voters, Spacing: 5 * sardine.Second, Victim: victim, EnrolDelay: 500}
-					if r := runShortLived(p, lived); r.Failed() || r.Answering < voters {
+					if r := runShortLived(p, lived); r.Failed() || r.Margin.Answering < voters {
 						t.Logf("successor lived %d ms, victim %s: %+v", lived, victim, r)
 						failed++
 					}
@@ -57,7 +57,7 @@
 				s.driver.At(successorDelay, func(sardine.Millis) { s.addSuccessor() })
 				s.driver.At(successorDelay, func(sardine.Millis) { s.addSuccessor() })
 				s.runFor(20 * sardine.Second)
-				if r := s.report(); r.Failed() || r.Answering != voters || r.Voters != voters {
+				if r := s.report(); r.Failed() || r.Margin.Answering != voters || r.Margin.Voters != voters {
 					t.Logf("seed %d: %+v", seed, r)
 					failed++
 				}
--- a/standin/trial/succession.go
+++ b/standin/trial/succession.go
@@ -42,11 +42,15 @@
 // SuccessionReport is the result of a run.
 type SuccessionReport struct {
 	LongestGap sardine.Millis // without an applied change
-	Voters     int            // at the end
-	Answering  int            // of them
+	Margin     quorum.Margin  // at the end, before the outage
 	Violation  string
 }
 
+// Spare returns how many answering voters the quorum can lose.
+func (r SuccessionReport) Spare() int {
+	return r.Margin.Answering - r.Margin.Needed
+}
+
 // succession is one run.
 type succession struct {
 	*trial
@@ -64,10 +68,12 @@
 		s.loseOne()
 		s.runFor(p.Spacing)
 	}
+	r := s.report()
 	if p.Outage && s.checker.violation == "" {
 		s.outage()
+		r.Violation = s.checker.violation
 	}
-	return s.report()
+	return r
 }
 
 // newSuccession starts a site and waits until it has a leader.
@@ -87,11 +93,11 @@
 	return s
 }
 
+// report returns the result so far.
 func (s *succession) report() SuccessionReport {
 	report := SuccessionReport{LongestGap: s.gap, Violation: s.checker.violation}
 	if l := s.leader(); l != nil {
-		m, _ := l.core.Status().Margin()
-		report.Voters, report.Answering = m.Voters, m.Answering
+		report.Margin, _ = l.core.Status().Margin()
 	}
 	return report
 }
--- a/standin/trial/succession_test.go
+++ b/standin/trial/succession_test.go
@@ -53,7 +53,7 @@
 // countFailed runs p and returns 1 if a check fails.
 func countFailed(t *testing.T, p Succession) int {
 	r := RunSuccession(p)
-	if !r.Failed() && (p.Outage || r.Voters == p.Voters && r.Answering == p.Voters) {
+	if !r.Failed() && r.Margin.Answering == p.Voters && r.Spare() >= p.Voters-(p.Voters/2+1) {
 		return 0
 	}
 	t.Logf("%+v: %+v", p, r)
