--- a/entry/pass_test.go
+++ b/entry/pass_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -168,3 +170,87 @@
 		require.Equal(t, codes.KeyRefused.Status(), resp.StatusCode, path)
 	}
 }
+
+// TestOnlyRequestsWithoutProgressLeaveTheirTargets guards against requests that leave a
+// target whose connection lives on, and those that only their target can complete.
+func TestOnlyRequestsWithoutProgressLeaveTheirTargets(t *testing.T) {
+	n := routedNode()
+	const began = 1000
+	for name, c := range map[string]struct {
+		change func(h *handover)
+		now    sardine.Millis
+		want   bool
+	}{
+		"no progress":              {func(*handover) {}, began + evacuationPause, true},
+		"it has just begun":        {func(*handover) {}, began + evacuationPause - 1, false},
+		"an event has just come":   {func(h *handover) { h.lastAt = began + 100 }, began + evacuationPause, false},
+		"the last event is old":    {func(h *handover) { h.lastAt = began + 100 }, began + evacuationPause + 100, true},
+		"it has ended":             {func(h *handover) { h.ended = true }, began + evacuationPause, false},
+		"part of an answer":        {func(h *handover) { h.settled = true }, began + evacuationPause, false},
+		"another target took over": {func(h *handover) { h.next = &successor{} }, began + evacuationPause, false},
+	} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		h := &handover{run: newRoutedRun(n, sardine.RouteSafe), cancel: cancel, beganAt: began}
+		c.change(h)
+		h.evacuate(c.now)
+		require.Equal(t, c.want, errors.Is(context.Cause(ctx), errLinksLost), name)
+		cancel(nil)
+	}
+	for n.retries.take(n.clock.Now(), "s") {
+		continue
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	(&handover{run: newRoutedRun(n, sardine.RouteSafe), cancel: cancel, beganAt: began}).evacuate(began + evacuationPause)
+	require.NoError(t, ctx.Err(), "the retry limit is used up")
+}
+
+// TestPassedAttemptsAreThoseLeft guards against a node that makes more attempts than the
+// one that passes the request has left, or has more time.
+func TestPassedAttemptsAreThoseLeft(t *testing.T) {
+	for _, c := range []struct{ most, granted, left int }{{2, 2, 2}, {2, 1, 1}, {3, 2, 2}, {2, 9, 2}, {0, 1, 1}} {
+		q := newRoutedRun(routedNode(), sardine.RouteSafe)
+		q.route.MaxAttempts = c.most
+		q.passed = &passedRequest{left: 700, granted: c.granted, lastEvent: "4"}
+		q.applyPass()
+		require.Equal(t, c.left, max(q.route.MaxAttempts, 1)-q.attempts, "%+v", c)
+		require.Equal(t, q.node.clock.Now()+700, q.deadline)
+		require.True(t, q.isResumed())
+		require.Equal(t, "4", q.call.LastEvent)
+	}
+}
+
+// TestOnlyUnsentPassedRequestsGoElsewhere guards against requests that run at a third
+// node although the second one may have run them.
+func TestOnlyUnsentPassedRequestsGoElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		code     codes.Code
+		links    uplink.State
+		ran      sardine.Ran
+		attempts int
+		want     bool
+	}{
+		{codes.Draining, uplink.Connected, sardine.RanNo, 0, true},
+		{codes.Isolated, uplink.Isolated, sardine.RanNo, 0, true},
+		{codes.NoLease, uplink.Connected, sardine.RanNo, 0, true},
+		{codes.NoTarget, uplink.Connected, sardine.RanNo, 0, false},
+		{codes.NoTarget, uplink.Suspected, sardine.RanNo, 0, true},
+		{codes.NoTarget, uplink.Suspected, sardine.RanNo, 1, false},
+		{codes.Isolated, uplink.Isolated, sardine.RanUnknown, 1, false},
+		{codes.KeyRefused, uplink.Connected, sardine.RanNo, 0, false},
+		{codes.QueueFull, uplink.Connected, sardine.RanNo, 0, false},
+		{codes.TargetFailed, uplink.Suspected, sardine.RanUnknown, 1, false},
+	} {
+		n := routedNode()
+		n.links = newIsolation(n)
+		n.links.state.Store(int32(c.links))
+		q := newRoutedRun(n, sardine.RouteSafe)
+		q.passed, q.ran, q.attempts = &passedRequest{}, c.ran, c.attempts
+		h := http.Header{}
+		q.markRefusal(h, codes.New(c.code, "x"), 0)
+		require.Equal(t, c.want, passPort{}.Reply(0, h).Ran == sardine.RanNo, "%+v", c)
+		stated := takePassedAnswer(h)
+		require.Equal(t, passedAnswer{used: c.attempts, ran: c.ran, code: c.code, elsewhere: c.want}, stated)
+		require.Empty(t, h)
+	}
+}
