Entry: connect to another target while one is checked

A request waits at most 100 ms for the verdict on its lost target. On a busy machine the round of probes took longer, so more targets failed. Now one connect to another target runs beside the check; a round follows only if it fails.

--- a/entry/checks.go
+++ b/entry/checks.go
@@ -111,7 +111,10 @@
 
 // probe tries to connect to the target.
 func (c *checks) probe(k *check) {
-	exited := c.node.exited(c.node.baseCtx, k.target.candidate.Address) && c.node.links.work(c.node.baseCtx)
+	ctx, address := c.node.baseCtx, k.target.candidate.Address
+	reached := make(chan bool, 1)
+	c.running.Go(func() { reached <- c.node.links.reachesOther(ctx, address) }) // a request may wait for the result
+	exited := c.node.exited(ctx, address) && (<-reached || c.node.links.verify(ctx))
 	c.mu.Lock()
 	defer close(k.probed)
 	k.probing = false
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -213,7 +213,7 @@
 		return guard.OutcomeUnknown
 	case !codes.Is(err, codes.TargetFailed) && !codes.Is(err, codes.StreamBroken):
 		return guard.OutcomeUnknown
-	case n.listens(ctx, c.Address), !n.links.work(context.WithoutCancel(ctx)):
+	case n.listens(ctx, c.Address), !n.links.work(context.WithoutCancel(ctx), c.Address):
 		return guard.OutcomeUnknown
 	default:
 		event.Log(n.log, event.TargetLost, groupAttr(c.Group))
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -226,8 +227,36 @@
 	i.node.gate.forgive()
 }
 
-// work reports whether the node's links work, after a round of probes.
-func (i *isolation) work(ctx context.Context) bool {
+// work reports whether the node's links work although the target at an address refuses
+// connections: another target accepts one, or a round of probes shows it.
+func (i *isolation) work(ctx context.Context, refuser string) bool {
+	return i.reachesOther(ctx, refuser) || i.verify(ctx)
+}
+
+// reachesOther connects to a target other than the one at an address.
+func (i *isolation) reachesOther(ctx context.Context, address string) bool {
+	n := i.node
+	all := slices.DeleteFunc(n.view().probeTargets(), func(t uplink.Target) bool { return t.Address == address })
+	for _, t := range uplink.Spread(all, i.heardAddress(), 1, n.random) {
+		if conn, err := n.dialTarget(ctx, t.Address, linkProbeTimeout); err == nil {
+			_ = conn.Close() // nothing was sent
+			return true
+		}
+	}
+	return false
+}
+
+// heardAddress returns the address of the target that is most likely to accept a
+// connection, "" if none has answered yet.
+func (i *isolation) heardAddress() string {
+	if heard := i.heard.Load(); heard != nil {
+		return heard.Address
+	}
+	return ""
+}
+
+// verify reports whether the node's links work, after a round of probes.
+func (i *isolation) verify(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout.Duration())
 	defer cancel()
 	i.mu.Lock()
@@ -253,15 +282,11 @@
 	n := i.node
 	ctx, cancel := context.WithCancel(n.baseCtx)
 	defer cancel()
-	first := "" // the target that is most likely to accept
-	if heard := i.heard.Load(); heard != nil {
-		first = heard.Address
-	}
 	count := linkProbes
 	if i.refused() {
 		count = manyLinkProbes
 	}
-	targets := uplink.Spread(n.view().probeTargets(), first, count, n.random)
+	targets := uplink.Spread(n.view().probeTargets(), i.heardAddress(), count, n.random)
 	type result struct {
 		address string
 		err     error
