--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
 # Tests that measure how fast sites of many nodes in one process answer. They run by
-# themselves, two at a time.
+# themselves, four at a time.
 TIMED_NAMES := \
 	StrandedNodesServeTheirCallers StrandedNodesServeBesideADrain StrandedNodesServeBesideACrash StrandedNodesKeepStreamsUnderWay \
 	StrandedNodesEndRequestsOfCallersThatLeave StrandedNodesCheckKeysAndRoutes StrandedSiteRefusesAtOnce \
@@ -64,7 +64,7 @@
 
 test:
 	go test -skip '$(if $(KNOWN_RED),^($(KNOWN_RED))$$|)$(TIMED)' $(PACKAGES)
-	go test $(SKIP) -run '$(TIMED)' -parallel 2 ./platform
+	go test $(SKIP) -run '$(TIMED)' -parallel 4 ./platform
 
 # Follows the operators' pages with processes of their own on loopback.
 operate: build
