Losses of a crash of all targets count once the first of them is back

The node found its links sound when the first target accepted a connection. That target was among those that had refused, so the losses were always dropped unless more targets than one round probes had failed. They count if most of the targets still refuse.

--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -197,21 +197,25 @@
 	}
 }
 
-// judge decides whether the losses of the last isolation count: they do if the targets that
-// refused connections then still do, since then it was they that had failed.
+// judge decides whether the losses of the last isolation count: they do if most of the
+// targets that refused connections then still do. Targets that have crashed are back one by
+// one, those behind a link that was lost all at once.
 func (i *isolation) judge() {
 	n := i.node
+	refused := 0
 	for _, address := range i.refusers {
 		conn, err := n.dialTarget(n.baseCtx, address, linkProbeTimeout)
-		if err == nil {
+		switch {
+		case err == nil:
 			_ = conn.Close() // nothing was sent
-		}
-		if err == nil || isTimeout(err) {
+		case isTimeout(err):
 			n.checks.discard(i.lostAt)
 			return
+		default:
+			refused++
 		}
 	}
-	if len(i.refusers) == 0 {
+	if 2*refused <= len(i.refusers) {
 		n.checks.discard(i.lostAt)
 		return
 	}
