A caller's Connection header does not remove those of a pass

The pass headers were set before the hop-by-hop headers were removed, so a caller that named one of them in Connection got 502 from an isolated node and 200 from a sound one.

go test ./platform -run TestConnectionHeader: fails before (502), passes now.

--- a/entry/pass_send.go
+++ b/entry/pass_send.go
@@ -110,7 +110,7 @@
 // passExchange returns the request as it is passed to another node.
 func (q *routedRun) passExchange(peer detour.Peer, granted int) proxy.Exchange {
 	now := q.node.clock.Now()
-	h := q.request.Header.Clone()
+	h := proxy.EndToEndHeader(q.request.Header) // its Connection may name the headers of a pass
 	removePassHeaders(h)
 	h.Set(headerPassTarget, q.request.Path)
 	h.Set(headerPassHost, q.request.Host)
