An isolated node ends no attempt that can't be passed on

evacuate asked whether a retry was available and ended every quiet attempt at once; those beyond the limit were then denied their retry and failed with 502, and so did all passed requests at a node that was isolated in its turn. Their connections may live on. The retry is now taken first, and passed requests stay.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -42,20 +42,21 @@
 	attempts int                     // of the request, including the current one
 	beganAt  sardine.Millis
 
-	mu        sync.Mutex
-	ended     bool           // the attempt has ended
-	settled   bool           // the caller has a part of an answer that only this target can complete
-	position  proxy.Sequence // in the stream
-	events    int            // of the current attempt
-	moveAt    sardine.Millis // when a stream that stays silent moves, 0 before its first event
-	lastAt    sardine.Millis // arrival of the last event, 0 before the first
-	notBefore sardine.Millis // of the next search
-	tried     []route.Ref    // targets that may not take the request over
-	ran       int            // targets that may have run the request without taking it over
-	refused   []route.Ref    // targets that refused it
-	logged    bool           // a failed search was logged
-	search    *search        // the running one, nil if there is none
-	next      *successor     // the target that has taken the request over
+	mu         sync.Mutex
+	ended      bool           // the attempt has ended
+	retryTaken bool           // the retry limit has granted the next attempt
+	settled    bool           // the caller has a part of an answer that only this target can complete
+	position   proxy.Sequence // in the stream
+	events     int            // of the current attempt
+	moveAt     sardine.Millis // when a stream that stays silent moves, 0 before its first event
+	lastAt     sardine.Millis // arrival of the last event, 0 before the first
+	notBefore  sardine.Millis // of the next search
+	tried      []route.Ref    // targets that may not take the request over
+	ran        int            // targets that may have run the request without taking it over
+	refused    []route.Ref    // targets that refused it
+	logged     bool           // a failed search was logged
+	search     *search        // the running one, nil if there is none
+	next       *successor     // the target that has taken the request over
 }
 
 // search is one try to hand a request over.
@@ -102,13 +103,19 @@
 	go h.perform(ctx, h.search)
 }
 
-// evacuate implements movable.
+// evacuate implements movable. It takes the retry from the limit before it ends the
+// attempt, so that no attempt ends for nothing.
 func (h *handover) evacuate(now sardine.Millis) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || h.settled || h.next != nil || now-max(h.beganAt, h.lastAt) < evacuationPause || !h.run.node.retries.available(now, h.run.name) {
+	q := h.run
+	if h.ended || h.settled || h.next != nil || h.retryTaken || !q.mayPass() || now-max(h.beganAt, h.lastAt) < evacuationPause {
+		return
+	}
+	if limit := q.node.retries; !limit.available(now, q.name) || !limit.take(now, q.name) {
 		return
 	}
+	h.retryTaken = true
 	if h.search != nil {
 		h.search.cancel(errLinksLost)
 	}
@@ -273,5 +280,6 @@
 	}
 	q.tried = h.tried
 	q.attempts += h.ran
+	q.retryTaken = h.retryTaken && h.next == nil
 	return h.next
 }
--- a/entry/pass_send.go
+++ b/entry/pass_send.go
@@ -11,6 +11,7 @@
 	"sardineswitch.dev/sardine/event"
 	"sardineswitch.dev/sardine/pool"
 	"sardineswitch.dev/sardine/proxy"
+	"sardineswitch.dev/sardine/uplink"
 )
 
 // passSlack is how much longer than the deadline the answer of another entry node is
@@ -43,6 +44,11 @@
 	return detour.Decide(d)
 }
 
+// mayPass reports whether an isolated node with a sound peer would pass the request.
+func (q *routedRun) mayPass() bool {
+	return detour.Decide(detour.Request{Links: uplink.Isolated, Passed: q.passed != nil, Passes: len(q.peersTried), Peer: true}) == detour.Pass
+}
+
 // pass passes the request to another entry node and forwards its answer. All attempts
 // that are left are granted to that node. If its answer breaks off they count as used,
 // because it can't be known how many were.
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -56,6 +56,7 @@
 	unsent        int         // attempts that failed before anything was sent
 	// retryDenied records that the retry limit prevented another attempt.
 	retryDenied  bool
+	retryTaken   bool // the retry limit has granted the next attempt already
 	tried        []route.Ref
 	handover     *handover             // of the current attempt, nil if it may not leave its target
 	headSent     bool                  // the status and header were sent to the caller
@@ -357,7 +358,8 @@
 	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.acceptsAnswer() {
 		return false
 	}
-	q.retryDenied = !n.retries.take(n.clock.Now(), q.name)
+	q.retryDenied = !q.retryTaken && !n.retries.take(n.clock.Now(), q.name)
+	q.retryTaken = false
 	return !q.retryDenied
 }
 
