--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	StrandedNodesEndRequestsOfCallersThatLeave StrandedNodesCheckKeysAndRoutes StrandedSiteRefusesAtOnce \
 	NodesWithFlappingLinksServeTheirCallers RequestsRunOnceWhileLinksAreCut PassedStreamsSurviveTheEndOfACut \
 	StreamsStayInOrderWhileCutsMove StreamsGoOnThroughAnotherNode CutNodeNoticesThatItIsIsolated IdleNodeNoticesThatItIsIsolated \
-	CutIsNotChargedToTargets IsolatedNodesRefuseAtOnce PassedRequestsSurvivePeersThatStop CallersThatLeaveEndPassedRequests
+	CutIsNotChargedToTargets IsolatedNodesRefuseAtOnce RequestsBeyondTheRetryLimitKeepTheirTargets PassedRequestsSurvivePeersThatStop CallersThatLeaveEndPassedRequests
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
 TIMED := ^Test($(subst $(SPACE),|,$(strip $(TIMED_NAMES))))$$
