--- a/entry/routed.go
+++ b/entry/routed.go
@@ -43,7 +43,7 @@
 	isCounted      bool
 	passed         *passedRequest // what that node states, nil for a caller's request
 	attemptsBefore int            // attempts that the node may not use, since that node has
-	next           detour.Route   // where the next attempt goes
+	hop            detour.Route   // where the next attempt goes
 	peersTried     []sardine.NodeID
 	refusedByPeer  bool // another node has refused it for good
 
@@ -109,7 +109,7 @@
 	}
 	ctx, cancel := n.callerContext(r.Context())
 	defer cancel(nil)
-	if q.next = q.nextRoute(ctx, nil); q.next != detour.Pass {
+	if q.hop = q.nextRoute(ctx, nil); q.hop != detour.Pass {
 		q.countFirst()
 	}
 	n.openTraffic()
@@ -241,7 +241,7 @@
 
 // begin waits until the request may be sent.
 func (q *routedRun) begin(ctx context.Context) error {
-	switch q.next {
+	switch q.hop {
 	case detour.Pass:
 		return nil // the other node waits for the verdict on its segments
 	case detour.Refuse:
@@ -257,7 +257,7 @@
 	switch {
 	case next != nil:
 		return q.resume(ctx, next)
-	case q.next == detour.Pass:
+	case q.hop == detour.Pass:
 		return q.pass(ctx)
 	default:
 		q.countFirst()
@@ -268,8 +268,8 @@
 // mayGoOn decides where the request is sent after an attempt that failed with err, and
 // reports whether it may be sent again.
 func (q *routedRun) mayGoOn(ctx context.Context, err error) bool {
-	q.next = q.nextRoute(ctx, err)
-	if q.next == detour.Serve {
+	q.hop = q.nextRoute(ctx, err)
+	if q.hop == detour.Serve {
 		q.losses.settle(ctx)
 		if q.losses.allow() != nil || q.awaitSegments(ctx) != nil {
 			return false
@@ -281,7 +281,7 @@
 // lastError returns the error for the caller of a request whose last attempt has failed
 // with err.
 func (q *routedRun) lastError(err error) error {
-	if q.next == detour.Refuse && codes.Is(err, codes.NoTarget) {
+	if q.hop == detour.Refuse && codes.Is(err, codes.NoTarget) {
 		return errNoLinks
 	}
 	return err
@@ -332,7 +332,7 @@
 // placeAttr names the target that was tried last, or the entry node to which the request
 // was passed.
 func (q *routedRun) placeAttr() slog.Attr {
-	if q.next == detour.Pass {
+	if q.hop == detour.Pass {
 		return slog.String("peer", string(q.peersTried[len(q.peersTried)-1]))
 	}
 	return slog.String("target", q.tried[len(q.tried)-1].String())
@@ -343,7 +343,7 @@
 // retry limit are used up.
 func (q *routedRun) mayRetry(err error) bool {
 	n := q.node
-	if q.next == detour.Refuse || q.refusedByPeer {
+	if q.hop == detour.Refuse || q.refusedByPeer {
 		return false
 	}
 	if errors.Is(err, errCallerLeft) || codes.Is(err, codes.DeadlineTight) || codes.Is(err, codes.QueueFull) || codes.Is(err, codes.TargetLimited) || n.clock.Now() >= q.deadline {
@@ -353,7 +353,7 @@
 		return false
 	}
 	if codes.Is(err, codes.NoTarget) { // nothing was sent
-		return q.next == detour.Pass || q.unsent > 0 && q.unsent < maxUnsent
+		return q.hop == detour.Pass || q.unsent > 0 && q.unsent < maxUnsent
 	}
 	if q.attempts >= max(q.route.MaxAttempts, 1) || !q.acceptsAnswer() {
 		return false
