A surplus voter that is silent loses its vote before its successor has caught up

Found in review: with three control nodes, one replaced as planned (the successor first, the old one stopped 2 s later) and a disk lost 4 s after the successor's start, the quorum was lost for good: four voters, one gone, one that lost what it had. The old vote went only after 2 to 2.5 s of silence.

Cause: one limit of silence for two cases. From an odd number of voters the silence shows that a successor may take a vote. From an even number the removal needs no such proof: the quorum is as large without the voter as with one more.

Change: from an even number a voter is removed after 1.25 s of silence, longer than an election timeout.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,9 +6,13 @@
 )
 
 const (
-	// voterSilence is how long a voter must be silent before it may lose its vote. It is
-	// longer than an election.
+	// voterSilence is how long a voter must be silent before it may lose its vote to a
+	// successor. It is longer than an election.
 	voterSilence = 2 * sardine.Second
+	// surplusSilence is how long one of an even number of voters must be silent before it may
+	// lose its vote: the quorum is as large without it as with one voter more. It is longer
+	// than an election timeout.
+	surplusSilence = 1250 * sardine.Millis(1)
 	// answerDelay is how long a voter that answers may be silent. It is longer than the time
 	// between two heartbeats.
 	answerDelay = 600 * sardine.Millis(1)
@@ -35,7 +39,7 @@
 	switch {
 	case s.hasReady && (even || s.allAnswer):
 		return quorum.MemberChange{Kind: quorum.Promote, Member: s.ready.Member}, true
-	case s.hasSilent && (even || s.hasReady):
+	case even && s.silent.Silent > surplusSilence, s.hasReady && s.silent.Silent > voterSilence:
 		return quorum.MemberChange{Kind: quorum.Remove, Member: s.silent.Member}, true
 	}
 	for _, p := range peers {
@@ -50,8 +54,7 @@
 type summary struct {
 	voters    int  // with the leader
 	allAnswer bool // no voter may have been lost
-	silent    Peer // the voter that has been silent for the longest time, if it may lose its vote
-	hasSilent bool
+	silent    Peer // the voter that has been silent for the longest time
 	ready     Peer // the first learner that has caught up
 	hasReady  bool
 }
@@ -67,8 +70,8 @@
 		}
 		s.voters++
 		s.allAnswer = s.allAnswer && p.Silent <= answerDelay
-		if p.Silent > voterSilence && p.Silent > s.silent.Silent {
-			s.silent, s.hasSilent = p, true
+		if p.Silent > s.silent.Silent {
+			s.silent = p
 		}
 	}
 	return s
--- a/standin/trial/shortlived_test.go
+++ b/standin/trial/shortlived_test.go
@@ -66,3 +66,18 @@
 		})
 	}
 }
+
+// TestOutageAfterPlannedReplacement guards against a disk that is lost, once a successor has had
+// its time to catch up, while the vote of the member that was stopped still counts.
+func TestOutageAfterPlannedReplacement(t *testing.T) {
+	const catchUp = 4 * sardine.Second
+	failed := 0
+	for seed := range uint64(40) {
+		p := Succession{Seed: seed, Voters: 3, Rounds: 1, Spacing: catchUp, Victim: "random", Event: "planned", EnrolDelay: 500, Outage: true}
+		if r := RunSuccession(p); r.Failed() {
+			t.Logf("seed %d: %+v", seed, r)
+			failed++
+		}
+	}
+	require.Zero(t, failed)
+}
