A request does not wait without end for another entry node

Callers of an entry node whose links were suspected for a moment could be held until they left: the search for a node that takes the request began anew whenever the suspicion ended, and a request that was searching started it again.

Change: each wait has its own bound and ends when the links are connected again, and the decision uses their present state.

--- a/entry/pass_send.go
+++ b/entry/pass_send.go
@@ -40,6 +40,7 @@
 	}
 	if detour.Decide(d) == detour.Pass {
 		d.Peer = n.peers.await(ctx, q.peersTried)
+		d.Links = n.links.current() // it may have changed meanwhile
 	}
 	return detour.Decide(d)
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -167,13 +167,14 @@
 // await reports whether there is a peer that can take a request over, other than those
 // that were tried. It waits for one while the first checks are under way.
 func (p *peers) await(ctx context.Context, tried []sardine.NodeID) bool {
+	until := p.node.clock.Now() + peerSearchTime // the search may begin anew meanwhile
 	for {
 		now := p.node.clock.Now()
 		p.mu.Lock()
 		p.activate()
-		available, left, changed := p.core.Available(now, tried), p.searchUntil-now, p.changed
+		available, left, changed := p.core.Available(now, tried), min(p.searchUntil, until)-now, p.changed
 		p.mu.Unlock()
-		if available || left <= 0 {
+		if available || left <= 0 || p.node.links.current() == uplink.Connected {
 			return available
 		}
 		select {
