--- a/controld/start/rescue.go
+++ b/controld/start/rescue.go
@@ -20,7 +20,7 @@
 )
 
 // newRescue returns the command that makes a survivor the only control node, after a
-// quorum was lost for good.
+// majority of the voters is lost for good.
 func newRescue() *cobra.Command {
 	var lost []string
 	var survivors map[string]string
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -40,7 +40,7 @@
 type isolation struct {
 	node       *Node
 	progressAt atomic.Int64                    // last part of an answer from any target
-	heard      atomic.Pointer[route.Candidate] // the target that sent it
+	heard      atomic.Pointer[route.Candidate] // the target that sent the last part of an answer, nil before the first
 	state      atomic.Int32                    // the detector's
 	notice     chan struct{}                   // wakes the loop
 
@@ -250,8 +250,8 @@
 	return false
 }
 
-// heardAddress returns the address of the target that is most likely to accept a
-// connection, "" if none has answered yet.
+// heardAddress returns the address of the target that answered last, "" if none has. It is
+// the most likely one to accept a connection.
 func (i *isolation) heardAddress() string {
 	if heard := i.heard.Load(); heard != nil {
 		return heard.Address
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -45,7 +45,7 @@
 	attemptsBefore int            // attempts that the node may not use, since that node has
 	hop            detour.Route   // where the next attempt goes
 	peersTried     []sardine.NodeID
-	refusedByPeer  bool // another node has refused it for good
+	refusedByPeer  bool // another entry node has refused it, and no further one may be asked
 
 	attempts int
 	counted  bool // the current attempt is included in attempts
--- a/quorum/contact.go
+++ b/quorum/contact.go
@@ -14,7 +14,7 @@
 // Contact describes another voter from the point of view of a voter without a leader.
 type Contact struct {
 	Node    sardine.NodeID
-	HeardAt sardine.Millis // time of its last message, 0 for none
+	HeardAt sardine.Millis // when its last message arrived, 0 before the first
 	Answers bool           // it sent something lately
 }
 
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -66,7 +66,7 @@
 	lastContact      sardine.Millis                    // time of the last message from a leader
 	contacted        bool                              // lastContact is set
 	lastLeader       sardine.NodeID                    // that lastContact belongs to
-	heard            map[sardine.NodeID]sardine.Millis // time of the last message of each member, while this node does not lead
+	heard            map[sardine.NodeID]sardine.Millis // time of the last message from each member; kept up to date while another node leads or none does
 	electionAt       sardine.Millis
 	heartbeatAt      sardine.Millis
 	votes            map[sardine.NodeID]bool
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -25,7 +25,7 @@
 	inflight         []inflightAppend
 	inflightBytes    int            // entry bytes of all inflight messages
 	lastContact      sardine.Millis // time of the last reply, or of the start of the term
-	heardAt          sardine.Millis // lastContact; for the previous leader also of its last message
+	heardAt          sardine.Millis // time of the last reply or, from the previous leader, message
 	ackedAt          sardine.Millis // time of the last advance of match, or of the first inflight message
 	awaitingReply    bool           // a probe or chunk is unanswered
 	sentAt           sardine.Millis
