--- /dev/null
+++ b/review/6/platform/main.go
@@ -0,0 +1,75 @@
+// Command platform plays the scripts of the second review: it starts the project's
+// programs on loopback as the platform does, with stand-ins of workers, requesters and
+// the operator, and checks one rule by what these have seen.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Exit codes of a script.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// plays are the cases by name. Each reports whether the rule was broken.
+var plays = map[string]func(s *site, trouble bool) (broken bool, err error){
+	"flood": playFlood,
+}
+
+func main() {
+	name := flag.String("case", "", "case to play")
+	programs := flag.String("programs", "target", "folder of the programs")
+	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	flag.Parse()
+	os.Exit(run(*name, *programs, *path))
+}
+
+func run(name, programs, path string) int {
+	play, known := plays[name]
+	if !known {
+		fmt.Fprintf(os.Stderr, "no case %q\n", name)
+		return exitFailed
+	}
+	r, err := newRecord(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer r.close()
+	s, err := newSite(r, programs)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer s.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.stop()
+		os.Exit(exitFailed)
+	}()
+	if err := s.start(); err != nil {
+		r.say("the case can't run: %v", err)
+		return exitFailed
+	}
+	broken, err := play(s, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		r.say("the case can't run: %v", err)
+		return exitFailed
+	case broken:
+		r.say("the rule is broken")
+		return exitBroken
+	default:
+		r.say("the rule holds")
+		return exitHeld
+	}
+}
--- /dev/null
+++ b/review/6/platform/names.go
@@ -0,0 +1,26 @@
+package main
+
+// Headers and paths of the users' interface.
+const (
+	headerRequest     = "X-Sardineswitch-Request-Id"
+	headerDeadline    = "X-Sardineswitch-Request-Deadline"
+	headerStamp       = "X-Sardineswitch-Response-Stamp"
+	headerExpect      = "X-Sardineswitch-Expect-Instance"
+	headerTenant      = "X-Sardineswitch-Tenant"
+	headerNotExecuted = "X-Sardineswitch-Not-Executed"
+	headerInstance    = "X-Sardineswitch-Instance-Id"
+
+	pathReady     = "/api/readiness"
+	pathPut       = "/api/config/put"
+	pathInstances = "/api/instances/"
+
+	settingsVariable = "SARDINESWITCH_SETTINGS"
+)
+
+// Names of the small deployment that the cases run.
+const (
+	host    = "shop.example"
+	key     = "n2ctnfzs989anu6wsjnb"
+	tenant  = "hule930"
+	service = "loja"
+)
