--- a/review/6/platform/caller.go
+++ b/review/6/platform/caller.go
@@ -34,6 +34,7 @@
 	site   *site
 	method string
 	path   string
+	pause  time.Duration // between an answer and the next request
 	stop   atomic.Bool
 	all    sync.WaitGroup
 
@@ -42,8 +43,16 @@
 }
 
 func startCallers(s *site, each int, method, path string) *callers {
-	c := &callers{site: s, method: method, path: path}
-	for _, n := range s.entries() {
+	return startWith(&callers{site: s, method: method, path: path, pause: thinkTime}, each)
+}
+
+// startPacedCallers starts requesters that pause longer.
+func startPacedCallers(s *site, each int, method, path string) *callers {
+	return startWith(&callers{site: s, method: method, path: path, pause: callInterval}, each)
+}
+
+func startWith(c *callers, each int) *callers {
+	for _, n := range c.site.entries() {
 		for range each {
 			c.all.Go(func() { c.run(n) })
 		}
@@ -83,7 +92,7 @@
 		if !open {
 			return
 		}
-		time.Sleep(thinkTime)
+		time.Sleep(c.pause)
 	}
 }
 
@@ -93,8 +102,9 @@
 	o.id = fmt.Sprintf("%016x", rand.Uint64())
 	_ = conn.SetDeadline(time.Now().Add(requestDeadline))
 	c.site.record.add("request %s is sent to %s", o.id, conn.RemoteAddr())
-	_, err := fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n",
-		c.method, c.path, o.id, host, headerRequest, o.id, headerDeadline, requestDeadline.Milliseconds(), key)
+	_, err := fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: 200,80\r\n%s: aa:40,%s:160\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n",
+		c.method, c.path, o.id, host, headerRequest, o.id, headerDeadline, requestDeadline.Milliseconds(),
+		headerModel, model, headerTokens, headerPrefix, o.id, key)
 	if err != nil {
 		o.closed = !isTimeout(err)
 		return o, false
@@ -123,7 +133,9 @@
 	switch {
 	case !strings.HasSuffix(resp.Header.Get(headerStamp), "."+id):
 		return "the stamp is not of this request"
-	case !strings.HasPrefix(body, id):
+	case resp.Header.Get("Content-Type") == "text/event-stream" && strings.Count(body, id) != streamEvents:
+		return "the stream is not whole"
+	case resp.Header.Get("Content-Type") != "text/event-stream" && !strings.HasPrefix(body, id):
 		return "the body is not of this request"
 	default:
 		return ""
--- a/review/6/platform/main.go
+++ b/review/6/platform/main.go
@@ -20,7 +20,8 @@
 
 // plays are the cases by name. Each reports whether the rule was broken.
 var plays = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"flood": playFlood,
+	"flood":     playFlood,
+	"malformed": playMalformed,
 }
 
 func main() {
--- a/review/6/platform/names.go
+++ b/review/6/platform/names.go
@@ -8,6 +8,9 @@
 	headerExpect      = "X-Sardineswitch-Expect-Instance"
 	headerTenant      = "X-Sardineswitch-Tenant"
 	headerNotExecuted = "X-Sardineswitch-Not-Executed"
+	headerModel       = "X-Sardineswitch-Model"
+	headerTokens      = "X-Sardineswitch-Token-Counts"
+	headerPrefix      = "X-Sardineswitch-Prompt-Prefix"
 	headerInstance    = "X-Sardineswitch-Instance-Id"
 
 	pathReady     = "/api/readiness"
@@ -24,3 +27,12 @@
 	tenant  = "hule930"
 	service = "loja"
 )
+
+// Names of the engines' part of the deployment.
+const (
+	engineService = "lenco"
+	model         = "daka510000"
+	modelSize     = 4
+	domain        = "d-1"
+	pathOrder     = "/api/order"
+)
