--- a/review/6/platform/engine.go
+++ b/review/6/platform/engine.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -377,7 +378,8 @@
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, m membership) {
 	control := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := 1; i <= streamEvents; i++ {
+	first, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	for i := first + 1; i <= streamEvents; i++ {
 		for !e.fabric.whole(m) {
 			if e.stalled(m) {
 				panic(http.ErrAbortHandler)
--- a/review/6/platform/malformed.go
+++ b/review/6/platform/malformed.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	engines           = 5
+	engines           = 7
 	malformedWarmup   = 4 * time.Second
 	malformedPause    = 2 * time.Second
 	crashTime         = 4500 * time.Millisecond
