--- a/review/6/platform/caller.go
+++ b/review/6/platform/caller.go
@@ -23,6 +23,9 @@
 type outcome struct {
 	id     string
 	entry  string // name of the entry node
+	sentAt time.Time
+	doneAt time.Time
+	leaves string // the worker whose answer said that it leaves, empty for none
 	kept   bool   // the connection had carried another request before
 	closed bool   // the connection ended, in time, before any byte of an answer
 	status int    // 0 without a complete answer
@@ -99,7 +102,8 @@
 // send sends one request and reads its answer. open reports whether the connection can
 // carry another one.
 func (c *callers) send(conn net.Conn, r *bufio.Reader) (o outcome, open bool) {
-	o.id = fmt.Sprintf("%016x", rand.Uint64())
+	o.id, o.sentAt = fmt.Sprintf("%016x", rand.Uint64()), time.Now()
+	defer func() { o.doneAt = time.Now() }()
 	_ = conn.SetDeadline(time.Now().Add(requestDeadline))
 	c.site.record.add("request %s is sent to %s", o.id, conn.RemoteAddr())
 	_, err := fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: 200,80\r\n%s: aa:40,%s:160\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n",
@@ -122,6 +126,9 @@
 		return o, false
 	}
 	o.status = resp.StatusCode
+	if resp.Header.Get(headerLeaving) != "" {
+		o.leaves = resp.Header.Get(headerInstance)
+	}
 	if resp.StatusCode == http.StatusOK {
 		o.wrong = checkAnswer(o.id, resp, string(body))
 	}
--- a/review/6/platform/main.go
+++ b/review/6/platform/main.go
@@ -22,6 +22,7 @@
 var plays = map[string]func(s *site, trouble bool) (broken bool, err error){
 	"flood":     playFlood,
 	"malformed": playMalformed,
+	"leaving":   playLeaving,
 }
 
 func main() {
--- a/review/6/platform/names.go
+++ b/review/6/platform/names.go
@@ -11,6 +11,7 @@
 	headerModel       = "X-Sardineswitch-Model"
 	headerTokens      = "X-Sardineswitch-Token-Counts"
 	headerPrefix      = "X-Sardineswitch-Prompt-Prefix"
+	headerLeaving     = "Server-Leaving"
 	headerLastEvent   = "Last-Event-Id"
 	headerInstance    = "X-Sardineswitch-Instance-Id"
 
--- a/review/6/platform/worker.go
+++ b/review/6/platform/worker.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,22 +36,30 @@
 	// open. It reports whether the worker goes on with the connection.
 	after func(c net.Conn, r *bufio.Reader, answer []byte) bool
 
-	mu   sync.Mutex
-	ran  map[string]int // by request id
-	next string         // control node for the next ping
-	sent uint64         // pings
+	cut     atomic.Bool // its pings reach no control node
+	leaving atomic.Bool // it says so in its pings and answers
+	exited  atomic.Bool
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	ran      map[string]int       // by request id
+	began    map[string]time.Time // by request id
+	next     string               // control node for the next ping
+	sent     uint64               // pings
 }
 
 func startWorker(s *site, index int) (*worker, error) {
 	w := &worker{
 		site: s, id: fmt.Sprintf("i-%08x", rand.Uint32()), ip: s.ip(20 + index), born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, workerSlots), ran: map[string]int{},
+		slots: make(chan struct{}, workerSlots), ran: map[string]int{}, began: map[string]time.Time{}, conns: map[net.Conn]bool{},
 	}
 	w.address = s.address(w.ip, frontPort)
 	l, err := net.Listen("tcp", w.address)
 	if err != nil {
 		return nil, err
 	}
+	w.listener = l
 	s.record.add("worker %s listens at %s", w.id, w.address)
 	go func() {
 		for {
@@ -65,15 +74,37 @@
 	return w, nil
 }
 
+// exit ends the worker's process.
+func (w *worker) exit() {
+	w.exited.Store(true)
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		_ = c.Close()
+	}
+	w.site.record.say("worker %s exits", w.id)
+}
+
 // ping reports the worker to control nodes.
 func (w *worker) ping() {
 	client := &http.Client{Timeout: callTimeout}
-	for {
-		w.pingOnce(client)
+	for !w.exited.Load() {
+		if !w.cut.Load() {
+			w.pingOnce(client)
+		}
 		time.Sleep(heartbeatInterval)
 	}
 }
 
+// state returns what the worker says of itself.
+func (w *worker) state() string {
+	if w.leaving.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
 func (w *worker) pingOnce(client *http.Client) {
 	for range controlNodes {
 		if w.next == "" {
@@ -82,7 +113,7 @@
 		w.sent++
 		body, _ := json.Marshal(map[string]any{
 			"service": service, "address": w.address, "zone": "tas-hobart", "version": "v1", "slots": workerSlots,
-			"state": "ready", "coldLeftMs": 0, "sequence": w.sent, "born": w.born,
+			"state": w.state(), "coldLeftMs": 0, "sequence": w.sent, "born": w.born,
 		})
 		resp, err := client.Post("http://"+w.next+pathInstances+w.id+"/heartbeat", "application/json", bytes.NewReader(body))
 		if err == nil {
@@ -105,8 +136,11 @@
 // serve answers the requests of one connection.
 func (w *worker) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
+	w.mu.Lock()
+	w.conns[c] = true
+	w.mu.Unlock()
 	r := bufio.NewReader(c)
-	for {
+	for !w.exited.Load() {
 		_ = c.SetReadDeadline(time.Now().Add(workerIdle))
 		q, err := http.ReadRequest(r)
 		if err != nil {
@@ -140,12 +174,17 @@
 	}
 	w.mu.Lock()
 	w.ran[id]++
+	w.began[id] = time.Now()
 	w.mu.Unlock()
 	w.site.record.add("worker %s runs request %s (%s %s)", w.id, id, q.Method, q.URL.Path)
 	time.Sleep(workTime())
 	body := strings.Repeat(id+" ", answerBytes/(len(id)+1)+1)[:answerBytes-rand.IntN(100)]
-	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\nKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s",
-		headerRequest, id, headerInstance, w.id, headerStamp, stampOf(w.id, id), int(workerIdle.Seconds()), len(body), body)
+	leaving := ""
+	if w.leaving.Load() {
+		leaving = headerLeaving + ": 1\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%sKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s",
+		headerRequest, id, headerInstance, w.id, headerStamp, stampOf(w.id, id), leaving, int(workerIdle.Seconds()), len(body), body)
 }
 
 // workTime returns how long a request is at work: 60 ms on average.
