--- a/review/6/platform/engine.go
+++ b/review/6/platform/engine.go
@@ -178,9 +178,9 @@
 
 func (e *engine) pingOnce(client *http.Client) {
 	body, _ := json.Marshal(e.report())
-	for range controlNodes {
+	for range pingTries {
 		if e.next == "" {
-			e.next = e.site.address(e.site.controls()[rand.IntN(controlNodes)].ip, controlPort)
+			e.next = e.site.address(e.site.anyControl().ip, controlPort)
 		}
 		resp, err := client.Post("http://"+e.next+pathInstances+e.id+"/heartbeat", "application/json", bytes.NewReader(body))
 		if err == nil {
--- a/review/6/platform/main.go
+++ b/review/6/platform/main.go
@@ -18,11 +18,17 @@
 	exitFailed = 2
 )
 
-// plays are the cases by name. Each reports whether the rule was broken.
-var plays = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"flood":     playFlood,
-	"malformed": playMalformed,
-	"leaving":   playLeaving,
+// play is a case. It reports whether the rule was broken.
+type play struct {
+	controls int // core machines of the deployment
+	run      func(s *site, trouble bool) (broken bool, err error)
+}
+
+var plays = map[string]play{
+	"flood":     {3, playFlood},
+	"malformed": {3, playMalformed},
+	"leaving":   {3, playLeaving},
+	"replaced":  {5, playReplaced},
 }
 
 func main() {
@@ -34,7 +40,7 @@
 }
 
 func run(name, programs, path string) int {
-	play, known := plays[name]
+	one, known := plays[name]
 	if !known {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
 		return exitFailed
@@ -45,7 +51,7 @@
 		return exitFailed
 	}
 	defer r.close()
-	s, err := newSite(r, programs)
+	s, err := newSite(r, programs, one.controls)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -62,7 +68,7 @@
 		r.say("the case can't run: %v", err)
 		return exitFailed
 	}
-	broken, err := play(s, os.Getenv("TROUBLE") != "0")
+	broken, err := one.run(s, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
 		r.say("the case can't run: %v", err)
--- a/review/6/platform/names.go
+++ b/review/6/platform/names.go
@@ -17,6 +17,7 @@
 
 	pathReady     = "/api/readiness"
 	pathPut       = "/api/config/put"
+	pathGet       = "/api/config/get"
 	pathInstances = "/api/instances/"
 
 	settingsVariable = "SARDINESWITCH_SETTINGS"
--- a/review/6/platform/site.go
+++ b/review/6/platform/site.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,8 +21,8 @@
 )
 
 const (
-	controlNodes = 3
 	entryNodes   = 2
+	seedCount    = 3
 	memoryMB     = 284 // limits.memoryMb of the deployment's machines
 	restartDelay = 500 * time.Millisecond
 	memoryPoll   = 5 * time.Millisecond
@@ -37,8 +38,12 @@
 	program string // folder of the programs
 	prefix  string // of the addresses
 	port    int    // lowest of the ports, which are the same on all machines
-	nodes   []*node
-	version int // of the config that was sent last
+	version int    // of the config that was sent last
+
+	mu    sync.Mutex
+	core  []*node // that serve operators and workers; one that is gone is replaced here
+	front []*node // that serve requesters
+	addrs int     // used for core machines
 }
 
 // node is a machine with one process.
@@ -57,7 +62,7 @@
 }
 
 // newSite returns a site of which nothing runs yet.
-func newSite(r *record, program string) (*site, error) {
+func newSite(r *record, program string, controlNodes int) (*site, error) {
 	folder, err := os.MkdirTemp("", "sardine-review")
 	if err != nil {
 		return nil, err
@@ -66,15 +71,21 @@
 	if err := s.findAddresses(); err != nil {
 		return nil, err
 	}
-	for i := range controlNodes {
-		s.nodes = append(s.nodes, &node{site: s, name: fmt.Sprintf("control-%d", i+1), program: "controld", ip: s.ip(i + 1)})
+	for range controlNodes {
+		s.core = append(s.core, s.newControl())
 	}
 	for i := range entryNodes {
-		s.nodes = append(s.nodes, &node{site: s, name: fmt.Sprintf("entry-%d", i+1), program: "entryd", ip: s.ip(i + 11)})
+		s.front = append(s.front, &node{site: s, name: fmt.Sprintf("entry-%d", i+1), program: "entryd", ip: s.ip(i + 15)})
 	}
 	return s, nil
 }
 
+// newControl returns a core machine at an address that none has had.
+func (s *site) newControl() *node {
+	s.addrs++
+	return &node{site: s, name: fmt.Sprintf("control-%d", s.addrs), program: "controld", ip: s.ip(s.addrs)}
+}
+
 // findAddresses chooses loopback addresses and ports that nobody uses.
 func (s *site) findAddresses() error {
 	for range 50 {
@@ -121,17 +132,30 @@
 
 // controls returns the nodes that serve operators and workers.
 func (s *site) controls() []*node {
-	return s.nodes[:controlNodes]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.core)
+}
+
+// anyControl returns one of them.
+func (s *site) anyControl() *node {
+	all := s.controls()
+	return all[rand.IntN(len(all))]
+}
+
+// all returns all machines.
+func (s *site) all() []*node {
+	return slices.Concat(s.controls(), s.front)
 }
 
 // entries returns the nodes that serve requesters.
 func (s *site) entries() []*node {
-	return s.nodes[controlNodes:]
+	return s.front
 }
 
 // start starts all processes.
 func (s *site) start() error {
-	for _, n := range s.nodes {
+	for _, n := range s.all() {
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -142,27 +166,41 @@
 
 // stop ends all processes and removes the folder.
 func (s *site) stop() {
-	for _, n := range s.nodes {
-		n.mu.Lock()
-		n.stopped = true
-		process := n.process
-		n.mu.Unlock()
-		if process != nil {
-			_ = process.Process.Kill()
-			_, _ = process.Process.Wait()
-		}
+	for _, n := range s.all() {
+		n.end()
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.folder)
 	}
 }
 
+// end ends the node's process for good.
+func (n *node) end() {
+	n.mu.Lock()
+	n.stopped = true
+	process := n.process
+	n.mu.Unlock()
+	if process != nil {
+		_ = process.Process.Kill()
+		_, _ = process.Process.Wait()
+	}
+}
+
+// kill kills the node's process, which is started again.
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil && !n.stopped {
+		_ = n.process.Process.Kill()
+	}
+}
+
 // settings returns the text of the settings file, as the platform renders it from the
 // templates in deploy/.
 func (n *node) settings() string {
 	s := n.site
 	var seeds []string
-	for _, c := range s.controls() {
+	for _, c := range s.controls()[:seedCount] {
 		seeds = append(seeds, strconv.Quote(s.address(c.ip, controlPort)))
 	}
 	discovery := fmt.Sprintf("[discovery]\nseeds = [%s]\nport = %d\n", strings.Join(seeds, ","), s.port+internalPort)
@@ -225,7 +263,7 @@
 // watchMemory kills processes that use more memory than their machine has.
 func (s *site) watchMemory() {
 	for {
-		for _, n := range s.nodes {
+		for _, n := range s.all() {
 			n.checkMemory()
 		}
 		time.Sleep(memoryPoll)
@@ -270,7 +308,7 @@
 	}
 	client := &http.Client{Timeout: callTimeout}
 	for end := time.Now().Add(bootTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		c := s.controls()[rand.IntN(controlNodes)]
+		c := s.anyControl()
 		resp, err := client.Post("http://"+s.address(c.ip, controlPort)+pathPut, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
--- a/review/6/platform/worker.go
+++ b/review/6/platform/worker.go
@@ -20,6 +20,7 @@
 	workerSlots       = 16
 	workerIdle        = 20 * time.Second
 	heartbeatInterval = 1200 * time.Millisecond
+	pingTries         = 3
 	answerBytes       = 800
 )
 
@@ -106,9 +107,9 @@
 }
 
 func (w *worker) pingOnce(client *http.Client) {
-	for range controlNodes {
+	for range pingTries {
 		if w.next == "" {
-			w.next = w.site.address(w.site.controls()[rand.IntN(controlNodes)].ip, controlPort)
+			w.next = w.site.address(w.site.anyControl().ip, controlPort)
 		}
 		w.sent++
 		body, _ := json.Marshal(map[string]any{
