Tests of crowds that hold large bodies open at real processes

A crowd (platform/roll/crowds.go) sends bodies of the largest size to one entry or control node: whole, in pieces, in chunks of 256 KiB, 12 bytes or 1 byte, on HTTP/2 streams, far over the limit, or eight on a connection. Most clients stop short of the end, stay, and come back when they are refused. Judged are that every process lives, that its peak memory (VmHWM) stays under the memory of its settings, its descriptors under the machine's, and that ordinary requests, one of the largest size and a layout are answered; no times.

The settings say 96 MB and bodies of 1 MiB, so that small crowds show the fault.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,10 @@
 SPACE := $(EMPTY) $(EMPTY)
 TIMED := ^Test($(subst $(SPACE),|,$(strip $(TIMED_NAMES))))$$
 
+# Tests of crowds of clients measure the memory of processes. They run one at a time,
+# apart from all others.
+CROWDS := ^TestCrowds
+
 .PHONY: check demo fail tools rename-tool format-check lint vet build catalogues test race generate format pages operate measures
 
 check: tools format-check vet lint build catalogues test race
@@ -64,8 +68,9 @@
 	go run ./sardctl docs write docs
 
 test:
-	go test -skip '$(if $(KNOWN_RED),^($(KNOWN_RED))$$|)$(TIMED)' $(PACKAGES)
+	go test -skip '$(if $(KNOWN_RED),^($(KNOWN_RED))$$|)$(TIMED)|$(CROWDS)' $(PACKAGES)
 	go test $(SKIP) -run '$(TIMED)' -parallel 4 ./platform
+	go test -count=1 -p 1 $(SKIP) -run '$(CROWDS)' ./platform/roll
 
 # Follows the operators' pages with processes of their own on loopback.
 operate: build
