Bodies of all requests of an entry node share one budget of memory

Callers saw an entry node disappear with all its requests: clients that sent many bodies of legal size and stopped short of their end took it over its memory. A single body was bounded, their sum was not: each was read with a buffer that doubles (io.ReadAll) before the request was admitted, and stayed until the read timeout.

Package upload: a body reserves its memory, a quarter of the machine's in all (limits.uploads_mb), before it is read. What does not fit waits a second at most, small requests first; meanwhile senders far behind a pace of 64 bytes a millisecond are given up (408) and ended bodies are collected; then 503 uploads_full, which promises that the request has not run.

It works since memory that is not reserved is never allocated: unread bytes stay with their senders.

--- a/codes/table.go
+++ b/codes/table.go
@@ -26,6 +26,7 @@
 	ClaimsFull       Code = 207
 	SegmentSuspected Code = 208
 	Isolated         Code = 209
+	UploadsFull      Code = 210
 
 	NoTarget      Code = 300
 	TargetFailed  Code = 301
@@ -84,6 +85,7 @@
 	{ClaimsFull, "claims_full", 503, "the idempotency key can't be stored because too many are kept; the request was not run", "use fewer keys a day; keys are kept for 24 hours"},
 	{SegmentSuspected, "segment_suspected", 503, "a target failed while it ran a request with the same prompt segment, and no other has begun one since", "send again after the time in the Retry-After header"},
 	{Isolated, "isolated", 503, "the entry node has lost its links to the targets, and no other one takes the request over", "send again, the balancer picks another node"},
+	{UploadsFull, "uploads_full", 503, "the bodies of other requests take the memory for bodies; the request was not run", "send again after the time in the Retry-After header"},
 
 	{NoTarget, "no_target", 503, "no target is available for the request", "send again after the time in the Retry-After header"},
 	{TargetFailed, "target_failed", 502, "the target failed before it answered", "send again if the request is idempotent"},
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"cmp"
 	"fmt"
 
 	sardine "sardineswitch.dev/sardine"
@@ -171,6 +172,11 @@
 	return e.retries
 }
 
+// UploadBytes returns the memory for all request bodies together, in bytes.
+func (e *Entry) UploadBytes() int64 {
+	return cmp.Or(e.limits.uploadBytes, uploadBytesOf(e.memory))
+}
+
 // Memory returns the memory that the machine has for the process, in bytes, 0 if
 // not set.
 func (e *Entry) Memory() int64 {
--- a/conf/limits.go
+++ b/conf/limits.go
@@ -10,6 +10,7 @@
 // Limits holds the limits on callers' requests at one entry node.
 type Limits struct {
 	bodyBytes     int64
+	uploadBytes   int64 // 0: by the machine's memory
 	headerBytes   int
 	headerTimeout sardine.Millis
 	bodyTimeout   sardine.Millis
@@ -21,6 +22,7 @@
 	const kilobyte, megabyte = 1 << 10, 1 << 20
 	return Limits{
 		bodyBytes:     t.Int("body_bytes", 4*megabyte, kilobyte, 256*megabyte),
+		uploadBytes:   t.Int("uploads_mb", 0, 0, 1<<20) * megabyte,
 		headerBytes:   int(t.Int("header_bytes", 16*kilobyte, kilobyte, megabyte)),
 		headerTimeout: millis(t, "header_timeout_ms", 5*sardine.Second, 100, 60*sardine.Second),
 		bodyTimeout:   millis(t, "body_timeout_ms", 10*sardine.Second, 100, 600*sardine.Second),
@@ -34,6 +36,22 @@
 	return l.bodyBytes
 }
 
+const (
+	// uploadShare is the part of the machine's memory, as a divisor, for request bodies.
+	uploadShare = 4
+	// uploadDefault is for request bodies if the machine's memory is not given, in bytes.
+	uploadDefault = 256 << 20
+)
+
+// uploadBytesOf returns the memory for all request bodies together if the settings state
+// none, in bytes.
+func uploadBytesOf(memory int64) int64 {
+	if memory == 0 {
+		return uploadDefault
+	}
+	return memory / uploadShare
+}
+
 // HeaderBytes returns the largest request header.
 func (l Limits) HeaderBytes() int {
 	return l.headerBytes
--- a/entry/begin.go
+++ b/entry/begin.go
@@ -6,8 +6,12 @@
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/admit"
+	"sardineswitch.dev/sardine/upload"
 )
 
+// longestUploadWait is how long a request may wait for the memory of its body.
+const longestUploadWait = sardine.Second
+
 // admittedRequest is a caller's request that was read and admitted.
 type admittedRequest struct {
 	request *request
@@ -16,15 +20,29 @@
 	sink    *sink
 	ctx     context.Context // done when the caller disconnects, the deadline passes or the drain time is over
 	cancel  context.CancelCauseFunc
+	body    *upload.Body
+}
+
+// end releases what the request holds.
+func (b *admittedRequest) end() {
+	b.cancel(nil)
+	b.body.Release()
 }
 
 // begin reads a request and waits until it may be dispatched. If the request is
 // refused, the refusal has been sent and admitted is false.
-func (n *Node) begin(w http.ResponseWriter, r *http.Request, read func(sardine.CallerPort, *http.Request, int64) (*request, error)) (b *admittedRequest, admitted bool) {
+func (n *Node) begin(w http.ResponseWriter, r *http.Request, read func(sardine.CallerPort, *http.Request, bodyFunc) (*request, error)) (b *admittedRequest, admitted bool) {
 	k := n.beginTrace()
 	unlimit := n.limitRead(w)
-	q, err := read(n.callers, r, n.limits.BodyBytes)
+	var body *upload.Body
+	q, err := read(n.callers, r, func() (bytes []byte, err error) {
+		if body, err = n.uploads.Read(w, r, n.limits.BodyBytes, longestUploadWait); err != nil {
+			return nil, err
+		}
+		return body.Bytes(), nil
+	})
 	if err != nil {
+		body.Release()
 		n.refuseTraced(w, k, err)
 		return nil, false
 	}
@@ -35,6 +53,7 @@
 	key, ticket, err := n.enter(ctx, q)
 	if err != nil {
 		cancel(nil)
+		body.Release()
 		n.refuseTraced(w, k, err)
 		return nil, false
 	}
@@ -45,5 +64,6 @@
 		sink:    newSink(n.callers, w, q.id, n.timing.Write),
 		ctx:     ctx,
 		cancel:  cancel,
+		body:    body,
 	}, true
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -61,7 +61,7 @@
 	if !admitted {
 		return
 	}
-	defer b.cancel(nil)
+	defer b.end()
 	run := &modelRun{node: n, request: b.request, service: b.service, ticket: b.ticket, sink: b.sink, ran: sardine.RanNo}
 	segments := prefixSegments(b.service.routeName(), b.request.prefixes)
 	run.losses = losses{node: n, request: b.request.id, service: b.service.routeName(), segments: segments, poison: b.request.poison}
--- a/entry/node.go
+++ b/entry/node.go
@@ -29,6 +29,7 @@
 	"sardineswitch.dev/sardine/serve"
 	"sardineswitch.dev/sardine/status"
 	"sardineswitch.dev/sardine/trace"
+	"sardineswitch.dev/sardine/upload"
 )
 
 // Node is one entry node. Call New, Start and Stop once each.
@@ -97,6 +98,7 @@
 	checks            *checks
 	strikes           *strikes
 	answers           *serve.Budget // of answers that are held until they are whole
+	uploads           *upload.Budget
 	follower          *follower
 	meter             *instruments
 	traces            *trace.Ring
@@ -194,6 +196,7 @@
 	n.checks = newChecks(n)
 	n.strikes = newStrikes(n)
 	n.answers = serve.NewBudget(heldAnswerBytes)
+	n.uploads = upload.NewBudget(n.clock, n.limits.UploadBytes)
 	n.follower = newFollower(n)
 	return nil
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -47,13 +47,14 @@
 // Limits bounds what callers may send.
 type Limits struct {
 	BodyBytes   int64
+	UploadBytes int64 // of the bodies of all requests together
 	HeaderBytes int
 	Connections int // concurrent connections of callers
 }
 
 // DefaultLimits returns bounds for ordinary prompts.
 func DefaultLimits() Limits {
-	return Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 10000}
+	return Limits{BodyBytes: 1 << 20, UploadBytes: 256 << 20, HeaderBytes: 16 << 10, Connections: 10000}
 }
 
 // Option sets a property of a Node.
--- a/entry/pass_take.go
+++ b/entry/pass_take.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	switch codes.Of(err) {
-	case codes.Draining, codes.Isolated, codes.NoLease:
+	case codes.Draining, codes.Isolated, codes.NoLease, codes.UploadsFull:
 		return true
 	case codes.QueueFull:
 		return q.route == nil // too many requests of others
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -32,8 +32,8 @@
 const maxStoredBytes = 16 << 10
 
 // readPlain reads a request to a plain service.
-func readPlain(callers sardine.CallerPort, r *http.Request, limit int64) (*request, error) {
-	q, err := readCommon(callers, r, limit)
+func readPlain(callers sardine.CallerPort, r *http.Request, readBody bodyFunc) (*request, error) {
+	q, err := readCommon(callers, r, readBody)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +64,7 @@
 	if !admitted {
 		return
 	}
-	defer b.cancel(nil)
+	defer b.end()
 	run := &plainRun{node: n, request: b.request, service: b.service, sink: b.sink, ran: sardine.RanNo}
 	run.losses = &losses{node: n, request: b.request.id, poison: guard.FingerprintOf(b.request.body, string(b.request.workspace), string(b.request.service), b.request.method, b.request.path)}
 	run.repeatable = repeatable(n.view().deployments[b.service], b.request.method)
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,11 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"io"
 	"mime"
 	"net/http"
-	"os"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
@@ -63,10 +61,13 @@
 	N           *int            `json:"n"`
 }
 
+// bodyFunc reads the body of a request.
+type bodyFunc func() ([]byte, error)
+
 // readCommon reads what all requests have: the body and the headers of the
 // caller port.
-func readCommon(callers sardine.CallerPort, r *http.Request, limit int64) (*request, error) {
-	body, err := readBody(r, limit)
+func readCommon(callers sardine.CallerPort, r *http.Request, readBody bodyFunc) (*request, error) {
+	body, err := readBody()
 	if err != nil {
 		return nil, err
 	}
@@ -88,29 +89,12 @@
 	return q, nil
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, codes.New(codes.TooLarge, "the body has %d bytes, at most %d are taken", r.ContentLength, limit)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, codes.New(codes.SlowRequest, "the body stopped after %d bytes", len(body))
-	}
-	if err != nil {
-		return nil, codes.New(codes.BadRequest, "the body ended after %d bytes: %v", len(body), err)
-	}
-	if int64(len(body)) > limit {
-		return nil, codes.New(codes.TooLarge, "the body has more than %d bytes", limit)
-	}
-	return body, nil
-}
-
 // readModel reads a chat or completion request.
-func readModel(callers sardine.CallerPort, r *http.Request, limit int64) (*request, error) {
+func readModel(callers sardine.CallerPort, r *http.Request, readBody bodyFunc) (*request, error) {
 	if kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || kind != "application/json" {
 		return nil, codes.New(codes.BadRequest, "Content-Type is %q, expected application/json", r.Header.Get("Content-Type"))
 	}
-	q, err := readCommon(callers, r, limit)
+	q, err := readCommon(callers, r, readBody)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -47,7 +47,7 @@
 		r.Header.Set("X-Sardine-Workspace", "w")
 		r.Header.Set("X-Sardine-Priority", priority)
 		r.Header.Set("X-Sardine-Deadline-Ms", deadline)
-		q, err := readModel(reply.NewCallerPort(), r, 1<<16)
+		q, err := readModel(reply.NewCallerPort(), r, func() ([]byte, error) { return []byte(body), nil })
 		if err != nil {
 			if code := codes.Of(err); code != codes.BadRequest && code != codes.TooLarge {
 				t.Fatalf("unexpected error: %v", err)
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -19,6 +19,7 @@
 	"sardineswitch.dev/sardine/pool"
 	"sardineswitch.dev/sardine/proxy"
 	"sardineswitch.dev/sardine/route"
+	"sardineswitch.dev/sardine/upload"
 	"sardineswitch.dev/sardine/vital"
 )
 
@@ -32,6 +33,7 @@
 	service  serviceKey          // key of the deployment
 	tenant   *sardine.KeyTenant  // nil for a caller without a workspace
 	request  pool.Request
+	upload   *upload.Body // nil until the body is read
 	losses   losses
 	arrived  sardine.Millis
 	waited   sardine.Millis // estimate of how long the caller waited before this request arrived
@@ -99,6 +101,7 @@
 	if n.draining.Load() {
 		q.w.Header().Set("Connection", "close")
 	}
+	defer func() { q.upload.Release() }()
 	err := q.read(r)
 	if err == nil {
 		err = q.outlastsDrain()
@@ -165,11 +168,11 @@
 	if err := q.findService(table); err != nil {
 		return err
 	}
-	body, err := readBody(r, table.Layout().Limits.BodyBytes)
-	if err != nil {
+	if q.upload, err = n.uploads.Read(q.w, r, table.Layout().Limits.BodyBytes, q.uploadWait()); err != nil {
 		return err
 	}
 	unlimit()
+	body := q.upload.Bytes()
 	q.request = pool.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
 	q.losses.request, q.losses.service = q.call.ID, q.service.routeName()
 	q.losses.segments = guard.SegmentsOf(q.losses.service, q.call.Segments)
@@ -177,6 +180,12 @@
 	return nil
 }
 
+// uploadWait returns how long the request may wait for the memory of its body. The rest
+// of its time is for the target.
+func (q *routedRun) uploadWait() sardine.Millis {
+	return min(longestUploadWait, (q.deadline-q.arrived)/3)
+}
+
 // workspace returns the caller's workspace, or "" without one.
 func (q *routedRun) workspace() string {
 	if q.tenant == nil {
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -108,7 +108,7 @@
 		entry.WithLogger(logger),
 		entry.WithMetrics(s.ListenMetrics(), lines.Dropped),
 		entry.WithTiming(timingOf(s)),
-		entry.WithLimits(limitsOf(s.Limits())),
+		entry.WithLimits(limitsOf(s)),
 		entry.WithKeys(set),
 		entry.WithOperatorHash(s.OperatorHash()),
 		entry.WithTargetTokens(s.TargetTokens()),
@@ -142,9 +142,11 @@
 	return t
 }
 
-func limitsOf(l conf.Limits) entry.Limits {
+func limitsOf(s *conf.Entry) entry.Limits {
+	l := s.Limits()
 	return entry.Limits{
 		BodyBytes:   l.BodyBytes(),
+		UploadBytes: s.UploadBytes(),
 		HeaderBytes: l.HeaderBytes(),
 		Connections: l.Requests(),
 	}
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -34,6 +34,7 @@
 			newLoad,
 			newSoak,
 			newStop,
+			newCrowd,
 			newReport,
 			func() *cobra.Command { return launch.NewVersion("standin") },
 		},
--- /dev/null
+++ b/upload/sweep.go
@@ -0,0 +1,82 @@
+package upload
+
+import (
+	"cmp"
+	"slices"
+
+	sardine "sardineswitch.dev/sardine"
+)
+
+const (
+	// slowestPace is the number of bytes per millisecond that a sender keeps up.
+	slowestPace = 64
+	// mostLag is how far a sender may fall behind slowestPace.
+	mostLag = 500 * sardine.Millis(1)
+)
+
+// pace measures how far the sender of a body is behind slowestPace. Bytes ahead of it are
+// no credit for a later pause.
+type pace struct {
+	lag sardine.Millis
+	at  sardine.Millis // of the last change
+}
+
+// begin starts or resumes the measurement.
+func (p *pace) begin(now sardine.Millis) {
+	p.at = now
+}
+
+func (p *pace) received(now sardine.Millis, bytes int64) {
+	p.lag = max(0, p.behind(now)-sardine.Millis(bytes/slowestPace))
+	p.at = now
+}
+
+// behind returns the time by which the sender is late.
+func (p *pace) behind(now sardine.Millis) sardine.Millis {
+	return p.lag + now - p.at
+}
+
+// sweepLoop frees memory as long as requests wait for it.
+func (b *Budget) sweepLoop() {
+	for {
+		b.collect()
+		if !b.sweep() {
+			return
+		}
+		<-b.clock.After(sweepInterval)
+	}
+}
+
+// sweep gives up as many slow bodies as the waiting requests need, first those that hold
+// most for longest. It returns false if no request waits.
+func (b *Budget) sweep() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.waiting == 0 {
+		b.sweeping = false
+		return false
+	}
+	missing := b.wanted + b.total/reservedShare[large] - (b.total - b.used) - b.givenUp // garbage will be free soon
+	if missing <= 0 {
+		return true
+	}
+	now := b.clock.Now()
+	var slow []*Body
+	for body := range b.receiving {
+		if !body.givenUp && body.pace.behind(now) > mostLag {
+			slow = append(slow, body)
+		}
+	}
+	cost := func(x *Body) int64 { return x.reserved * int64(x.pace.behind(now)) }
+	slices.SortFunc(slow, func(x, y *Body) int { return cmp.Compare(cost(y), cost(x)) })
+	for _, body := range slow {
+		if missing <= 0 {
+			break
+		}
+		missing -= body.reserved
+		body.givenUp = true
+		b.givenUp += body.reserved
+		body.interrupt()
+	}
+	return true
+}
