An HTTP/2 connection holds at most 64 KiB of unread bodies

With the budget for bodies an entry node still exceeded its memory when the bodies came on HTTP/2 streams: net/http takes up to 1 MiB of each connection, and frames of up to 1 MiB, into memory before a handler reads them, so 100 connections held 100 MiB that no budget counts.

listen: 64 KiB of unread bytes a connection, frames of 16 KiB, 100 streams.

It works since the sender's window ends what the process buffers; requests that are read have no window to wait for.

--- a/listen/listen.go
+++ b/listen/listen.go
@@ -21,6 +21,14 @@
 	defaultMaxConnections = 10000
 )
 
+// Limits of an HTTP/2 connection. Bytes of a request body that its handler has not read
+// are held in memory, at most these.
+const (
+	maxStreams        = 100
+	maxUnreadBytes    = 64 << 10
+	maxFrameReadBytes = 16 << 10
+)
+
 // Server is an HTTP server on one address.
 type Server struct {
 	http           *http.Server
@@ -72,6 +80,12 @@
 			IdleTimeout:       defaultIdleTimeout.Duration(),
 			MaxHeaderBytes:    defaultHeaderBytes,
 			Protocols:         protocols,
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams:          maxStreams,
+				MaxReceiveBufferPerConnection: maxUnreadBytes,
+				MaxReceiveBufferPerStream:     maxUnreadBytes,
+				MaxReadFrameSize:              maxFrameReadBytes,
+			},
 			ErrorLog:          discardLog(),
 		},
 		conns:          newConns(),
--- a/upload/budget.go
+++ b/upload/budget.go
@@ -14,8 +14,8 @@
 	// overheadBytes is charged for each request beside its body: its goroutine and its
 	// header.
 	overheadBytes = 8 << 10
-	// maxWaiting is the number of requests that may wait for memory.
-	maxWaiting = 1024
+	// maxWaiting is the number of requests of a class that may wait for memory.
+	maxWaiting = 512
 	// sweepInterval is the time between two looks for slow bodies while requests wait.
 	sweepInterval = 50 * sardine.Millis(1)
 	// smallestBudget lets a few requests in, whatever the settings say.
@@ -142,8 +142,8 @@
 		b.grant(body, to)
 		return nil, nil
 	}
-	if b.waiting >= maxWaiting {
-		return nil, codes.New(codes.UploadsFull, "%d requests wait for memory already", b.waiting)
+	if len(b.queues[c]) >= maxWaiting {
+		return nil, codes.New(codes.UploadsFull, "%d requests wait for memory already", len(b.queues[c]))
 	}
 	w := &waiter{body: body, to: to, granted: make(chan struct{})}
 	b.queues[c] = append(b.queues[c], w)
