A body that was refused keeps no buffer alive

In the first version of package upload a queue that had become shorter still pointed to the body behind its end, and so kept that body's buffer; buffers that a larger one replaced were not counted.

--- a/upload/body.go
+++ b/upload/body.go
@@ -38,6 +38,7 @@
 // Release returns the memory. It may be called again, and on nil.
 func (y *Body) Release() {
 	if y != nil {
+		y.bytes = nil // what still refers to the Body doesn't keep the buffer
 		y.budget.release(y)
 	}
 }
@@ -98,6 +99,7 @@
 	if err := y.budget.reserve(y, overheadBytes+reserved, patience, r.Context().Done()); err != nil {
 		return err
 	}
+	y.budget.discard(int64(cap(y.bytes)))
 	y.bytes = append(make([]byte, 0, size), y.bytes...)
 	return nil
 }
--- a/upload/budget.go
+++ b/upload/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"sync"
 
 	sardine "sardineswitch.dev/sardine"
@@ -194,7 +195,7 @@
 
 func (b *Budget) dequeue(c class, i int) {
 	w := b.queues[c][i]
-	b.queues[c] = append(b.queues[c][:i], b.queues[c][i+1:]...)
+	b.queues[c] = slices.Delete(b.queues[c], i, i+1)
 	b.waiting--
 	b.wanted -= w.to - w.body.reserved
 }
@@ -219,6 +220,16 @@
 	body.pace.received(b.clock.Now(), int64(bytes))
 }
 
+// discard counts a buffer that a larger one replaces.
+func (b *Budget) discard(bytes int64) {
+	if classOf(bytes) == tiny {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.garbage += bytes
+}
+
 // complete ends the receipt of a body, which keeps so many bytes. It reports whether the
 // body was given up before.
 func (b *Budget) complete(body *Body, keeps int64) (interrupted bool) {
