Bodies at a control node share one budget of memory

The platform's config call and announcements ended a control node in the same way as callers' bodies an entry node: each was read whole into a doubling buffer, up to 16 MiB, with no bound on their sum and no time limit at all.

ControlPort gets its bodies through sardine.BodyReader; ctrl reads them within a budget of an eighth of the machine's memory (uploads_mb) and 10 s.

It works since layouts wait at their senders until others are decoded.

--- a/call.go
+++ b/call.go
@@ -107,11 +107,21 @@
 // ControlPort is the protocol adapter between operators or targets and control
 // nodes.
 type ControlPort interface {
-	// Handler returns the HTTP handler, which serves requests with the backend.
-	Handler(backend ControlBackend) http.Handler
+	// Handler returns the HTTP handler, which serves requests with the backend and reads
+	// their bodies with the reader.
+	Handler(backend ControlBackend, bodies BodyReader) http.Handler
 	LayoutCodec
 }
 
+// BodyReader reads request bodies into the memory that the process has for them.
+type BodyReader interface {
+	// ReadBody returns the whole body, which may have limit bytes. The caller calls
+	// release when it needs the bytes no longer, unless there is an error. Errors carry
+	// codes.TooLarge, codes.UploadsFull, codes.SlowRequest or codes.BadRequest; the
+	// response then closes the connection.
+	ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), err error)
+}
+
 // LayoutCodec parses operators' layout documents.
 type LayoutCodec interface {
 	// ParseLayout parses and checks a document. Errors carry codes.BadSettings.
--- a/conf/control.go
+++ b/conf/control.go
@@ -25,6 +25,7 @@
 	members           []Peer
 	discovery         Discovery
 	memory            int64
+	uploadBytes       int64 // 0: by the machine's memory
 	timings           ControlTimings
 	weights           WeightStore
 	log               Log
@@ -62,6 +63,7 @@
 		interfaceName:   t.Choice("interface", InterfaceOwn, InterfaceOwn, InterfacePlatform),
 		discovery:       readDiscovery(t.Table("discovery")),
 		memory:          readMemory(t),
+		uploadBytes:     t.Int("uploads_mb", 0, 0, 1<<20) << 20,
 		timings:         readControlTimings(t.Table("timings")),
 		weights:         readWeightStore(t.Table("weight_store")),
 		log:             readLog(t.Table("log")),
@@ -139,6 +141,18 @@
 	return c.memory
 }
 
+// UploadBytes returns the memory for all request bodies together, in bytes.
+func (c *Control) UploadBytes() int64 {
+	switch {
+	case c.uploadBytes > 0:
+		return c.uploadBytes
+	case c.memory > 0:
+		return c.memory / controlUploadShare
+	default:
+		return controlUploadDefault
+	}
+}
+
 // ListenControl returns host:port for operators and targets under
 // InterfacePlatform, empty for none.
 func (c *Control) ListenControl() string {
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -1,7 +1,6 @@
 package conf
 
 import (
-	"cmp"
 	"fmt"
 
 	sardine "sardineswitch.dev/sardine"
@@ -174,7 +173,14 @@
 
 // UploadBytes returns the memory for all request bodies together, in bytes.
 func (e *Entry) UploadBytes() int64 {
-	return cmp.Or(e.limits.uploadBytes, uploadBytesOf(e.memory))
+	switch {
+	case e.limits.uploadBytes > 0:
+		return e.limits.uploadBytes
+	case e.memory > 0:
+		return e.memory / entryUploadShare
+	default:
+		return entryUploadDefault
+	}
 }
 
 // Memory returns the memory that the machine has for the process, in bytes, 0 if
--- a/conf/limits.go
+++ b/conf/limits.go
@@ -37,21 +37,16 @@
 }
 
 const (
-	// uploadShare is the part of the machine's memory, as a divisor, for request bodies.
-	uploadShare = 4
-	// uploadDefault is for request bodies if the machine's memory is not given, in bytes.
-	uploadDefault = 256 << 20
+	// The part of the machine's memory, as a divisor, for request bodies. Layouts take a
+	// multiple of their size while they are decoded.
+	entryUploadShare   = 4
+	controlUploadShare = 8
+
+	// Bytes for request bodies if the machine's memory is not given.
+	entryUploadDefault   = 256 << 20
+	controlUploadDefault = 64 << 20
 )
 
-// uploadBytesOf returns the memory for all request bodies together if the settings state
-// none, in bytes.
-func uploadBytesOf(memory int64) int64 {
-	if memory == 0 {
-		return uploadDefault
-	}
-	return memory / uploadShare
-}
-
 // HeaderBytes returns the largest request header.
 func (l Limits) HeaderBytes() int {
 	return l.headerBytes
--- a/controld/start/run.go
+++ b/controld/start/run.go
@@ -121,6 +121,7 @@
 		ctrl.WithStartWindow(s.WeightStore().StartWindow()),
 		ctrl.WithOperatorHash(s.OperatorHash()),
 		ctrl.WithKeys(set),
+		ctrl.WithUploadBytes(s.UploadBytes()),
 	}
 	options = append(options, discoveryOf(s)...)
 	return ctrl.New(append(options, portOf(s)...)...)
--- a/ctrl/meter.go
+++ b/ctrl/meter.go
@@ -76,6 +76,8 @@
 		{Name: "sardine_planning_stopped", Description: "1 after an internal check of the planner failed", Read: func() float64 { return meter.Bool(n.leadership.planningStopped()) }},
 		{Name: "sardine_loads_begun", Description: "loads from the weight store that this node began while it led", Read: func() float64 { return float64(n.leadership.loads()) }},
 		{Name: "sardine_targets", Description: "targets in the log", Read: n.countTargets},
+		{Name: "sardine_upload_bytes", Description: "memory that request bodies take or have reserved", Read: func() float64 { return float64(n.uploads.Used()) }},
+		{Name: "sardine_uploads_waiting", Description: "requests that wait for the memory of their body", Read: func() float64 { return float64(n.uploads.Waiting()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
 	}
 	if n.collector != nil {
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -27,6 +27,7 @@
 	"sardineswitch.dev/sardine/repl"
 	"sardineswitch.dev/sardine/ring"
 	"sardineswitch.dev/sardine/status"
+	"sardineswitch.dev/sardine/upload"
 	"sardineswitch.dev/sardine/wire"
 )
 
@@ -72,6 +73,8 @@
 	internalServer *listen.Server
 	operatorServer *listen.Server
 	portServer     *listen.Server // nil without a port
+	uploads        *upload.Budget
+	uploadBytes    int64
 	controlClient  *ctlapi.Client // client for the other control nodes
 	layoutCache    *layoutCache
 	instruments    *instruments
@@ -101,6 +104,7 @@
 		leasesGranted: newBroadcast(),
 		history:       status.NewHistory(),
 		layoutCache:   &layoutCache{},
+		uploadBytes:   defaultUploadBytes,
 
 		linesDropped: func() int { return 0 },
 		keys:         keys.Plain(),
@@ -120,6 +124,7 @@
 		n.engines = n.ownEngines
 	}
 	n.access = oper.NewAuthoriser(n.operatorHash, n.clock, n.logger)
+	n.uploads = upload.NewBudget(n.clock, n.uploadBytes)
 	n.limits.OrderTimeout = n.timing.OrderTimeout
 	n.runCtx, n.cancelRun = context.WithCancel(context.Background())
 	n.transferCtx, n.cancelTransfer = context.WithCancel(context.Background())
@@ -266,7 +271,7 @@
 	}
 	if n.port != nil {
 		n.tomb.Go(n.reportLoop)
-		n.tomb.Go(func() error { return n.portServer.Serve(n.port.Handler(portBackend{node: n})) })
+		n.tomb.Go(func() error { return n.portServer.Serve(n.port.Handler(portBackend{node: n}, bodyReader{n.uploads})) })
 	}
 	if n.metricsServer != nil {
 		n.tomb.Go(func() error { return n.metricsServer.Serve(n.instruments.meter.Page()) })
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -96,6 +96,12 @@
 	}
 }
 
+// WithUploadBytes sets the memory for the bodies of all requests together. The default is
+// 64 MiB.
+func WithUploadBytes(bytes int64) Option {
+	return func(n *Node) { n.uploadBytes = bytes }
+}
+
 // WithMetrics serves the metrics at a separate address too. linesDropped returns the
 // number of dropped log lines, which the metrics show.
 func WithMetrics(address string, linesDropped func() int) Option {
