The operators' server bounds the bodies that it reads

Anyone who reached the operators' address could end a control node with one request: the generated code reads a body of any size before the token is looked at.

Bodies are read through the node's budget before the generated code sees them: 1 MiB for operators, four times the largest settings document, and 32 MiB for a layout that another control node forwards.

It works since what reads the body stops at the limit.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -218,6 +218,7 @@
 	prefix, peers := peer.NewServer(n.site, n.log, n.link).Handler()
 	mux.Handle(pat.New(prefix+"*"), n.keys.SiteOnly(peers, rejectUnknownPeer))
 	control := oper.WithSource(wire.NewControlServer(n))
+	mux.Handle(pat.New(wire.ControlPathPrefix+"Layout"), n.keys.SiteOnly(n.limitBodies(maxForwardedBytes, control), rejectUnknownPeer))
 	mux.Handle(pat.New(wire.ControlPathPrefix+"*"), n.keys.SiteOnly(control, rejectUnknownPeer))
 	n.addOperations(mux)
 	return mux
@@ -234,11 +235,11 @@
 	mux := goji.NewMux()
 	control := oper.WithSource(wire.NewControlServer(n))
 	for _, method := range []string{"Settings", "Members"} {
-		mux.Handle(pat.New(wire.ControlPathPrefix+method), control)
+		mux.Handle(pat.New(wire.ControlPathPrefix+method), n.limitBodies(maxOperatorBytes, control))
 	}
 	operations := oper.Handler(backend{node: n})
 	for _, path := range []string{oper.LeavePath, oper.PoisonPath, oper.TokensPath} {
-		mux.Handle(pat.New(path), operations)
+		mux.Handle(pat.New(path), n.limitBodies(maxOperatorBytes, operations))
 	}
 	n.addOperations(mux)
 	return mux
--- a/ctrl/uploads.go
+++ b/ctrl/uploads.go
@@ -1,10 +1,13 @@
 package ctrl
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/team"
 	"sardineswitch.dev/sardine/upload"
 )
 
@@ -14,6 +17,10 @@
 	// bodyWait is how long such a request may wait for the memory of its body. Callers
 	// try another node after a second.
 	bodyWait = 800 * sardine.Millis(1)
+	// maxOperatorBytes bounds the body of a request to the operators' server.
+	maxOperatorBytes = 4 * team.MaxDocumentBytes
+	// maxForwardedBytes bounds a layout that another control node forwards.
+	maxForwardedBytes = 32 << 20
 	// defaultUploadBytes bounds the bodies of all requests together.
 	defaultUploadBytes = 64 << 20
 )
@@ -36,3 +43,23 @@
 	_ = control.SetReadDeadline(time.Time{})
 	return read.Bytes(), read.Release, nil
 }
+
+// limitBodies reads each request's body, up to limit bytes and within the node's budget,
+// before next sees it.
+func (n *Node) limitBodies(limit int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, release, err := bodyReader{n.uploads}.ReadBody(w, r, limit)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer release()
+		held := r.WithContext(r.Context())
+		held.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, held)
+	})
+}
