Announcements at an entry node count against the budget of bodies

With the own interface targets announce themselves at entry nodes, at an address that asks for no token by default. Bodies of 64 KiB that stop short of their end were read past the budget: 1,200 clients took a node of 96 MB to 140 MiB. They are now read through it, and get 503 or 408 like callers.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 
 	sardine "sardineswitch.dev/sardine"
@@ -19,11 +18,13 @@
 // reach the control leader through every entry node in turn.
 func (n *Node) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	unlimit := n.limitRead(w)
-	body, err := io.ReadAll(io.LimitReader(r.Body, annc.MaxBytes+1))
+	held, err := n.uploads.Read(w, r, annc.MaxBytes, longestUploadWait)
 	if err != nil {
-		n.refuseOperator(w, codes.New(codes.BadRequest, "announcement ended after %d bytes", len(body)))
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		n.refuseOperator(w, err)
 		return
 	}
+	defer held.Release()
 	unlimit()
 	if n.targetTokens {
 		if err := n.access.Check(oper.Bearer(r), oper.SourceOf(r), oper.RequireScope(keys.TargetScope()), n.view().tokens); err != nil {
@@ -31,7 +32,7 @@
 			return
 		}
 	}
-	a, err := annc.Decode(body)
+	a, err := annc.Decode(held.Bytes())
 	if err != nil {
 		n.refuseOperator(w, err)
 		return
