The messages of a chat are decoded one by one

Only one message at a time is needed, so only one is decoded.

The hash and the answer to whether the chat goes on are the same (entry.TestConversationHashDependsOnFirstUserMessage).

--- a/entry/prefix.go
+++ b/entry/prefix.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,12 +27,16 @@
 // one by the user, 0 if there is none, and whether the messages contain an
 // answer of the model. All requests of one conversation have the same hash.
 func conversationOf(messages json.RawMessage) (hash uint64, later bool) {
-	var list []messageJSON
-	if json.Unmarshal(messages, &list) != nil {
-		return 0, false // the engine rejects messages that it can't parse
+	list := json.NewDecoder(bytes.NewReader(messages)) // decoded at once, small messages take many times their size
+	if start, err := list.Token(); err != nil || start != json.Delim('[') {
+		return 0, false
 	}
 	h := xxhash.New()
-	for _, m := range list {
+	for list.More() {
+		var m messageJSON
+		if list.Decode(&m) != nil {
+			return 0, false // the engine rejects messages that it can't parse
+		}
 		later = later || m.Role == "assistant"
 		if hash != 0 {
 			continue
