--- a/standin/start/crowd.go
+++ b/standin/start/crowd.go
@@ -46,7 +46,7 @@
 	c.Flags().DurationVar(&o.Duration, "for", 15*time.Second, "time for which a crowd stays")
 	c.Flags().IntVar(&o.MemoryMB, "memory", 284, "memory of each node, in MB")
 	c.Flags().IntVar(&o.Scale, "scale", 4, "factor on the sizes of bodies; at 1 the largest has 1 MiB")
-	c.Flags().BoolVar(&o.Stops, "stops", false, "also stop and reload nodes")
+	c.Flags().BoolVar(&o.Stops, "stops", false, "also stop and reload nodes and change the layout, in series and overlapping")
 	c.Flags().StringVar(&o.Programs, "programs", "", "folder of controld and entryd (default: the folder of this program)")
 	c.Flags().StringVar(&o.Templates, "templates", "deploy", "folder of the settings templates")
 	return c
