Refusals of passed requests use codes that earlier releases know

While machines are replaced one after the other, a node of the release before passes requests to one of this release. It takes the new code uploads_full for an internal error and would answer 500 for a request that has not run. The hop now says queue_full, which has the same status and meaning for callers.

entry.TestRefusalsOfPassedRequestsHaveCodesOfAllReleases failed before ("210" is not less than or equal to "209").

--- a/entry/pass.go
+++ b/entry/pass.go
@@ -110,13 +110,22 @@
 	if a.code == codes.OK {
 		return
 	}
-	h.Set(headerPassCode, strconv.Itoa(int(a.code)))
+	h.Set(headerPassCode, strconv.Itoa(int(knownToAll(a.code))))
 	h.Set(headerPassRetry, strconv.FormatInt(int64(a.retry), 10))
 	if a.elsewhere {
 		h.Set(headerPassElsewhere, "1")
 	}
 }
 
+// knownToAll returns a code of the same meaning for callers that all releases know: the
+// passing node may run an earlier one, for which an unknown code is an internal error.
+func knownToAll(c codes.Code) codes.Code {
+	if c == codes.UploadsFull {
+		return codes.QueueFull
+	}
+	return c
+}
+
 // takePassedAnswer reads and removes the headers of an answer to a passed request. What
 // is missing or can't be read makes no claim.
 func takePassedAnswer(h http.Header) passedAnswer {
--- a/entry/pass_test.go
+++ b/entry/pass_test.go
@@ -254,3 +254,19 @@
 		require.Empty(t, h)
 	}
 }
+
+// Guards against codes that a passing node of an earlier release takes for an internal
+// error, which it would answer with 500.
+func TestRefusalsOfPassedRequestsHaveCodesOfAllReleases(t *testing.T) {
+	const newestKnown = codes.Isolated // of the capacity codes, in the first release that passes requests
+	for _, row := range codes.Table() {
+		if row.Status != http.StatusServiceUnavailable || row.Code < codes.LimitReached || row.Code >= codes.NoTarget {
+			continue
+		}
+		h := http.Header{}
+		passedAnswer{code: row.Code}.write(h)
+		stated := takePassedAnswer(h).code
+		require.LessOrEqual(t, stated, newestKnown, row.Name)
+		require.Equal(t, http.StatusServiceUnavailable, stated.Status(), row.Name)
+	}
+}
