--- a/upload/budget.go
+++ b/upload/budget.go
@@ -60,7 +60,7 @@
 
 	mu        sync.Mutex
 	used      int64
-	garbage   int64 // bytes of ended bodies that the collector may not have freed
+	garbage   int64 // bytes of unused buffers that the collector may not have freed
 	large     int   // bodies of class large
 	queues    [classes][]*waiter
 	waiting   int
@@ -113,7 +113,8 @@
 }
 
 // reserve raises the reservation of a body to so many bytes, and waits for that until
-// patience has passed or done is closed. Errors carry codes.UploadsFull.
+// patience has passed or done is closed. Errors carry codes.UploadsFull, or
+// codes.SlowRequest for a body that was given up.
 func (b *Budget) reserve(body *Body, to int64, patience sardine.Millis, done <-chan struct{}) error {
 	w, err := b.enqueue(body, to)
 	if w == nil {
@@ -138,6 +139,9 @@
 	if to <= body.reserved {
 		return nil, nil
 	}
+	if body.givenUp {
+		return nil, codes.New(codes.SlowRequest, "the body came too slowly while others waited")
+	}
 	c := classOf(to)
 	if len(b.queues[c]) == 0 && b.fits(body, to) {
 		b.grant(body, to)
