--- a/upload/budget.go
+++ b/upload/budget.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// overheadBytes is charged for each request beside its body: its goroutine and its
-	// header.
-	overheadBytes = 8 << 10
+	// overheadBytes is charged for each request beside its body: its goroutine, its header
+	// and its part of the connection.
+	overheadBytes = 16 << 10
 	// maxWaiting is the number of requests of a class that may wait for memory.
 	maxWaiting = 512
 	// sweepInterval is the time between two looks for slow bodies while requests wait.
@@ -35,7 +35,7 @@
 )
 
 // mostBytes holds the largest reservation of the classes below large.
-var mostBytes = [large]int64{16 << 10, 128 << 10}
+var mostBytes = [large]int64{overheadBytes + 16<<10, overheadBytes + 128<<10}
 
 // reservedShare is the part of the budget, as a divisor, that a class leaves to smaller
 // ones.
