--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -75,7 +75,7 @@
 	portServer     *listen.Server // nil without a port
 	uploads        *upload.Budget
 	uploadBytes    int64
-	parsing        sync.Mutex // held while a long layout is decoded
+	parsing        sync.Mutex     // held while a long layout is decoded
 	controlClient  *ctlapi.Client // client for the other control nodes
 	layoutCache    *layoutCache
 	instruments    *instruments
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -86,7 +86,7 @@
 				MaxReceiveBufferPerStream:     maxUnreadBytes,
 				MaxReadFrameSize:              maxFrameReadBytes,
 			},
-			ErrorLog:          discardLog(),
+			ErrorLog: discardLog(),
 		},
 		conns:          newConns(),
 		maxConnections: defaultMaxConnections,
