--- a/standin/start/crowd.go
+++ b/standin/start/crowd.go
@@ -1,7 +1,7 @@
 package start
 
 import (
-	"encoding/json"
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -80,36 +80,16 @@
 	return chosen, nil
 }
 
+// runCrowds plays each crowd so many times, all with one seed before the next.
 func runCrowds(c *cobra.Command, o roll.CrowdOptions, names []string, runs int) error {
 	crowds, err := chooseCrowds(names)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signalContext(c)
-	defer stop()
-	failedRuns := 0
-	for range runs {
-		for _, crowd := range crowds {
-			if ctx.Err() != nil {
-				return codes.New(codes.UsageError, "interrupted by a signal")
-			}
-			r, err := roll.PlayCrowd(ctx, crowd, o)
-			if err != nil {
-				return err
-			}
-			line, err := json.Marshal(r)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintln(c.OutOrStdout(), string(line))
-			if r.Failed() || r.Highest() >= o.MemoryMB<<10 {
-				failedRuns++
-			}
-		}
-		o.Seed++
-	}
-	if failedRuns > 0 {
-		return codes.New(codes.InvariantBroken, "%d of %d runs failed", failedRuns, runs*len(crowds))
-	}
-	return nil
+	first := o.Seed
+	return playRuns(c, runs*len(crowds), func(ctx context.Context, run int) (any, bool, error) {
+		o.Seed = first + uint64(run/len(crowds))
+		r, err := roll.PlayCrowd(ctx, crowds[run%len(crowds)], o)
+		return r, err == nil && (r.Failed() || r.Highest() >= o.MemoryMB<<10), err
+	})
 }
--- a/standin/start/soak.go
+++ b/standin/start/soak.go
@@ -1,13 +1,11 @@
 package start
 
 import (
-	"encoding/json"
-	"fmt"
+	"context"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/standin/soak"
 )
 
@@ -44,29 +42,9 @@
 }
 
 func runSoak(c *cobra.Command, o soak.Options, runs int) error {
-	ctx, stop := signalContext(c)
-	defer stop()
-	failedRuns := 0
-	for range runs {
-		if ctx.Err() != nil {
-			return codes.New(codes.UsageError, "interrupted by a signal")
-		}
+	return playRuns(c, runs, func(ctx context.Context, _ int) (any, bool, error) {
 		r, err := soak.Run(ctx, o)
-		if err != nil {
-			return err
-		}
-		line, err := json.Marshal(r)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(c.OutOrStdout(), string(line))
-		if len(r.Violations) > 0 {
-			failedRuns++
-		}
 		o.Seed++
-	}
-	if failedRuns > 0 {
-		return codes.New(codes.InvariantBroken, "%d of %d runs violated a guarantee", failedRuns, runs)
-	}
-	return nil
+		return r, err == nil && len(r.Violations) > 0, err
+	})
 }
--- a/standin/start/start.go
+++ b/standin/start/start.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -10,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/launch"
 	"sardineswitch.dev/sardine/standin/gauge"
 )
@@ -50,6 +53,35 @@
 	return signal.NotifyContext(parent, os.Interrupt, syscall.SIGTERM)
 }
 
+// playRuns plays so many runs, prints the result of each as a line of JSON, and returns an
+// error if some failed, a run could not start or a signal has arrived.
+func playRuns(c *cobra.Command, runs int, play func(ctx context.Context, run int) (result any, failed bool, err error)) error {
+	ctx, stop := signalContext(c)
+	defer stop()
+	failedRuns := 0
+	for i := range runs {
+		if ctx.Err() != nil {
+			return codes.New(codes.UsageError, "interrupted by a signal")
+		}
+		result, failed, err := play(ctx, i)
+		if err != nil {
+			return err
+		}
+		line, err := json.Marshal(result)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), string(line))
+		if failed {
+			failedRuns++
+		}
+	}
+	if failedRuns > 0 {
+		return codes.New(codes.InvariantBroken, "%d of %d runs failed", failedRuns, runs)
+	}
+	return nil
+}
+
 func newMeasure() *cobra.Command {
 	parent := &cobra.Command{
 		Use:     "measure",
--- a/standin/start/stop.go
+++ b/standin/start/stop.go
@@ -1,13 +1,11 @@
 package start
 
 import (
-	"encoding/json"
-	"fmt"
+	"context"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/platform/roll"
 	"sardineswitch.dev/sardine/standin/soak"
 )
@@ -50,29 +48,9 @@
 }
 
 func runStop(c *cobra.Command, o roll.Options, runs int) error {
-	ctx, stop := signalContext(c)
-	defer stop()
-	failedRuns := 0
-	for range runs {
-		if ctx.Err() != nil {
-			return codes.New(codes.UsageError, "interrupted by a signal")
-		}
+	return playRuns(c, runs, func(ctx context.Context, _ int) (any, bool, error) {
 		r, err := roll.Run(ctx, o)
-		if err != nil {
-			return err
-		}
-		line, err := json.Marshal(r)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(c.OutOrStdout(), string(line))
-		if r.Failed() {
-			failedRuns++
-		}
 		o.Seed++
-	}
-	if failedRuns > 0 {
-		return codes.New(codes.InvariantBroken, "%d of %d runs broke a rule", failedRuns, runs)
-	}
-	return nil
+		return r, err == nil && r.Failed(), err
+	})
 }
