Large bodies may wait for memory for three seconds

A crowd that holds bodies open gains nothing, since waiting bodies hold no memory; small requests wait for a second as before.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -18,7 +18,7 @@
 // reach the control leader through every entry node in turn.
 func (n *Node) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	unlimit := n.limitRead(w)
-	held, err := n.uploads.Read(w, r, annc.MaxBytes, longestUploadWait)
+	held, err := n.uploads.Read(w, r, annc.MaxBytes, shortBodyWait)
 	if err != nil {
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		n.refuseOperator(w, err)
--- a/entry/begin.go
+++ b/entry/begin.go
@@ -9,8 +9,21 @@
 	"sardineswitch.dev/sardine/upload"
 )
 
-// longestUploadWait is how long a request may wait for the memory of its body.
-const longestUploadWait = sardine.Second
+// How long a request may wait for the memory of its body. A large one takes a second or
+// more on its way in any case, while others share the link.
+const (
+	shortBodyWait  = sardine.Second
+	largeBodyWait  = 3 * sardine.Second
+	largeBodyBytes = 128 << 10
+)
+
+// bodyWait returns how long the request may wait for the memory of its body.
+func bodyWait(r *http.Request) sardine.Millis {
+	if r.ContentLength < 0 || r.ContentLength > largeBodyBytes {
+		return largeBodyWait
+	}
+	return shortBodyWait
+}
 
 // admittedRequest is a caller's request that was read and admitted.
 type admittedRequest struct {
@@ -36,7 +49,7 @@
 	unlimit := n.limitRead(w)
 	var body *upload.Body
 	q, err := read(n.callers, r, func() (bytes []byte, err error) {
-		if body, err = n.uploads.Read(w, r, n.limits.BodyBytes, longestUploadWait); err != nil {
+		if body, err = n.uploads.Read(w, r, n.limits.BodyBytes, bodyWait(r)); err != nil {
 			return nil, err
 		}
 		return body.Bytes(), nil
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -168,7 +168,7 @@
 	if err := q.findService(table); err != nil {
 		return err
 	}
-	if q.upload, err = n.uploads.Read(q.w, r, table.Layout().Limits.BodyBytes, q.uploadWait()); err != nil {
+	if q.upload, err = n.uploads.Read(q.w, r, table.Layout().Limits.BodyBytes, q.bodyWait(r)); err != nil {
 		return err
 	}
 	unlimit()
@@ -180,10 +180,10 @@
 	return nil
 }
 
-// uploadWait returns how long the request may wait for the memory of its body. The rest
-// of its time is for the target.
-func (q *routedRun) uploadWait() sardine.Millis {
-	return min(longestUploadWait, (q.deadline-q.arrived)/3)
+// bodyWait returns how long the request may wait for the memory of its body. Half of its
+// time is for its way and the target.
+func (q *routedRun) bodyWait(r *http.Request) sardine.Millis {
+	return min(bodyWait(r), (q.deadline-q.arrived)/2)
 }
 
 // workspace returns the caller's workspace, or "" without one.
