--- a/entry/internal.go
+++ b/entry/internal.go
@@ -109,7 +109,7 @@
 // handleModels lists the models that the caller's workspace may use.
 func (n *Node) handleModels(w http.ResponseWriter, r *http.Request) {
 	id := n.newRequestID()
-	q, err := readCommon(n.callers, r, func() ([]byte, error) { return nil, nil })
+	q, err := readCommon(n.callers, r, noBody)
 	if err != nil {
 		n.refuse(w, id, err)
 		return
--- a/entry/pass.go
+++ b/entry/pass.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// knownToAll returns a code of the same meaning for callers that all releases know: the
-// passing node may run an earlier one, for which an unknown code is an internal error.
+// knownToAll returns a code that every release with passed requests knows and that means
+// the same to callers. An earlier release takes an unknown code for an internal error.
 func knownToAll(c codes.Code) codes.Code {
 	if c == codes.UploadsFull {
 		return codes.QueueFull
--- a/entry/request.go
+++ b/entry/request.go
@@ -64,6 +64,11 @@
 // bodyFunc reads the body of a request.
 type bodyFunc func() ([]byte, error)
 
+// noBody leaves the body of a request unread.
+func noBody() ([]byte, error) {
+	return nil, nil
+}
+
 // readCommon reads what all requests have: the body and the headers of the
 // caller port.
 func readCommon(callers sardine.CallerPort, r *http.Request, readBody bodyFunc) (*request, error) {
--- a/upload/body.go
+++ b/upload/body.go
@@ -25,9 +25,9 @@
 	bytes     []byte
 
 	// Guarded by the budget's lock.
-	reserved int64
-	pace     pace
-	givenUp  bool
+	reserved    int64
+	pace        pace
+	interrupted bool
 }
 
 // Bytes returns the whole body.
--- a/upload/budget.go
+++ b/upload/budget.go
@@ -3,7 +3,6 @@
 package upload
 
 import (
-	"runtime"
 	"slices"
 	"sync"
 
@@ -51,23 +50,28 @@
 }
 
 // Budget is the memory that the bodies of a process share. A body reserves memory before
-// it is read. If there is not enough left, it waits: the memory of ended bodies is
-// collected, and bodies that come slowly are given up, first those that hold most for
-// longest. It is safe for concurrent use.
+// it is read. If there is not enough left, it waits; meanwhile unused buffers are collected
+// and slow senders are interrupted. It is safe for concurrent use.
 type Budget struct {
 	clock sardine.Clock
 	total int64
 
-	mu        sync.Mutex
-	used      int64
-	garbage   int64 // bytes of unused buffers that the collector may not have freed
-	large     int   // bodies of class large
-	queues    [classes][]*waiter
-	waiting   int
-	wanted    int64 // bytes that the queued requests need
-	givenUp   int64 // bytes of bodies that are given up and not released yet
-	receiving map[*Body]struct{}
-	sweeping  bool
+	mu               sync.Mutex
+	used             int64
+	garbage          int64 // bytes of unused buffers that the collector may not have freed
+	largeCount       int   // bodies of class large
+	queues           [classes][]*waiter
+	waiting          int
+	queuedBytes      int64 // that the waiting bodies need
+	interruptedBytes int64 // of bodies that were interrupted and are not released yet
+	receiving        map[*Body]struct{}
+	sweeping         bool
+}
+
+// NewBudget returns a budget of so many bytes. It takes a single body of any size while
+// no other large one is there.
+func NewBudget(clock sardine.Clock, bytes int64) *Budget {
+	return &Budget{clock: clock, total: max(bytes, smallestBudget), receiving: make(map[*Body]struct{})}
 }
 
 // waiter is a body that waits for memory.
@@ -77,27 +81,6 @@
 	granted chan struct{} // closed when the body has the memory
 }
 
-// collect frees the memory of ended bodies, which is then available again.
-func (b *Budget) collect() {
-	b.mu.Lock()
-	garbage := b.garbage
-	b.mu.Unlock()
-	if garbage == 0 {
-		return
-	}
-	runtime.GC()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.garbage -= garbage
-	b.grantWaiting()
-}
-
-// NewBudget returns a budget of so many bytes. It takes a single body of any size while
-// no other large one is there.
-func NewBudget(clock sardine.Clock, bytes int64) *Budget {
-	return &Budget{clock: clock, total: max(bytes, smallestBudget), receiving: make(map[*Body]struct{})}
-}
-
 // Used returns the reserved bytes.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -114,7 +97,7 @@
 
 // reserve raises the reservation of a body to so many bytes, and waits for that until
 // patience has passed or done is closed. Errors carry codes.UploadsFull, or
-// codes.SlowRequest for a body that was given up.
+// codes.SlowRequest for a body whose sender was interrupted.
 func (b *Budget) reserve(body *Body, to int64, patience sardine.Millis, done <-chan struct{}) error {
 	w, err := b.enqueue(body, to)
 	if w == nil {
@@ -139,7 +122,7 @@
 	if to <= body.reserved {
 		return nil, nil
 	}
-	if body.givenUp {
+	if body.interrupted {
 		return nil, codes.New(codes.SlowRequest, "the body came too slowly while others waited")
 	}
 	c := classOf(to)
@@ -153,7 +136,7 @@
 	w := &waiter{body: body, to: to, granted: make(chan struct{})}
 	b.queues[c] = append(b.queues[c], w)
 	b.waiting++
-	b.wanted += to - body.reserved
+	b.queuedBytes += to - body.reserved
 	delete(b.receiving, body) // its sender is not read meanwhile
 	if !b.sweeping {
 		b.sweeping = true
@@ -169,12 +152,13 @@
 	if share := reservedShare[c]; share > 0 {
 		reserved = b.total / share
 	}
-	return b.used+b.garbage+to-body.reserved+reserved <= b.total || c == large && b.large == 0 && b.garbage == 0
+	return b.used+b.garbage+to-body.reserved+reserved <= b.total || c == large && b.largeCount == 0 && b.garbage == 0
 }
 
+// grant raises the reservation of a body, which is read from now on.
 func (b *Budget) grant(body *Body, to int64) {
 	if classOf(body.reserved) != large && classOf(to) == large {
-		b.large++
+		b.largeCount++
 	}
 	b.used += to - body.reserved
 	body.reserved = to
@@ -197,11 +181,12 @@
 	return false
 }
 
+// dequeue removes the i-th waiter of a class.
 func (b *Budget) dequeue(c class, i int) {
 	w := b.queues[c][i]
 	b.queues[c] = slices.Delete(b.queues[c], i, i+1)
 	b.waiting--
-	b.wanted -= w.to - w.body.reserved
+	b.queuedBytes -= w.to - w.body.reserved
 }
 
 // grantWaiting grants the reservations that fit, the smallest class first and in order of
@@ -234,18 +219,18 @@
 	b.garbage += bytes
 }
 
-// complete ends the receipt of a body, which keeps so many bytes. It reports whether the
-// body was given up before.
+// complete ends the receipt of a body, which keeps so many bytes. It reports whether its
+// sender was interrupted at the same moment.
 func (b *Budget) complete(body *Body, keeps int64) (interrupted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.receiving, body)
-	interrupted = body.givenUp
+	interrupted = body.interrupted
 	b.shrink(body, min(keeps, body.reserved))
 	return interrupted
 }
 
-// release gives the memory of a body back.
+// release returns the memory of a body.
 func (b *Budget) release(body *Body) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -253,13 +238,14 @@
 	b.shrink(body, 0)
 }
 
+// shrink lowers the reservation of a body.
 func (b *Budget) shrink(body *Body, to int64) {
-	if body.givenUp {
-		body.givenUp = false
-		b.givenUp -= body.reserved
+	if body.interrupted {
+		body.interrupted = false
+		b.interruptedBytes -= body.reserved
 	}
 	if classOf(body.reserved) == large && classOf(to) != large {
-		b.large--
+		b.largeCount--
 	}
 	b.used -= body.reserved - to
 	if classOf(body.reserved) != tiny && to == 0 {
--- a/upload/budget_test.go
+++ b/upload/budget_test.go
@@ -20,11 +20,11 @@
 
 // script is a budget without background work, and the bodies of a test by name.
 type script struct {
-	budget  *Budget
-	clock   *clock.Virtual
-	bodies  map[string]*Body
-	waiters map[string]*waiter
-	given   []string // names of the bodies that were interrupted
+	budget      *Budget
+	clock       *clock.Virtual
+	bodies      map[string]*Body
+	waiters     map[string]*waiter
+	interrupted []string // names of bodies
 }
 
 func newScript() *script {
@@ -41,7 +41,7 @@
 	_, _ = fmt.Sscan(line, &verb, &name, &number) // some commands have fewer words
 	y := s.bodies[name]
 	if y == nil {
-		y = &Body{budget: s.budget, interrupt: func() { s.given = append(s.given, name) }}
+		y = &Body{budget: s.budget, interrupt: func() { s.interrupted = append(s.interrupted, name) }}
 		s.bodies[name] = y
 	}
 	switch verb {
@@ -66,9 +66,9 @@
 		_, _ = fmt.Sscan(name, &number)
 		s.clock.Advance(sardine.Millis(number))
 	case "sweep":
-		s.given = nil
+		s.interrupted = nil
 		s.budget.sweep()
-		return fmt.Sprintf("given up %v", s.given)
+		return fmt.Sprintf("interrupted %v", s.interrupted)
 	case "collect":
 		s.budget.collect()
 	}
--- a/upload/sweep.go
+++ b/upload/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"runtime"
 	"slices"
 
 	sardine "sardineswitch.dev/sardine"
@@ -47,8 +48,9 @@
 	}
 }
 
-// sweep gives up as many slow bodies as the waiting requests need, first those that hold
-// most for longest. It returns false if no request waits.
+// sweep interrupts slow senders until the waiting bodies will have enough memory. Those
+// with the largest product of reserved bytes and lag go first. It returns false if no body
+// waits.
 func (b *Budget) sweep() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -56,14 +58,14 @@
 		b.sweeping = false
 		return false
 	}
-	missing := b.wanted + b.total/reservedShare[large] - (b.total - b.used) - b.givenUp // garbage will be free soon
+	missing := b.queuedBytes + b.total/reservedShare[large] - (b.total - b.used) - b.interruptedBytes // unused buffers are collected anyway
 	if missing <= 0 {
 		return true
 	}
 	now := b.clock.Now()
 	var slow []*Body
 	for body := range b.receiving {
-		if !body.givenUp && body.pace.behind(now) > mostLag {
+		if !body.interrupted && body.pace.behind(now) > mostLag {
 			slow = append(slow, body)
 		}
 	}
@@ -74,9 +76,25 @@
 			break
 		}
 		missing -= body.reserved
-		body.givenUp = true
-		b.givenUp += body.reserved
+		body.interrupted = true
+		b.interruptedBytes += body.reserved
 		body.interrupt()
 	}
 	return true
 }
+
+// collect runs the garbage collector if it may free buffers of bodies, and counts their
+// memory as available again.
+func (b *Budget) collect() {
+	b.mu.Lock()
+	garbage := b.garbage
+	b.mu.Unlock()
+	if garbage == 0 {
+		return
+	}
+	runtime.GC()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.garbage -= garbage
+	b.grantWaiting()
+}
