A head that begins in an earlier body's buffer is limited too

Cause: the limits of an answer's head were checked between the connection and the parser's buffer. While a body was read, that buffer took the beginning of the next head unchecked; the limiter saw the rest of a line and, if that was a line feed alone, took it for the end of the head and switched itself off.

Change: package answer waits for a whole head in one buffer, within the limits, before the parser reads any of it.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +12,7 @@
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/answer"
 )
 
 // maxInlineBody is the largest body that is written together with its head, before
@@ -25,9 +25,7 @@
 	pool       *Pool
 	address    string
 	raw        net.Conn
-	source     *bufio.Reader  // the connection's bytes
-	limiter    *headLimiter   // between source and reader
-	reader     *bufio.Reader  // input of the parser of answers
+	answers    *answer.Reader // reads from raw
 	current    string         // name of the current exchange
 	previous   string         // name of the exchange before it, empty for none
 	refused    []string       // names of the exchanges that the target refused
@@ -85,19 +83,7 @@
 // Receive reads the head of an answer, after any interim ones. The caller must read
 // its body to the end before the next call.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	c.limiter.reset()
-	for range maxInterim + 1 {
-		c.limiter.inHead = true
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.limiter.inHead = false // even if the head was in the reader's buffer already
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-	return nil, errInterimAnswers
+	return c.answers.Next(method)
 }
 
 // Begin starts a new exchange with a name.
@@ -150,7 +136,7 @@
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return false
 	}
-	if len(c.refused) >= maxRefused || c.limiter.ambiguous() || c.reader.Buffered() > 0 || c.source.Buffered() > 0 {
+	if len(c.refused) >= maxRefused || c.answers.Ambiguous() || c.answers.Buffered() {
 		return false
 	}
 	if c.sending == nil {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,7 +4,6 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/answer"
 	"sardineswitch.dev/sardine/codes"
 )
 
@@ -35,8 +35,6 @@
 	targetIdleShare = 0.5
 	// maxIdlePerTarget limits the idle connections to one target.
 	maxIdlePerTarget = 8
-	// readBufferBytes is enough for one event or the head of an answer.
-	readBufferBytes = 4 << 10
 	// maxRefused limits the refusals that are recorded for one connection. A
 	// connection that reaches the limit is closed after its exchange.
 	maxRefused = 64
@@ -177,9 +175,7 @@
 		p.untrack(c)
 		return nil, codes.Wrap(codes.NoTarget, err, "target "+address+" can't be reached")
 	}
-	c.source = bufio.NewReaderSize(raw, readBufferBytes)
-	c.limiter = newHeadLimiter(c.source)
-	c.reader = bufio.NewReaderSize(c.limiter, readBufferBytes)
+	c.answers = answer.NewReader(raw)
 	return c, nil
 }
 
