An answer that ends with its connection is whole only after its request was sent

Cause: a long body is written in the background. When a target resets the connection meanwhile, the write takes the socket's error, and the read of the answer gets the end of the connection as if it had ended in order.

Change: such an answer ends with an error unless the request has been written without an error and the target has acknowledged all of it.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -83,7 +83,11 @@
 // Receive reads the head of an answer, after any interim ones. The caller must read
 // its body to the end before the next call.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	return c.answers.Next(method)
+	resp, err := c.answers.Next(method)
+	if err == nil && endsWithConnection(resp) && resp.Body != http.NoBody {
+		resp.Body = &lastBody{ReadCloser: resp.Body, conn: c}
+	}
+	return resp, err
 }
 
 // Begin starts a new exchange with a name.
@@ -133,7 +137,7 @@
 // reusable reports whether the next answer on the connection is certain to belong to
 // the next request: both sides have ended this exchange and no bytes follow it.
 func (c *Conn) reusable(resp *http.Response) bool {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.Close || endsWithConnection(resp) {
 		return false
 	}
 	if len(c.refused) >= maxRefused || c.answers.Ambiguous() || c.answers.Buffered() {
