A status below 100 or above 599 is no answer

Change: package answer checks the status line before it is parsed: HTTP/1, three digits of 100 to 599, not 101. An interim answer has neither a length nor chunks. Bytes that can't begin a status line end the exchange as soon as they arrive.

Result: TestAnswers/status fails before (three answers wait for more, 600, 999 and HTTP/2.0 are taken) and passes now.

--- a/answer/reader.go
+++ b/answer/reader.go
@@ -33,7 +33,7 @@
 	buffer *bufio.Reader // holds a whole head before the parser gets any of it
 	bytes  int           // bytes of the exchange's heads so far
 	lines  int           // lines of the exchange's heads so far
-	fields fields        // of the head that was read last
+	head   head          // the one that was read last
 }
 
 // NewReader returns a reader of the answers on a connection.
@@ -53,7 +53,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if !r.head.isInterim() {
 			return resp, nil
 		}
 	}
@@ -69,12 +69,12 @@
 // Transfer-Encoding. A proxy in between may use the other one than the parser, so it
 // is uncertain where the next answer begins.
 func (r *Reader) Ambiguous() bool {
-	return r.fields.length && r.fields.chunked
+	return r.head.length && r.head.chunked
 }
 
 // awaitHead returns once the buffer begins with a whole head within the limits.
 func (r *Reader) awaitHead() error {
-	r.fields = fields{}
+	r.head = head{}
 	begin := 0 // of the current line
 	for known := 0; ; {
 		buffered, err := r.peek(known + 1)
@@ -93,11 +93,16 @@
 				return err
 			}
 			if isBlank(line) {
-				return nil
+				return r.head.check()
+			}
+			if err := r.head.add(line); err != nil {
+				return err
 			}
-			r.fields.add(line)
 		}
 		known = len(buffered)
+		if err := r.head.checkBegin(buffered[begin:]); err != nil {
+			return err
+		}
 		if r.bytes+known-begin > MaxHeadBytes {
 			return ErrHeadTooLong
 		}
