Fields of an answer without a valid name or value are no answer

Cause: the parser of net/http takes names with blanks and knows a field by its exact name only. Errors of the parser quoted the bad line to the caller.

Change: package answer checks that names are tokens right before the colon and that values have no control characters, refuses a transfer coding in HTTP/1.0, and hides the parser's text.

--- a/answer/head.go
+++ b/answer/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 )
 
 // Errors of heads that are not valid. Their texts reach callers, so they contain none of
@@ -13,6 +14,9 @@
 	errStatus     = errors.New("the answer's status is not valid")
 	errSwitching  = errors.New("the answer switches protocols unasked")
 	errInterim    = errors.New("an interim answer has a body")
+	errName       = errors.New("a field of the answer's head has no valid name")
+	errValue      = errors.New("a field of the answer's head has a control character")
+	errFraming    = errors.New("the answer's length or transfer coding is not valid")
 )
 
 const (
@@ -27,19 +31,40 @@
 // head collects what the lines of a head say about the answer.
 type head struct {
 	status  int  // 0 before the status line
+	minor   byte // minor version of HTTP/1, a digit
+	fields  int  // lines after the status line
 	length  bool // it has a Content-Length
 	chunked bool // it has a Transfer-Encoding
 }
 
 // add checks the next line and records it.
 func (h *head) add(line []byte) error {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 	if h.status == 0 {
-		return h.addStatusLine(bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")))
+		return h.addStatusLine(line)
+	}
+	h.fields++
+	if h.fields > 1 && isSpace(line[0]) { // a folded line goes on with the value before it
+		return checkValue(line)
+	}
+	return h.addField(line)
+}
+
+// addField checks the line of a field. A blank before the colon would hide a length or a
+// transfer coding from the parser.
+func (h *head) addField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || len(name) == 0 {
+		return errName
+	}
+	for _, b := range name {
+		if !isTokenByte(b) {
+			return errName
+		}
 	}
-	name, _, _ := bytes.Cut(line, []byte(":"))
 	h.length = h.length || bytes.EqualFold(name, []byte("Content-Length"))
 	h.chunked = h.chunked || bytes.EqualFold(name, []byte("Transfer-Encoding"))
-	return nil
+	return checkValue(value)
 }
 
 // checkBegin checks the part of a line that has been received. It detects that a server
@@ -74,8 +99,8 @@
 	case status == http.StatusSwitchingProtocols:
 		return errSwitching
 	}
-	h.status = status
-	return nil
+	h.status, h.minor = status, line[statusAt-2]
+	return checkValue(line[statusEnd:])
 }
 
 // check checks a head whose lines are all added.
@@ -85,6 +110,8 @@
 		return errStatusLine
 	case h.isInterim() && (h.length || h.chunked):
 		return errInterim
+	case h.chunked && h.minor == '0': // HTTP/1.0 has no transfer codings (RFC 9112, 6.1)
+		return errFraming
 	default:
 		return nil
 	}
@@ -95,6 +122,25 @@
 	return h.status < http.StatusOK
 }
 
+// checkValue checks the bytes of a field's value or of a reason.
+func checkValue(value []byte) error {
+	for _, b := range value {
+		if b < ' ' && b != '\t' || b == 0x7f {
+			return errValue
+		}
+	}
+	return nil
+}
+
+// isTokenByte reports whether a byte may be part of a field's name (RFC 9110, 5.6.2).
+func isTokenByte(b byte) bool {
+	return isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
+func isSpace(b byte) bool {
+	return b == ' ' || b == '\t'
+}
+
 func isDigit(b byte) bool {
 	return '0' <= b && b <= '9'
 }
--- a/answer/reader.go
+++ b/answer/reader.go
@@ -51,7 +51,7 @@
 		}
 		resp, err := http.ReadResponse(r.buffer, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, errFraming // the parser's error quotes the head
 		}
 		if !r.head.isInterim() {
 			return resp, nil
