Errors for callers quote no bytes of a target

Callers got bytes of a target in trouble as the system's own words.

Change: these texts give the status as a number or name the fault.

--- a/answer/reader.go
+++ b/answer/reader.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 )
 
 // Limits of what a server sends before an answer's body, including interim (1xx)
@@ -25,6 +26,7 @@
 var (
 	ErrHeadTooLong    = errors.New("the answer's head is too long")
 	errInterimAnswers = errors.New("too many interim answers")
+	errTrailer        = errors.New("the answer's trailer is not valid")
 )
 
 // Reader reads the answers on a connection, one after the other.
@@ -54,6 +56,9 @@
 			return nil, errFraming // the parser's error quotes the head
 		}
 		if !r.head.isInterim() {
+			if r.head.chunked {
+				resp.Body = &body{ReadCloser: resp.Body}
+			}
 			return resp, nil
 		}
 	}
@@ -139,3 +144,16 @@
 	begin := bytes.NewReader(bytes.Clone(buffered))
 	r.buffer = bufio.NewReaderSize(io.MultiReader(begin, r.source), MaxHeadBytes+1)
 }
+
+// body is an answer's body. Errors of the parser, which quote the server's bytes, are
+// replaced.
+type body struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if parsing := textproto.ProtocolError(""); errors.As(err, &parsing) {
+		return n, errTrailer
+	}
+	return n, err
+}
--- a/entry/model_forward.go
+++ b/entry/model_forward.go
@@ -73,7 +73,7 @@
 	}
 	defer release()
 	if resp.StatusCode >= http.StatusInternalServerError || m.sink.started {
-		return codes.New(codes.TargetFailed, "engine answered %s", resp.Status)
+		return codes.New(codes.TargetFailed, "engine answered %d", resp.StatusCode)
 	}
 	header := http.Header{"Content-Type": {resp.Header.Get("Content-Type")}, "Content-Length": {strconv.Itoa(len(body))}}
 	return m.sink.whole(resp.StatusCode, header, body)
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -53,7 +53,7 @@
 		return false, errTargetError
 	}
 	if q.headSent {
-		return false, codes.New(codes.StreamBroken, "target answered %s when the stream was resumed there", resp.Status)
+		return false, codes.New(codes.StreamBroken, "target answered %d when the stream was resumed there", resp.StatusCode)
 	}
 	q.node.health.suspend(q.healthRecord)
 	body := progressReader{reader: resp.Body, run: q}
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -152,7 +152,7 @@
 	stream := resp.StatusCode == http.StatusOK && r.Kind == sardine.RouteStream && isEventStream(resp)
 	switch {
 	case position.MayResume() && !stream:
-		return codes.New(codes.StreamBroken, "target answered %s when the stream was resumed there", resp.Status)
+		return codes.New(codes.StreamBroken, "target answered %d when the stream was resumed there", resp.StatusCode)
 	case resp.StatusCode >= http.StatusInternalServerError:
 		return errTargetError
 	case !stream:
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -151,7 +151,7 @@
 			x.notifyReplied(began, resp.StatusCode, reply)
 			return answer, invalidFailure(x, reply)
 		case !x.MustName && string(reply.Request) != conn.PreviousName(): // a wrong answer, not a late one to the previous request
-			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent an answer to request %q", x.Address, reply.Request))
+			return nil, newFailure(sardine.RanUnknown, codes.New(codes.AnswerInvalid, "target %s sent an answer to another request", x.Address))
 		}
 		if q.Method == http.MethodHead || !readToEnd(resp) {
 			break // the start of the next answer is unknown
@@ -165,7 +165,7 @@
 	if r.Misdirected {
 		code = codes.EpochRefused
 	}
-	return newFailure(sardine.RanNo, codes.New(code, "target %s did not run the request: %s", x.Address, resp.Status))
+	return newFailure(sardine.RanNo, codes.New(code, "target %s did not run the request: status %d", x.Address, resp.StatusCode))
 }
 
 func invalidFailure(x Exchange, r sardine.Reply) *Failure {
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -160,13 +160,13 @@
 func (s *Stream) checkToken(data []byte, index int) (repeated bool, err error) {
 	var event eventJSON
 	if err := json.Unmarshal(data, &event); err != nil {
-		return false, codes.New(codes.AnswerInvalid, "event is not JSON: %v", err)
+		return false, codes.New(codes.AnswerInvalid, "event is not JSON")
 	}
 	if event.Error != nil {
 		return false, codes.New(codes.StreamBroken, "target reports an error after %d tokens", s.next)
 	}
 	if event.ID != string(s.request) {
-		return false, codes.New(codes.AnswerInvalid, "event belongs to request %q, not %q", event.ID, s.request)
+		return false, codes.New(codes.AnswerInvalid, "event belongs to another request than %q", s.request)
 	}
 	if index >= 0 && index < s.next {
 		return true, nil
--- a/serve/whole.go
+++ b/serve/whole.go
@@ -54,10 +54,10 @@
 func CheckWhole(body []byte, request sardine.RequestID) error {
 	var answer wholeJSON
 	if err := json.Unmarshal(body, &answer); err != nil {
-		return codes.New(codes.AnswerInvalid, "answer is not JSON: %v", err)
+		return codes.New(codes.AnswerInvalid, "answer is not JSON")
 	}
 	if answer.ID != string(request) {
-		return codes.New(codes.AnswerInvalid, "answer belongs to request %q, not %q", answer.ID, request)
+		return codes.New(codes.AnswerInvalid, "answer belongs to another request than %q", request)
 	}
 	if len(answer.Choices) == 0 {
 		return codes.New(codes.AnswerInvalid, "answer has no choices")
