Orders and sardctl refuse answers whose head is not valid

Cause: net/http's client parses heads less strictly than package answer does now. An order counted as taken after an answer with a blank in a field's name or of HTTP/2.0, and sardctl took an answer that ends with its connection for a whole one. A passed answer without an end counted as whole at the entry node that passed the request on.

Change: answer.Transport checks what net/http has parsed.

--- a/answer/head.go
+++ b/answer/head.go
@@ -54,14 +54,9 @@
 // transfer coding from the parser.
 func (h *head) addField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || len(name) == 0 {
+	if !found || !isToken(name) {
 		return errName
 	}
-	for _, b := range name {
-		if !isTokenByte(b) {
-			return errName
-		}
-	}
 	h.length = h.length || bytes.EqualFold(name, []byte("Content-Length"))
 	h.chunked = h.chunked || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	return checkValue(value)
@@ -123,18 +118,23 @@
 }
 
 // checkValue checks the bytes of a field's value or of a reason.
-func checkValue(value []byte) error {
-	for _, b := range value {
-		if b < ' ' && b != '\t' || b == 0x7f {
+func checkValue[T []byte | string](value T) error {
+	for i := range len(value) {
+		if b := value[i]; b < ' ' && b != '\t' || b == 0x7f {
 			return errValue
 		}
 	}
 	return nil
 }
 
-// isTokenByte reports whether a byte may be part of a field's name (RFC 9110, 5.6.2).
-func isTokenByte(b byte) bool {
-	return isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+// isToken reports whether a field's name is valid (RFC 9110, 5.6.2).
+func isToken[T []byte | string](name T) bool {
+	for i := range len(name) {
+		if b := name[i]; !isDigit(b) && (b|0x20 < 'a' || b|0x20 > 'z') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
 }
 
 func isSpace(b byte) bool {
--- a/ctlapi/client.go
+++ b/ctlapi/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sardineswitch.dev/sardine/answer"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/wire"
 )
@@ -68,7 +69,7 @@
 // New returns a client of the control nodes at the addresses, host:port each.
 func New(addresses []string, options ...Option) *Client {
 	c := &Client{
-		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		http:        &http.Client{Transport: answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64}, answer.WithEnd())},
 		scheme:      "http",
 		addresses:   append([]string(nil), addresses...),
 		callTimeout: maxAttempt,
--- a/entry/pass_test.go
+++ b/entry/pass_test.go
@@ -270,3 +270,11 @@
 		require.Equal(t, http.StatusServiceUnavailable, stated.Status(), row.Name)
 	}
 }
+
+// TestPassedAnswerWithoutAnEndIsCut guards against a part of an answer that another entry
+// node passes on and whose end can't be recognized.
+func TestPassedAnswerWithoutAnEndIsCut(t *testing.T) {
+	q := &routedRun{}
+	require.NoError(t, q.checkEnd(true))
+	require.Equal(t, codes.StreamBroken, codes.Of(q.checkEnd(false)))
+}
--- a/entry/routed_forward.go
+++ b/entry/routed_forward.go
@@ -213,12 +213,16 @@
 }
 
 // checkEnd is Node.checkEnd for the request's target. Another entry node's answers are
-// delimited.
+// always delimited.
 func (q *routedRun) checkEnd(delimited bool) error {
-	if q.times.choice == nil {
+	switch {
+	case q.times.choice != nil:
+		return q.node.checkEnd(delimited, q.times.choice.Candidate)
+	case !delimited:
+		return codes.New(codes.StreamBroken, "another entry node's answer has neither a length nor chunks")
+	default:
 		return nil
 	}
-	return q.node.checkEnd(delimited, q.times.choice.Candidate)
 }
 
 // forwardStream forwards events one by one. The header is sent with the first event
--- a/order/client.go
+++ b/order/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/answer"
 	"sardineswitch.dev/sardine/codes"
 )
 
@@ -46,7 +47,8 @@
 		o(s)
 	}
 	if s.http == nil {
-		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}}
+		transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
+		s.http = &http.Client{Transport: answer.NewTransport(transport)}
 	}
 	return s
 }
--- a/sardctl/verbs/nodehttp.go
+++ b/sardctl/verbs/nodehttp.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"sardineswitch.dev/sardine/answer"
 	"sardineswitch.dev/sardine/codes"
 	"sardineswitch.dev/sardine/ctlapi"
 	"sardineswitch.dev/sardine/keys"
@@ -19,13 +20,13 @@
 // client returns an HTTP client and the scheme to use.
 func (s *Session) client() (*http.Client, string, error) {
 	if s.authority == "" {
-		return &http.Client{Transport: &http.Transport{}}, "http", nil
+		return &http.Client{Transport: answer.NewTransport(&http.Transport{}, answer.WithEnd())}, "http", nil
 	}
 	trust, err := keys.OpenBundle("", "", s.authority)
 	if err != nil {
 		return nil, "", usageError(err, "--authority")
 	}
-	return &http.Client{Transport: trust.ClientTransport()}, "https", nil
+	return &http.Client{Transport: answer.NewTransport(trust.ClientTransport(), answer.WithEnd())}, "https", nil
 }
 
 // send sends one HTTP request to a node and returns the body of a 2xx response. It
