--- a/answer/reader_test.go
+++ b/answer/reader_test.go
@@ -73,3 +73,36 @@
 	}
 	return text
 }
+
+// FuzzNext guards against a head that the parser reads differently than the check: it must
+// read just the bytes that were checked.
+func FuzzNext(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX: a\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200\nX:\n\tb\n\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		if text == "" || len(text) > bufferBytes {
+			return
+		}
+		r := NewReader(&openSource{text: text, step: len(text)})
+		resp, err := r.Next(http.MethodPost)
+		if err != nil {
+			return
+		}
+		if left := r.buffer.Buffered(); r.bytes+left != len(text) {
+			t.Errorf("%d bytes were checked and %d of %d are left", r.bytes, left, len(text))
+		}
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > lastStatus {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		for name := range resp.Header {
+			if !isToken(name) {
+				t.Errorf("name %q", name)
+			}
+		}
+	})
+}
--- a/standin/start/stop.go
+++ b/standin/start/stop.go
@@ -22,6 +22,7 @@
 			"Each run starts a site of controld and entryd on loopback with settings rendered from\n" +
 			"deploy/, sends SIGTERM and SIGHUP to its nodes in a seeded order while callers keep\n" +
 			"their connections and workers are silent now and then, and prints one line of JSON.\n" +
+			"With --faulty some workers send bytes that are no answer, which no caller may get.\n" +
 			"With --cuts it also cuts entry nodes from all workers for some seconds.\n" +
 			"The logs of a run with losses are kept. The exit code is 1 if a rule is broken.",
 		Example: "  standin stop --seed 1 --runs 50",
@@ -42,6 +43,7 @@
 	c.Flags().DurationVar(&o.Grace, "grace", 8*time.Second, "time from SIGTERM to SIGKILL")
 	c.Flags().IntVar(&o.Callers, "callers", 0, "number of callers (default: as many as the play has)")
 	c.Flags().BoolVar(&o.Cuts, "cuts", false, "also cut entry nodes from all workers")
+	c.Flags().IntVar(&o.Faulty, "faulty", 0, "number of workers that spoil some of their answers, beside long uploads")
 	c.Flags().StringVar(&o.Programs, "programs", "", "folder of controld, entryd and severd (default: the folder of this program)")
 	c.Flags().StringVar(&o.Templates, "templates", "deploy", "folder of the settings templates")
 	return c
