--- a/answer/reader.go
+++ b/answer/reader.go
@@ -57,7 +57,7 @@
 		}
 		if !r.head.isInterim() {
 			if r.head.chunked {
-				resp.Body = &body{ReadCloser: resp.Body}
+				resp.Body = &chunkedBody{ReadCloser: resp.Body}
 			}
 			return resp, nil
 		}
@@ -80,36 +80,41 @@
 // awaitHead returns once the buffer begins with a whole head within the limits.
 func (r *Reader) awaitHead() error {
 	r.head = head{}
-	begin := 0 // of the current line
-	for known := 0; ; {
-		buffered, err := r.peek(known + 1)
+	for begin := 0; ; {
+		line, err := r.awaitLine(begin)
 		if err != nil {
 			return err
 		}
-		for {
-			length := bytes.IndexByte(buffered[max(begin, known):], '\n')
-			if length < 0 {
-				break
-			}
-			end := max(begin, known) + length + 1
-			line := buffered[begin:end]
-			begin, known = end, end
-			if err := r.count(len(line)); err != nil {
-				return err
-			}
-			if isBlank(line) {
-				return r.head.check()
-			}
-			if err := r.head.add(line); err != nil {
-				return err
-			}
+		begin += len(line)
+		if err := r.count(len(line)); err != nil {
+			return err
+		}
+		if isBlank(line) {
+			return r.head.check()
+		}
+		if err := r.head.add(line); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitLine waits for a whole line that begins at a place in the buffer. It fails as soon
+// as the beginning of the line is not valid.
+func (r *Reader) awaitLine(begin int) ([]byte, error) {
+	for known := begin; ; {
+		buffered, err := r.peek(known + 1)
+		if err != nil {
+			return nil, err
+		}
+		if length := bytes.IndexByte(buffered[known:], '\n'); length >= 0 {
+			return buffered[begin : known+length+1], nil
 		}
 		known = len(buffered)
 		if err := r.head.checkBegin(buffered[begin:]); err != nil {
-			return err
+			return nil, err
 		}
 		if r.bytes+known-begin > MaxHeadBytes {
-			return ErrHeadTooLong
+			return nil, ErrHeadTooLong
 		}
 	}
 }
@@ -145,12 +150,12 @@
 	r.buffer = bufio.NewReaderSize(io.MultiReader(begin, r.source), MaxHeadBytes+1)
 }
 
-// body is an answer's body. Errors of the parser, which quote the server's bytes, are
-// replaced.
-type body struct{ io.ReadCloser }
+// chunkedBody is the body of an answer with chunks. Errors of the parser, which quote the
+// server's bytes, are replaced.
+type chunkedBody struct{ io.ReadCloser }
 
 // Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
+func (b *chunkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if parsing := textproto.ProtocolError(""); errors.As(err, &parsing) {
 		return n, errTrailer
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -84,8 +84,8 @@
 // its body to the end before the next call.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	resp, err := c.answers.Next(method)
-	if err == nil && endsWithConnection(resp) && resp.Body != http.NoBody {
-		resp.Body = &lastBody{ReadCloser: resp.Body, conn: c}
+	if err == nil && isCloseDelimited(resp) && resp.Body != http.NoBody {
+		resp.Body = &closeDelimited{ReadCloser: resp.Body, conn: c}
 	}
 	return resp, err
 }
@@ -137,7 +137,7 @@
 // reusable reports whether the next answer on the connection is certain to belong to
 // the next request: both sides have ended this exchange and no bytes follow it.
 func (c *Conn) reusable(resp *http.Response) bool {
-	if resp.Close || endsWithConnection(resp) {
+	if resp.Close || isCloseDelimited(resp) {
 		return false
 	}
 	if len(c.refused) >= maxRefused || c.answers.Ambiguous() || c.answers.Buffered() {
--- a/pool/whole.go
+++ b/pool/ended.go
@@ -25,21 +25,21 @@
 	errNotAcked  = errors.New("the target did not acknowledge the request")
 )
 
-// lastBody is the body of an answer that ends with its connection. The end of the
+// closeDelimited is the body of an answer that ends with its connection. The end of the
 // connection is the end of the body only if the request was sent before: after a reset the
 // write of the request may have taken the error that the read would have got.
-type lastBody struct {
+type closeDelimited struct {
 	io.ReadCloser
 	conn *Conn
 }
 
-// endsWithConnection reports whether an answer has neither a length nor chunks.
-func endsWithConnection(resp *http.Response) bool {
+// isCloseDelimited reports whether an answer has neither a length nor chunks.
+func isCloseDelimited(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // Read implements io.Reader.
-func (b *lastBody) Read(p []byte) (int, error) {
+func (b *closeDelimited) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) && b.conn.awaitSent() != nil {
 		return n, errUploadCut
