--- a/answer/transport.go
+++ b/answer/transport.go
@@ -17,8 +17,8 @@
 // Option configures a Transport.
 type Option func(*Transport)
 
-// WithEnd refuses answers that end with their connection, for servers that send none. A
-// part of one can't be told from a whole one.
+// WithEnd refuses answers that end with their connection, for servers that send none: they
+// may be truncated.
 func WithEnd() Option {
 	return func(t *Transport) { t.delimited = true }
 }
