--- a/ctrl/attrs.go
+++ b/ctrl/attrs.go
@@ -93,6 +93,27 @@
 		sardine.GroupReleased: event.GroupReleased,
 	}
 	if id, listed := ids[c.State]; listed {
-		event.Log(n.logger, id, groupAttr(c.Group), epochAttr(c.Epoch), n.whyAttr(c.Group))
+		event.Log(n.logger, id, groupAttr(c.Group), epochAttr(c.Epoch), n.whyAttr(c.Group), n.servingAttr(c.Group))
 	}
 }
+
+// servingAttr returns the number of groups that serve the deployment of a group,
+// or an empty attribute for a spare.
+func (n *Node) servingAttr(id sardine.GroupID) slog.Attr {
+	count, spare := 0, true
+	n.log.View(func(m *state.Machine) {
+		group, found := m.Group(id)
+		if spare = !found || group.Service == ""; spare {
+			return
+		}
+		for _, g := range m.Groups() {
+			if g.Team == group.Team && g.Service == group.Service && g.State == sardine.GroupServing {
+				count++
+			}
+		}
+	})
+	if spare {
+		return slog.Attr{}
+	}
+	return slog.Int("serving", count)
+}
--- a/event/table.go
+++ b/event/table.go
@@ -127,7 +127,7 @@
 	{TargetLost, "target_lost", slog.LevelWarn, "a target stopped announcing itself", "check that VM"},
 	{TargetLeaving, "target_leaving", slog.LevelInfo, "a target announced that it leaves", "nothing"},
 	{GroupAssigned, "group_assigned", slog.LevelInfo, "members were assigned to a group", "nothing"},
-	{GroupServing, "group_serving", slog.LevelInfo, "a group serves", "nothing"},
+	{GroupServing, "group_serving", slog.LevelInfo, "a group serves; the serving attribute is how many groups of its deployment do", "nothing"},
 	{GroupDegraded, "group_degraded", slog.LevelWarn, "a group lost a member and stopped serving", "see sardctl explain group"},
 	{GroupReleased, "group_released", slog.LevelInfo, "the members of a dissolved group have left it and are free", "nothing"},
 	{OrderFailed, "order_failed", slog.LevelWarn, "an engine did not accept an order", "check that VM"},
