Plan: groups make room for the least covered deployment before requests begin

Cause: groups form while VMs announce themselves, each in the domain that fits best at that moment. Where three VMs of a domain of 11 come first, groups of 3 take them, and three of these leave no room for a group of 6. Nothing changed that later: the site began with 4 groups of 6 and 10 of 3, or with 5 and 8, or with 6 and 6, as the announcements came; by the demands it should have 6 and 6.

Change: once no more VMs arrive, and before callers' requests begin, groups dissolve so that the least covered deployment gets a group in their domain, if that raises the lowest coverage by a tenth. Each step raises it, so it ends.

Tests: TestAnnouncementOrderDoesNotDecideLayout, before: "at least 4 large groups and 6 small ones" of 6 and 6.

--- a/plan/demand.go
+++ b/plan/demand.go
@@ -88,8 +88,13 @@
 // other deployments. Demand is a share of the work, and VMs only work while
 // their group is complete.
 func (dv *deploymentView) coverage() float64 {
+	return dv.coverageOf(len(dv.groups))
+}
+
+// coverageOf returns the coverage that a number of groups would give.
+func (dv *deploymentView) coverageOf(groups int) float64 {
 	size := dv.spec.GroupSize
-	return float64(len(dv.groups)*size) * groupAvailability(dv.unavailability, size) / dv.spec.Demand
+	return float64(groups*size) * groupAvailability(dv.unavailability, size) / dv.spec.Demand
 }
 
 // byDemand reports whether the deployment gets groups in proportion to its
@@ -122,6 +127,9 @@
 		if r.awaitsArrivals() {
 			return // a domain may soon have enough VMs for it
 		}
+		if r.makeRoom(next) {
+			return // the next rounds form it
+		}
 		full[next] = true
 	}
 }
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -35,7 +35,10 @@
 	loads              int // started, over all terms
 	// lastArrivalAt is when the latest new VM first announced itself.
 	lastArrivalAt sardine.Millis
-	logView       logView
+	// reshapedAt is when groups last began to make room for another deployment,
+	// 0 if none has in this term.
+	reshapedAt sardine.Millis
+	logView    logView
 }
 
 // New returns a planner that does not lead.
@@ -58,6 +61,7 @@
 	p.returnHistory = returnHistory{}
 	p.unavailability = newUnavailabilityEstimator()
 	p.last = nil
+	p.reshapedAt = 0
 	p.logView = logView{}
 }
 
--- /dev/null
+++ b/standin/fake/start_test.go
@@ -0,0 +1,66 @@
+package fake
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	sardine "sardineswitch.dev/sardine"
+	"sardineswitch.dev/sardine/plan"
+)
+
+// startSite is a site with two deployments whose VMs announce themselves in
+// random order over a time.
+type startSite struct {
+	domains, vms, withinMs int
+	large, small           int // group sizes
+	largePercent           int // of the work
+}
+
+// startSettled is how long after the last announcement a site has its layout.
+const startSettled = 5 * sardine.Second
+
+var startStore = plan.WeightStore{AtOnce: 400, PerSecond: 14, Load: 1600 * sardine.Millis(1)}
+
+// TestAnnouncementOrderDoesNotDecideLayout guards against small groups that split
+// the domains which large groups need when their VMs announce themselves first.
+func TestAnnouncementOrderDoesNotDecideLayout(t *testing.T) {
+	datadriven.RunTest(t, "testdata/start", func(t *testing.T, d *datadriven.TestData) string {
+		require.Equal(t, "start", d.Cmd)
+		var s startSite
+		var seeds int
+		d.ScanArgs(t, "seeds", &seeds)
+		d.ScanArgs(t, "domains", &s.domains)
+		d.ScanArgs(t, "vms", &s.vms)
+		d.ScanArgs(t, "within_ms", &s.withinMs)
+		d.ScanArgs(t, "large", &s.large)
+		d.ScanArgs(t, "small", &s.small)
+		d.ScanArgs(t, "large_percent", &s.largePercent)
+		large, small := s.domains*s.vms, s.domains*s.vms
+		for seed := range uint64(seeds) {
+			w := s.start(t, seed)
+			large, small = min(large, w.Serving("large")), min(small, w.Serving("small"))
+		}
+		return fmt.Sprintf("at least %d large groups and %d small ones\n", large, small)
+	})
+}
+
+// start returns the site's world once it has its layout.
+func (s startSite) start(t *testing.T, seed uint64) *World {
+	t.Helper()
+	_, teams := demandSite()
+	large, small := &teams[0].Deployments[0], &teams[0].Deployments[1]
+	large.GroupSize, large.Demand = s.large, float64(s.largePercent)/100
+	small.GroupSize, small.Demand = s.small, 1-large.Demand
+	w := NewWorld(seed, nil, teams, WithReportedStore(startStore), WithBound(missingBound))
+	for domain := range s.domains {
+		for i := range s.vms {
+			e := demandEngine(domain, i)
+			w.After(sardine.Millis(w.random.IntN(s.withinMs)), func() { w.Add(e) })
+		}
+	}
+	require.NoError(t, w.Run(w.now+sardine.Millis(s.withinMs)+startSettled))
+	return w
+}
