Plan: hosts load for as many groups as the demands ask

Cause: where hosts load the weights before a group forms (a weight store without a stated rate), each domain's free VMs were planned by the groups that exist. VMs that had just announced themselves were planned at once, in threes for small groups, and all domains of one round for the same deployment.

Change: nothing is loaded before callers' requests begin while VMs keep arriving, and the groups planned in a round count for the next choice. Groups make room for others only where that costs no load.

--- a/plan/demand.go
+++ b/plan/demand.go
@@ -97,6 +97,12 @@
 	return float64(groups*size) * groupAvailability(dv.unavailability, size) / dv.spec.Demand
 }
 
+// stagedCoverage returns the coverage once the groups that are planned to be staged
+// have formed.
+func (dv *deploymentView) stagedCoverage() float64 {
+	return dv.coverageOf(len(dv.groups) + dv.staged)
+}
+
 // byDemand reports whether the deployment gets groups in proportion to its
 // demand, as far as the VMs suffice, instead of a fixed number.
 func (dv *deploymentView) byDemand() bool {
--- a/plan/reshape.go
+++ b/plan/reshape.go
@@ -28,10 +28,10 @@
 // in any order, and the groups that formed first may have split the domains that
 // larger ones need. It reports whether the deployment should wait for the VMs.
 //
-// Once callers' requests have begun, groups stay: a group that forms anew would
-// serve none of them until its weights are loaded.
+// Groups stay once callers' requests have begun, and where hosts load the weights
+// before a group forms: a group that forms anew would serve nobody for a whole load.
 func (r *round) makeRoom(dv *deploymentView) bool {
-	if r.p.logView.trafficOpen {
+	if !r.loadsUnmetered() {
 		return false
 	}
 	if r.awaitsRoom() {
--- a/plan/reshape_test.go
+++ b/plan/reshape_test.go
@@ -62,6 +62,7 @@
 		allocated:   make(map[sardine.VMID]bool),
 		free:        make(map[sardine.FabricDomain][]*vmView),
 	}
+	r.p.SetWeightStore(WeightStore{AtOnce: 1, PerSecond: 1})
 	for range s.free {
 		r.free["d"] = append(r.free["d"], r.newVM())
 	}
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	sardine "sardineswitch.dev/sardine"
@@ -95,7 +96,7 @@
 // groups.
 func (r *round) planStaging() {
 	r.staging, r.secondStaging = r.staging[:0], r.secondStaging[:0]
-	if !r.live.Settled() || r.loadsUnmetered() && r.p.lastArrivalAt+joinQuietPeriod > r.now {
+	if !r.live.Settled() || r.awaitsArrivals() {
 		return // VMs that have yet to announce themselves may form groups with these
 	}
 	for _, d := range r.domains() {
@@ -132,6 +133,8 @@
 		}
 		if len(allocated) < dv.spec.GroupSize {
 			r.joinSpares(dv, d, allocated)
+		} else {
+			dv.staged++
 		}
 	}
 }
@@ -155,7 +158,7 @@
 // rest. It releases spares of other deployments if needed, since a group serves
 // requests and a spare does not.
 func (r *round) stageFullGroup(d sardine.FabricDomain, free []*vmView) []*vmView {
-	dv := r.leastCovered()
+	dv := r.leastStaged(anySize)
 	if dv == nil {
 		return free
 	}
@@ -173,9 +176,25 @@
 		r.move(s, sardine.GroupFenced, "its VM makes a group of "+string(dv.Service)+" whole")
 	}
 	_, rest := r.stageFor(dv, free, dv.spec.GroupSize-r.spareCount(dv, d))
+	dv.staged++
 	return rest
 }
 
+const anySize = math.MaxInt
+
+// leastStaged returns the deployment by demand with the least coverage among those
+// with groups of at most a size, nil if there is none. It counts the groups for
+// which hosts are planned to load in this round.
+func (r *round) leastStaged(size int) *deploymentView {
+	var least *deploymentView
+	for _, dv := range r.deployments {
+		if dv.byDemand() && dv.spec.GroupSize <= size && (least == nil || dv.stagedCoverage() < least.stagedCoverage()) {
+			least = dv
+		}
+	}
+	return least
+}
+
 // leastCovered returns the deployment by demand with the least coverage, nil if
 // there is none.
 func (r *round) leastCovered() *deploymentView {
@@ -292,25 +311,13 @@
 // fits, it is the one with the largest groups in the domain, or the least
 // covered one if there are none.
 func (r *round) nextDeployment(d sardine.FabricDomain, free int) *deploymentView {
-	var fits, least *deploymentView
-	for _, dv := range r.deployments {
-		if !dv.byDemand() {
-			continue
-		}
-		if least == nil || dv.coverage() < least.coverage() {
-			least = dv
-		}
-		if dv.spec.GroupSize <= free && (fits == nil || dv.coverage() < fits.coverage()) {
-			fits = dv
-		}
-	}
-	if fits != nil {
+	if fits := r.leastStaged(free); fits != nil {
 		return fits
 	}
 	if in := r.deploymentsIn(d); len(in) > 0 {
 		return in[0]
 	}
-	return least
+	return r.leastStaged(anySize)
 }
 
 // stageFor allocates up to count VMs for a deployment, preferring those that
--- a/plan/view.go
+++ b/plan/view.go
@@ -143,6 +143,7 @@
 	objective      sardine.Objective
 	groups         []*groupView // active ones
 	serving        int
+	staged         int     // groups whose weights are planned to be staged in this round
 	unavailability float64 // fraction of time that a group waits for one member
 }
 
--- a/standin/fake/start_test.go
+++ b/standin/fake/start_test.go
@@ -17,12 +17,13 @@
 	domains, vms, withinMs int
 	large, small           int // group sizes
 	largePercent           int // of the work
+	loadsPerS              int // of the weight store, 0 for no limit
 }
 
-// startSettled is how long after the last announcement a site has its layout.
-const startSettled = 5 * sardine.Second
-
-var startStore = plan.WeightStore{AtOnce: 400, PerSecond: 14, Load: 1600 * sardine.Millis(1)}
+const (
+	startLoad    = 1600 * sardine.Millis(1)
+	startSettled = 5 * sardine.Second // after the last announcement
+)
 
 // TestAnnouncementOrderDoesNotDecideLayout guards against small groups that split
 // the domains which large groups need when their VMs announce themselves first.
@@ -38,6 +39,7 @@
 		d.ScanArgs(t, "large", &s.large)
 		d.ScanArgs(t, "small", &s.small)
 		d.ScanArgs(t, "large_percent", &s.largePercent)
+		d.ScanArgs(t, "loads_per_s", &s.loadsPerS)
 		large, small := s.domains*s.vms, s.domains*s.vms
 		for seed := range uint64(seeds) {
 			w := s.start(t, seed)
@@ -54,7 +56,8 @@
 	large, small := &teams[0].Deployments[0], &teams[0].Deployments[1]
 	large.GroupSize, large.Demand = s.large, float64(s.largePercent)/100
 	small.GroupSize, small.Demand = s.small, 1-large.Demand
-	w := NewWorld(seed, nil, teams, WithReportedStore(startStore), WithBound(missingBound))
+	store := plan.WeightStore{AtOnce: s.domains * s.vms, PerSecond: float64(s.loadsPerS), Load: startLoad}
+	w := NewWorld(seed, nil, teams, WithReportedStore(store), WithBound(missingBound))
 	for domain := range s.domains {
 		for i := range s.vms {
 			e := demandEngine(domain, i)
