--- a/standin/fake/start_test.go
+++ b/standin/fake/start_test.go
@@ -67,3 +67,24 @@
 	require.NoError(t, w.Run(w.now+sardine.Millis(s.withinMs)+startSettled))
 	return w
 }
+
+// TestReplacedDomainsRegainLayout guards against the same split where VMs announce
+// themselves in random order in place of domains that were lost under load.
+func TestReplacedDomainsRegainLayout(t *testing.T) {
+	const lost, recovered, back = 2, 10 * sardine.Second, 120 * sardine.Second
+	s := startSite{domains: 6, vms: 11, withinMs: 8000, large: 6, small: 3, largePercent: 67, loadsPerS: 14}
+	for seed := range uint64(10) {
+		w := s.start(t, seed)
+		w.OpenTraffic()
+		w.Planner().SetWeightStore(demandStore)
+		w.store.atOnce, w.store.loadTime = demandStore.AtOnce, demandStore.Load
+		for d := range lost {
+			for i := range s.vms {
+				w.Crash(w.byVM[demandEngine(d, i).VM])
+				w.After(recovered+sardine.Millis(w.random.IntN(s.withinMs)), func() { w.Add(demandEngine(d, s.vms+i)) })
+			}
+		}
+		require.NoError(t, w.Run(w.now+recovered+back))
+		require.Equal(t, []int{6, 6}, []int{w.Serving("large"), w.Serving("small")}, "seed %d", seed)
+	}
+}
