Plan: under load each domain completes groups of the least covered deployment

Read in the code, not seen in a play. The count is limited to sites that callers don't use yet; under load the planner decides as it did on.

--- a/plan/stage.go
+++ b/plan/stage.go
@@ -134,7 +134,7 @@
 		if len(allocated) < dv.spec.GroupSize {
 			r.joinSpares(dv, d, allocated)
 		} else {
-			dv.staged++
+			r.countStaged(dv)
 		}
 	}
 }
@@ -176,7 +176,7 @@
 		r.move(s, sardine.GroupFenced, "its VM makes a group of "+string(dv.Service)+" whole")
 	}
 	_, rest := r.stageFor(dv, free, dv.spec.GroupSize-r.spareCount(dv, d))
-	dv.staged++
+	r.countStaged(dv)
 	return rest
 }
 
@@ -186,27 +186,33 @@
 // with groups of at most a size, nil if there is none. It counts the groups for
 // which hosts are planned to load in this round.
 func (r *round) leastStaged(size int) *deploymentView {
-	var least *deploymentView
-	for _, dv := range r.deployments {
-		if dv.byDemand() && dv.spec.GroupSize <= size && (least == nil || dv.stagedCoverage() < least.stagedCoverage()) {
-			least = dv
-		}
-	}
-	return least
+	return r.least(size, (*deploymentView).stagedCoverage)
 }
 
 // leastCovered returns the deployment by demand with the least coverage, nil if
 // there is none.
 func (r *round) leastCovered() *deploymentView {
+	return r.least(anySize, (*deploymentView).coverage)
+}
+
+func (r *round) least(size int, coverage func(*deploymentView) float64) *deploymentView {
 	var least *deploymentView
 	for _, dv := range r.deployments {
-		if dv.byDemand() && (least == nil || dv.coverage() < least.coverage()) {
+		if dv.byDemand() && dv.spec.GroupSize <= size && (least == nil || coverage(dv) < coverage(least)) {
 			least = dv
 		}
 	}
 	return least
 }
 
+// countStaged counts a group for which hosts are planned to load. Under load every
+// domain completes groups of the least covered deployment from their survivors.
+func (r *round) countStaged(dv *deploymentView) {
+	if !r.p.logView.trafficOpen {
+		dv.staged++
+	}
+}
+
 // releaseSmallerSpare releases a spare of a deployment with smaller groups, so
 // that its VM can be a spare for a deployment that has none. A missing member
 // idles more VMs in a larger group.
--- a/plan/view.go
+++ b/plan/view.go
@@ -143,7 +143,7 @@
 	objective      sardine.Objective
 	groups         []*groupView // active ones
 	serving        int
-	staged         int     // groups whose weights are planned to be staged in this round
+	staged         int     // groups for which hosts are planned to load in this round, see countStaged
 	unavailability float64 // fraction of time that a group waits for one member
 }
 
