--- a/plan/reshape.go
+++ b/plan/reshape.go
@@ -15,12 +15,11 @@
 // room.
 const reshapeTimeout = 5 * sardine.Second
 
-// reshaping is a set of groups of one domain that give way to a group of another
-// deployment, which raises the lowest coverage.
+// reshaping is a set of groups of one domain that make room for a group of another
+// deployment.
 type reshaping struct {
-	domain   sardine.FabricDomain
 	victims  []*groupView
-	coverage float64 // lowest one of the deployments involved
+	coverage float64 // lowest one afterwards of the deployments involved
 }
 
 // makeRoom dissolves groups so that a deployment that no domain has room for gets a
@@ -28,8 +27,8 @@
 // in any order, and the groups that formed first may have split the domains that
 // larger ones need. It reports whether the deployment should wait for the VMs.
 //
-// Groups stay once callers' requests have begun, and where hosts load the weights
-// before a group forms: a group that forms anew would serve nobody for a whole load.
+// Groups stay where loads are metered, as they are once callers' requests have begun:
+// a group that forms anew serves no request until its weights are loaded.
 func (r *round) makeRoom(dv *deploymentView) bool {
 	if !r.loadsUnmetered() {
 		return false
@@ -66,7 +65,7 @@
 // reshapingIn returns the smallest reshaping of a domain that makes room for a
 // deployment, without victims if there is none.
 func (r *round) reshapingIn(dv *deploymentView, d sardine.FabricDomain) reshaping {
-	s := reshaping{domain: d, coverage: dv.coverageOf(len(dv.groups) + 1)}
+	s := reshaping{coverage: dv.coverageOf(len(dv.groups) + 1)}
 	have := len(r.candidates(dv, d))
 	for _, other := range r.deployments {
 		if other == dv || !other.byDemand() {
--- a/plan/reshape_test.go
+++ b/plan/reshape_test.go
@@ -11,9 +11,9 @@
 	"sardineswitch.dev/sardine/state"
 )
 
-// TestGroupsMakeRoomForLeastCovered guards against layouts that stay as they formed
-// first, and against groups that form anew for next to nothing or while they serve
-// callers.
+// TestGroupsMakeRoomForLeastCovered guards against a deployment that keeps too few
+// groups after a start, and against groups that dissolve for a small gain or while
+// they serve callers.
 func TestGroupsMakeRoomForLeastCovered(t *testing.T) {
 	datadriven.RunTest(t, "testdata/reshape", func(t *testing.T, d *datadriven.TestData) string {
 		require.Equal(t, "reshape", d.Cmd)
