--- a/review/rig3/platform/worker.go
+++ b/review/rig3/platform/worker.go
@@ -30,8 +30,8 @@
 	ID      string
 	Address string
 	Answer  func(w http.ResponseWriter, r *http.Request)
-	Beat    func(beat map[string]any) // adds to a heartbeat, nil for nothing
-	Order   func(order map[string]any) int
+	Beat    func(beat map[string]any)      // adds to a heartbeat, nil for nothing
+	Order   func(order map[string]any) int // status of an order's answer, 0 to leave it unanswered; nil refuses all
 
 	site    *Site
 	service string
@@ -81,10 +81,10 @@
 }
 
 // Silence stops the heartbeats, as a partition from the control nodes does.
-func (w *Worker) Silence(on bool) {
+func (w *Worker) Silence() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = on
+	w.silent = true
 }
 
 // Drain makes the worker say that it leaves.
