--- a/review/rig3/platform/site.go
+++ b/review/rig3/platform/site.go
@@ -342,3 +342,9 @@
 	defer n.mu.Unlock()
 	return n.command.Process.Pid
 }
+
+// Log returns what the processes of the node have written.
+func (n *Node) Log() string {
+	text, _ := os.ReadFile(n.log.Name()) // empty if it can't be read
+	return string(text)
+}
