--- a/review/rig3/platform/client.go
+++ b/review/rig3/platform/client.go
@@ -18,6 +18,7 @@
 // Reply is what became of a request.
 type Reply struct {
 	Status int    // 0 without a complete answer
+	Begun  int    // status of the answer's head, 0 without one
 	Body   string // of a complete answer
 	Header http.Header
 	Fault  string // why there is no complete answer
@@ -70,10 +71,10 @@
 	}
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Reply{Fault: "broken off: " + err.Error()}
+		return Reply{Begun: resp.StatusCode, Header: resp.Header, Fault: fmt.Sprintf("%d, broken off: %v", resp.StatusCode, err)}
 	}
 	c.Used = true
-	return Reply{Status: resp.StatusCode, Body: string(text), Header: resp.Header}
+	return Reply{Status: resp.StatusCode, Begun: resp.StatusCode, Body: string(text), Header: resp.Header}
 }
 
 // Ask sends a small request on a new connection.
