--- a/review/rig3/platform/worker.go
+++ b/review/rig3/platform/worker.go
@@ -40,8 +40,6 @@
 
 	mu       sync.Mutex
 	sequence int
-	silent   bool
-	state    string
 	left     bool
 }
 
@@ -53,7 +51,7 @@
 	}
 	w := &Worker{
 		ID: fmt.Sprintf("i-%08x", rand.Uint32()), Address: l.Addr().String(), Answer: answer,
-		site: s, service: service, born: time.Now().UnixMilli(), state: "ready",
+		site: s, service: service, born: time.Now().UnixMilli(),
 	}
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve)}
 	go func() { _ = w.server.Serve(l) }() // until Close
@@ -65,10 +63,7 @@
 	w.site.Go(func() {
 		for {
 			w.beat()
-			w.mu.Lock()
-			left := w.left
-			w.mu.Unlock()
-			if left || w.site.Pause(HeartbeatInterval) {
+			if w.hasLeft() || w.site.Pause(HeartbeatInterval) {
 				return
 			}
 		}
@@ -80,37 +75,31 @@
 	go w.beat()
 }
 
-// Silence stops the heartbeats, as a partition from the control nodes does.
-func (w *Worker) Silence() {
+// NextBeat returns the next heartbeat.
+func (w *Worker) NextBeat() map[string]any {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = true
-}
-
-// Drain makes the worker say that it leaves.
-func (w *Worker) Drain() {
-	w.mu.Lock()
-	w.state = "draining"
-	w.mu.Unlock()
-	w.beat()
-}
-
-func (w *Worker) beat() {
-	w.mu.Lock()
-	if w.silent || w.left {
-		w.mu.Unlock()
-		return
-	}
 	w.sequence++
 	beat := map[string]any{
-		"service": w.service, "address": w.Address, "zone": Zone, "version": "v1", "slots": 26, "state": w.state,
+		"service": w.service, "address": w.Address, "zone": Zone, "version": "v1", "slots": 26, "state": "ready",
 		"coldLeftMs": 0, "sequence": w.sequence, "born": w.born,
 	}
 	if w.Beat != nil {
 		w.Beat(beat)
 	}
-	w.mu.Unlock()
-	_ = w.site.Call("/api/instances/"+w.ID+"/heartbeat", beat, 1) // the next one repeats it
+	return beat
+}
+
+func (w *Worker) beat() {
+	if !w.hasLeft() {
+		_ = w.site.Call("/api/instances/"+w.ID+"/heartbeat", w.NextBeat(), 1) // the next one repeats it
+	}
+}
+
+func (w *Worker) hasLeft() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left
 }
 
 // Close ends the worker: its listener and its connections.
