--- a/review/11/platform/main.go
+++ b/review/11/platform/main.go
@@ -1,152 +1,151 @@
-// Command 11 lets clients send heads and bodies of legal size to a front node and stop
-// short of the end, and checks that the process keeps to its machine's memory and that
-// ordinary requests are not lost.
+// Command 11 removes a model from the config while its streams run, and stops the leading
+// control node right after the change was acknowledged. It checks that the streams end
+// whole, as they do without that stop.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"sardineswitch.dev/sardine/review/rig3/platform"
 )
 
 const (
-	crowdClients = 1300
-	crowdBody    = 200 << 10 // of 4 MiB that the config allows
-	headBytes    = 16384     // maxHeaderBytes of the config
-	crowdStay    = 12 * time.Second
-	requesters   = 20
-	workTime     = 400 * time.Millisecond
-	timeLimit    = 1500 * time.Millisecond
-	mostLost     = 3 // LOST: more than three times
+	events     = 50
+	interval   = 100 * time.Millisecond
+	timeLimit  = 8 * time.Second
+	requesters = 8
+	window     = 3 * time.Second // configApplyMs + 1 s
+	restart    = time.Second
+	settle     = 3 * time.Second // stableWindowMs
 )
 
 func main() {
 	platform.Run("review/11", play)
 }
 
-// fields returns header lines that fill a head up to headBytes.
-func fields() string {
-	empty := len(platform.Head("/order/x", "crowd-1234-1234", platform.Key, time.Minute, crowdBody, ""))
-	var b strings.Builder
-	for i := 36 * 36; ; i++ { // names of three characters
-		line := strconv.FormatInt(int64(i), 36) + ":1\r\n"
-		if empty+b.Len()+len(line) > headBytes {
-			return b.String()
-		}
-		b.WriteString(line)
-	}
-}
-
 func play(r *platform.Record) (int, error) {
 	s, err := platform.NewSite(r, 3, 1)
 	if err != nil {
 		return 0, err
 	}
 	defer s.Stop()
-	j := &judge{record: r, runs: map[string]bool{}}
-	var w *platform.Worker
-	w, err = s.NewWorker("loja", 100, func(out http.ResponseWriter, q *http.Request) {
-		id := q.Header.Get(platform.HeaderRequest)
-		_, _ = io.Copy(io.Discard, q.Body) // a body that breaks off gets an answer that nobody reads
-		j.ran(id)
-		time.Sleep(workTime)
-		w.Stamp(out, q)
-		fmt.Fprintf(out, "%s by %s", id, w.ID)
-	})
-	if err != nil {
-		return 0, err
+	models := []string{"daka", "rada"}
+	var engines []*platform.Engine
+	for i := range 4 {
+		e, err := s.NewEngine(r, "lenco", 100+i, models)
+		if err != nil {
+			return 0, err
+		}
+		e.Events, e.Interval = events, interval
+		engines = append(engines, e)
 	}
-	w.Announce()
-	routes := []any{platform.Route("order", "unsafe", "loja", timeLimit, false)}
-	if err := s.Put(platform.Config(1, routes, []any{platform.Plain("loja")})); err != nil {
+	both := []any{platform.Route("guide", "stream", "lenco", timeLimit, false), platform.Route("chat", "stream", "lenco", timeLimit, false)}
+	if err := s.Put(platform.Config(1, both, []any{platform.EngineService("lenco", models)})); err != nil {
 		return 0, err
 	}
 	front := s.Fronts[0]
-	if err := s.Await("service", func() bool { return platform.Ask(front, "/order/x", "probe", timeLimit).Status == http.StatusOK }); err != nil {
+	if err := s.Await("service of both models", func() bool {
+		return ask(front, "probe-a", models[0]).Status == http.StatusOK && ask(front, "probe-b", models[1]).Status == http.StatusOK
+	}); err != nil {
 		return 0, err
 	}
-	stop := make(chan struct{})
-	var tasks sync.WaitGroup
-	peak, ended := 0, 0
-	tasks.Go(func() { peak, ended = platform.LimitMemory(r, front, stop) })
-	for i := range requesters {
-		tasks.Go(func() { j.requester(front, i, stop) })
+	c := &cutter{record: r, site: s, front: front, engine: engines[0]}
+	r.Printf("first, streams without a change of the config")
+	other, err := c.play("calm", models[1], nil)
+	if err != nil {
+		return 0, err
 	}
-	time.Sleep(2 * time.Second)
-	if platform.Trouble() {
-		c := platform.Crowd{Clients: crowdClients, Key: platform.Key, Path: "/order/x", Body: crowdBody, More: fields()}
-		r.Printf("%d clients come, each with a head of %d fields and %d bytes and a body of %d bytes", c.Clients, strings.Count(c.More, "\n"), headBytes, c.Body)
-		r.Printf("replies to the crowd: %v", c.Play(front, time.Now().Add(crowdStay)))
-	} else {
-		time.Sleep(crowdStay)
+	r.Printf("then, config 2 drops the route chat and its model")
+	config := platform.Config(2, both[:1], []any{platform.EngineService("lenco", models[:1])})
+	cut, err := c.play("chat", models[1], config)
+	if err != nil {
+		return 0, err
 	}
-	close(stop)
-	tasks.Wait()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	r.Printf("most memory %d MB of %d, the process was ended %d times; %d ordinary requests, %d of them run by the sound worker and their kept connections closed without an answer",
-		peak, platform.MemoryMB, ended, j.sent, len(j.lost))
-	if len(j.lost) > mostLost {
+	r.Printf("%d of %d streams broken off from the sending of config 2 until %v after its acknowledgement, %d of %d without a config", cut, requesters, window, other, requesters)
+	if cut > 3*other {
 		return platform.Broken, nil
 	}
 	return platform.Held, nil
 }
 
-// judge counts what became of the ordinary requests.
-type judge struct {
+// cutter plays streams during which the leading control node may be stopped.
+type cutter struct {
 	record *platform.Record
-	mu     sync.Mutex
-	sent   int
-	runs   map[string]bool
-	lost   []string
+	site   *platform.Site
+	front  *platform.Node
+	engine *platform.Engine
 }
 
-func (j *judge) ran(id string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.runs[id] = true
-}
-
-// requester sends one request after the other on a connection that it keeps.
-func (j *judge) requester(front *platform.Node, number int, stop <-chan struct{}) {
-	var conn *platform.Conn
-	for k := 0; ; k++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-		if conn == nil {
-			var err error
-			if conn, err = platform.Dial(front); err != nil {
-				conn = nil
-				continue
+// play sends streams, then a config unless it is nil, then stops the leading control node
+// and starts it again. It returns how many streams were broken off, of those beside a config
+// only the ones that were within the window.
+func (c *cutter) play(prefix, model string, config map[string]any) (cut int, err error) {
+	leader := c.site.Leader()
+	if leader == nil {
+		return 0, errors.New("no control node leads")
+	}
+	var mu sync.Mutex
+	var broken []time.Time
+	var tasks sync.WaitGroup
+	for i := range requesters {
+		tasks.Go(func() {
+			id := fmt.Sprintf("%s-%d", prefix, i)
+			reply := ask(c.front, id, model)
+			whole := reply.Status == http.StatusOK && c.engine.Whole(reply.Body)
+			c.record.Printf("request %s: %v, whole %v", id, reply, whole)
+			mu.Lock()
+			defer mu.Unlock()
+			if !whole {
+				broken = append(broken, time.Now())
 			}
+		})
+	}
+	time.Sleep(time.Second)
+	end := time.Now().Add(time.Minute) // no stream lasts so long
+	if config != nil {
+		c.record.Printf("the config is sent")
+		if err := c.site.Put(config); err != nil {
+			return 0, err
 		}
-		id := fmt.Sprintf("order-%d-%d", number, k)
-		kept := conn.Used
-		reply := conn.Send(platform.Head("/order/x", id, platform.Key, timeLimit, 2, ""), "ok", timeLimit)
-		j.answered(id, kept, reply)
-		if reply.Status == 0 || reply.Header.Get("Connection") == "close" {
-			conn.Close()
-			conn = nil
+		c.record.Printf("the config is acknowledged")
+		end = time.Now().Add(window)
+	}
+	if platform.Trouble() {
+		c.record.Printf("SIGTERM to %s, which leads", leader.Name)
+		leader.Signal(syscall.SIGTERM)
+		leader.AwaitExit()
+		c.record.Printf("%s has exited", leader.Name)
+		time.Sleep(restart)
+		if err := leader.Start(); err != nil {
+			return 0, err
 		}
 	}
+	tasks.Wait()
+	time.Sleep(settle)
+	for _, at := range broken {
+		if at.Before(end) {
+			cut++
+		}
+	}
+	return cut, nil
 }
 
-func (j *judge) answered(id string, kept bool, reply platform.Reply) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.sent++
-	ran := j.runs[id]
-	j.record.Printf("request %s on a kept connection %v: ran %v, %v", id, kept, ran, reply)
-	if reply.Status == 0 && ran && kept {
-		j.lost = append(j.lost, id)
+// ask sends a request for a stream of a model.
+func ask(front *platform.Node, id, model string) platform.Reply {
+	path := "/chat/x"
+	if id == "probe-a" {
+		path = "/guide/x"
+	}
+	c, err := platform.Dial(front)
+	if err != nil {
+		return platform.Reply{Fault: "no connection: " + err.Error()}
 	}
+	defer c.Close()
+	more := fmt.Sprintf("%s: %s\r\n%s: 100,350\r\n", platform.HeaderModel, model, platform.HeaderTokens)
+	return c.Send(platform.Head(path, id, platform.Key, timeLimit, 2, more), "ok", timeLimit)
 }
