--- a/review/11/platform/main.go
+++ b/review/11/platform/main.go
@@ -25,7 +25,7 @@
 )
 
 func main() {
-	platform.Run("review/11", play)
+	platform.Run("review/11/record.txt", play)
 }
 
 func play(r *platform.Record) (int, error) {
@@ -50,7 +50,8 @@
 	}
 	front := s.Fronts[0]
 	if err := s.Await("service of both models", func() bool {
-		return ask(front, "probe-a", models[0]).Status == http.StatusOK && ask(front, "probe-b", models[1]).Status == http.StatusOK
+		return ask(front, "/guide/x", "probe-guide", models[0]).Status == http.StatusOK &&
+			ask(front, "/chat/x", "probe-chat", models[1]).Status == http.StatusOK
 	}); err != nil {
 		return 0, err
 	}
@@ -95,7 +96,7 @@
 	for i := range requesters {
 		tasks.Go(func() {
 			id := fmt.Sprintf("%s-%d", prefix, i)
-			reply := ask(c.front, id, model)
+			reply := ask(c.front, "/chat/x", id, model)
 			whole := reply.Status == http.StatusOK && c.engine.Whole(reply.Body)
 			c.record.Printf("request %s: %v, whole %v", id, reply, whole)
 			mu.Lock()
@@ -136,11 +137,7 @@
 }
 
 // ask sends a request for a stream of a model.
-func ask(front *platform.Node, id, model string) platform.Reply {
-	path := "/chat/x"
-	if id == "probe-a" {
-		path = "/guide/x"
-	}
+func ask(front *platform.Node, path, id, model string) platform.Reply {
 	c, err := platform.Dial(front)
 	if err != nil {
 		return platform.Reply{Fault: "no connection: " + err.Error()}
--- a/review/15/platform/main.go
+++ b/review/15/platform/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	platform.Run("review/15", play)
+	platform.Run("review/15/record.txt", play)
 }
 
 func play(r *platform.Record) (int, error) {
--- a/review/rig3/platform/engine.go
+++ b/review/rig3/platform/engine.go
@@ -204,8 +204,8 @@
 			if !strings.Contains(line, "leader_changed") {
 				continue
 			}
-			ip, _, _ := strings.Cut(after(line, `"leader":"`), `"`)
-			number, _, _ := strings.Cut(after(line, `"term":`), ",")
+			ip, _, _ := strings.Cut(textAfter(line, `"leader":"`), `"`)
+			number, _, _ := strings.Cut(textAfter(line, `"term":`), ",")
 			if t, err := strconv.Atoi(strings.Trim(number, `"}`)); err == nil && t > term {
 				newest, term = ip, t
 			}
@@ -219,7 +219,7 @@
 	return nil
 }
 
-func after(line, word string) string {
+func textAfter(line, word string) string {
 	_, rest, _ := strings.Cut(line, word)
 	return rest
 }
--- a/review/rig3/platform/record.go
+++ b/review/rig3/platform/record.go
@@ -48,9 +48,9 @@
 	return os.Getenv("TROUBLE") != "0"
 }
 
-// Run runs a case with a record in its folder and exits with its result.
-func Run(folder string, play func(r *Record) (code int, err error)) {
-	r, err := NewRecord(folder + "/record.txt")
+// Run runs a case with a record at the given path and exits with its result.
+func Run(path string, play func(r *Record) (code int, err error)) {
+	r, err := NewRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
--- a/review/rig3/platform/worker.go
+++ b/review/rig3/platform/worker.go
@@ -14,15 +14,13 @@
 
 // Headers of requests and answers.
 const (
-	HeaderRequest     = "X-Sardineswitch-Request-Id"
-	HeaderDeadline    = "X-Sardineswitch-Request-Deadline"
-	HeaderInstance    = "X-Sardineswitch-Expect-Instance"
-	HeaderNotExecuted = "X-Sardineswitch-Not-Executed"
-	HeaderStamp       = "X-Sardineswitch-Response-Stamp"
-	HeaderLoad        = "X-Sardineswitch-Server-Load"
-	HeaderModel       = "X-Sardineswitch-Model"
-	HeaderTokens      = "X-Sardineswitch-Token-Counts"
-	HeaderLastEvent   = "Last-Event-Id"
+	HeaderRequest   = "X-Sardineswitch-Request-Id"
+	HeaderDeadline  = "X-Sardineswitch-Request-Deadline"
+	HeaderInstance  = "X-Sardineswitch-Expect-Instance"
+	HeaderStamp     = "X-Sardineswitch-Response-Stamp"
+	HeaderModel     = "X-Sardineswitch-Model"
+	HeaderTokens    = "X-Sardineswitch-Token-Counts"
+	HeaderLastEvent = "Last-Event-Id"
 )
 
 // Worker is a stand-in of a worker. Answer handles the requests that it runs.
