--- a/review/11/platform/main.go
+++ b/review/11/platform/main.go
@@ -21,7 +21,8 @@
 	requesters = 8
 	window     = 3 * time.Second // configApplyMs + 1 s
 	restart    = time.Second
-	settle     = 3 * time.Second // stableWindowMs
+	settle     = 3 * time.Second        // stableWindowMs
+	stopAfter  = 300 * time.Millisecond // the acknowledgement
 )
 
 func main() {
@@ -116,6 +117,7 @@
 		c.record.Printf("the config is acknowledged")
 		end = time.Now().Add(window)
 	}
+	time.Sleep(stopAfter)
 	if platform.Trouble() {
 		c.record.Printf("SIGTERM to %s, which leads", leader.Name)
 		leader.Signal(syscall.SIGTERM)
