Plan: a new leader keeps the requests of groups that an earlier one drained

Cause: why a group is drained is in the planner's memory alone. A new leader took such a group for one that nothing holds up and fenced, re-formed or updated it in its first round. Even the new leader's own drains ended at once: members that had not announced themselves to it counted as unable to finish requests, and requests that nobody had reported yet, or a load that was never announced, counted as none.

Change: groups out of service when a term begins are drained for an unknown purpose. They serve again if their members are ready, else they are repaired, updated or dissolved once they are idle. A group is idle only if each entry node has a lease of this leader, and their reports, or else rank 0, show no request. Members without an announcement may finish requests; gone and restarted members can't, so repairs are as fast as before. A drain that changes its purpose keeps its time limit.

--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -147,7 +147,8 @@
 	}
 	l.configureLimits(settings)
 	targets := append(l.fleet.Commands(now, m), l.removeSilentEntries(now)...)
-	out, err := l.planner.Round(now, m, l.fleet.At(now), settings)
+	view := l.fleet.At(now).WithEntriesMissing(len(l.ledger.Missing(now)) > 0)
+	out, err := l.planner.Round(now, m, view, settings)
 	if err != nil {
 		l.planError = err
 		return work{}, err
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -392,8 +392,9 @@
 
 // View is the state of the fleet at one instant.
 type View struct {
-	leader *Leader
-	now    sardine.Millis
+	leader         *Leader
+	now            sardine.Millis
+	entriesMissing bool
 }
 
 // At returns the state of the fleet at an instant.
@@ -401,6 +402,18 @@
 	return View{leader: l, now: now}
 }
 
+// WithEntriesMissing returns the view with EntriesMissing set.
+func (v View) WithEntriesMissing(missing bool) View {
+	v.entriesMissing = missing
+	return v
+}
+
+// EntriesMissing reports whether some entry node may have requests that it could not
+// report to this leader.
+func (v View) EntriesMissing() bool {
+	return v.entriesMissing
+}
+
 // Live returns a target's newest status. It is false if the target does not
 // count as alive.
 func (v View) Live(vm sardine.VMID) (Status, bool) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -62,6 +62,8 @@
 		return fmt.Sprintf("%+v", l.InForceTeam(now, sardine.Team(node), a))
 	case "changed":
 		l.RecordRevision(sardine.Team(node), a, sardine.CutPolicy(b))
+	case "missing":
+		return fmt.Sprint(l.Missing(now))
 	case "lowest":
 		return fmt.Sprint(l.LowestApplied(now))
 	default:
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -16,6 +16,7 @@
 	applied    uint64         // highest index that the node reported as applied
 	servingEnd sardine.Millis // end of the serving lease on this node's clock
 	holdingEnd sardine.Millis // end of the holding lease on this node's clock
+	granted    bool           // a lease in this term
 	noGrants   bool           // being replaced or removed, gets no more grants
 }
 
@@ -171,6 +172,7 @@
 		return Grant{}, codes.New(codes.UnknownMember, "entry node %s incarnation %d is being replaced or removed", n, i)
 	}
 	r.applied = max(r.applied, applied)
+	r.granted = true
 	r.servingEnd = max(r.servingEnd, now+AddDrift(l.serving))
 	g := Grant{Sequence: sequence, Serving: l.serving, Floor: l.floor}
 	if l.anyHoldsChanges {
@@ -217,6 +219,20 @@
 	return v
 }
 
+// Missing returns the entry nodes that may have requests in flight and hold no lease from
+// this leader, sorted. They did not find it after the election, or are cut off from it.
+func (l *Ledger) Missing(now sardine.Millis) []sardine.NodeID {
+	var missing []sardine.NodeID
+	for n, r := range l.records {
+		neverServed := r.servingEnd == 0
+		if !neverServed && (!r.granted || r.servingEnd <= now) {
+			missing = append(missing, n)
+		}
+	}
+	slices.Sort(missing)
+	return missing
+}
+
 // Floor returns the highest index that may have been reported as in force.
 func (l *Ledger) Floor() uint64 {
 	return l.floor
--- a/plan/advance.go
+++ b/plan/advance.go
@@ -157,6 +157,8 @@
 func (r *round) advanceForming(g *groupView) {
 	early := r.p.defect == DefectServeEarly && g.holds()
 	switch {
+	case g.record.drain == drainInherited:
+		r.endInheritedDrain(g)
 	case g.record.drain != notDraining:
 	case early, g.ready() && g.open():
 		r.move(g, sardine.GroupServing, "every member is ready")
--- a/plan/drain.go
+++ b/plan/drain.go
@@ -9,10 +9,13 @@
 const drainSettle = 2 * sardine.Second
 
 // drain removes a group from routing, so that its requests in flight can end
-// before its members are released.
+// before its members are released. A drain that goes on for another purpose keeps its
+// time limit.
 func (r *round) drain(g *groupView, purpose DrainPurpose, reason string) {
+	if g.record.drain == notDraining || g.State == sardine.GroupServing {
+		g.record.drainAt = r.now
+	}
 	g.record.drain = purpose
-	g.record.drainAt = r.now
 	if g.State == sardine.GroupServing {
 		r.move(g, sardine.GroupDegraded, reason)
 		return
@@ -32,29 +35,56 @@
 	if g.record.drainAt+drainSettle > r.now {
 		return false
 	}
-	return r.inFlight(g) == 0
+	return r.idle(g)
+}
+
+// endInheritedDrain ends the drain of a group that an earlier leader took out of service.
+// The group serves again if all its members are ready. Otherwise it may be repaired or
+// dissolved, but only once it is drained: its requests may have begun before the election.
+func (r *round) endInheritedDrain(g *groupView) {
+	switch {
+	case g.deployment != nil && g.ready() && g.open():
+		g.record.drain = notDraining
+		r.move(g, sardine.GroupServing, "every member is ready")
+	case r.drained(g):
+		g.record.drain = notDraining
+	default:
+		r.recordWait(g, "an earlier leader took it out of service, and it may have requests in flight")
+	}
 }
 
 // requestCounter is a Fleet that counts the requests in flight at a group.
 type requestCounter interface {
+	// GroupInFlight returns the requests that entry nodes have reported; known is false
+	// if none of them has reported on the group.
 	GroupInFlight(g sardine.GroupID, e sardine.Epoch) (count int, known bool)
+	// EntriesMissing reports whether some entry node may have requests that it could not
+	// report.
+	EntriesMissing() bool
 }
 
-// inFlight returns the requests in flight at a group as reported by entry
-// nodes, or else by its rank 0.
-func (r *round) inFlight(g *groupView) int {
+// idle reports whether a group is known to have no request in flight, by the reports of
+// entry nodes, or else of its rank 0.
+func (r *round) idle(g *groupView) bool {
+	head := g.members[0].vm
 	if counter, ok := r.live.(requestCounter); ok {
+		if counter.EntriesMissing() {
+			return false
+		}
 		if n, known := counter.GroupInFlight(g.ID, g.Epoch); known {
-			return n
+			return n == 0
 		}
 	}
-	load := g.members[0].vm.status.Load
-	return load.Running + load.Queued
+	return head.alive && head.status.Load.Running+head.status.Load.Queued == 0
 }
 
-// canFinish reports whether the group's engines can still finish requests.
+// canFinish reports whether the group's engines can still finish requests. A member that
+// has not announced itself to a new leader may be able to.
 func (g *groupView) canFinish() bool {
 	for _, m := range g.members {
+		if m.condition == memberUnseen {
+			continue
+		}
 		h := m.vm.status.CurrentOrder
 		if !m.vm.alive || h.Group != g.ID || h.Epoch != g.Epoch || !h.State.Ready() {
 			return false
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -67,7 +67,9 @@
 
 // Lead starts a term. It discards all soft state and continues from the state
 // machine, which must have applied all entries of earlier terms. Orders that an
-// earlier leader sent to VMs with an owner may still arrive.
+// earlier leader sent to VMs with an owner may still arrive. Groups out of service may
+// have been drained by an earlier leader, so they are drained until they are known to
+// have no requests.
 func (p *Planner) Lead(now sardine.Millis, term uint64, m *state.Machine) {
 	p.clear()
 	p.term = term
@@ -75,6 +77,11 @@
 	for _, o := range m.Owners() {
 		p.vm(o.VM).staleOrderUntil = now + p.limits.orderLifetime()
 	}
+	for _, g := range m.Groups() {
+		if g.State == sardine.GroupDegraded && g.Service != "" {
+			p.groups[g.ID] = &groupRecord{epoch: g.Epoch, state: g.State, since: now, downSince: now, drain: drainInherited, drainAt: now}
+		}
+	}
 }
 
 // Policy returns the repair policy.
--- a/plan/records.go
+++ b/plan/records.go
@@ -108,10 +108,11 @@
 
 // The purposes of a drain.
 const (
-	notDraining   DrainPurpose = iota
-	drainReplace               // one member is replaced by a loaded spare
-	drainRoll                  // the members load another version
-	drainDissolve              // the group is dissolved
+	notDraining    DrainPurpose = iota
+	drainReplace                // one member is replaced by a loaded spare
+	drainRoll                   // the members load another version
+	drainDissolve               // the group is dissolved
+	drainInherited              // an earlier leader took the group out of service, for a reason that is not in the log
 )
 
 // groupRecord is what the planner remembers of one epoch of a group.
@@ -121,12 +122,12 @@
 	since          sardine.Millis // when it entered the state
 	downSince      sardine.Millis // when it last stopped serving, 0 while it serves
 	drain          DrainPurpose
-	drainAt        sardine.Millis
-	replacedMember sardine.VMID // the member that is being replaced
-	epochBehind    bool         // an engine holds a higher epoch than the group
-	served         bool         // has served under this leader, under any epoch
-	placement      string       // why the group is in its domain
-	reason         string       // of the last decision
+	drainAt        sardine.Millis // when this leader began or inherited the drain
+	replacedMember sardine.VMID   // the member that is being replaced
+	epochBehind    bool           // an engine holds a higher epoch than the group
+	served         bool           // has served under this leader, under any epoch
+	placement      string         // why the group is in its domain
+	reason         string         // of the last decision
 }
 
 // pendingCommands tracks the proposed and unanswered commands of a group.
--- a/plan/reshape.go
+++ b/plan/reshape.go
@@ -93,9 +93,9 @@
 	return s
 }
 
-// dissolveUnused dissolves a group, without a drain if it has no requests.
+// dissolveUnused dissolves a group, without a drain if it is known to have no requests.
 func (r *round) dissolveUnused(g *groupView, reason string) {
-	if r.inFlight(g) > 0 {
+	if !r.idle(g) {
 		r.dissolve(g, reason)
 	} else {
 		g.record.drain = drainDissolve
--- a/plan/roll.go
+++ b/plan/roll.go
@@ -25,6 +25,8 @@
 			r.endRoll(dv, g)
 		case dv.current(g) && g.State != sardine.GroupServing:
 			rolling++ // may have just been updated
+		case g.record.drain == drainInherited:
+			rolling++ // may have been updated when the leader changed
 		case !dv.current(g) && !g.busy && (next == nil || next.State == sardine.GroupServing):
 			next = g
 		}
