Entry: the limits of a layout hold for callers' headers and connections

Lower limits, the time for headers and for idle connections were not kept either.

Cause: the codec of layouts read maxBodyBytes alone. The listener had the node's own settings, and net/http can't change those of a server that runs. Of the own settings header_timeout_ms was not kept: the larger of it and the time for bodies was.

Change: the four limits come from the layout in force, at once. A listener has an http.Server for each set of limits; connections under earlier ones are closed when they have no request, as in a shutdown. Headers are checked against the layout of the request, without net/http's tolerance; by settings that are too old 503. Limits that are absent, 0 or negative are the node's own; huge ones what the machine bears. Before the first layout a node refuses nothing for its size. Requests that another entry node passes on were checked there. Clients get the whole 431, as CloseWrite reaches the socket.

So that longer headers don't cost a node its memory, those that take over 8 KiB are charged to the budget of bodies, by lines and bytes, from their first bytes to the end of the request, a quarter of it together; an HTTP/2 connection for a header of twice the largest size.

TestOutdatedSettingsDenyNoRequest has two more cases; its node has the default limits.

--- a/codes/table.go
+++ b/codes/table.go
@@ -15,6 +15,7 @@
 	OutcomeUnknown   Code = 106
 	SlowRequest      Code = 107
 	MethodNotAllowed Code = 108
+	HeaderTooLarge   Code = 109
 
 	LimitReached     Code = 200
 	QueueFull        Code = 201
@@ -66,7 +67,7 @@
 	{Internal, "internal", 500, "an unforeseen error", "report it with the state dump of the node"},
 
 	{BadRequest, "bad_request", 400, "the request can't be read", "correct the request as the detail says"},
-	{TooLarge, "too_large", 413, "the request's body or header is over the limit", "send a smaller request"},
+	{TooLarge, "too_large", 413, "the request's body is over the limit", "send a smaller request"},
 	{UnknownService, "unknown_service", 404, "no such model or service in the workspace", "check the name with sardctl get /teams/TEAM"},
 	{UnknownWorkspace, "unknown_workspace", 404, "no such workspace", "check the X-Sardine-Workspace header"},
 	{KeyReused, "key_reused", 422, "the idempotency key was used with another request", "use a new key for a new request"},
@@ -74,6 +75,7 @@
 	{OutcomeUnknown, "outcome_unknown", 502, "a target may have run the request", "look up the outcome before sending it again"},
 	{SlowRequest, "slow_request", 408, "the request was not received in time", "send it again"},
 	{MethodNotAllowed, "method_not_allowed", 405, "the path does not support this method", "use the method in the Allow header"},
+	{HeaderTooLarge, "header_too_large", 431, "the request's header is over the limit", "send a smaller header"},
 
 	{LimitReached, "limit_reached", 429, "the workspace is over its limit", "send again after the time in the Retry-After header"},
 	{QueueFull, "queue_full", 503, "the queue for this class is full", "send again after the time in the Retry-After header"},
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -182,7 +182,7 @@
 }
 
 func closesConnection(err error) bool {
-	return codes.Is(err, codes.TooLarge) || codes.Is(err, codes.SlowRequest) || codes.Is(err, codes.UploadsFull)
+	return codes.Is(err, codes.TooLarge) || codes.Is(err, codes.HeaderTooLarge) || codes.Is(err, codes.SlowRequest) || codes.Is(err, codes.UploadsFull)
 }
 
 // refusalTo returns the error response of this node, with its Retry-After.
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -73,7 +73,8 @@
 		{Name: "sardine_taken", Description: "requests in flight that other entry nodes have passed to this one", Read: func() float64 { return float64(n.taken.inFlight()) }},
 		{Name: "sardine_limited_targets", Description: "targets whose limit on requests per second is known", Read: func() float64 { return float64(n.limitedTargets()) }},
 		{Name: "sardine_poison_requests", Description: "requests that are refused since they ended their targets", Read: func() float64 { return float64(n.view().poisons()) }},
-		{Name: "sardine_upload_bytes", Description: "memory that request bodies take or have reserved", Read: func() float64 { return float64(n.uploads.Used()) }},
+		{Name: "sardine_upload_bytes", Description: "memory that request bodies and long headers take or have reserved", Read: func() float64 { return float64(n.uploads.Used()) }},
+		{Name: "sardine_headers_refused", Description: "headers of requests for which there was no memory, since the start", Read: func() float64 { return float64(n.uploads.RefusedHeads()) }},
 		{Name: "sardine_uploads_waiting", Description: "requests that wait for the memory of their body", Read: func() float64 { return float64(n.uploads.Waiting()) }},
 		{Name: "sardine_log_lines_dropped", Description: "log lines that were dropped since the start", Read: func() float64 { return float64(n.linesDropped()) }},
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -163,6 +163,7 @@
 
 func (n *Node) open() error {
 	var err error
+	n.uploads = upload.NewBudget(n.clock, n.limits.UploadBytes)
 	if err = n.openServers(); err != nil {
 		return err
 	}
@@ -196,7 +197,6 @@
 	n.checks = newChecks(n)
 	n.strikes = newStrikes(n)
 	n.answers = serve.NewBudget(heldAnswerBytes)
-	n.uploads = upload.NewBudget(n.clock, n.limits.UploadBytes)
 	n.follower = newFollower(n)
 	return nil
 }
@@ -205,8 +205,8 @@
 	var err error
 	n.public, err = listen.New(
 		n.listenPublic,
-		listen.WithTimeouts(n.timing.Read, n.timing.Idle),
-		listen.WithHeaderBytes(n.limits.HeaderBytes),
+		listen.WithLimits(n.firstLimits()),
+		listen.WithHeadBudget(n.headBudget()),
 		listen.WithConnections(n.limits.Connections),
 		listen.WithTLS(n.keys.CallerServer()),
 	)
@@ -225,7 +225,7 @@
 	}
 	n.internal, err = listen.New(
 		n.listenInternal,
-		listen.WithHeaderBytes(n.limits.HeaderBytes+passHeaderBytes),
+		listen.WithHeaderBytes(n.firstLimits().HeaderBytes+passHeaderBytes),
 		listen.WithTLS(n.keys.InternalServer()),
 	)
 	if err != nil {
--- a/entry/options.go
+++ b/entry/options.go
@@ -17,6 +17,7 @@
 	BetweenTokens    sardine.Millis // maximum silence between tokens
 	PlainAnswer      sardine.Millis // timeout of a plain service's answer
 	Write            sardine.Millis // timeout of one write to a caller
+	Header           sardine.Millis // from the start of a request to the end of its header
 	Read             sardine.Millis // timeout of reading a caller's request
 	Idle             sardine.Millis // idle timeout of callers' connections
 	BalancerDelay    sardine.Millis // from reporting not ready to closing the listener
@@ -35,6 +36,7 @@
 		BetweenTokens:    5 * sardine.Second,
 		PlainAnswer:      30 * sardine.Second,
 		Write:            10 * sardine.Second,
+		Header:           5 * sardine.Second,
 		Read:             10 * sardine.Second,
 		Idle:             60 * sardine.Second,
 		BalancerDelay:    3 * sardine.Second,
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -152,6 +152,7 @@
 	if number := v.table.Layout().Number; number != n.configuredLayout {
 		n.configuredLayout = number
 		n.configureEngines(v.table.Layout())
+		n.applyCallerLimits(v.table.Layout().Limits)
 		n.waitEstimator.Retain(v.table.Layout())
 	}
 	for key, all := range v.candidates {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -151,6 +151,10 @@
 	if table == nil {
 		return codes.New(codes.NoLease, "this entry node knows no layout yet")
 	}
+	limits := q.limits(table)
+	if err := checkHeader(r, limits.HeaderBytes); err != nil {
+		return known.denial(n.clock.Now(), err)
+	}
 	if q.route, err = table.Route(q.call.Host, q.call.Path); err != nil {
 		return known.denial(n.clock.Now(), err)
 	}
@@ -168,7 +172,9 @@
 	if err := q.findService(table); err != nil {
 		return err
 	}
-	if q.upload, err = n.uploads.Read(q.w, r, table.Layout().Limits.BodyBytes, q.bodyWait(r)); err != nil {
+	if q.upload, err = n.uploads.Read(q.w, r, limits.BodyBytes, q.bodyWait(r)); codes.Is(err, codes.TooLarge) {
+		return known.denial(n.clock.Now(), err)
+	} else if err != nil {
 		return err
 	}
 	unlimit()
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -243,28 +244,33 @@
 // retry.
 func TestOutdatedSettingsDenyNoRequest(t *testing.T) {
 	layout := sardine.Layout{
-		Number: 1, Tenants: []sardine.KeyTenant{{Name: "w", Keys: []string{"key"}}},
+		Number: 1, Tenants: []sardine.KeyTenant{{Name: "w", Keys: []string{"key"}}}, Limits: sardine.CallerLimits{HeaderBytes: 1000, BodyBytes: 10},
 		Routes: []sardine.Route{{Name: "r", Host: "h", Prefix: "/r/", Split: []sardine.WeightedService{{Service: "app", Weight: 1}}}},
 	}
 	const freshAt = 1000
 	for _, c := range []struct {
 		path, key string
 		age       sardine.Millis
+		note      int // bytes
 		code      codes.Code
 	}{
-		{"/other/", "key", 0, codes.UnknownService},
-		{"/other/", "key", follow.MaxStaleness, codes.UnknownService},
-		{"/other/", "key", follow.MaxStaleness + 1, codes.NoLease},
-		{"/r/", "other", follow.MaxStaleness, codes.KeyRefused},
-		{"/r/", "other", follow.MaxStaleness + 1, codes.NoLease},
-		{"/other/", "key", 60 * sardine.Second, codes.NoLease},
+		{"/other/", "key", 0, 0, codes.UnknownService},
+		{"/other/", "key", follow.MaxStaleness, 0, codes.UnknownService},
+		{"/other/", "key", follow.MaxStaleness + 1, 0, codes.NoLease},
+		{"/r/", "other", follow.MaxStaleness, 0, codes.KeyRefused},
+		{"/r/", "other", follow.MaxStaleness + 1, 0, codes.NoLease},
+		{"/other/", "key", 60 * sardine.Second, 0, codes.NoLease},
+		{"/r/", "key", follow.MaxStaleness, 1000, codes.HeaderTooLarge},
+		{"/r/", "key", follow.MaxStaleness + 1, 1000, codes.NoLease},
 	} {
-		n := &Node{clock: clock.NewVirtual(freshAt + c.age), callers: namedCall{path: c.path, key: c.key}}
+		n := &Node{limits: DefaultLimits(), clock: clock.NewVirtual(freshAt + c.age), callers: namedCall{path: c.path, key: c.key}}
 		v := emptyView()
 		v.table = paths.New(layout)
 		n.published.Store(&published{view: v, freshAt: freshAt})
 		q := &routedRun{node: n, arrived: n.clock.Now(), losses: losses{node: n}}
-		err := q.read(httptest.NewRequest(http.MethodGet, "/", nil))
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set("X-Note", strings.Repeat("n", c.note))
+		err := q.read(r)
 		require.Equal(t, c.code, codes.Of(err), "%+v", c)
 	}
 }
--- a/entryd/start/run.go
+++ b/entryd/start/run.go
@@ -137,7 +137,8 @@
 	t.BalancerDelay = s.Timings().BalancerDelay()
 	t.Drain = s.Timings().Drain()
 	t.Final = s.Timings().Final()
-	t.Read = max(s.Limits().HeaderTimeout(), s.Limits().BodyTimeout())
+	t.Header = s.Limits().HeaderTimeout()
+	t.Read = s.Limits().BodyTimeout()
 	t.Idle = s.Limits().IdleTimeout()
 	return t
 }
--- a/layout.go
+++ b/layout.go
@@ -119,7 +119,11 @@
 	HasPriority bool // Priority is set
 }
 
-// CallerLimits holds the limits on callers' requests.
+// CallerLimits holds the limits on callers' requests. An entry node's own settings take the
+// place of those that are 0 or less.
 type CallerLimits struct {
-	BodyBytes int64
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout Millis // from the start of a request to the end of its header
+	IdleTimeout   Millis // of a connection between two requests
 }
--- a/listen/conns.go
+++ b/listen/conns.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"sardineswitch.dev/sardine/upload"
 )
 
 const (
@@ -21,9 +24,11 @@
 // request. It makes a read fail instead of closing: a request that has been read
 // already, but not passed to the handler yet, is answered. net/http drops it.
 type conns struct {
-	mu      sync.Mutex
-	closing bool
-	all     map[net.Conn]*tracked
+	headerBytes int64 // the largest header
+	mu          sync.Mutex
+	closing     bool
+	patient     bool // a header under way may end, if its bytes are counted
+	all         map[net.Conn]*tracked
 }
 
 // tracked is an open connection.
@@ -34,12 +39,15 @@
 	multiplexed bool // HTTP/2, which net/http shuts down
 }
 
-func newConns() *conns {
-	return &conns{all: make(map[net.Conn]*tracked)}
+func newConns(headerBytes int) *conns {
+	return &conns{headerBytes: int64(headerBytes), all: make(map[net.Conn]*tracked)}
 }
 
 // changed is the http.Server's ConnState hook. It runs before the handler.
 func (c *conns) changed(conn net.Conn, state http.ConnState) {
+	if limited := limitedOf(conn); limited != nil && limited.head != nil {
+		c.followHeader(conn, limited.head, state)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.all[conn]
@@ -58,6 +66,33 @@
 	}
 }
 
+// followHeader tells the memory of a connection's header when one begins, and when its
+// request's handler takes over. An HTTP/2 connection holds the memory of one header as long
+// as it is open, since its bytes don't tell how large the header becomes.
+func (c *conns) followHeader(conn net.Conn, h *upload.Head, state http.ConnState) {
+	http2 := http2HeaderFactor * c.headerBytes
+	switch {
+	case isHTTP2(conn):
+		if state == http.StateActive && !h.Hold(http2) {
+			_ = conn.Close()
+		}
+	case state == http.StateNew || state == http.StateIdle:
+		h.Begin(http2)
+	case state == http.StateActive:
+		h.End()
+	}
+}
+
+// http2HeaderFactor is the memory of the header of an HTTP/2 connection, relative to the
+// largest header.
+const http2HeaderFactor = 2
+
+// isHTTP2 reports whether a connection was negotiated as HTTP/2.
+func isHTTP2(conn net.Conn) bool {
+	t, isTLS := conn.(*tls.Conn)
+	return isTLS && t.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // multiplex records that a connection carries several requests at a time.
 func (c *conns) multiplex(conn net.Conn) {
 	c.mu.Lock()
@@ -67,11 +102,18 @@
 	}
 }
 
+// beginRetiring is beginClosing, and close then lets headers under way end.
+func (c *conns) beginRetiring() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing, c.patient = true, true
+}
+
 // beginClosing makes each answer from now on the last one on its connection.
 func (c *conns) beginClosing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	c.closing, c.patient = true, false
 }
 
 func (c *conns) isClosing() bool {
@@ -106,6 +148,9 @@
 			continue
 		}
 		left = true
+		if c.patient && receivesHeader(conn) {
+			continue // its time limit closes it
+		}
 		if t.state == http.StateActive || t.state == http.StateNew && time.Since(t.since) < firstRequestTime {
 			continue
 		}
@@ -115,6 +160,12 @@
 	return !left
 }
 
+// receivesHeader reports whether a part of a request's header has come.
+func receivesHeader(conn net.Conn) bool {
+	limited := limitedOf(conn)
+	return limited != nil && limited.head != nil && limited.head.Receiving()
+}
+
 // closeAfterAnswer tells clients of a server that is shutting down to use another
 // connection.
 func (c *conns) closeAfterAnswer(next http.Handler) http.Handler {
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -3,14 +3,15 @@
 package listen
 
 import (
-	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	sardine "sardineswitch.dev/sardine"
 	"sardineswitch.dev/sardine/codes"
+	"sardineswitch.dev/sardine/upload"
 )
 
 // Defaults of a server's limits.
@@ -29,30 +30,43 @@
 	maxFrameReadBytes = 16 << 10
 )
 
+// acceptPause is the time until the next try to accept a connection after a failure, such
+// as a lack of descriptors.
+const acceptPause = 50 * time.Millisecond
+
 // Server is an HTTP server on one address.
 type Server struct {
-	http           *http.Server
 	listener       net.Listener
-	conns          *conns
 	tls            *tls.Config
 	maxConnections int
+	heads          *upload.Budget // nil for no bound on the memory of all headers
+
+	mu          sync.Mutex
+	limits      Limits
+	handler     http.Handler // nil before Serve
+	current     *generation  // nil before Serve
+	generations map[*generation]struct{}
+	closing     bool
+	failure     error // of a generation
 }
 
 // Option sets a property of a Server.
 type Option func(*Server)
 
-// WithTimeouts limits the time for reading a request's header and the idle time of
-// a connection. The defaults are 5 s and 60 s.
-func WithTimeouts(header, idle sardine.Millis) Option {
-	return func(s *Server) {
-		s.http.ReadHeaderTimeout = header.Duration()
-		s.http.IdleTimeout = idle.Duration()
-	}
+// WithLimits sets the first limits. The defaults are 16 KiB, 5 s and 60 s.
+func WithLimits(l Limits) Option {
+	return func(s *Server) { s.limits = l }
 }
 
 // WithHeaderBytes limits the size of a request's header. The default is 16 KiB.
 func WithHeaderBytes(n int) Option {
-	return func(s *Server) { s.http.MaxHeaderBytes = n }
+	return func(s *Server) { s.limits.HeaderBytes = n }
+}
+
+// WithHeadBudget charges headers to a budget until their handlers begin. A connection
+// whose header does not fit is closed.
+func WithHeadBudget(b *upload.Budget) Option {
+	return func(s *Server) { s.heads = b }
 }
 
 // WithConnections limits the number of open connections. Further connections wait in
@@ -70,28 +84,11 @@
 // and HTTP/2, also without TLS. Connections are accepted once Serve is called.
 // Errors carry codes.BadSettings.
 func New(address string, options ...Option) (*Server, error) {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
 	s := &Server{
-		http: &http.Server{
-			ReadHeaderTimeout: defaultHeaderTimeout.Duration(),
-			IdleTimeout:       defaultIdleTimeout.Duration(),
-			MaxHeaderBytes:    defaultHeaderBytes,
-			Protocols:         protocols,
-			HTTP2: &http.HTTP2Config{
-				MaxConcurrentStreams:          maxStreams,
-				MaxReceiveBufferPerConnection: maxUnreadBytes,
-				MaxReceiveBufferPerStream:     maxUnreadBytes,
-				MaxReadFrameSize:              maxFrameReadBytes,
-			},
-			ErrorLog: discardLog(),
-		},
-		conns:          newConns(),
+		limits:         Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
 		maxConnections: defaultMaxConnections,
+		generations:    make(map[*generation]struct{}),
 	}
-	s.http.ConnContext, s.http.ConnState = withConn, s.conns.changed
 	for _, o := range options {
 		o(s)
 	}
@@ -99,7 +96,7 @@
 	if err != nil {
 		return nil, codes.Wrap(codes.BadSettings, err, "can't listen on "+address)
 	}
-	s.listener = limitConnections(listener, s.maxConnections)
+	s.listener = limitConnections(listener, s.maxConnections, s.heads)
 	if s.tls != nil {
 		s.listener = tls.NewListener(s.listener, s.tls)
 	}
@@ -110,40 +107,3 @@
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
 }
-
-// Serve passes requests to handler. It blocks until Shutdown or Close, after which it
-// returns nil.
-func (s *Server) Serve(handler http.Handler) error {
-	s.http.Handler = s.conns.closeAfterAnswer(resetAborted(handler))
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) || s.conns.isClosing() {
-		return nil
-	}
-	return codes.Wrap(codes.Internal, err, "HTTP server failed")
-}
-
-// Shutdown closes the listener and waits until no request is in flight or ctx is
-// done. Each request that was read is answered.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.conns.beginClosing()
-	if err := ignoreClosed(s.listener.Close()); err != nil {
-		return err
-	}
-	if err := s.conns.close(ctx); err != nil {
-		return err
-	}
-	return s.http.Shutdown(ctx)
-}
-
-// Close closes the listener and all connections at once.
-func (s *Server) Close() error {
-	return errors.Join(s.http.Close(), ignoreClosed(s.listener.Close()))
-}
-
-// ignoreClosed returns nil for the error of a listener that was closed before.
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/upload/body.go
+++ b/upload/body.go
@@ -18,11 +18,13 @@
 	mediumBuffer = 64 << 10
 )
 
-// Body is a request's body in memory. Release returns its memory to the budget.
+// Body is a request's body in memory, with its header if that is long. Release returns its
+// memory to the budget.
 type Body struct {
 	budget    *Budget
 	interrupt func() // makes the read in progress fail
 	bytes     []byte
+	head      *Head // nil for a short header
 
 	// Guarded by the budget's lock.
 	reserved    int64
@@ -38,6 +40,9 @@
 // Release returns the memory. It may be called again, and on nil.
 func (y *Body) Release() {
 	if y != nil {
+		if y.head != nil {
+			y.head.End()
+		}
 		y.bytes = nil // what still refers to the Body doesn't keep the buffer
 		y.budget.release(y)
 	}
@@ -55,7 +60,10 @@
 	y := &Body{budget: b, interrupt: func() {
 		_ = control.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}}
-	err := y.read(r, limit, patience)
+	var err error
+	if y.head, err = b.takeHead(r); err == nil {
+		err = y.read(r, limit, patience)
+	}
 	if err != nil {
 		y.Release()
 		return nil, err
--- a/upload/budget.go
+++ b/upload/budget.go
@@ -49,7 +49,7 @@
 	return large
 }
 
-// Budget is the memory that the bodies of a process share. A body reserves memory before
+// Budget is the memory that the bodies and the long headers of a process share. A body reserves memory before
 // it is read. If there is not enough left, it waits; meanwhile unused buffers are collected
 // and slow senders are interrupted. It is safe for concurrent use.
 type Budget struct {
@@ -63,6 +63,8 @@
 	queues           [classes][]*waiter
 	waiting          int
 	queuedBytes      int64 // that the waiting bodies need
+	heads            int64 // reserved for headers, a part of used
+	refusedHeads     int64 // number of headers without memory
 	interruptedBytes int64 // of bodies that were interrupted and are not released yet
 	receiving        map[*Body]struct{}
 	sweeping         bool
--- a/upload/budget_test.go
+++ b/upload/budget_test.go
@@ -24,12 +24,13 @@
 	clock       *clock.Virtual
 	bodies      map[string]*Body
 	waiters     map[string]*waiter
+	heads       map[string]*Head
 	interrupted []string // names of bodies
 }
 
 func newScript() *script {
 	c := clock.NewVirtual(0)
-	s := &script{budget: NewBudget(c, 1<<20), clock: c, bodies: map[string]*Body{}, waiters: map[string]*waiter{}}
+	s := &script{budget: NewBudget(c, 1<<20), clock: c, bodies: map[string]*Body{}, waiters: map[string]*waiter{}, heads: map[string]*Head{}}
 	return s
 }
 
@@ -44,6 +45,9 @@
 		y = &Body{budget: s.budget, interrupt: func() { s.interrupted = append(s.interrupted, name) }}
 		s.bodies[name] = y
 	}
+	if out, isHeader := s.runHeader(verb, name, number); isHeader {
+		return out
+	}
 	switch verb {
 	case "reserve":
 		w, err := s.budget.enqueue(y, number<<10)
@@ -75,6 +79,36 @@
 	return fmt.Sprintf("used %d, garbage %d, waiting %d", s.budget.used>>10, s.budget.garbage>>10, s.budget.waiting)
 }
 
+// runHeader runs a command about a header.
+func (s *script) runHeader(verb, name string, number int64) (out string, isHeader bool) {
+	h := s.heads[name]
+	if h == nil {
+		h = s.budget.NewHead()
+		s.heads[name] = h
+	}
+	fits := true
+	switch verb {
+	case "header_begins":
+		h.Begin(number << 10)
+	case "header_lines": // of five bytes
+		fits = h.Receive(bytes.Repeat([]byte("a:b\r\n"), int(number)))
+	case "header_text": // one line
+		fits = h.Receive(bytes.Repeat([]byte("n"), int(number<<10)))
+	case "header_bytes": // one at a time, then a body of 4 KiB
+		for _, x := range []byte("GET / HTTP/1.1\r\na: b\r\n\r\n") {
+			fits = fits && h.Receive([]byte{x})
+		}
+		fits = fits && h.Receive(bytes.Repeat([]byte{'\n'}, 4<<10))
+	case "http2":
+		fits = h.Receive(http2Preface)
+	case "header_ends":
+		h.End()
+	default:
+		return "", false
+	}
+	return fmt.Sprintf("fits %v, receiving %v, used %d", fits, h.Receiving(), s.budget.used>>10), true
+}
+
 func (s *script) state(name string) string {
 	if w := s.waiters[name]; w != nil {
 		select {
