--- a/listen/limits_test.go
+++ b/listen/limits_test.go
@@ -53,14 +53,7 @@
 	}
 	close(done)
 	group.Wait()
-	count := 0
-	ran.Range(func(id, _ any) bool {
-		count++
-		_, answered := whole.Load(id)
-		require.True(t, answered, "%s ran and was not answered", id)
-		return true
-	})
-	require.Greater(t, count, clients*changes)
+	require.Greater(t, countAnswered(t, &ran, &whole), clients*changes)
 	require.Eventually(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/listen/shutdown_test.go
+++ b/listen/shutdown_test.go
@@ -81,6 +81,18 @@
 	})
 }
 
+// countAnswered checks that each request that ran was answered, and returns their number.
+func countAnswered(t *testing.T, ran, whole *sync.Map) int {
+	count := 0
+	ran.Range(func(id, _ any) bool {
+		count++
+		_, answered := whole.Load(id)
+		require.True(t, answered, "%s ran and was not answered", id)
+		return true
+	})
+	return count
+}
+
 // TestShutdownAnswersRequestsThatWereRead guards against a connection that is closed
 // without an answer though its request had been read, because the goroutine that
 // read it ran only after the shutdown had begun.
@@ -144,14 +156,7 @@
 	require.NoError(t, s.Shutdown(ctx))
 	stop.Store(true)
 	group.Wait()
-	count := 0
-	ran.Range(func(id, _ any) bool {
-		count++
-		_, answered := whole.Load(id)
-		require.True(t, answered, "%s ran and was not answered", id)
-		return true
-	})
-	require.Greater(t, count, connections)
+	require.Greater(t, countAnswered(t, &ran, &whole), connections)
 }
 
 // TestShutdownWaitsForHTTP2 checks that a request over HTTP/2 is answered and that its
