Listen: connections under earlier limits end with their next answer

Idle connections were closed as soon as limits changed, so that each client's next request on one was a try that nobody read, also when the new limits were lower. They now end with their next answer, which says so. Only if the new limits allow larger or slower headers, those that are idle after a second are closed, whichever earlier limits they have, as these could refuse what is allowed now.

--- a/listen/conns.go
+++ b/listen/conns.go
@@ -137,6 +137,18 @@
 	return nil
 }
 
+// isEmpty reports whether no connection is left but those that net/http shuts down.
+func (c *conns) isEmpty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.all {
+		if !t.multiplexed {
+			return false
+		}
+	}
+	return true
+}
+
 // interruptIdle makes the reads of connections without a request fail. It reports
 // whether no connection is left.
 func (c *conns) interruptIdle() bool {
--- a/listen/generation.go
+++ b/listen/generation.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	sardine "sardineswitch.dev/sardine"
 )
@@ -21,7 +23,9 @@
 // http.Server.
 type generation struct {
 	http     *http.Server
+	limits   Limits
 	conns    *conns
+	narrow   atomic.Bool // its limits could refuse what later ones allow
 	accepted chan net.Conn
 	closed   chan struct{}
 	once     sync.Once
@@ -48,6 +52,7 @@
 			ConnContext: withConn,
 			ErrorLog:    discardLog(),
 		},
+		limits:   l,
 		conns:    newConns(l.HeaderBytes),
 		accepted: make(chan net.Conn),
 		closed:   make(chan struct{}),
@@ -89,10 +94,31 @@
 	return g.address
 }
 
-// retire takes no more connections and closes each open one as soon as it has no request and
-// receives none.
+// Times of a generation that is replaced.
+const (
+	// retireTime is how long its connections stay open for one more request, whose answer
+	// tells the client to use another one.
+	retireTime = time.Second
+	// retirePoll is the time between two looks for open connections after that.
+	retirePoll = time.Second
+)
+
+// compare records whether the limits could refuse a request that others allow.
+func (g *generation) compare(l Limits) {
+	if l.HeaderBytes > g.limits.HeaderBytes || l.HeaderTimeout > g.limits.HeaderTimeout {
+		g.narrow.Store(true)
+	}
+}
+
+// retire takes no more connections. Each open one ends with its next answer, or by its own
+// limits. If these are narrow, connections without a request are closed after retireTime.
 func (g *generation) retire() {
 	g.conns.beginRetiring()
+	_ = g.Close() // never fails
+	time.Sleep(retireTime)
+	for !g.narrow.Load() && !g.conns.isEmpty() {
+		time.Sleep(retirePoll)
+	}
 	_ = g.end(context.Background()) // ends with the connections
 }
 
--- a/listen/limits_test.go
+++ b/listen/limits_test.go
@@ -58,7 +58,41 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return len(s.generations) == 1
-	}, 3*time.Second, 10*time.Millisecond, "generations without connections are dropped")
+	}, 3*(retireTime+retirePoll), 10*time.Millisecond, "generations without connections are dropped")
+}
+
+// TestConnectionsEndByTheirNextAnswer guards against requests that are not read, since limits
+// that refuse none of them close idle connections.
+func TestConnectionsEndByTheirNextAnswer(t *testing.T) {
+	s, err := New("127.0.0.1:0")
+	require.NoError(t, err)
+	var ran sync.Map
+	serve(t, s, &ran)
+	c := dial(t, s.Address())
+	whole, last := c.ask("first")
+	require.True(t, whole)
+	require.False(t, last)
+	s.SetLimits(Limits{HeaderBytes: 1 << 10, HeaderTimeout: 1000, IdleTimeout: 90_000})
+	time.Sleep(2 * retireTime)
+	whole, last = c.ask("second")
+	require.True(t, whole)
+	require.True(t, last)
+}
+
+// TestConnectionsOfAllEarlierLimitsClose guards against connections that keep limits from
+// before the last change, and refuse what is allowed now.
+func TestConnectionsOfAllEarlierLimitsClose(t *testing.T) {
+	s, err := New("127.0.0.1:0")
+	require.NoError(t, err)
+	var ran sync.Map
+	serve(t, s, &ran)
+	c := dial(t, s.Address())
+	whole, _ := c.ask("first")
+	require.True(t, whole)
+	s.SetLimits(Limits{HeaderBytes: 1 << 10, HeaderTimeout: 1000, IdleTimeout: 90_000})
+	s.SetLimits(Limits{HeaderBytes: 64 << 10, HeaderTimeout: 1000, IdleTimeout: 90_000})
+	_, err = c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
 }
 
 // TestHeaderUnderWayKeepsItsLimits guards against a request that is cut off because the
--- a/listen/serve.go
+++ b/listen/serve.go
@@ -85,10 +85,10 @@
 	}
 }
 
-// SetLimits sets the limits for new connections. Connections under other limits are closed as
-// soon as they have no request, so that clients' next requests come under the new ones. A
-// request that has begun keeps its limits, if a head budget is set also while its header
-// comes.
+// SetLimits sets the limits for new connections. Those under other limits end with their next
+// answer. If the new limits allow larger or slower headers, those without a request are closed
+// after retireTime, as their own limits could refuse it. A request that has begun keeps its
+// limits, if a head budget is set also while its header comes.
 func (s *Server) SetLimits(l Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,6 +100,9 @@
 	if old == nil {
 		return
 	}
+	for g := range s.generations {
+		g.compare(l)
+	}
 	s.startGeneration()
 	go func() {
 		old.retire()
